--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,3 @@
+//! Medlarlift serves very many LoRA adapters through a small fleet of entry VMs.
+
+pub mod types;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point: builds the commands and dispatches.
+
+fn main() {}
--- /dev/null
+++ b/src/types/mod.rs
@@ -0,0 +1,26 @@
+//! Values shared by all modules: names, time, adapter references, patience classes and refusals.
+
+mod adapter;
+mod clock;
+mod name;
+mod patience;
+mod refusal;
+
+pub use adapter::AdapterRef;
+pub use adapter::ParseAdapterError;
+pub use clock::Clock;
+pub use clock::MonoMs;
+pub use clock::UnixMs;
+pub use name::AccountName;
+pub use name::DataCentre;
+pub use name::ServerName;
+pub use name::ServiceName;
+pub use name::TemplateName;
+pub use name::VmName;
+pub use patience::Patience;
+pub use refusal::Refusal;
+pub use refusal::RefusalCode;
+pub use refusal::RunState;
+
+/// A number of tokens, prompt and output counted alike.
+pub type Tokens = u64;
