feat(backend): clients for engines and plain services

The engine client checks request id, model and token position of each frame, and reports a stream without a finish reason as lost.

--- /dev/null
+++ b/src/backend/engine_http.rs
@@ -0,0 +1,273 @@
+//! The HTTP dialect of inference engines.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::json;
+use sse_stream::SseStream;
+use tokio::time::timeout;
+
+use super::BackendError;
+use super::Engine;
+use super::EngineCall;
+use super::EngineOrder;
+use super::HttpClient;
+use super::OrderOutcome;
+use super::Result;
+use super::StreamIdentity;
+use super::TokenStream;
+use super::frame::Event;
+use super::frame::read_event;
+use super::pooled_client;
+
+/// Longest time an order may take; a load takes 250 ms on an idle store.
+const ORDER_TIMEOUT_MS: u64 = 10_000;
+/// Longest time for a cancellation.
+const CANCEL_TIMEOUT_MS: u64 = 1_000;
+/// Most bytes read of an error answer.
+const MAX_ERROR_BYTES: usize = 16 * 1024;
+
+/// Talks to engines over HTTP with server-sent events.
+#[derive(Clone)]
+pub struct HttpEngine {
+    client: HttpClient,
+}
+
+/// Body of a refused call or order.
+#[derive(Debug, Default, Deserialize)]
+struct ErrorBody {
+    #[serde(default)]
+    error: Option<serde_json::Value>,
+    #[serde(default)]
+    code: Option<String>,
+    #[serde(default)]
+    highest_fence: Option<u64>,
+}
+
+impl HttpEngine {
+    /// Creates a client with its own connection pool.
+    pub fn new() -> Self {
+        Self {
+            client: pooled_client(),
+        }
+    }
+}
+
+impl Default for HttpEngine {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Engine for HttpEngine {
+    fn start(&self, to: SocketAddr, call: EngineCall) -> BoxFuture<'static, Result<TokenStream>> {
+        let body = json!({
+            "model": call.adapter.to_string(),
+            "request_id": &*call.request_id,
+            "prompt": &*call.prompt,
+            "max_tokens": call.max_tokens,
+            "priority": call.priority,
+            "stream": true,
+        });
+        let request = post(to, "/v1/completions", &body);
+        let identity = StreamIdentity::of_call(&call);
+        open_stream(self.client.clone(), request, identity, 0).boxed()
+    }
+
+    fn resume(
+        &self,
+        to: SocketAddr,
+        identity: StreamIdentity,
+        from: u64,
+    ) -> BoxFuture<'static, Result<TokenStream>> {
+        let path = format!("/v1/streams/{}?from={from}", identity.request_id);
+        let request = empty(Method::GET, to, &path);
+        open_stream(self.client.clone(), request, identity, from).boxed()
+    }
+
+    fn cancel(&self, to: SocketAddr, request_id: Arc<str>) -> BoxFuture<'static, ()> {
+        let request = empty(Method::DELETE, to, &format!("/v1/requests/{request_id}"));
+        let call = self.client.request(request);
+        async move {
+            let _ = timeout(Duration::from_millis(CANCEL_TIMEOUT_MS), call).await;
+        }
+        .boxed()
+    }
+
+    fn order(&self, to: SocketAddr, order: EngineOrder) -> BoxFuture<'static, OrderOutcome> {
+        let request = post(to, "/v1/orders", &json!(order));
+        let call = self.client.request(request);
+        async move {
+            match timeout(Duration::from_millis(ORDER_TIMEOUT_MS), call).await {
+                Ok(Ok(response)) => order_outcome(response).await,
+                _ => OrderOutcome::Failed,
+            }
+        }
+        .boxed()
+    }
+}
+
+async fn order_outcome(response: Response<Incoming>) -> OrderOutcome {
+    match response.status() {
+        StatusCode::OK => OrderOutcome::Done,
+        StatusCode::LOCKED => OrderOutcome::InUse,
+        StatusCode::CONFLICT => OrderOutcome::Fenced {
+            highest_fence: error_body(response).await.highest_fence.unwrap_or(0),
+        },
+        _ => OrderOutcome::Failed,
+    }
+}
+
+async fn open_stream(
+    client: HttpClient,
+    request: Request<Full<Bytes>>,
+    identity: StreamIdentity,
+    from: u64,
+) -> Result<TokenStream> {
+    let response = client.request(request).await.map_err(call_error)?;
+    if response.status() != StatusCode::OK {
+        return Err(refused(response).await);
+    }
+    Ok(token_stream(response, identity, from))
+}
+
+/// A failed connection proves that nothing was sent; any later failure proves nothing.
+fn call_error(error: hyper_util::client::legacy::Error) -> BackendError {
+    let message = error.to_string();
+    if error.is_connect() {
+        BackendError::NotStarted { message }
+    } else {
+        BackendError::Lost { message }
+    }
+}
+
+/// Engines answer a call that did not start with a 4xx status or 503.
+async fn refused(response: Response<Incoming>) -> BackendError {
+    let status = response.status();
+    let body = error_body(response).await;
+    let code = body
+        .code
+        .or_else(|| error_code(body.error.as_ref()))
+        .unwrap_or_default();
+    if code == "not_resident" {
+        return BackendError::NotResident;
+    }
+    let message = format!("status {status} {code}");
+    if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
+        BackendError::NotStarted { message }
+    } else {
+        BackendError::Lost { message }
+    }
+}
+
+fn error_code(error: Option<&serde_json::Value>) -> Option<String> {
+    let error = error?;
+    let code = error.as_str().or_else(|| error.get("code")?.as_str())?;
+    Some(code.to_owned())
+}
+
+async fn error_body(response: Response<Incoming>) -> ErrorBody {
+    let limited = Limited::new(response.into_body(), MAX_ERROR_BYTES);
+    match limited.collect().await {
+        Ok(body) => serde_json::from_slice(&body.to_bytes()).unwrap_or_default(),
+        Err(_) => ErrorBody::default(),
+    }
+}
+
+/// Position and completion of a stream being read.
+struct Reading {
+    events: SseStream<Incoming>,
+    identity: StreamIdentity,
+    next_index: u64,
+    finished: bool,
+    ended: bool,
+}
+
+fn token_stream(response: Response<Incoming>, identity: StreamIdentity, from: u64) -> TokenStream {
+    let reading = Reading {
+        events: SseStream::new(response.into_body()),
+        identity,
+        next_index: from,
+        finished: false,
+        ended: false,
+    };
+    futures::stream::unfold(reading, next_frame).boxed()
+}
+
+async fn next_frame(mut reading: Reading) -> Option<(Result<super::TokenFrame>, Reading)> {
+    if reading.ended {
+        return None;
+    }
+    loop {
+        match read_next(&mut reading).await {
+            Ok(Event::Nothing) => {}
+            Ok(Event::Done) => return None,
+            Ok(Event::Token(frame)) => {
+                reading.next_index += 1;
+                reading.finished = frame.finish_reason.is_some();
+                return Some((Ok(frame), reading));
+            }
+            Err(error) => {
+                reading.ended = true;
+                return Some((Err(error), reading));
+            }
+        }
+    }
+}
+
+/// Reads one event. A stream that closes without a finish reason was cut, not completed.
+async fn read_next(reading: &mut Reading) -> Result<Event> {
+    let sse = match reading.events.next().await {
+        Some(Ok(sse)) => sse,
+        Some(Err(error)) => {
+            return Err(BackendError::Lost {
+                message: error.to_string(),
+            });
+        }
+        None if reading.finished => return Ok(Event::Done),
+        None => {
+            return Err(BackendError::Lost {
+                message: "the stream closed before its last token".to_owned(),
+            });
+        }
+    };
+    match read_event(&sse, &reading.identity, reading.next_index)? {
+        Event::Done if !reading.finished => Err(BackendError::Lost {
+            message: "the stream was closed without a finish reason".to_owned(),
+        }),
+        event => Ok(event),
+    }
+}
+
+fn post(to: SocketAddr, path: &str, body: &serde_json::Value) -> Request<Full<Bytes>> {
+    request_builder(Method::POST, to, path)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("method, address and path are valid")
+}
+
+fn empty(method: Method, to: SocketAddr, path: &str) -> Request<Full<Bytes>> {
+    request_builder(method, to, path)
+        .body(Full::default())
+        .expect("method, address and path are valid")
+}
+
+fn request_builder(method: Method, to: SocketAddr, path: &str) -> http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{to}{path}"))
+}
--- /dev/null
+++ b/src/backend/frame.rs
@@ -0,0 +1,131 @@
+//! Frames of a streamed completion.
+
+use serde::Deserialize;
+use serde::Serialize;
+use sse_stream::Sse;
+
+use super::BackendError;
+use super::Result;
+use super::StreamIdentity;
+
+/// Data of the event that closes a stream.
+const DONE: &str = "[DONE]";
+
+/// Tokens that a request consumed.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens generated.
+    pub completion_tokens: u64,
+}
+
+impl Usage {
+    /// Prompt and output tokens together.
+    pub fn total_tokens(&self) -> u64 {
+        self.prompt_tokens + self.completion_tokens
+    }
+}
+
+/// One generated token.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TokenFrame {
+    /// Position in the answer, from 0.
+    pub index: u64,
+    /// Text of the token.
+    pub text: String,
+    /// Why generation ended, on the last frame only.
+    pub finish_reason: Option<String>,
+    /// Tokens consumed, on the last frame only.
+    pub usage: Option<Usage>,
+}
+
+/// The JSON object of a completion chunk.
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    #[serde(alias = "request_id")]
+    id: String,
+    model: String,
+    #[serde(default)]
+    choices: Vec<ChunkChoice>,
+    #[serde(default)]
+    usage: Option<Usage>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChunkChoice {
+    #[serde(default)]
+    text: String,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+/// One event of the stream.
+#[derive(Debug, Eq, PartialEq)]
+pub(super) enum Event {
+    /// The stream is complete.
+    Done,
+    /// A token.
+    Token(TokenFrame),
+    /// A comment or an empty event.
+    Nothing,
+}
+
+/// Reads one event and checks that it answers `identity` at position `expected_index`.
+pub(super) fn read_event(
+    sse: &Sse,
+    identity: &StreamIdentity,
+    expected_index: u64,
+) -> Result<Event> {
+    let Some(data) = sse.data.as_deref() else {
+        return Ok(Event::Nothing);
+    };
+    if data.trim() == DONE {
+        return Ok(Event::Done);
+    }
+    let chunk: Chunk = serde_json::from_str(data).map_err(|error| BackendError::Mismatch {
+        message: format!("chunk is not a completion: {error}"),
+    })?;
+    check_identity(&chunk, identity)?;
+    let index = event_index(sse, expected_index)?;
+    Ok(Event::Token(token_frame(chunk, index)))
+}
+
+fn check_identity(chunk: &Chunk, identity: &StreamIdentity) -> Result<()> {
+    if chunk.id != *identity.request_id {
+        return mismatch("request id", &identity.request_id, &chunk.id);
+    }
+    match &identity.model {
+        Some(model) if chunk.model != **model => mismatch("model", model, &chunk.model),
+        _ => Ok(()),
+    }
+}
+
+fn event_index(sse: &Sse, expected: u64) -> Result<u64> {
+    let Some(id) = sse.id.as_deref() else {
+        return Ok(expected);
+    };
+    match id.parse::<u64>() {
+        Ok(index) if index == expected => Ok(index),
+        _ => mismatch("token index", &expected.to_string(), id),
+    }
+}
+
+fn token_frame(chunk: Chunk, index: u64) -> TokenFrame {
+    let choice = chunk.choices.into_iter().next();
+    let (text, finish_reason) = choice
+        .map(|choice| (choice.text, choice.finish_reason))
+        .unwrap_or_default();
+    TokenFrame {
+        index,
+        text,
+        finish_reason,
+        usage: chunk.usage,
+    }
+}
+
+fn mismatch<T>(field: &str, expected: &str, found: &str) -> Result<T> {
+    Err(BackendError::Mismatch {
+        message: format!("{field} is {found:?}, expected {expected:?}"),
+    })
+}
--- /dev/null
+++ b/src/backend/service_http.rs
@@ -0,0 +1,112 @@
+//! Calls to plain HTTP services.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+
+use super::BackendError;
+use super::HttpClient;
+use super::Result;
+
+/// Most bytes of an answer that are relayed.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Header that names an order to the service.
+const ORDER_ID: HeaderName = HeaderName::from_static("x-order-id");
+/// Request headers that are passed on. The list is closed, so that no credential gets through.
+const FORWARDED: [HeaderName; 3] = [
+    http::header::ACCEPT,
+    http::header::ACCEPT_LANGUAGE,
+    http::header::CONTENT_TYPE,
+];
+
+/// One call to a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query, starting with `/`.
+    pub path: String,
+    /// The caller's headers; only `FORWARDED` ones are sent.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Identifies a call that must not repeat.
+    pub order_id: Option<Arc<str>>,
+}
+
+/// A whole answer of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceReply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Content type, if the service named one.
+    pub content_type: Option<String>,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Sends `call` and reads the whole answer.
+///
+/// # Errors
+/// `NotStarted` if no connection was made, `Lost` for every later failure.
+pub async fn call_service(
+    client: &HttpClient,
+    to: SocketAddr,
+    call: ServiceCall,
+) -> Result<ServiceReply> {
+    let request = build(to, call)?;
+    let response = client.request(request).await.map_err(|error| {
+        let message = error.to_string();
+        if error.is_connect() {
+            BackendError::NotStarted { message }
+        } else {
+            BackendError::Lost { message }
+        }
+    })?;
+    let status = response.status();
+    let content_type = response
+        .headers()
+        .get(http::header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned);
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|error| BackendError::Lost {
+            message: error.to_string(),
+        })?
+        .to_bytes();
+    Ok(ServiceReply {
+        status,
+        content_type,
+        body,
+    })
+}
+
+fn build(to: SocketAddr, call: ServiceCall) -> Result<Request<Full<Bytes>>> {
+    let mut builder = Request::builder()
+        .method(call.method)
+        .uri(format!("http://{to}{}", call.path));
+    for name in FORWARDED {
+        if let Some(value) = call.headers.get(&name) {
+            builder = builder.header(name, value);
+        }
+    }
+    if let Some(order_id) = call.order_id {
+        builder = builder.header(ORDER_ID, &*order_id);
+    }
+    builder
+        .body(Full::new(call.body))
+        .map_err(|error| BackendError::NotStarted {
+            message: error.to_string(),
+        })
+}
