--- /dev/null
+++ b/src/consensus/core/mod.rs
@@ -0,0 +1,1 @@
+//! Deterministic Raft core.
--- /dev/null
+++ b/src/consensus/storage/mod.rs
@@ -0,0 +1,1 @@
+//! Durable state of a voter.
