--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod backend;
 pub mod configs;
+pub mod consensus;
 pub mod types;
