--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,3 +1,6 @@
 //! Medlarlift serves very many LoRA adapters through a small fleet of entry VMs.
 
+pub mod lease;
+pub mod limits;
+pub mod membership;
 pub mod types;
