--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,4 +3,7 @@
 pub mod backend;
 pub mod configs;
 pub mod consensus;
+pub mod lease;
+pub mod limits;
+pub mod membership;
 pub mod types;
