--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -1,5 +1,10 @@
 //! YAML settings. Each file is read by a [`Reader`] that reports every mistake in one run.
 
+pub mod standin_callers;
+pub mod standin_engine;
+pub mod standin_service;
+pub mod standin_store;
+
 mod reader;
 
 pub use reader::Mistake;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,5 @@
 //! Medlarlift serves very many LoRA adapters through a small fleet of entry VMs.
 
 pub mod configs;
+pub mod standin;
 pub mod types;
