feat(standin): engine, service and store

The engine batches continuously: time per token grows from one sequence to a full batch by a configured share, requests start by priority and wait while batch positions or KV memory are used up. A crash marker, a load failure ratio, ignored fencing numbers, lagging load reports and gaps in cache events are settings. The service counts runs by order id and by body, so an order that ran under two ids shows as well.

--- /dev/null
+++ b/src/standin/engine.rs
@@ -0,0 +1,421 @@
+//! Engine stand-in: adapter slots, continuous batching, prefix cache, orders and crashes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+use crate::configs::standin_engine::EngineSettings;
+
+use super::announcer::Announce;
+use super::announcer::Announcement;
+use super::announcer::announce;
+use super::client::HttpClient;
+use super::engine_counts::EngineCounts;
+use super::engine_orders;
+use super::engine_orders::Order;
+use super::engine_state::NewRequest;
+use super::engine_state::NotStarted;
+use super::engine_state::State;
+use super::engine_state::Step;
+use super::engine_stream;
+use super::server;
+use super::server::Body;
+use super::server::Connections;
+use super::server::Handler;
+use super::server::Server;
+
+/// Time between load samples.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time after which a leaving engine must get no new work.
+const LEAVING_GRACE: Duration = Duration::from_secs(2);
+
+/// Time between looks at the open work of a leaving engine.
+const LEAVE_POLL: Duration = Duration::from_millis(50);
+
+/// Most output tokens of one request.
+const MAX_OUTPUT_TOKENS: u64 = 4_096;
+
+/// Shared parts of one engine.
+#[derive(Debug)]
+pub struct Engine {
+    state: Mutex<State>,
+    work: Notify,
+    crash: Notify,
+    connections: Connections,
+    client: HttpClient,
+    address: std::sync::OnceLock<SocketAddr>,
+}
+
+/// A running engine. Dropping it ends it at once, as a killed process ends.
+#[derive(Debug)]
+pub struct RunningEngine {
+    engine: Arc<Engine>,
+    server: Server,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl RunningEngine {
+    /// Starts an engine; with port 0 in its settings the system chooses the port.
+    pub async fn bind(settings: EngineSettings) -> io::Result<Self> {
+        let address = settings.address;
+        let vms = settings.vms.clone();
+        let announce_ms = settings.announce_ms;
+        let engine = Arc::new(Engine {
+            state: Mutex::new(State::new(settings)),
+            work: Notify::new(),
+            crash: Notify::new(),
+            connections: Connections::new(),
+            client: HttpClient::new(),
+            address: std::sync::OnceLock::new(),
+        });
+        let connections = engine.connections.clone();
+        let server = Server::bind(address, engine.clone(), connections).await?;
+        engine.address.get_or_init(|| server.address());
+        let tasks = vec![
+            tokio::spawn(run_batch(engine.clone())),
+            tokio::spawn(sample_load(engine.clone())),
+            tokio::spawn(announce(engine.clone(), vms, announce_ms)),
+        ];
+        Ok(Self {
+            engine,
+            server,
+            tasks,
+        })
+    }
+
+    /// Address of the engine.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Counters of the engine.
+    pub fn counts(&self) -> EngineCounts {
+        self.engine.lock().counts.clone()
+    }
+
+    /// Current incarnation.
+    pub fn incarnation(&self) -> u64 {
+        self.engine.lock().incarnation
+    }
+
+    /// Names of the resident adapters.
+    pub fn resident(&self) -> Vec<String> {
+        self.engine.lock().resident.keys().cloned().collect()
+    }
+
+    /// Crashes the engine; it restarts empty after the configured time.
+    pub fn crash(&self) {
+        self.engine.crash.notify_one();
+    }
+
+    /// Announces that the engine leaves and waits until its work has ended, but no longer than
+    /// the configured time.
+    pub async fn leave(&self) {
+        let since = Instant::now();
+        let limit = {
+            let mut state = self.engine.lock();
+            state.leaving_since = Some(since);
+            Duration::from_millis(state.settings.leave_ms)
+        };
+        loop {
+            tokio::time::sleep(LEAVE_POLL).await;
+            let idle = self.engine.lock().open_requests() == 0;
+            let waited = since.elapsed();
+            if waited >= limit || (idle && waited >= LEAVING_GRACE) {
+                return;
+            }
+        }
+    }
+}
+
+impl Drop for RunningEngine {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn run_batch(engine: Arc<Engine>) {
+    loop {
+        let step = engine.lock().plan_step(Instant::now());
+        let crashed = match step {
+            Step::Crash => true,
+            Step::Idle => tokio::select! {
+                () = engine.work.notified() => false,
+                () = engine.crash.notified() => true,
+            },
+            Step::Run(duration) => run_step(&engine, duration).await,
+        };
+        if crashed {
+            restart(&engine).await;
+        }
+    }
+}
+
+/// Runs one step; returns whether the engine crashed meanwhile.
+async fn run_step(engine: &Engine, duration: Duration) -> bool {
+    let start = Instant::now();
+    tokio::select! {
+        () = tokio::time::sleep(duration) => {
+            let now = Instant::now();
+            engine.lock().finish_step(now - start, now);
+            false
+        }
+        () = engine.crash.notified() => true,
+    }
+}
+
+async fn restart(engine: &Engine) {
+    let restart_ms = {
+        let mut state = engine.lock();
+        state.crash();
+        log::warn!("engine: {} crashed", state.settings.name);
+        state.settings.restart_ms
+    };
+    engine.connections.drop_all();
+    tokio::time::sleep(Duration::from_millis(restart_ms)).await;
+    engine.lock().restart();
+}
+
+async fn sample_load(engine: Arc<Engine>) {
+    let mut timer = tokio::time::interval(SAMPLE_INTERVAL);
+    loop {
+        timer.tick().await;
+        engine.lock().sample_load(Instant::now());
+    }
+}
+
+impl Announce for Engine {
+    fn announcement(&self) -> Option<Announcement> {
+        let address = self.address.get()?;
+        let state = self.lock();
+        if state.down {
+            return None;
+        }
+        let load = state.reported_load(Instant::now());
+        let settings = &state.settings;
+        Some(Announcement {
+            name: settings.name.clone(),
+            kind: "engine".to_owned(),
+            address: address.to_string(),
+            data_centre: settings.data_centre.clone(),
+            incarnation: state.incarnation,
+            sequence: 0,
+            base: settings.base.clone(),
+            services: Vec::new(),
+            adapter_slots: settings.adapter_slots,
+            batch_positions: settings.batch_positions,
+            resident: state.resident.keys().cloned().collect(),
+            running: load.running,
+            queued: load.queued,
+            free_kv_tokens: load.free_kv_tokens,
+            checks_fence: settings.check_fence,
+            highest_fence: state.highest_fence,
+            leaving: state.leaving_since.is_some(),
+        })
+    }
+}
+
+/// Body of `POST /v1/completions`.
+#[derive(Debug, Deserialize)]
+struct CompletionBody {
+    request_id: String,
+    model: String,
+    prompt: String,
+    max_tokens: u64,
+    #[serde(default)]
+    priority: u64,
+    #[serde(default)]
+    stream: bool,
+}
+
+impl Handler for Engine {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        if server::carries_key(&request) {
+            self.lock().counts.requests_with_key += 1;
+        }
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (&method, parts.as_slice()) {
+            (&Method::POST, ["v1", "completions"]) => self.complete(request).await,
+            (&Method::GET, ["v1", "streams", id]) => Some(self.resume(id, &request)),
+            (&Method::DELETE, ["v1", "requests", id]) => Some(self.cancel(id)),
+            (&Method::POST, ["v1", "orders"]) => Some(self.order(request).await),
+            (&Method::GET, ["v1", "kv", key]) => Some(self.export_kv(key)),
+            (&Method::PUT, ["v1", "kv", key]) => Some(self.import_kv(key)),
+            (&Method::GET, ["v1", "cache_events"]) => Some(self.cache_events(&request)),
+            (&Method::GET, ["_counts"]) => {
+                let counts = serde_json::to_value(&self.lock().counts).unwrap_or_default();
+                Some(server::json(StatusCode::OK, &counts))
+            }
+            _ => Some(self.error(StatusCode::NOT_FOUND, "no_such_path", &path)),
+        }
+    }
+
+    fn is_down(&self) -> bool {
+        self.lock().down
+    }
+}
+
+impl Engine {
+    /// The state of the engine.
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn error(&self, status: StatusCode, code: &str, message: &str) -> Response<Body> {
+        let body = json!({ "error": { "code": code, "message": message, "run": "not_run" } });
+        self.named(status, body)
+    }
+
+    /// Adds the incarnation to a response.
+    fn named(&self, status: StatusCode, mut body: Value) -> Response<Body> {
+        body["incarnation"] = json!(self.lock().incarnation);
+        server::json(status, &body)
+    }
+
+    async fn complete(&self, request: Request<Incoming>) -> Option<Response<Body>> {
+        let body: CompletionBody = match server::read_json(request).await {
+            Ok(body) => body,
+            Err(error) => return Some(self.error(StatusCode::BAD_REQUEST, "bad_request", &error)),
+        };
+        if !(1..=MAX_OUTPUT_TOKENS).contains(&body.max_tokens) {
+            let message = format!("max_tokens must be from 1 to {MAX_OUTPUT_TOKENS}");
+            return Some(self.error(StatusCode::BAD_REQUEST, "bad_request", &message));
+        }
+        let streamed = body.stream;
+        let (request_id, model) = (body.request_id.clone(), body.model.clone());
+        let submitted = self.submit(body);
+        self.work.notify_one();
+        match submitted {
+            Err(reason) => Some(self.not_started(reason, &request_id, &model)),
+            Ok(sequence) if streamed => Some(engine_stream::stream(sequence, 0)),
+            Ok(sequence) => engine_stream::whole(sequence).await,
+        }
+    }
+
+    fn submit(
+        &self,
+        body: CompletionBody,
+    ) -> Result<Arc<super::engine_state::Sequence>, NotStarted> {
+        let mut state = self.lock();
+        let leaving = state.leaving_since;
+        if leaving.is_some_and(|since| since.elapsed() > LEAVING_GRACE) {
+            state.counts.late_after_leaving += 1;
+        }
+        state.submit(NewRequest {
+            request_id: body.request_id,
+            model: body.model,
+            prompt: body.prompt,
+            max_tokens: body.max_tokens,
+            priority: body.priority,
+        })
+    }
+
+    fn not_started(&self, reason: NotStarted, request_id: &str, model: &str) -> Response<Body> {
+        let (status, code) = match reason {
+            NotStarted::NotResident => (StatusCode::CONFLICT, "not_resident"),
+            NotStarted::DuplicateRequest => (StatusCode::CONFLICT, "duplicate_request"),
+            NotStarted::Overloaded => (StatusCode::SERVICE_UNAVAILABLE, "overloaded"),
+        };
+        let body = json!({
+            "error": { "code": code, "run": "not_run" },
+            "request_id": request_id,
+            "model": model,
+        });
+        self.named(status, body)
+    }
+
+    fn resume(&self, request_id: &str, request: &Request<Incoming>) -> Response<Body> {
+        let from = server::query_u64(request, "from").unwrap_or(0);
+        let sequence = self.lock().find(request_id);
+        match sequence {
+            None => self.error(StatusCode::NOT_FOUND, "no_such_request", request_id),
+            Some(sequence) => {
+                self.lock().counts.resumed += 1;
+                engine_stream::stream(sequence, from)
+            }
+        }
+    }
+
+    fn cancel(&self, request_id: &str) -> Response<Body> {
+        let cancelled = self.lock().cancel(request_id, Instant::now());
+        match cancelled {
+            None => self.error(StatusCode::NOT_FOUND, "no_such_request", request_id),
+            Some((cancelled, tokens)) => {
+                let body = json!({
+                    "request_id": request_id,
+                    "cancelled": cancelled,
+                    "completion_tokens": tokens,
+                });
+                self.named(StatusCode::OK, body)
+            }
+        }
+    }
+
+    async fn order(self: &Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let order: Order = match server::read_json(request).await {
+            Ok(order) => order,
+            Err(error) => return self.error(StatusCode::BAD_REQUEST, "bad_request", &error),
+        };
+        let engine = self.clone();
+        // A load goes on when the coordinator that ordered it closes its connection.
+        let task =
+            tokio::spawn(
+                async move { engine_orders::execute(&engine, &engine.client, order).await },
+            );
+        match task.await {
+            Ok((status, body)) => self.named(status, body),
+            Err(error) => {
+                let message = error.to_string();
+                self.error(StatusCode::INTERNAL_SERVER_ERROR, "internal", &message)
+            }
+        }
+    }
+
+    fn export_kv(&self, key: &str) -> Response<Body> {
+        if self.lock().cache.contains(key) {
+            let body = json!({ "key": key, "tokens": super::answer::BLOCK_TOKENS });
+            self.named(StatusCode::OK, body)
+        } else {
+            self.error(StatusCode::NOT_FOUND, "no_such_block", key)
+        }
+    }
+
+    fn import_kv(&self, key: &str) -> Response<Body> {
+        let state = &mut *self.lock();
+        let keys = [key.to_owned()];
+        state.cache.store(&keys, Instant::now(), &mut state.rng);
+        let body = json!({ "key": key, "incarnation": state.incarnation });
+        server::json(StatusCode::OK, &body)
+    }
+
+    fn cache_events(&self, request: &Request<Incoming>) -> Response<Body> {
+        let after = server::query_u64(request, "after").unwrap_or(0);
+        let events = {
+            let state = self.lock();
+            let lag = Duration::from_millis(state.settings.cache_event_lag_ms);
+            state.cache.events_after(after, Instant::now(), lag)
+        };
+        self.named(StatusCode::OK, json!({ "events": events }))
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,5 +3,13 @@
 pub mod announcer;
 pub mod answer;
 pub mod client;
+pub mod engine;
+pub mod engine_cache;
+pub mod engine_counts;
+pub mod engine_orders;
+pub mod engine_state;
+pub mod engine_stream;
 pub mod events;
-pub mod http;
+pub mod server;
+pub mod service;
+pub mod store;
--- /dev/null
+++ b/src/standin/service.rs
@@ -0,0 +1,272 @@
+//! Plain service stand-in: counts how often each order ran.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use indexmap::IndexMap;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+use crate::configs::standin_service::ServiceSettings;
+use crate::types::Clock;
+
+use super::announcer::Announce;
+use super::announcer::Announcement;
+use super::announcer::announce;
+use super::answer;
+use super::server;
+use super::server::Body;
+use super::server::Connections;
+use super::server::Handler;
+use super::server::Server;
+
+/// Time after which a leaving server must get no new work.
+const LEAVING_GRACE: Duration = Duration::from_secs(2);
+
+/// Time between looks at the open calls of a leaving server.
+const LEAVE_POLL: Duration = Duration::from_millis(50);
+
+/// Header that names the order a call belongs to.
+pub const ORDER_HEADER: &str = "x-order-id";
+
+/// What the service counted.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceCounts {
+    /// Calls that ran.
+    pub calls: u64,
+    /// Runs by order id.
+    pub runs_by_order: IndexMap<String, u64>,
+    /// Runs by digest of the body, for calls with an order id. Shows an order that ran under two
+    /// ids.
+    pub runs_by_body: IndexMap<String, u64>,
+    /// Runs of an order beyond its first.
+    pub doubled_orders: u64,
+    /// Calls that ran and were answered with status 500.
+    pub failed_after_run: u64,
+    /// Calls that ran and were not answered.
+    pub dropped_after_run: u64,
+    /// Calls that came more than 2 s after the server announced that it leaves.
+    pub late_after_leaving: u64,
+    /// Calls that carried a caller's key.
+    pub requests_with_key: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    counts: ServiceCounts,
+    in_flight: u64,
+    leaving_since: Option<Instant>,
+    rng: StdRng,
+}
+
+#[derive(Debug)]
+struct Service {
+    settings: ServiceSettings,
+    incarnation: u64,
+    address: OnceLock<SocketAddr>,
+    state: Mutex<State>,
+}
+
+/// A running service. Dropping it ends it at once, as a killed process ends.
+#[derive(Debug)]
+pub struct RunningService {
+    service: Arc<Service>,
+    server: Server,
+    announcer: JoinHandle<()>,
+}
+
+impl RunningService {
+    /// Starts a service; with port 0 in its settings the system chooses the port.
+    pub async fn bind(settings: ServiceSettings) -> io::Result<Self> {
+        let address = settings.address;
+        let vms = settings.vms.clone();
+        let announce_ms = settings.announce_ms;
+        let state = State {
+            counts: ServiceCounts::default(),
+            in_flight: 0,
+            leaving_since: None,
+            rng: StdRng::seed_from_u64(settings.seed),
+        };
+        let service = Arc::new(Service {
+            settings,
+            incarnation: Clock::start().unix().0,
+            address: OnceLock::new(),
+            state: Mutex::new(state),
+        });
+        let server = Server::bind(address, service.clone(), Connections::new()).await?;
+        service.address.get_or_init(|| server.address());
+        let announcer = tokio::spawn(announce(service.clone(), vms, announce_ms));
+        Ok(Self {
+            service,
+            server,
+            announcer,
+        })
+    }
+
+    /// Address of the service.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Counters of the service.
+    pub fn counts(&self) -> ServiceCounts {
+        self.service.lock().counts.clone()
+    }
+
+    /// Announces that the server leaves and waits until its calls have ended, but no longer than
+    /// the configured time.
+    pub async fn leave(&self) {
+        let since = Instant::now();
+        self.service.lock().leaving_since = Some(since);
+        let limit = Duration::from_millis(self.service.settings.leave_ms);
+        loop {
+            tokio::time::sleep(LEAVE_POLL).await;
+            let idle = self.service.lock().in_flight == 0;
+            let waited = since.elapsed();
+            if waited >= limit || (idle && waited >= LEAVING_GRACE) {
+                return;
+            }
+        }
+    }
+}
+
+impl Drop for RunningService {
+    fn drop(&mut self) {
+        self.announcer.abort();
+    }
+}
+
+impl Announce for Service {
+    fn announcement(&self) -> Option<Announcement> {
+        let address = self.address.get()?;
+        let state = self.lock();
+        Some(Announcement {
+            name: self.settings.name.clone(),
+            kind: "service".to_owned(),
+            address: address.to_string(),
+            data_centre: self.settings.data_centre.clone(),
+            incarnation: self.incarnation,
+            services: self.settings.services.clone(),
+            batch_positions: self.settings.positions,
+            running: state.in_flight,
+            leaving: state.leaving_since.is_some(),
+            ..Announcement::default()
+        })
+    }
+}
+
+/// How a call ends after it ran.
+enum Ending {
+    Answer,
+    Fail,
+    Drop,
+}
+
+/// Counts a call as open until it is dropped.
+struct OpenCall(Arc<Service>);
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.lock().in_flight -= 1;
+    }
+}
+
+impl Handler for Service {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        if request.uri().path() == "/_counts" {
+            let counts = serde_json::to_value(&self.lock().counts).unwrap_or_default();
+            return Some(server::json(StatusCode::OK, &counts));
+        }
+        if server::carries_key(&request) {
+            self.lock().counts.requests_with_key += 1;
+        }
+        self.run(request).await
+    }
+}
+
+impl Service {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn run(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        let header = request.headers().get(ORDER_HEADER);
+        let order = header
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        let method = request.method().to_string();
+        let path = request.uri().path().to_owned();
+        let body = server::read_body(request).await?;
+        let digest = answer::digest_bytes(&body);
+        let run = self.count_run(order.as_deref(), &digest);
+        let open = OpenCall(self.clone());
+        tokio::time::sleep(Duration::from_millis(self.settings.delay_ms)).await;
+        drop(open);
+        let status = match self.draw_ending() {
+            Ending::Answer => StatusCode::OK,
+            Ending::Fail => StatusCode::INTERNAL_SERVER_ERROR,
+            Ending::Drop => return None,
+        };
+        let body = json!({
+            "server": self.settings.name,
+            "incarnation": self.incarnation,
+            "method": method,
+            "path": path,
+            "order_id": order,
+            "run": run,
+            "body_digest": digest,
+        });
+        Some(server::json(status, &body))
+    }
+
+    /// Counts a call when it begins to run and returns how often its order has run.
+    fn count_run(&self, order: Option<&str>, digest: &str) -> u64 {
+        let state = &mut *self.lock();
+        state.in_flight += 1;
+        let counts = &mut state.counts;
+        counts.calls += 1;
+        let leaving = state.leaving_since;
+        if leaving.is_some_and(|since| since.elapsed() > LEAVING_GRACE) {
+            counts.late_after_leaving += 1;
+        }
+        let Some(order) = order else {
+            return 1;
+        };
+        *counts.runs_by_body.entry(digest.to_owned()).or_default() += 1;
+        let runs = counts.runs_by_order.entry(order.to_owned()).or_default();
+        *runs += 1;
+        if *runs > 1 {
+            counts.doubled_orders += 1;
+        }
+        *runs
+    }
+
+    fn draw_ending(&self) -> Ending {
+        let state = &mut *self.lock();
+        if state.rng.random_bool(self.settings.drop_after_run_ratio) {
+            state.counts.dropped_after_run += 1;
+            Ending::Drop
+        } else if state.rng.random_bool(self.settings.fail_after_run_ratio) {
+            state.counts.failed_after_run += 1;
+            Ending::Fail
+        } else {
+            Ending::Answer
+        }
+    }
+}
