--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod lease;
 pub mod limits;
 pub mod membership;
+pub mod standin;
 pub mod types;
