--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod limits;
 pub mod membership;
 pub mod standin;
+pub mod control;
 pub mod types;
