feat(lease): grantor, candidate, holder and driver of the coordinator lease

A restarted VM also waits until it has caught up with the replicated log, since it may have forgotten an acknowledged roster or lowered share. Replies carry the grantor's applied index so that a new coordinator learns the lowest control index it must apply before it hands out tokens. Lost candidates give their grants back at once; waiting for the lapse of a split vote was ruled out because it costs a whole lease.

--- /dev/null
+++ b/src/lease/driver.rs
@@ -0,0 +1,221 @@
+//! Runs an [`Elector`] against the clock and the network.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+use tokio::time::MissedTickBehavior;
+
+use super::candidate::Timing;
+use super::elector::Elector;
+use super::elector::ElectorConfig;
+use super::elector::Held;
+use super::elector::Outgoing;
+use super::message::Identity;
+use super::message::LeasePeers;
+use super::message::LeaseReply;
+use super::message::LeaseRequest;
+use super::roster::Roster;
+use crate::types::Clock;
+use crate::types::DataCentre;
+use crate::types::VmName;
+
+/// Time between looks at what is due.
+const TICK_MS: u64 = 20;
+
+/// Settings of the driver.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// This process. The incarnation must rise with each start.
+    pub me: Identity,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Durations.
+    pub timing: Timing,
+    /// Clock of the process, shared with the users of [`Held`].
+    pub clock: Clock,
+}
+
+/// The running election. Clones share it; the task ends when the last clone is dropped.
+#[derive(Clone)]
+pub struct Handle {
+    shared: Arc<Shared>,
+    _task: Arc<AbortOnDrop>,
+}
+
+struct Shared {
+    clock: Clock,
+    data_centre: DataCentre,
+    elector: Mutex<Elector>,
+    known: Mutex<BTreeMap<DataCentre, VmName>>,
+    peers: Arc<dyn LeasePeers>,
+}
+
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Starts the election of one data centre's coordinator. Must be called in a tokio runtime.
+pub fn spawn(config: Config, peers: Arc<dyn LeasePeers>) -> Handle {
+    let clock = config.clock;
+    let data_centre = config.data_centre.clone();
+    let elector = Elector::new(
+        ElectorConfig {
+            me: config.me,
+            data_centre: config.data_centre,
+            timing: config.timing,
+        },
+        clock.mono(),
+    );
+    let shared = Arc::new(Shared {
+        clock,
+        data_centre,
+        elector: Mutex::new(elector),
+        known: Mutex::default(),
+        peers,
+    });
+    let task = tokio::spawn(run(Arc::clone(&shared)));
+    Handle {
+        shared,
+        _task: Arc::new(AbortOnDrop(task)),
+    }
+}
+
+async fn run(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut was_held = false;
+    loop {
+        ticks.tick().await;
+        let now = shared.clock.mono();
+        let (outgoing, held) = {
+            let mut elector = shared.elector();
+            (elector.tick(now), elector.current(now))
+        };
+        log_change(&shared.data_centre, was_held, held);
+        was_held = held.is_some();
+        shared.send(outgoing);
+    }
+}
+
+fn log_change(data_centre: &DataCentre, was_held: bool, held: Option<Held>) {
+    match held {
+        Some(held) if !was_held => {
+            log::info!("lease: coordinates {data_centre}, term {}", held.term);
+        }
+        None if was_held => log::warn!("lease: no longer coordinates {data_centre}"),
+        _ => {}
+    }
+}
+
+impl Shared {
+    fn elector(&self) -> MutexGuard<'_, Elector> {
+        self.elector.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn known(&self) -> MutexGuard<'_, BTreeMap<DataCentre, VmName>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn send(self: &Arc<Self>, outgoing: Vec<Outgoing>) {
+        for Outgoing { to, request } in outgoing {
+            let reply = self.peers.send(to, request);
+            let shared = Arc::clone(self);
+            tokio::spawn(async move {
+                match reply.await {
+                    Ok(reply) => {
+                        let now = shared.clock.mono();
+                        shared.elector().reply(now, &reply);
+                    }
+                    Err(error) => log::debug!("lease: {error}"),
+                }
+            });
+        }
+    }
+}
+
+impl Handle {
+    /// Decides on a request of another VM.
+    pub fn receive(&self, request: LeaseRequest) -> LeaseReply {
+        let mut elector = self.shared.elector();
+        elector.receive(self.shared.clock.mono(), &request)
+    }
+
+    /// The lease if this process holds it now.
+    pub fn current(&self) -> Option<Held> {
+        let elector = self.shared.elector();
+        elector.current(self.shared.clock.mono())
+    }
+
+    /// The coordinator of this VM's data centre as far as the VM knows.
+    pub fn coordinator(&self) -> Option<VmName> {
+        self.coordinator_of(&self.shared.data_centre)
+    }
+
+    /// The coordinator of `data_centre` as far as the VM knows.
+    pub fn coordinator_of(&self, data_centre: &DataCentre) -> Option<VmName> {
+        if *data_centre == self.shared.data_centre {
+            let now = self.shared.clock.mono();
+            let elected = self.shared.elector().coordinator(now);
+            if elected.is_some() {
+                return elected;
+            }
+        }
+        self.shared.known().get(data_centre).cloned()
+    }
+
+    /// Records what gossip tells about the coordinator of `data_centre`.
+    pub fn note_coordinator(&self, data_centre: DataCentre, vm: Option<VmName>) {
+        let mut known = self.shared.known();
+        match vm {
+            Some(vm) => known.insert(data_centre, vm),
+            None => known.remove(&data_centre),
+        };
+    }
+
+    /// Time since this VM last knew a majority of its data centre to be reachable.
+    pub fn majority_contact_age_ms(&self) -> u64 {
+        let elector = self.shared.elector();
+        elector.majority_contact_age_ms(self.shared.clock.mono())
+    }
+
+    /// Replaces the roster of the data centre unless `roster` is older.
+    pub fn set_roster(&self, roster: Roster) {
+        self.shared.elector().set_roster(roster);
+    }
+
+    /// Tells how far the VM has applied the replicated log; see
+    /// [`Grantor::set_applied`](super::Grantor::set_applied).
+    pub fn set_applied(&self, applied_index: Option<u64>) {
+        self.shared.elector().set_applied(applied_index);
+    }
+
+    /// Makes the holder move to a term above `term`, which a backend server has reported.
+    pub fn require_term_above(&self, term: u64) {
+        self.shared.elector().require_term_above(term);
+    }
+
+    /// An ineligible VM votes but does not ask for the lease.
+    pub fn set_eligible(&self, eligible: bool) {
+        self.shared.elector().set_eligible(eligible);
+    }
+
+    /// Gives the lease back, preferably to `successor`, and does not ask for it again.
+    pub fn retire(&self, successor: Option<VmName>) {
+        let outgoing = {
+            let now = self.shared.clock.mono();
+            let mut elector = self.shared.elector();
+            elector.set_eligible(false);
+            elector.hand_over(now, successor)
+        };
+        self.shared.send(outgoing);
+    }
+}
--- /dev/null
+++ b/src/lease/elector.rs
@@ -0,0 +1,385 @@
+//! One VM's part in the election: its vote, its candidacy and its lease.
+
+use std::collections::BTreeMap;
+
+use super::candidate::Candidate;
+use super::candidate::Holder;
+use super::candidate::Timing;
+use super::grantor::Grantor;
+use super::message::Identity;
+use super::message::LEASE_FORMAT;
+use super::message::LeaseAnswer;
+use super::message::LeaseReply;
+use super::message::LeaseRequest;
+use super::message::LeaseRequestKind;
+use super::roster::Roster;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::VmName;
+
+/// Time a candidate waits for a majority before it gives its grants back.
+const ASK_TIMEOUT_MS: u64 = 150;
+
+/// Distance between the candidacies of VMs with consecutive ranks, a few round trips.
+const STAGGER_MS: u64 = 40;
+
+/// Ranks beyond this one do not wait longer, so that a long row of dead VMs delays nothing.
+const MAX_STAGGER_RANK: u64 = 6;
+
+/// Time without contact to a majority after which a VM probes, and time between probes.
+const PROBE_MS: u64 = 1_000;
+
+/// Settings of an [`Elector`].
+#[derive(Clone, Debug)]
+pub struct ElectorConfig {
+    /// This process.
+    pub me: Identity,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Durations.
+    pub timing: Timing,
+}
+
+/// A lease in force.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Held {
+    /// Term, also the fencing number of orders to backend servers.
+    pub term: u64,
+    /// Start of the uninterrupted possession. Changes with each new possession, unlike the term.
+    pub since: MonoMs,
+    /// The lease must not be used at or after this time.
+    pub deadline: MonoMs,
+    /// Control index that must be applied before tokens are handed out.
+    pub required_index: u64,
+}
+
+/// A request to send.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Outgoing {
+    /// Receiver.
+    pub to: VmName,
+    /// Message.
+    pub request: LeaseRequest,
+}
+
+#[derive(Debug, Default)]
+enum Role {
+    #[default]
+    Follower,
+    Candidate(Candidate),
+    Holder(Holder),
+}
+
+/// What a round of requests was for.
+#[derive(Clone, Copy, Debug)]
+struct Round {
+    sent: MonoMs,
+    term: u64,
+}
+
+/// One VM's part in the election.
+#[derive(Debug)]
+pub struct Elector {
+    config: ElectorConfig,
+    roster: Roster,
+    grantor: Grantor,
+    role: Role,
+    eligible: bool,
+    started: MonoMs,
+    sequence: u64,
+    rounds: BTreeMap<u64, Round>,
+    known_term: u64,
+    wanted_term: u64,
+    not_before: MonoMs,
+    next_renewal: MonoMs,
+    next_probe: MonoMs,
+    replied: BTreeMap<VmName, MonoMs>,
+    holder_heard: Option<MonoMs>,
+}
+
+impl Elector {
+    /// A VM that starts at `now`. It neither votes nor asks before it has a roster and has caught
+    /// up with the replicated log.
+    pub fn new(config: ElectorConfig, now: MonoMs) -> Self {
+        let grantor = Grantor::new(
+            config.me.vm.clone(),
+            config.data_centre.clone(),
+            now,
+            config.timing.lease_ms,
+        );
+        Self {
+            config,
+            roster: Roster::default(),
+            grantor,
+            role: Role::default(),
+            eligible: true,
+            started: now,
+            sequence: 0,
+            rounds: BTreeMap::new(),
+            known_term: 0,
+            wanted_term: 0,
+            not_before: now,
+            next_renewal: now,
+            next_probe: now.plus(PROBE_MS),
+            replied: BTreeMap::new(),
+            holder_heard: None,
+        }
+    }
+
+    /// Replaces the roster unless `roster` is older.
+    pub fn set_roster(&mut self, roster: Roster) {
+        if roster.revision() >= self.roster.revision() {
+            self.grantor.set_roster_revision(roster.revision());
+            self.roster = roster;
+        }
+    }
+
+    /// See [`Grantor::set_applied`].
+    pub fn set_applied(&mut self, applied_index: Option<u64>) {
+        self.grantor.set_applied(applied_index);
+    }
+
+    /// An ineligible VM votes but does not ask for the lease, for example while it drains.
+    pub fn set_eligible(&mut self, eligible: bool) {
+        self.eligible = eligible;
+    }
+
+    /// Makes the holder move to a term above `term`, which a backend server has reported.
+    pub fn require_term_above(&mut self, term: u64) {
+        self.wanted_term = self.wanted_term.max(term + 1);
+        self.next_renewal = MonoMs(0);
+    }
+
+    /// Decides on a request of another VM.
+    pub fn receive(&mut self, now: MonoMs, request: &LeaseRequest) -> LeaseReply {
+        let reply = self.grantor.receive(now, request);
+        let renewed = request.kind == LeaseRequestKind::Renew;
+        if renewed && reply.answer == LeaseAnswer::Granted {
+            self.holder_heard = Some(now);
+        }
+        reply
+    }
+
+    /// The lease, if this process holds it at `now`.
+    pub fn current(&self, now: MonoMs) -> Option<Held> {
+        let Role::Holder(holder) = &self.role else {
+            return None;
+        };
+        let deadline = holder.deadline(&self.roster, &self.config.timing);
+        (now < deadline).then_some(Held {
+            term: holder.term(),
+            since: holder.since(),
+            deadline,
+            required_index: holder.required_index(),
+        })
+    }
+
+    /// The coordinator of this data centre as far as this VM knows.
+    pub fn coordinator(&self, now: MonoMs) -> Option<VmName> {
+        if self.current(now).is_some() {
+            return Some(self.config.me.vm.clone());
+        }
+        let vote = self.grantor.vote(now).filter(|vote| vote.elected)?;
+        let stale = vote.holder == self.config.me;
+        (!stale).then(|| vote.holder.vm.clone())
+    }
+
+    /// Time since this VM last knew a majority of its data centre to be reachable.
+    pub fn majority_contact_age_ms(&self, now: MonoMs) -> u64 {
+        let me = &self.config.me.vm;
+        let reached = self.roster.reached_by_majority(|vm| {
+            if vm == me {
+                Some(now)
+            } else {
+                self.replied.get(vm).copied()
+            }
+        });
+        let contact = reached.max(self.holder_heard).unwrap_or(self.started);
+        now.since(contact)
+    }
+
+    /// Does what is due at `now` and returns the requests to send.
+    pub fn tick(&mut self, now: MonoMs) -> Vec<Outgoing> {
+        let lease_ms = self.config.timing.lease_ms;
+        self.rounds
+            .retain(|_, round| now.since(round.sent) < lease_ms);
+        match std::mem::take(&mut self.role) {
+            Role::Follower => self.tick_follower(now),
+            Role::Candidate(candidate) => self.tick_candidate(now, candidate),
+            Role::Holder(holder) => self.tick_holder(now, holder),
+        }
+    }
+
+    /// Gives the lease back, preferably to `successor`. Does nothing if it is not held.
+    pub fn hand_over(&mut self, now: MonoMs, successor: Option<VmName>) -> Vec<Outgoing> {
+        match std::mem::take(&mut self.role) {
+            Role::Holder(holder) => {
+                self.not_before = now.plus(self.config.timing.renew_ms);
+                self.round(now, holder.term(), LeaseRequestKind::Release { successor })
+            }
+            other => {
+                self.role = other;
+                Vec::new()
+            }
+        }
+    }
+
+    /// Counts a reply received at `now`.
+    pub fn reply(&mut self, now: MonoMs, reply: &LeaseReply) {
+        let Some(round) = self.rounds.get(&reply.sequence).copied() else {
+            return;
+        };
+        if reply.format != LEASE_FORMAT {
+            return;
+        }
+        let heard = self.replied.entry(reply.from.clone()).or_insert(round.sent);
+        *heard = round.sent.max(*heard);
+        match &reply.answer {
+            LeaseAnswer::Granted => self.count(now, reply, round),
+            LeaseAnswer::Held {
+                term,
+                elected,
+                remaining_ms,
+                ..
+            } => self.refused(now, *term, if *elected { *remaining_ms } else { 0 }),
+            LeaseAnswer::LowTerm { term } => self.refused(now, *term, 0),
+            LeaseAnswer::Restarted { .. }
+            | LeaseAnswer::CatchingUp
+            | LeaseAnswer::Noted
+            | LeaseAnswer::Rejected
+            | LeaseAnswer::StaleRoster { .. } => {}
+        }
+    }
+
+    fn count(&mut self, now: MonoMs, reply: &LeaseReply, round: Round) {
+        self.role = match std::mem::take(&mut self.role) {
+            Role::Candidate(mut candidate) if candidate.term() == round.term => {
+                candidate.granted(&reply.from, round.sent, reply.applied_index);
+                match candidate.try_hold(now, &self.roster, &self.config.timing) {
+                    Ok(holder) => {
+                        self.next_renewal = now;
+                        Role::Holder(holder)
+                    }
+                    Err(candidate) => Role::Candidate(candidate),
+                }
+            }
+            Role::Holder(mut holder) if round.term >= holder.term() => {
+                let index = reply.applied_index;
+                holder.renewed(&reply.from, round.sent, round.term, index, &self.roster);
+                Role::Holder(holder)
+            }
+            other => other,
+        };
+    }
+
+    fn refused(&mut self, now: MonoMs, term: u64, remaining_ms: u64) {
+        self.known_term = self.known_term.max(term);
+        if matches!(self.role, Role::Candidate(_)) {
+            self.not_before = self.not_before.max(now.plus(remaining_ms));
+        }
+    }
+
+    fn tick_follower(&mut self, now: MonoMs) -> Vec<Outgoing> {
+        if self.may_ask(now) {
+            let term = self.next_term();
+            self.role = Role::Candidate(Candidate::new(term, now));
+            return self.round(now, term, LeaseRequestKind::Ask);
+        }
+        let lonely = self.majority_contact_age_ms(now) >= PROBE_MS;
+        if lonely && now >= self.next_probe {
+            self.next_probe = now.plus(PROBE_MS);
+            return self.round(now, 0, LeaseRequestKind::Probe);
+        }
+        Vec::new()
+    }
+
+    fn may_ask(&self, now: MonoMs) -> bool {
+        let me = &self.config.me.vm;
+        let Some(rank) = self.roster.rank(me) else {
+            return false;
+        };
+        if !self.eligible || !self.grantor.has_caught_up() {
+            return false;
+        }
+        if self.grantor.is_kept_for(me, now) {
+            return true;
+        }
+        let free_from = self.grantor.free_from(me, now).max(self.not_before);
+        now >= free_from && now >= free_from.plus(self.stagger_ms(rank))
+    }
+
+    /// Delay of a candidacy. The order of the VMs changes with the term, so that a VM that can ask
+    /// but never win does not always come first.
+    fn stagger_ms(&self, rank: usize) -> u64 {
+        let count = self.roster.vms().count().max(1) as u64;
+        let turn = (rank as u64 + self.next_term()) % count;
+        turn.min(MAX_STAGGER_RANK) * STAGGER_MS + rank as u64 % STAGGER_MS
+    }
+
+    fn next_term(&self) -> u64 {
+        let known = self.known_term.max(self.grantor.highest_term());
+        (known + 1).max(self.wanted_term)
+    }
+
+    fn tick_candidate(&mut self, now: MonoMs, candidate: Candidate) -> Vec<Outgoing> {
+        if now.since(candidate.asked()) < ASK_TIMEOUT_MS {
+            self.role = Role::Candidate(candidate);
+            return Vec::new();
+        }
+        self.known_term = self.known_term.max(candidate.term());
+        self.not_before = self.not_before.max(now);
+        let successor = None;
+        self.round(
+            now,
+            candidate.term(),
+            LeaseRequestKind::Release { successor },
+        )
+    }
+
+    fn tick_holder(&mut self, now: MonoMs, holder: Holder) -> Vec<Outgoing> {
+        let deadline = holder.deadline(&self.roster, &self.config.timing);
+        self.known_term = self.known_term.max(holder.term());
+        if now >= deadline {
+            self.not_before = now;
+            return Vec::new();
+        }
+        let term = holder.term().max(self.wanted_term);
+        self.role = Role::Holder(holder);
+        if !self.roster.contains(&self.config.me.vm) {
+            return self.hand_over(now, None);
+        }
+        if now < self.next_renewal {
+            return Vec::new();
+        }
+        self.next_renewal = now.plus(self.config.timing.renew_ms);
+        self.round(now, term, LeaseRequestKind::Renew)
+    }
+
+    /// Sends one request to each voter. The own vote is asked directly.
+    fn round(&mut self, now: MonoMs, term: u64, kind: LeaseRequestKind) -> Vec<Outgoing> {
+        self.sequence += 1;
+        self.rounds.insert(self.sequence, Round { sent: now, term });
+        let request = LeaseRequest {
+            format: LEASE_FORMAT,
+            data_centre: self.config.data_centre.clone(),
+            from: self.config.me.clone(),
+            sequence: self.sequence,
+            term,
+            roster_revision: self.roster.revision(),
+            kind,
+        };
+        let me = self.config.me.vm.clone();
+        let others = self.roster.vms().filter(|vm| **vm != me);
+        let outgoing = others
+            .map(|vm| Outgoing {
+                to: vm.clone(),
+                request: request.clone(),
+            })
+            .collect();
+        if self.roster.contains(&me) {
+            let reply = self.grantor.receive(now, &request);
+            self.reply(now, &reply);
+        }
+        outgoing
+    }
+}
--- /dev/null
+++ b/src/lease/grantor.rs
@@ -0,0 +1,223 @@
+//! The voting side of the lease: one vote per VM, given to one process at a time.
+
+use std::collections::BTreeMap;
+
+use super::message::Identity;
+use super::message::LEASE_FORMAT;
+use super::message::LeaseAnswer;
+use super::message::LeaseReply;
+use super::message::LeaseRequest;
+use super::message::LeaseRequestKind;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::VmName;
+
+/// Time for which a released vote is kept for the successor that the former holder named.
+pub const HAND_OVER_MS: u64 = 300;
+
+/// One VM's vote.
+#[derive(Debug)]
+pub struct Grantor {
+    vm: VmName,
+    data_centre: DataCentre,
+    may_grant_from: MonoMs,
+    lease_ms: u64,
+    applied_index: Option<u64>,
+    roster_revision: u64,
+    vote: Option<Vote>,
+    highest_term: u64,
+    kept_for: Option<(VmName, MonoMs)>,
+    /// Latest request of each VM, so that a delayed ask or release is not obeyed.
+    latest: BTreeMap<VmName, (u64, u64)>,
+}
+
+/// A vote that was given.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Vote {
+    /// Who has it.
+    pub holder: Identity,
+    /// Term of the holder.
+    pub term: u64,
+    /// The vote is given to nobody else before this time.
+    pub until: MonoMs,
+    /// True once the holder renewed, which only a holder with a majority does.
+    pub elected: bool,
+}
+
+impl Grantor {
+    /// A vote that is not given before `started + lease_ms`, since an earlier process of the VM may
+    /// have given it.
+    pub fn new(vm: VmName, data_centre: DataCentre, started: MonoMs, lease_ms: u64) -> Self {
+        Self {
+            vm,
+            data_centre,
+            may_grant_from: started.plus(lease_ms),
+            lease_ms,
+            applied_index: None,
+            roster_revision: 0,
+            vote: None,
+            highest_term: 0,
+            kept_for: None,
+            latest: BTreeMap::new(),
+        }
+    }
+
+    /// Tells how far the VM has applied the replicated log. `None` until the VM has read it, after
+    /// its start, up to an index that a quorum of the log confirmed. A VM that restarts may have
+    /// forgotten a roster or a lowered share that it acknowledged, so it does not vote until then.
+    pub fn set_applied(&mut self, applied_index: Option<u64>) {
+        self.applied_index = applied_index;
+    }
+
+    /// Tells the revision of the VM's roster. It never goes back.
+    pub fn set_roster_revision(&mut self, revision: u64) {
+        self.roster_revision = self.roster_revision.max(revision);
+    }
+
+    /// True once the VM has caught up with the replicated log.
+    pub fn has_caught_up(&self) -> bool {
+        self.applied_index.is_some()
+    }
+
+    /// The vote in force at `now`.
+    pub fn vote(&self, now: MonoMs) -> Option<&Vote> {
+        self.vote.as_ref().filter(|vote| now < vote.until)
+    }
+
+    /// Highest term for which the vote was given.
+    pub fn highest_term(&self) -> u64 {
+        self.highest_term
+    }
+
+    /// Earliest time at which `vm` may get the vote as far as this grantor knows.
+    pub fn free_from(&self, vm: &VmName, now: MonoMs) -> MonoMs {
+        let kept_until = match &self.kept_for {
+            Some((successor, until)) if successor != vm => *until,
+            _ => MonoMs(0),
+        };
+        let voted_until = self.vote(now).map_or(MonoMs(0), |vote| vote.until);
+        self.may_grant_from.max(kept_until).max(voted_until)
+    }
+
+    /// True if a former holder named `vm` as its successor and the time for that has not passed.
+    pub fn is_kept_for(&self, vm: &VmName, now: MonoMs) -> bool {
+        matches!(&self.kept_for, Some((successor, until)) if successor == vm && now < *until)
+    }
+
+    /// Decides on `request`.
+    pub fn receive(&mut self, now: MonoMs, request: &LeaseRequest) -> LeaseReply {
+        let answer = self.decide(now, request);
+        LeaseReply {
+            format: LEASE_FORMAT,
+            from: self.vm.clone(),
+            sequence: request.sequence,
+            applied_index: self.applied_index.unwrap_or(0),
+            answer,
+        }
+    }
+
+    fn decide(&mut self, now: MonoMs, request: &LeaseRequest) -> LeaseAnswer {
+        if request.format != LEASE_FORMAT || request.data_centre != self.data_centre {
+            return LeaseAnswer::Rejected;
+        }
+        if request.kind == LeaseRequestKind::Probe {
+            return LeaseAnswer::Noted;
+        }
+        if !self.is_latest(request) {
+            return LeaseAnswer::Rejected;
+        }
+        match &request.kind {
+            LeaseRequestKind::Ask => self.ask(now, request, false),
+            LeaseRequestKind::Renew => self.ask(now, request, true),
+            LeaseRequestKind::Release { successor } => self.release(now, request, successor),
+            LeaseRequestKind::Probe => LeaseAnswer::Noted,
+        }
+    }
+
+    fn is_latest(&mut self, request: &LeaseRequest) -> bool {
+        let order = (request.from.incarnation, request.sequence);
+        let latest = self.latest.entry(request.from.vm.clone()).or_default();
+        if order <= *latest {
+            return false;
+        }
+        *latest = order;
+        true
+    }
+
+    fn ask(&mut self, now: MonoMs, request: &LeaseRequest, elected: bool) -> LeaseAnswer {
+        if let Some(refusal) = self.refusal(now, request) {
+            return refusal;
+        }
+        self.kept_for = None;
+        self.highest_term = request.term;
+        self.vote = Some(Vote {
+            holder: request.from.clone(),
+            term: request.term,
+            until: now.plus(self.lease_ms),
+            elected,
+        });
+        LeaseAnswer::Granted
+    }
+
+    fn refusal(&self, now: MonoMs, request: &LeaseRequest) -> Option<LeaseAnswer> {
+        if now < self.may_grant_from {
+            let remaining_ms = self.may_grant_from.since(now);
+            return Some(LeaseAnswer::Restarted { remaining_ms });
+        }
+        if self.applied_index.is_none() {
+            return Some(LeaseAnswer::CatchingUp);
+        }
+        if request.roster_revision < self.roster_revision {
+            let revision = self.roster_revision;
+            return Some(LeaseAnswer::StaleRoster { revision });
+        }
+        if let Some(vote) = self.vote(now)
+            && vote.holder != request.from
+        {
+            return Some(LeaseAnswer::Held {
+                holder: vote.holder.vm.clone(),
+                term: vote.term,
+                elected: vote.elected,
+                remaining_ms: vote.until.since(now),
+            });
+        }
+        if let Some((successor, until)) = &self.kept_for
+            && *successor != request.from.vm
+            && now < *until
+        {
+            return Some(LeaseAnswer::Held {
+                holder: successor.clone(),
+                term: self.highest_term,
+                elected: true,
+                remaining_ms: until.since(now),
+            });
+        }
+        let renews = self
+            .vote
+            .as_ref()
+            .is_some_and(|vote| vote.holder == request.from);
+        let lowest = if renews {
+            self.highest_term
+        } else {
+            self.highest_term + 1
+        };
+        let term = self.highest_term;
+        (request.term < lowest).then_some(LeaseAnswer::LowTerm { term })
+    }
+
+    fn release(
+        &mut self,
+        now: MonoMs,
+        request: &LeaseRequest,
+        successor: &Option<VmName>,
+    ) -> LeaseAnswer {
+        let matches = |vote: &Vote| vote.holder == request.from;
+        if self.vote.as_ref().is_some_and(matches) {
+            self.vote = None;
+            self.kept_for = successor
+                .clone()
+                .map(|successor| (successor, now.plus(HAND_OVER_MS)));
+        }
+        LeaseAnswer::Noted
+    }
+}
--- a/src/lease/message.rs
+++ b/src/lease/message.rs
@@ -84,6 +84,8 @@
         holder: VmName,
         /// Its term.
         term: u64,
+        /// True if it holds the lease, false if it is a candidate.
+        elected: bool,
         /// Time until the vote lapses.
         remaining_ms: u64,
     },
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -1,7 +1,29 @@
 //! The coordinator lease: at most one coordinator per data centre, elected by a majority of its VMs.
+//!
+//! Majorities of consecutive rosters intersect, but those of rosters two changes apart may not.
+//! Whoever changes a roster therefore waits until a majority of the present one has applied the
+//! previous change and one lease has passed since; [`crate::limits::Settlement`] computes both.
 
+mod candidate;
+mod driver;
+mod elector;
+mod grantor;
 mod message;
+mod roster;
 
+pub use candidate::Candidate;
+pub use candidate::Holder;
+pub use candidate::Timing;
+pub use driver::Config;
+pub use driver::Handle;
+pub use driver::spawn;
+pub use elector::Elector;
+pub use elector::ElectorConfig;
+pub use elector::Held;
+pub use elector::Outgoing;
+pub use grantor::Grantor;
+pub use grantor::HAND_OVER_MS;
+pub use grantor::Vote;
 pub use message::Identity;
 pub use message::LEASE_FORMAT;
 pub use message::LeaseAnswer;
@@ -10,3 +32,4 @@
 pub use message::LeaseRequest;
 pub use message::LeaseRequestKind;
 pub use message::NoReply;
+pub use roster::Roster;
