--- /dev/null
+++ b/src/commands/check.rs
@@ -0,0 +1,79 @@
+//! `medlarlift check`: reads a settings file and reports every mistake in it.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::builder::PossibleValuesParser;
+use clap::value_parser;
+
+use crate::configs::SettingsError;
+use crate::configs::read_file;
+use crate::configs::standin_callers::CallerSettings;
+use crate::configs::standin_engine::EngineSettings;
+use crate::configs::standin_service::ServiceSettings;
+use crate::configs::standin_store::StoreSettings;
+
+/// Reads one kind of settings file and drops the result.
+type Check = fn(&Path) -> Result<(), SettingsError>;
+
+/// Each kind of settings file and its reader.
+const KINDS: &[(&str, Check)] = &[
+    ("engine", |path| {
+        read_file(path, EngineSettings::read).map(drop)
+    }),
+    ("service", |path| {
+        read_file(path, ServiceSettings::read).map(drop)
+    }),
+    ("store", |path| {
+        read_file(path, StoreSettings::read).map(drop)
+    }),
+    ("callers", |path| {
+        read_file(path, CallerSettings::read).map(drop)
+    }),
+];
+
+/// The command with its arguments.
+pub fn command() -> Command {
+    let kinds: Vec<&'static str> = KINDS.iter().map(|(name, _)| *name).collect();
+    Command::new("check")
+        .about("Report every mistake in a settings file")
+        .arg(
+            Arg::new("kind")
+                .long("kind")
+                .help("Kind of settings file")
+                .value_parser(PossibleValuesParser::new(kinds))
+                .required(true),
+        )
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .help("Settings file (YAML)")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+/// Checks the file; exits with 1 if it has mistakes.
+pub fn run(arguments: &ArgMatches) -> ExitCode {
+    let kind = arguments.get_one::<String>("kind").map(String::as_str);
+    let path = arguments.get_one::<PathBuf>("settings");
+    let found = KINDS.iter().find(|(name, _)| Some(*name) == kind);
+    let (Some((_, check)), Some(path)) = (found, path) else {
+        return ExitCode::FAILURE;
+    };
+    match check(path) {
+        Ok(()) => {
+            println!("{}: settings are valid", path.display());
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,4 @@
+//! Commands of the `medlarlift` binary, one file each.
+
+pub mod check;
+pub mod standin;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,39 @@
 //! Entry point: builds the commands and dispatches.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Command;
+use medlarlift::commands;
+use simplelog::ColorChoice;
+use simplelog::Config;
+use simplelog::LevelFilter;
+use simplelog::TermLogger;
+use simplelog::TerminalMode;
+
+fn cli() -> Command {
+    Command::new("medlarlift")
+        .about("A serving layer for very many LoRA adapters")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(commands::check::command())
+        .subcommand(commands::standin::command())
+}
+
+fn start_log() {
+    let config = Config::default();
+    let choice = ColorChoice::Never;
+    // A second logger is not an error worth stopping for.
+    let _ = TermLogger::init(LevelFilter::Info, config, TerminalMode::Stderr, choice);
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    start_log();
+    let matches = cli().get_matches();
+    match matches.subcommand() {
+        Some(("check", arguments)) => commands::check::run(arguments),
+        Some(("standin", arguments)) => commands::standin::run(arguments).await,
+        _ => ExitCode::FAILURE,
+    }
+}
