--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! Medlarlift serves very many LoRA adapters through a small fleet of entry VMs.
 
 pub mod backend;
+pub mod commands;
 pub mod configs;
 pub mod consensus;
 pub mod lease;
