--- /dev/null
+++ b/src/configs/vm.rs
@@ -0,0 +1,170 @@
+//! Settings of `medlarlift serve`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use crate::configs::Reader;
+use crate::scheduling_policy::PolicyName;
+use crate::types::DataCentre;
+use crate::types::VmName;
+
+const STORE_LOADS_PER_S: f64 = 3.0;
+const STORE_LOADS_IN_FLIGHT: u64 = 8;
+const DRAIN_MS: u64 = 20_000;
+const READY_LAG_MS: u64 = 1_000;
+const MAX_BODY_BYTES: u64 = 1024 * 1024;
+const QUEUE_PER_ACCOUNT: u64 = 512;
+
+/// Another VM of the system.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerSettings {
+    /// Name of the VM.
+    pub vm: VmName,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where it listens for other VMs.
+    pub peer_address: SocketAddr,
+}
+
+/// Limits of the weight store, which all data centres share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreSettings {
+    /// Loads a second.
+    pub loads_per_s: f64,
+    /// Loads in flight that run at full speed.
+    pub loads_in_flight: u64,
+}
+
+impl Default for StoreSettings {
+    fn default() -> Self {
+        Self {
+            loads_per_s: STORE_LOADS_PER_S,
+            loads_in_flight: STORE_LOADS_IN_FLIGHT,
+        }
+    }
+}
+
+/// Settings of one VM.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VmSettings {
+    /// Name of this VM, unique in the system.
+    pub vm: VmName,
+    /// Data centre of this VM.
+    pub data_centre: DataCentre,
+    /// Where callers and backend servers connect.
+    pub caller_address: SocketAddr,
+    /// Where operators connect.
+    pub admin_address: SocketAddr,
+    /// Where other VMs connect.
+    pub peer_address: SocketAddr,
+    /// Folder for durable state. A VM without one follows the log and does not vote.
+    pub data_folder: Option<PathBuf>,
+    /// The VMs that found the cluster together; each has a data folder.
+    pub founders: Vec<VmName>,
+    /// VMs through which this VM joins.
+    pub peers: Vec<PeerSettings>,
+    /// SHA-256 of the operators' token.
+    pub operator_token_sha256: [u8; 32],
+    /// Routing and placement policy.
+    pub policy: PolicyName,
+    /// Limits of the weight store.
+    pub store: StoreSettings,
+    /// Where statsd metrics are sent, if anywhere.
+    pub metrics_address: Option<SocketAddr>,
+    /// Least severe level that is logged.
+    pub log_level: log::LevelFilter,
+    /// Longest time that a graceful shutdown waits for requests, in ms.
+    pub drain_ms: u64,
+    /// Time between failing readiness and refusing connections, for the load balancer, in ms.
+    pub ready_lag_ms: u64,
+    /// Largest request body, in bytes.
+    pub max_body_bytes: u64,
+    /// Requests that one client account may have queued on this VM.
+    pub queue_per_account: u64,
+}
+
+impl VmSettings {
+    /// Reads the settings and checks them against each other.
+    pub fn read(reader: &mut Reader<'_>) -> Self {
+        let settings = read_fields(reader);
+        check_peers(&settings, reader);
+        check_founders(&settings, reader);
+        settings
+    }
+}
+
+fn read_fields(reader: &mut Reader<'_>) -> VmSettings {
+    let operator_token_sha256 = reader.optional_sha256("operator_token_sha256");
+    if operator_token_sha256.is_none() && !reader.has("operator_token_sha256") {
+        reader.reject("operator_token_sha256", "missing", "64 hexadecimal digits");
+    }
+    VmSettings {
+        vm: VmName::from(reader.required_text("vm")),
+        data_centre: DataCentre::from(reader.required_text("data_centre")),
+        caller_address: reader.required_address("caller_address"),
+        admin_address: reader.required_address("admin_address"),
+        peer_address: reader.required_address("peer_address"),
+        data_folder: reader.optional_text("data_folder").map(PathBuf::from),
+        founders: reader.texts("founders").into_iter().map(VmName::from).collect(),
+        peers: reader.list("peers", read_peer),
+        operator_token_sha256: operator_token_sha256.unwrap_or_default(),
+        policy: reader.choice("policy", PolicyName::default(), &PolicyName::CHOICES),
+        store: reader.object("store", read_store),
+        metrics_address: reader.optional_address("metrics_address"),
+        log_level: reader.choice("log_level", log::LevelFilter::Info, &LOG_LEVELS),
+        drain_ms: reader.u64("drain_ms", DRAIN_MS, 0..=600_000),
+        ready_lag_ms: reader.u64("ready_lag_ms", READY_LAG_MS, 0..=60_000),
+        max_body_bytes: reader.u64("max_body_bytes", MAX_BODY_BYTES, 1_024..=64 * 1024 * 1024),
+        queue_per_account: reader.u64("queue_per_account", QUEUE_PER_ACCOUNT, 1..=100_000),
+    }
+}
+
+/// Names of the log levels.
+const LOG_LEVELS: [(&str, log::LevelFilter); 5] = [
+    ("error", log::LevelFilter::Error),
+    ("warn", log::LevelFilter::Warn),
+    ("info", log::LevelFilter::Info),
+    ("debug", log::LevelFilter::Debug),
+    ("trace", log::LevelFilter::Trace),
+];
+
+fn read_peer(reader: &mut Reader<'_>) -> PeerSettings {
+    PeerSettings {
+        vm: VmName::from(reader.required_text("vm")),
+        data_centre: DataCentre::from(reader.required_text("data_centre")),
+        peer_address: reader.required_address("peer_address"),
+    }
+}
+
+fn read_store(reader: &mut Reader<'_>) -> StoreSettings {
+    let default = StoreSettings::default();
+    StoreSettings {
+        loads_per_s: reader.f64("loads_per_s", default.loads_per_s, 0.01..=10_000.0),
+        loads_in_flight: reader.u64("loads_in_flight", default.loads_in_flight, 1..=10_000),
+    }
+}
+
+fn check_peers(settings: &VmSettings, reader: &mut Reader<'_>) {
+    for (index, peer) in settings.peers.iter().enumerate() {
+        let repeated = settings.peers[..index].iter().any(|earlier| earlier.vm == peer.vm);
+        if repeated {
+            let path = format!("peers[{index}].vm");
+            reader.reject(&path, &peer.vm, "a name that no earlier peer has");
+        }
+    }
+}
+
+/// A founder with a data folder must be a founder that the others can find, and the reverse.
+fn check_founders(settings: &VmSettings, reader: &mut Reader<'_>) {
+    for (index, founder) in settings.founders.iter().enumerate() {
+        let known = *founder == settings.vm || settings.peers.iter().any(|p| p.vm == *founder);
+        if !known {
+            let path = format!("founders[{index}]");
+            reader.reject(&path, founder, "this VM or a VM listed under peers");
+        }
+    }
+    let founds = settings.founders.contains(&settings.vm);
+    if founds && settings.data_folder.is_none() {
+        reader.reject("data_folder", "missing", "a folder, since this VM is a founder");
+    }
+}
--- /dev/null
+++ b/src/http/completion.rs
@@ -0,0 +1,124 @@
+//! Completion answers in the OpenAI formats.
+
+use bytes::Bytes;
+use serde_json::Value;
+use serde_json::json;
+use sse_stream::Sse;
+
+use crate::backend::TokenFrame;
+use crate::backend::Usage;
+use crate::pipeline::Completion;
+use crate::pipeline::Format;
+use crate::types::Refusal;
+
+/// Data of the event that closes a stream.
+const DONE: &str = "[DONE]";
+/// Name of the event that ends a stream without its last token.
+const ERROR_EVENT: &str = "error";
+
+/// What every part of an answer repeats.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// Request id told to the caller.
+    pub id: String,
+    /// Model named by the request, `base:adapter@version`; absent on a resumed stream.
+    pub model: Option<String>,
+    /// Format of the answer.
+    pub format: Format,
+    /// Seconds since the Unix epoch.
+    pub created_s: u64,
+}
+
+impl AnswerHead {
+    /// The head of the answer to `completion`.
+    pub fn new(id: String, completion: &Completion, created_s: u64) -> Self {
+        Self {
+            id,
+            model: Some(completion.adapter.to_string()),
+            format: completion.format,
+            created_s,
+        }
+    }
+}
+
+/// The event of one token.
+pub fn token_event(head: &AnswerHead, frame: &TokenFrame) -> Bytes {
+    let choice = match head.format {
+        Format::Chat => json!({
+            "index": 0,
+            "delta": {"content": frame.text},
+            "finish_reason": frame.finish_reason,
+        }),
+        Format::Text => json!({
+            "index": 0,
+            "text": frame.text,
+            "finish_reason": frame.finish_reason,
+        }),
+    };
+    let object = match head.format {
+        Format::Chat => "chat.completion.chunk",
+        Format::Text => "text_completion",
+    };
+    let mut chunk = envelope(head, object, choice);
+    if let Some(usage) = frame.usage {
+        chunk["usage"] = usage_json(usage);
+    }
+    let event = Sse::default()
+        .id(frame.index.to_string())
+        .data(chunk.to_string());
+    encode(event)
+}
+
+/// The event that closes a complete stream.
+pub fn done_event() -> Bytes {
+    encode(Sse::default().data(DONE))
+}
+
+/// The event that ends a stream whose remaining tokens are lost.
+pub fn error_event(refusal: &Refusal) -> Bytes {
+    let data = json!({"error": refusal}).to_string();
+    encode(Sse::default().event(ERROR_EVENT).data(data))
+}
+
+/// A whole answer in one object.
+pub fn whole_answer(head: &AnswerHead, text: &str, finish_reason: &str, usage: Usage) -> Value {
+    let (object, choice) = match head.format {
+        Format::Chat => (
+            "chat.completion",
+            json!({
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": finish_reason,
+            }),
+        ),
+        Format::Text => (
+            "text_completion",
+            json!({"index": 0, "text": text, "finish_reason": finish_reason}),
+        ),
+    };
+    let mut answer = envelope(head, object, choice);
+    answer["usage"] = usage_json(usage);
+    answer
+}
+
+fn envelope(head: &AnswerHead, object: &str, choice: Value) -> Value {
+    json!({
+        "id": head.id,
+        "object": object,
+        "created": head.created_s,
+        "model": head.model,
+        "choices": [choice],
+    })
+}
+
+fn usage_json(usage: Usage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.total_tokens(),
+    })
+}
+
+fn encode(event: Sse) -> Bytes {
+    event.encode().expect("ids, names and JSON have no line breaks")
+}
--- /dev/null
+++ b/src/peer/book.rs
@@ -0,0 +1,35 @@
+//! Addresses of the peer service of other VMs.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::RwLock;
+
+use crate::types::VmName;
+
+/// Addresses from the settings, replaced by announced ones as they become known.
+#[derive(Clone, Debug, Default)]
+pub struct AddressBook {
+    addresses: Arc<RwLock<HashMap<VmName, SocketAddr>>>,
+}
+
+impl AddressBook {
+    /// A book with the addresses in the settings.
+    pub fn new(known: impl IntoIterator<Item = (VmName, SocketAddr)>) -> Self {
+        Self {
+            addresses: Arc::new(RwLock::new(known.into_iter().collect())),
+        }
+    }
+
+    /// Sets the address of `vm`.
+    pub fn set(&self, vm: VmName, address: SocketAddr) {
+        let mut addresses = self.addresses.write().expect("no holder panics");
+        addresses.insert(vm, address);
+    }
+
+    /// The address of `vm`, if known.
+    pub fn get(&self, vm: &VmName) -> Option<SocketAddr> {
+        let addresses = self.addresses.read().expect("no holder panics");
+        addresses.get(vm).copied()
+    }
+}
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,122 @@
+//! Listens for calls of other VMs.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::serde_transport::tcp;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::task::JoinHandle;
+use tokio_serde::formats::Bincode;
+
+use super::service::Peer;
+use super::service::PeerHandler;
+use super::service::ProposeReply;
+use super::service::TableReply;
+use crate::consensus::Envelope;
+use crate::consensus::FollowReply;
+use crate::consensus::FollowRequest;
+use crate::lease::LeaseReply;
+use crate::lease::LeaseRequest;
+use crate::limits::BorrowReply;
+use crate::limits::BorrowRequest;
+use crate::membership::Delta;
+use crate::membership::Digest;
+use crate::scheduling::residency::TablePull;
+
+/// Largest message; snapshots travel in chunks far below it.
+pub(super) const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+
+/// A running peer server. Stops accepting when dropped.
+#[derive(Debug)]
+pub struct PeerServer {
+    local_address: SocketAddr,
+    accepting: JoinHandle<()>,
+}
+
+impl PeerServer {
+    /// Listens at `address` and passes calls to `handler`.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn bind(address: SocketAddr, handler: Arc<dyn PeerHandler>) -> io::Result<Self> {
+        let mut incoming = tcp::listen(address, Bincode::default).await?;
+        incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let local_address = incoming.local_addr();
+        let accepting = tokio::spawn(async move {
+            while let Some(connection) = incoming.next().await {
+                let Ok(transport) = connection else { continue };
+                let _ = transport.get_ref().set_nodelay(true);
+                let channel = BaseChannel::with_defaults(transport);
+                tokio::spawn(serve(channel, handler.clone()));
+            }
+        });
+        Ok(Self {
+            local_address,
+            accepting,
+        })
+    }
+
+    /// Address the server listens at.
+    pub fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+}
+
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+async fn serve<C>(channel: C, handler: Arc<dyn PeerHandler>)
+where
+    C: Channel<Req = super::service::PeerRequest, Resp = super::service::PeerResponse> + 'static,
+{
+    let calls = channel.execute(Calls { handler }.serve());
+    calls.for_each(spawn).await;
+}
+
+async fn spawn(call: impl Future<Output = ()> + Send + 'static) {
+    tokio::spawn(call);
+}
+
+/// Adapts a handler to the generated service.
+#[derive(Clone)]
+struct Calls {
+    handler: Arc<dyn PeerHandler>,
+}
+
+impl Peer for Calls {
+    async fn raft(self, _: Context, envelope: Envelope) {
+        self.handler.raft(envelope);
+    }
+
+    async fn follow(self, _: Context, request: FollowRequest) -> FollowReply {
+        self.handler.follow(request).await
+    }
+
+    async fn propose(self, _: Context, command: Vec<u8>) -> ProposeReply {
+        self.handler.propose(command).await
+    }
+
+    async fn gossip(self, _: Context, digest: Digest) -> Delta {
+        self.handler.gossip(digest)
+    }
+
+    async fn lease(self, _: Context, request: LeaseRequest) -> LeaseReply {
+        self.handler.lease(request)
+    }
+
+    async fn borrow(self, _: Context, request: BorrowRequest) -> BorrowReply {
+        self.handler.borrow(request)
+    }
+
+    async fn placement(self, _: Context, pull: TablePull) -> TableReply {
+        self.handler.placement(pull)
+    }
+}
--- /dev/null
+++ b/src/peer/service.rs
@@ -0,0 +1,84 @@
+//! The service that each VM offers to the others. Messages carry their own format version.
+
+use futures::future::BoxFuture;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::consensus::Envelope;
+use crate::consensus::FollowReply;
+use crate::consensus::FollowRequest;
+use crate::lease::LeaseReply;
+use crate::lease::LeaseRequest;
+use crate::limits::BorrowReply;
+use crate::limits::BorrowRequest;
+use crate::membership::Delta;
+use crate::membership::Digest;
+use crate::scheduling::residency::Table;
+use crate::scheduling::residency::TablePull;
+use crate::types::VmName;
+
+/// Answer to a proposal that another VM forwarded to the log leader.
+pub type ProposeReply = Result<Accepted, ProposeFailure>;
+
+/// Answer to a pull of the placement table; `None` if the VM does not coordinate.
+pub type TableReply = Option<Table>;
+
+/// A command was committed and applied.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Accepted {
+    /// Position in the log.
+    pub index: u64,
+    /// Encoded outcome of the state machine.
+    pub answer: Vec<u8>,
+}
+
+/// Why a proposal was not acknowledged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ProposeFailure {
+    /// The VM does not lead the log. The command was not and will not be applied.
+    NotLeader {
+        /// Last known leader.
+        leader: Option<VmName>,
+    },
+    /// The log accepts no proposals. The command was not and will not be applied.
+    Unavailable,
+    /// The command may or may not be applied.
+    Unknown,
+}
+
+/// Calls between VMs.
+#[tarpc::service]
+pub(super) trait Peer {
+    /// Delivers a message of the replicated log.
+    async fn raft(envelope: Envelope);
+    /// Serves applied entries of the replicated log.
+    async fn follow(request: FollowRequest) -> FollowReply;
+    /// Proposes a command if this VM leads the log.
+    async fn propose(command: Vec<u8>) -> ProposeReply;
+    /// Exchanges membership news.
+    async fn gossip(digest: Digest) -> Delta;
+    /// Asks for the coordinator lease.
+    async fn lease(request: LeaseRequest) -> LeaseReply;
+    /// Asks the coordinator for tokens.
+    async fn borrow(request: BorrowRequest) -> BorrowReply;
+    /// Reports use to the coordinator and gets its placement table.
+    async fn placement(pull: TablePull) -> TableReply;
+}
+
+/// What a VM does with the calls of others.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Takes a message of the replicated log.
+    fn raft(&self, envelope: Envelope);
+    /// Serves applied entries of the replicated log.
+    fn follow(&self, request: FollowRequest) -> BoxFuture<'static, FollowReply>;
+    /// Proposes a command if this VM leads the log.
+    fn propose(&self, command: Vec<u8>) -> BoxFuture<'static, ProposeReply>;
+    /// Exchanges membership news.
+    fn gossip(&self, digest: Digest) -> Delta;
+    /// Decides on the coordinator lease.
+    fn lease(&self, request: LeaseRequest) -> LeaseReply;
+    /// Hands out tokens if this VM coordinates.
+    fn borrow(&self, request: BorrowRequest) -> BorrowReply;
+    /// Serves the placement table if this VM coordinates.
+    fn placement(&self, pull: TablePull) -> TableReply;
+}
--- /dev/null
+++ b/src/pipeline/authenticate.rs
@@ -0,0 +1,116 @@
+//! Finds the client account behind a key.
+
+use std::sync::Arc;
+
+use http::HeaderMap;
+
+use super::classify::header;
+use crate::control::KeyHash;
+use crate::control::Parameters;
+use crate::control::Sha256Hash;
+use crate::types::AccountName;
+use crate::types::AdapterRef;
+use crate::types::Patience;
+use crate::types::Refusal;
+use crate::types::RefusalCode;
+
+/// Result of this stage.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// What the stage looks up.
+pub trait Keys: Send + Sync {
+    /// The account of a live key and its parameters. Keys withdrawn in the replicated log or by
+    /// local withdrawal are not live.
+    fn account_of(&self, key_hash: &KeyHash) -> Option<(AccountName, Arc<Parameters>)>;
+}
+
+/// A caller whose key was checked. Holds the key's hash, never the key.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    account: AccountName,
+    key_hash: KeyHash,
+    parameters: Arc<Parameters>,
+}
+
+impl Caller {
+    /// The client account that the request runs for.
+    pub fn account(&self) -> &AccountName {
+        &self.account
+    }
+
+    /// Hash of the key, to check later that it is still live.
+    pub fn key_hash(&self) -> &KeyHash {
+        &self.key_hash
+    }
+
+    /// Effective parameters of the account when the key was checked.
+    pub fn parameters(&self) -> &Arc<Parameters> {
+        &self.parameters
+    }
+
+    /// Whether the account's adapter sets include `adapter`.
+    pub fn may_use_adapter(&self, adapter: &AdapterRef) -> bool {
+        self.parameters.allows_adapter(adapter)
+    }
+
+    /// Whether the account is offered `patience`.
+    pub fn may_use_class(&self, patience: Patience) -> bool {
+        self.parameters.patience.contains(&patience)
+    }
+
+    /// The class of a request that names none: the most urgent one on offer.
+    pub fn default_patience(&self) -> Patience {
+        let first = self.parameters.patience.iter().next();
+        first.copied().unwrap_or(Patience::Urgent)
+    }
+}
+
+/// Checks the bearer key in `headers`.
+///
+/// # Errors
+/// `unauthorized` if the key is missing, unknown or withdrawn.
+pub fn authenticate(keys: &dyn Keys, headers: &HeaderMap) -> Result<Caller> {
+    let key = bearer_key(headers)?;
+    let key_hash = Sha256Hash::of(key.as_bytes());
+    let (account, parameters) = keys.account_of(&key_hash).ok_or_else(|| {
+        Refusal::not_run(
+            RefusalCode::Unauthorized,
+            "the key is unknown or was withdrawn",
+        )
+    })?;
+    Ok(Caller {
+        account,
+        key_hash,
+        parameters,
+    })
+}
+
+/// Checks that the key of `caller` is still live.
+///
+/// # Errors
+/// `unauthorized` if the key was withdrawn since.
+pub fn check_still_live(keys: &dyn Keys, caller: &Caller) -> Result<()> {
+    match keys.account_of(&caller.key_hash) {
+        Some((account, _)) if account == caller.account => Ok(()),
+        _ => Err(Refusal::not_run(
+            RefusalCode::Unauthorized,
+            "the key was withdrawn",
+        )),
+    }
+}
+
+fn bearer_key(headers: &HeaderMap) -> Result<&str> {
+    let missing = || {
+        Refusal::not_run(
+            RefusalCode::Unauthorized,
+            "the header Authorization must be of the form Bearer KEY",
+        )
+    };
+    let value = header(headers, "authorization").map_err(|_| missing())?;
+    let (scheme, key) = value.and_then(|v| v.split_once(' ')).ok_or_else(missing)?;
+    let key = key.trim();
+    if !scheme.eq_ignore_ascii_case("bearer") || key.is_empty() {
+        return Err(missing());
+    }
+    Ok(key)
+}
