--- /dev/null
+++ b/src/scheduling/fair_queue/queue.rs
@@ -0,0 +1,324 @@
+//! The queue itself.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use crate::scheduling::fair_queue::FairQueueConfig;
+use crate::scheduling::fair_queue::ItemId;
+use crate::scheduling::fair_queue::QueueFull;
+use crate::scheduling::fair_queue::QueueItem;
+use crate::scheduling::fair_queue::Rejected;
+use crate::scheduling::fair_queue::Verdict;
+use crate::scheduling::fair_queue::account::Account;
+use crate::scheduling::fair_queue::account::Key;
+use crate::scheduling::fair_queue::account::Lane;
+use crate::scheduling::residency::WaitingAdapter;
+use crate::types::AccountName;
+use crate::types::AdapterRef;
+use crate::types::MonoMs;
+use crate::types::Patience;
+use crate::types::Tokens;
+
+/// Accounts without queued work that are remembered until their virtual time has passed.
+const MAX_IDLE_ACCOUNTS: usize = 1_024;
+
+#[derive(Clone, Debug)]
+struct Stored<T> {
+    item: QueueItem<T>,
+    start_by: MonoMs,
+    queued: MonoMs,
+}
+
+/// Bounded queue, fair by tokens among accounts.
+#[derive(Clone, Debug)]
+pub struct FairQueue<T> {
+    config: FairQueueConfig,
+    accounts: BTreeMap<AccountName, Account>,
+    items: HashMap<u64, Stored<T>>,
+    by_start: BTreeSet<Key>,
+    patient_len: usize,
+    next_id: u64,
+    /// Start tag of the last item served, in tokens per unit of weight.
+    virtual_time: f64,
+}
+
+impl<T> FairQueue<T> {
+    /// An empty queue.
+    pub fn new(config: FairQueueConfig) -> Self {
+        Self {
+            config,
+            accounts: BTreeMap::new(),
+            items: HashMap::new(),
+            by_start: BTreeSet::new(),
+            patient_len: 0,
+            next_id: 0,
+            virtual_time: 0.0,
+        }
+    }
+
+    /// Items in the queue.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Whether the queue holds nothing.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Queues an item, or returns it with the reason why there is no room.
+    pub fn push(&mut self, item: QueueItem<T>, now: MonoMs) -> Result<ItemId, Rejected<T>> {
+        if let Err(reason) = self.check_room(&item.account, item.class) {
+            return Err(Rejected { item, reason });
+        }
+        self.drop_idle_accounts();
+        let id = self.next_id;
+        self.next_id += 1;
+        let start_by = self.latest_start(&item);
+        let account = self
+            .accounts
+            .entry(item.account.clone())
+            .or_insert_with(|| Account::new(1, self.virtual_time));
+        account.weight = item.weight.max(1);
+        if account.is_empty() {
+            account.start = account.start.max(self.virtual_time);
+        }
+        lane_mut(account, item.class).insert((start_by, id), &item.adapter);
+        self.patient_len += usize::from(item.class == Patience::Patient);
+        self.by_start.insert((start_by, id));
+        let stored = Stored {
+            item,
+            start_by,
+            queued: now,
+        };
+        self.items.insert(id, stored);
+        Ok(ItemId(id))
+    }
+
+    /// Room of one account in one class: as much as is free, so that a heavy account leaves half
+    /// of the room to others, and never less than the configured minimum.
+    fn check_room(&self, account: &AccountName, class: Patience) -> Result<(), QueueFull> {
+        let (held, limit) = match class {
+            Patience::Urgent => (self.items.len(), self.config.max_items),
+            Patience::Patient => {
+                let limit = self.config.max_items * self.config.patient_percent / 100;
+                (self.patient_len, limit.min(self.config.max_items))
+            }
+        };
+        if held >= limit || self.items.len() >= self.config.max_items {
+            return Err(QueueFull::Total {
+                queued: held,
+                limit,
+            });
+        }
+        let queued = self.accounts.get(account).map_or(0, |account| match class {
+            Patience::Urgent => account.urgent.len(),
+            Patience::Patient => account.patient.len(),
+        });
+        let account_limit = (limit - held).max(self.config.account_min_items);
+        if queued >= account_limit {
+            return Err(QueueFull::Account {
+                account: account.clone(),
+                class,
+                queued,
+                limit: account_limit,
+            });
+        }
+        Ok(())
+    }
+
+    fn latest_start(&self, item: &QueueItem<T>) -> MonoMs {
+        let tokens_ms = item.tokens.saturating_mul(self.config.service_us_per_token) / 1_000;
+        let service_ms = self.config.service_base_ms.saturating_add(tokens_ms);
+        MonoMs(item.deadline.0.saturating_sub(service_ms))
+    }
+
+    /// Removes and returns the first item in fair order that `dispatch` takes.
+    pub fn pop(
+        &mut self,
+        now: MonoMs,
+        mut dispatch: impl FnMut(&QueueItem<T>) -> Verdict,
+    ) -> Option<QueueItem<T>> {
+        let mut blocked = HashSet::new();
+        let (id, grouped) = self.select(now, &mut blocked, &mut dispatch)?;
+        let stored = self.detach(id)?;
+        self.charge(&stored.item, grouped);
+        Some(stored.item)
+    }
+
+    /// Finds the item to serve; the flag tells whether it is of the second tier.
+    fn select(
+        &self,
+        now: MonoMs,
+        blocked: &mut HashSet<(AdapterRef, Patience)>,
+        dispatch: &mut impl FnMut(&QueueItem<T>) -> Verdict,
+    ) -> Option<(u64, bool)> {
+        let mut order: Vec<&Account> = self.accounts.values().filter(|a| !a.is_empty()).collect();
+        order.sort_by(|a, b| a.start.total_cmp(&b.start));
+        let promote_until = now.plus(self.config.promote_slack_ms);
+        for account in &order {
+            for (key, adapter) in account.first_tier(promote_until) {
+                let lane = if self.is_urgent(key) {
+                    &account.urgent
+                } else {
+                    &account.patient
+                };
+                match self.offer(lane, adapter, blocked, dispatch) {
+                    Offer::Taken(id) => return Some((id, false)),
+                    Offer::Skipped => {}
+                    Offer::Stopped => return None,
+                }
+            }
+        }
+        for account in &order {
+            for (_, adapter) in account.second_tier(self.config.group_items) {
+                match self.offer(&account.patient, adapter, blocked, dispatch) {
+                    Offer::Taken(id) => return Some((id, true)),
+                    Offer::Skipped => {}
+                    Offer::Stopped => return None,
+                }
+            }
+        }
+        None
+    }
+
+    fn is_urgent(&self, key: Key) -> bool {
+        let stored = self.items.get(&key.1);
+        stored.is_some_and(|stored| stored.item.class == Patience::Urgent)
+    }
+
+    /// Offers the items of one adapter to the dispatcher until one is taken.
+    fn offer(
+        &self,
+        lane: &Lane,
+        adapter: &AdapterRef,
+        blocked: &mut HashSet<(AdapterRef, Patience)>,
+        dispatch: &mut impl FnMut(&QueueItem<T>) -> Verdict,
+    ) -> Offer {
+        for (_, id) in lane.of_adapter(adapter) {
+            let item = &self.items[&id].item;
+            let kind = (adapter.clone(), item.class);
+            if blocked.contains(&kind) {
+                return Offer::Skipped;
+            }
+            match dispatch(item) {
+                Verdict::Take => return Offer::Taken(id),
+                Verdict::SkipItem => {}
+                Verdict::SkipAdapter => {
+                    blocked.insert(kind);
+                    return Offer::Skipped;
+                }
+                Verdict::Stop => return Offer::Stopped,
+            }
+        }
+        Offer::Skipped
+    }
+
+    fn charge(&mut self, item: &QueueItem<T>, grouped: bool) {
+        let Some(account) = self.accounts.get_mut(&item.account) else {
+            return;
+        };
+        let oldest = self.virtual_time - self.config.catch_up_tokens as f64;
+        let start = account.start.max(oldest);
+        self.virtual_time = self.virtual_time.max(start);
+        account.start = start + item.tokens as f64 / f64::from(account.weight);
+        if grouped {
+            account.extend_group(&item.adapter);
+        }
+    }
+
+    /// Gives back the part of a reservation that was not used, so that fairness follows the tokens
+    /// that were really spent.
+    pub fn settle(&mut self, account: &AccountName, reserved: Tokens, used: Tokens) {
+        if let Some(account) = self.accounts.get_mut(account) {
+            let unused = reserved.saturating_sub(used);
+            account.start -= unused as f64 / f64::from(account.weight);
+        }
+    }
+
+    /// Removes and returns the items that can no longer meet their deadline.
+    pub fn expired(&mut self, now: MonoMs) -> Vec<QueueItem<T>> {
+        let mut expired = Vec::new();
+        while let Some((start_by, id)) = self.by_start.first().copied() {
+            if start_by >= now {
+                break;
+            }
+            expired.extend(self.detach(id).map(|stored| stored.item));
+        }
+        expired
+    }
+
+    /// Time after which [`FairQueue::expired`] returns something, if nothing else happens.
+    pub fn next_expiry(&self) -> Option<MonoMs> {
+        self.by_start.first().map(|(start_by, _)| start_by.plus(1))
+    }
+
+    /// Removes an item, for example because its caller has left.
+    pub fn cancel(&mut self, id: ItemId) -> Option<QueueItem<T>> {
+        self.detach(id.0).map(|stored| stored.item)
+    }
+
+    /// Adapters of all queued items, with what waits for each.
+    pub fn waiting(&self, now: MonoMs) -> Vec<WaitingAdapter> {
+        let mut waiting: HashMap<&AdapterRef, WaitingAdapter> = HashMap::new();
+        let promote_until = now.plus(self.config.promote_slack_ms);
+        for stored in self.items.values() {
+            let item = &stored.item;
+            let entry = waiting
+                .entry(&item.adapter)
+                .or_insert_with(|| WaitingAdapter {
+                    adapter: item.adapter.clone(),
+                    urgent: 0,
+                    patient: 0,
+                    tokens: 0,
+                    slack_ms: u64::MAX,
+                    waited_ms: 0,
+                    preferred: None,
+                });
+            let urgent = item.class == Patience::Urgent || stored.start_by <= promote_until;
+            entry.urgent += u32::from(urgent);
+            entry.patient += u32::from(!urgent);
+            entry.tokens += item.tokens;
+            entry.slack_ms = entry.slack_ms.min(stored.start_by.since(now));
+            entry.waited_ms = entry.waited_ms.max(now.since(stored.queued));
+        }
+        let mut waiting: Vec<_> = waiting.into_values().collect();
+        waiting.sort_by(|a, b| a.adapter.cmp(&b.adapter));
+        waiting
+    }
+
+    fn detach(&mut self, id: u64) -> Option<Stored<T>> {
+        let stored = self.items.remove(&id)?;
+        let key = (stored.start_by, id);
+        self.by_start.remove(&key);
+        self.patient_len -= usize::from(stored.item.class == Patience::Patient);
+        if let Some(account) = self.accounts.get_mut(&stored.item.account) {
+            lane_mut(account, stored.item.class).remove(key, &stored.item.adapter);
+        }
+        Some(stored)
+    }
+
+    fn drop_idle_accounts(&mut self) {
+        if self.accounts.len() <= MAX_IDLE_ACCOUNTS {
+            return;
+        }
+        let virtual_time = self.virtual_time;
+        self.accounts
+            .retain(|_, account| !account.is_empty() || account.start > virtual_time);
+    }
+}
+
+enum Offer {
+    Taken(u64),
+    Skipped,
+    Stopped,
+}
+
+fn lane_mut(account: &mut Account, class: Patience) -> &mut Lane {
+    match class {
+        Patience::Urgent => &mut account.urgent,
+        Patience::Patient => &mut account.patient,
+    }
+}
--- /dev/null
+++ b/src/scheduling/placement/demand.rs
@@ -0,0 +1,88 @@
+//! What VMs wait for, summed over their pulls.
+
+use std::collections::BTreeMap;
+
+use crate::scheduling::residency::WaitingAdapter;
+use crate::types::AdapterRef;
+use crate::types::MonoMs;
+use crate::types::ServerName;
+use crate::types::Tokens;
+use crate::types::VmName;
+
+/// Work of all VMs that waits for one adapter, as of their last pulls.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaitingLoad {
+    /// The adapter.
+    pub adapter: AdapterRef,
+    /// Urgent requests.
+    pub urgent: u32,
+    /// Patient requests.
+    pub patient: u32,
+    /// Reserved tokens.
+    pub tokens: Tokens,
+    /// Time by which the first request must start.
+    pub start_by: MonoMs,
+    /// Time since which the first request has waited.
+    pub since: MonoMs,
+    /// Engines that the VMs' policies ask for.
+    pub preferred: Vec<ServerName>,
+}
+
+/// Waiting work of all VMs.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    by_vm: BTreeMap<VmName, (MonoMs, Vec<WaitingAdapter>)>,
+}
+
+impl Demand {
+    /// Replaces what `vm` waits for.
+    pub fn update(&mut self, vm: &VmName, waiting: &[WaitingAdapter], now: MonoMs) {
+        self.by_vm.insert(vm.clone(), (now, waiting.to_vec()));
+    }
+
+    /// Forgets VMs that have been silent for `silent_ms`.
+    pub fn expire(&mut self, silent_ms: u64, now: MonoMs) {
+        self.by_vm.retain(|_, (at, _)| now.since(*at) < silent_ms);
+    }
+
+    /// Sum per adapter.
+    pub fn merged(&self) -> BTreeMap<AdapterRef, WaitingLoad> {
+        let mut merged: BTreeMap<AdapterRef, WaitingLoad> = BTreeMap::new();
+        for (at, waiting) in self.by_vm.values() {
+            for entry in waiting {
+                let load = merged
+                    .entry(entry.adapter.clone())
+                    .or_insert_with(|| WaitingLoad::empty(&entry.adapter));
+                load.add(entry, *at);
+            }
+        }
+        merged
+    }
+}
+
+impl WaitingLoad {
+    fn empty(adapter: &AdapterRef) -> Self {
+        Self {
+            adapter: adapter.clone(),
+            urgent: 0,
+            patient: 0,
+            tokens: 0,
+            start_by: MonoMs(u64::MAX),
+            since: MonoMs(u64::MAX),
+            preferred: Vec::new(),
+        }
+    }
+
+    fn add(&mut self, entry: &WaitingAdapter, at: MonoMs) {
+        self.urgent += entry.urgent;
+        self.patient += entry.patient;
+        self.tokens += entry.tokens;
+        self.start_by = self.start_by.min(at.plus(entry.slack_ms));
+        self.since = self.since.min(MonoMs(at.since(MonoMs(entry.waited_ms))));
+        if let Some(server) = &entry.preferred {
+            if !self.preferred.contains(server) {
+                self.preferred.push(server.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduling/placement/needs.rs
@@ -0,0 +1,153 @@
+//! Adapters that should be loaded, in the order of their importance.
+
+use std::collections::HashSet;
+
+use crate::scheduling::placement::WaitingLoad;
+use crate::scheduling::placement::victims::Keeping;
+use crate::scheduling::placement::victims::copies_here;
+use crate::scheduling::placement::waiting_score;
+use crate::scheduling::residency::Residency;
+use crate::scheduling::routing::rank_homes;
+use crate::types::AdapterRef;
+
+/// Time after a load in which waiting work is expected to leave, in milliseconds. VMs learn of the
+/// load with their next pull.
+const NEWS_MS: u64 = 500;
+
+/// Why an adapter should be loaded. Earlier reasons come first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Reason {
+    /// Urgent requests wait and no engine has the adapter.
+    Stalled,
+    /// Urgent requests wait because the engines with the adapter are full.
+    Busy,
+    /// Patient requests wait.
+    Patient,
+    /// The data centre uses the adapter so much that it wants more copies.
+    Hot,
+    /// The adapter is popular and no engine has it.
+    Prefetch,
+}
+
+/// An adapter that should be loaded.
+#[derive(Clone, Debug)]
+pub(super) struct Need {
+    pub(super) adapter: AdapterRef,
+    pub(super) reason: Reason,
+    /// Comparable with the value of resident adapters.
+    pub(super) score: f32,
+    /// Time for which the first request has waited, in milliseconds.
+    pub(super) waited_ms: u64,
+}
+
+impl Keeping<'_> {
+    /// All needs, most important first.
+    pub(super) fn needs(&self) -> Vec<Need> {
+        let mut waiting: Vec<_> = self.waiting.values().collect();
+        // Urgent work in the order of its deadlines, then patient work with the most tokens per
+        // load.
+        waiting.sort_by_key(|load| match load.urgent {
+            0 => (true, u64::MAX - load.tokens, load.start_by),
+            _ => (false, load.start_by.0, load.since),
+        });
+        let mut needs: Vec<_> = waiting
+            .iter()
+            .filter_map(|load| self.waiting_need(load))
+            .collect();
+        let mut named: HashSet<_> = needs.iter().map(|need| need.adapter.clone()).collect();
+        for (adapter, score) in self
+            .popularity
+            .top(self.config.prefetch_candidates, self.now)
+        {
+            if !named.contains(&adapter)
+                && let Some(reason) = self.popular_reason(&adapter, score)
+            {
+                named.insert(adapter.clone());
+                needs.push(Need {
+                    adapter,
+                    reason,
+                    score,
+                    waited_ms: 0,
+                });
+            }
+        }
+        needs.sort_by_key(|need| need.reason);
+        needs
+    }
+
+    fn waiting_need(&self, load: &WaitingLoad) -> Option<Need> {
+        let waited_ms = self.now.since(load.since);
+        let reason = match (self.newest_copy_ms(&load.adapter), load.urgent > 0) {
+            (Some(Copy::Loading), _) => return None,
+            (Some(Copy::ResidentFor(age_ms)), urgent) => {
+                let news_has_spread = age_ms >= NEWS_MS;
+                if !urgent || !news_has_spread || waited_ms < self.config.busy_wait_ms {
+                    return None;
+                }
+                Reason::Busy
+            }
+            (None, urgent) => {
+                // The work was addressed here before the other data centre's load was known.
+                if self.is_elsewhere(&load.adapter) && waited_ms < NEWS_MS {
+                    return None;
+                }
+                if urgent {
+                    Reason::Stalled
+                } else {
+                    Reason::Patient
+                }
+            }
+        };
+        Some(Need {
+            adapter: load.adapter.clone(),
+            reason,
+            score: waiting_score(load.tokens) + self.popularity.score(&load.adapter, self.now),
+            waited_ms,
+        })
+    }
+
+    /// The copy in this data centre that changed last.
+    fn newest_copy_ms(&self, adapter: &AdapterRef) -> Option<Copy> {
+        let slots = self
+            .table
+            .servers()
+            .flat_map(|server| self.table.slots(server));
+        let copies = slots.filter(|slot| slot.adapter == adapter);
+        let states = copies.filter_map(|slot| match slot.residency {
+            Residency::Loading => Some(Copy::Loading),
+            Residency::Resident => Some(Copy::ResidentFor(self.now.since(slot.since))),
+            Residency::Draining => None,
+        });
+        states.min()
+    }
+
+    fn popular_reason(&self, adapter: &AdapterRef, score: f32) -> Option<Reason> {
+        let here = copies_here(self.table, adapter);
+        let local = self.popularity.local_tokens_per_s(adapter, self.now);
+        let wanted = local / self.config.copy_tokens_per_s;
+        let own_copy = wanted * 100.0 >= self.config.local_copy_percent;
+        if own_copy && here < wanted.ceil() as usize && (here > 0 || self.is_elsewhere(adapter)) {
+            return Some(Reason::Hot);
+        }
+        let missing = here == 0 && !self.is_elsewhere(adapter);
+        let prefetch = missing && score >= self.config.prefetch_score && self.is_home(adapter);
+        prefetch.then_some(Reason::Prefetch)
+    }
+
+    /// Whether this data centre is the one that loads the adapter for the fleet.
+    fn is_home(&self, adapter: &AdapterRef) -> bool {
+        let own = self.table.data_centre();
+        let others = self.elsewhere.data_centres().filter(|data_centre| {
+            *data_centre != own && self.elsewhere.is_current(data_centre, self.now)
+        });
+        let ranked = rank_homes(adapter, others.chain(std::iter::once(own)));
+        ranked.first().is_some_and(|home| *home == own)
+    }
+}
+
+/// State of a copy; a load under way counts as newer than any age.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Copy {
+    Loading,
+    ResidentFor(u64),
+}
--- /dev/null
+++ b/src/scheduling/placement/store.rs
@@ -0,0 +1,95 @@
+//! A data centre's part of the weight store's limits.
+
+use std::collections::HashMap;
+
+use crate::types::AdapterRef;
+use crate::types::MonoMs;
+use crate::types::ServerName;
+
+/// A data centre's part of the limits. The parts of all data centres add up to the fleet's limits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StoreShare {
+    /// Loads per second.
+    pub loads_per_s: f64,
+    /// Loads that may start at once after a pause. At least 1, or nothing is ever loaded.
+    pub burst_loads: f64,
+    /// Loads in flight.
+    pub in_flight: u32,
+}
+
+/// Token bucket and in-flight count of loads.
+#[derive(Clone, Debug)]
+pub struct StoreBudget {
+    share: StoreShare,
+    loads: f64,
+    filled: MonoMs,
+    running: HashMap<(ServerName, AdapterRef), MonoMs>,
+}
+
+impl StoreBudget {
+    /// An empty bucket. A predecessor may have spent its share up to `now`.
+    pub fn new(share: StoreShare, now: MonoMs) -> Self {
+        Self {
+            share,
+            loads: 0.0,
+            filled: now,
+            running: HashMap::new(),
+        }
+    }
+
+    /// Changes the share. What has been saved up is cut to the new burst.
+    pub fn set_share(&mut self, share: StoreShare, now: MonoMs) {
+        self.fill(now);
+        self.share = share;
+        self.loads = self.loads.min(share.burst_loads);
+    }
+
+    /// Loads that may start now, leaving `reserved` loads in the bucket.
+    pub fn available(&mut self, reserved: f64, now: MonoMs) -> u32 {
+        self.fill(now);
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let free = self.share.in_flight.saturating_sub(running);
+        // The bucket never holds more than its burst, so a larger reserve would never be met.
+        let reserved = reserved.min(self.share.burst_loads - 1.0).max(0.0);
+        free.min((self.loads - reserved).max(0.0) as u32)
+    }
+
+    /// Starts a load. Returns false, and none may be started, if the limits do not allow it.
+    pub fn start(&mut self, server: &ServerName, adapter: &AdapterRef, now: MonoMs) -> bool {
+        if self.available(0.0, now) == 0 {
+            return false;
+        }
+        self.loads -= 1.0;
+        self.running.insert((server.clone(), adapter.clone()), now);
+        true
+    }
+
+    /// Ends a load.
+    pub fn end(&mut self, server: &ServerName, adapter: &AdapterRef) -> bool {
+        self.running
+            .remove(&(server.clone(), adapter.clone()))
+            .is_some()
+    }
+
+    /// Loads that have run for at least `timeout_ms`.
+    pub fn overdue(&self, timeout_ms: u64, now: MonoMs) -> Vec<(ServerName, AdapterRef)> {
+        let overdue = self
+            .running
+            .iter()
+            .filter(|(_, at)| now.since(**at) >= timeout_ms);
+        let mut overdue: Vec<_> = overdue.map(|(key, _)| key.clone()).collect();
+        overdue.sort_unstable();
+        overdue
+    }
+
+    /// Loads in flight.
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    fn fill(&mut self, now: MonoMs) {
+        let elapsed_s = now.since(self.filled) as f64 / 1_000.0;
+        self.loads = (self.loads + elapsed_s * self.share.loads_per_s).min(self.share.burst_loads);
+        self.filled = self.filled.max(now);
+    }
+}
--- /dev/null
+++ b/src/scheduling/placement/victims.rs
@@ -0,0 +1,120 @@
+//! Which resident adapter gives up its slot.
+
+use std::collections::BTreeMap;
+
+use crate::scheduling::placement::PlannerConfig;
+use crate::scheduling::placement::WaitingLoad;
+use crate::scheduling::placement::waiting_score;
+use crate::scheduling::popularity::FleetPopularity;
+use crate::scheduling::residency::Residency;
+use crate::scheduling::residency::ResidencyTable;
+use crate::scheduling::residency::ResidencyView;
+use crate::scheduling::routing::rank_homes;
+use crate::types::AdapterRef;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::ServerName;
+
+/// A resident adapter with the value of keeping it.
+#[derive(Clone, Debug)]
+pub(super) struct Victim {
+    pub(super) server: ServerName,
+    pub(super) adapter: AdapterRef,
+    pub(super) value: f32,
+    /// Requests in flight. The slot becomes free only after they have ended.
+    pub(super) in_use: u32,
+    pub(super) last_used: MonoMs,
+}
+
+/// What the choice of a victim depends on.
+pub(super) struct Keeping<'a> {
+    pub(super) config: &'a PlannerConfig,
+    pub(super) table: &'a ResidencyTable,
+    pub(super) popularity: &'a FleetPopularity,
+    pub(super) waiting: &'a BTreeMap<AdapterRef, WaitingLoad>,
+    pub(super) elsewhere: &'a ResidencyView,
+    pub(super) now: MonoMs,
+}
+
+impl Keeping<'_> {
+    /// Resident adapters that may be drained, least valuable first. Adapters in use come last.
+    pub(super) fn victims(&self) -> Vec<Victim> {
+        let mut victims = Vec::new();
+        for server in self.table.servers() {
+            for slot in self.table.slots(server) {
+                let settled = self.now.since(slot.since) >= self.config.min_resident_ms;
+                if slot.residency == Residency::Resident && settled {
+                    victims.push(Victim {
+                        server: server.clone(),
+                        adapter: slot.adapter.clone(),
+                        value: self.value(slot.adapter),
+                        in_use: self.table.in_use(server, slot.adapter),
+                        last_used: slot.last_used,
+                    });
+                }
+            }
+        }
+        victims.sort_by(|a, b| {
+            let in_use = (a.in_use > 0).cmp(&(b.in_use > 0));
+            let value = a.value.total_cmp(&b.value);
+            let age = a.last_used.cmp(&b.last_used);
+            in_use
+                .then(value)
+                .then(age)
+                .then_with(|| a.server.cmp(&b.server))
+        });
+        victims
+    }
+
+    /// Value of keeping a copy: how soon it is used again and how hard it is to replace.
+    fn value(&self, adapter: &AdapterRef) -> f32 {
+        let waiting = self.waiting.get(adapter);
+        let waiting = waiting.map_or(0.0, |waiting| waiting_score(waiting.tokens));
+        let score = self.popularity.score(adapter, self.now) + waiting;
+        if copies_here(self.table, adapter) > 1 || self.is_kept_elsewhere(adapter) {
+            score * self.config.copy_value_percent / 100.0
+        } else {
+            score
+        }
+    }
+
+    /// Whether another data centre has the adapter resident.
+    pub(super) fn is_elsewhere(&self, adapter: &AdapterRef) -> bool {
+        self.others(adapter).next().is_some()
+    }
+
+    /// Whether another data centre keeps its copy at full value. Of the data centres with a copy,
+    /// one counts as the keeper, so that two of them do not evict the last two copies at once.
+    fn is_kept_elsewhere(&self, adapter: &AdapterRef) -> bool {
+        let own = self.table.data_centre();
+        let holders = self.others(adapter).chain(std::iter::once(own));
+        rank_homes(adapter, holders)
+            .first()
+            .is_some_and(|keeper| *keeper != own)
+    }
+
+    fn others(&self, adapter: &AdapterRef) -> impl Iterator<Item = &DataCentre> {
+        let residents = self.elsewhere.residents(adapter).iter();
+        residents
+            .map(|(_, data_centre)| data_centre)
+            .filter(|data_centre| {
+                *data_centre != self.table.data_centre()
+                    && self.elsewhere.is_current(data_centre, self.now)
+            })
+    }
+}
+
+/// Copies of an adapter in the data centre, those being loaded included.
+pub(super) fn copies_here(table: &ResidencyTable, adapter: &AdapterRef) -> usize {
+    let servers = table.servers();
+    servers
+        .filter(|server| has_copy(table, server, adapter))
+        .count()
+}
+
+/// Whether the engine has the adapter or loads it.
+pub(super) fn has_copy(table: &ResidencyTable, server: &ServerName, adapter: &AdapterRef) -> bool {
+    table
+        .state(server, adapter)
+        .is_some_and(|state| state != Residency::Draining)
+}
--- /dev/null
+++ b/src/scheduling/popularity.rs
@@ -0,0 +1,279 @@
+//! Exponentially decayed token counts per adapter.
+//!
+//! Each VM counts the tokens that it admits and sends a bounded summary to every coordinator. A
+//! coordinator keeps the newest summary of each VM, so a repeated or lost summary does not change
+//! the sum.
+
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::types::AdapterRef;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::Tokens;
+use crate::types::VmName;
+
+/// Figures of the popularity counters.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PopularityConfig {
+    /// Half-life of the counter that follows a running conversation, in milliseconds.
+    pub short_half_life_ms: u64,
+    /// Half-life of the counter that follows a working day, in milliseconds.
+    pub long_half_life_ms: u64,
+    /// Weight of the short counter in the score.
+    pub short_weight: f32,
+    /// Adapters in one summary.
+    pub summary_adapters: usize,
+    /// Adapters that one VM counts. The least popular half is dropped when there are more.
+    pub max_adapters: usize,
+}
+
+impl Default for PopularityConfig {
+    fn default() -> Self {
+        Self {
+            short_half_life_ms: 60_000,
+            long_half_life_ms: 900_000,
+            short_weight: 4.0,
+            summary_adapters: 128,
+            max_adapters: 32_768,
+        }
+    }
+}
+
+/// Decayed token counts of one adapter.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Decayed {
+    /// Tokens, decayed with the short half-life.
+    pub short_tokens: f32,
+    /// Tokens, decayed with the long half-life.
+    pub long_tokens: f32,
+}
+
+impl Decayed {
+    fn after(self, elapsed_ms: u64, config: &PopularityConfig) -> Self {
+        Self {
+            short_tokens: self.short_tokens * decay(elapsed_ms, config.short_half_life_ms),
+            long_tokens: self.long_tokens * decay(elapsed_ms, config.long_half_life_ms),
+        }
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            short_tokens: self.short_tokens + other.short_tokens,
+            long_tokens: self.long_tokens + other.long_tokens,
+        }
+    }
+
+    /// One figure for comparison between adapters. Higher means that the next use is nearer.
+    pub fn score(self, config: &PopularityConfig) -> f32 {
+        self.short_tokens * config.short_weight + self.long_tokens
+    }
+}
+
+fn decay(elapsed_ms: u64, half_life_ms: u64) -> f32 {
+    let half_lives = elapsed_ms as f64 / half_life_ms.max(1) as f64;
+    (-half_lives).exp2() as f32
+}
+
+/// The most popular adapters of one VM and the total of all its adapters.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct PopularitySummary {
+    /// Decayed tokens of all adapters.
+    pub total: Decayed,
+    /// The most popular adapters, most popular first.
+    pub top: Vec<(AdapterRef, Decayed)>,
+}
+
+/// Decayed token counts of one VM.
+#[derive(Clone, Debug)]
+pub struct Popularity {
+    config: PopularityConfig,
+    total: (MonoMs, Decayed),
+    adapters: HashMap<AdapterRef, (MonoMs, Decayed)>,
+}
+
+impl Popularity {
+    /// Counters that are all zero.
+    pub fn new(config: PopularityConfig) -> Self {
+        Self {
+            config,
+            total: (MonoMs::default(), Decayed::default()),
+            adapters: HashMap::new(),
+        }
+    }
+
+    /// Counts `tokens` of admitted work.
+    pub fn record(&mut self, adapter: &AdapterRef, tokens: Tokens, now: MonoMs) {
+        add(&mut self.total, tokens, now, &self.config);
+        if let Some(counter) = self.adapters.get_mut(adapter) {
+            add(counter, tokens, now, &self.config);
+            return;
+        }
+        if self.adapters.len() >= self.config.max_adapters {
+            self.drop_least_popular(now);
+        }
+        let mut counter = (now, Decayed::default());
+        add(&mut counter, tokens, now, &self.config);
+        self.adapters.insert(adapter.clone(), counter);
+    }
+
+    /// Counts of `adapter` as of `now`.
+    pub fn get(&self, adapter: &AdapterRef, now: MonoMs) -> Decayed {
+        self.adapters
+            .get(adapter)
+            .map(|(at, counts)| counts.after(now.since(*at), &self.config))
+            .unwrap_or_default()
+    }
+
+    /// The bounded summary that goes to the coordinators.
+    pub fn summary(&self, now: MonoMs) -> PopularitySummary {
+        let mut top: Vec<_> = self
+            .adapters
+            .iter()
+            .map(|(adapter, (at, counts))| (adapter, counts.after(now.since(*at), &self.config)))
+            .collect();
+        let keep = self.config.summary_adapters;
+        if top.len() > keep {
+            top.select_nth_unstable_by(keep, |a, b| by_score(&self.config, a, b));
+            top.truncate(keep);
+        }
+        top.sort_by(|a, b| by_score(&self.config, a, b));
+        PopularitySummary {
+            total: self.total.1.after(now.since(self.total.0), &self.config),
+            top: top.into_iter().map(|(a, c)| (a.clone(), c)).collect(),
+        }
+    }
+
+    fn drop_least_popular(&mut self, now: MonoMs) {
+        let config = self.config;
+        let score =
+            |entry: &(MonoMs, Decayed)| entry.1.after(now.since(entry.0), &config).score(&config);
+        let mut scores: Vec<f32> = self.adapters.values().map(score).collect();
+        let middle = scores.len() / 2;
+        let (_, median, _) = scores.select_nth_unstable_by(middle, f32::total_cmp);
+        let median = *median;
+        self.adapters.retain(|_, entry| score(entry) > median);
+    }
+}
+
+fn add(counter: &mut (MonoMs, Decayed), tokens: Tokens, now: MonoMs, config: &PopularityConfig) {
+    let added = Decayed {
+        short_tokens: tokens as f32,
+        long_tokens: tokens as f32,
+    };
+    counter.1 = counter.1.after(now.since(counter.0), config).plus(added);
+    counter.0 = now.max(counter.0);
+}
+
+fn by_score(
+    config: &PopularityConfig,
+    a: &(&AdapterRef, Decayed),
+    b: &(&AdapterRef, Decayed),
+) -> std::cmp::Ordering {
+    let (left, right) = (a.1.score(config), b.1.score(config));
+    right.total_cmp(&left).then_with(|| a.0.cmp(b.0))
+}
+
+/// One VM's counts of one adapter.
+#[derive(Clone, Debug)]
+struct Counted {
+    vm: VmName,
+    /// The VM is in the data centre of the coordinator.
+    local: bool,
+    at: MonoMs,
+    counts: Decayed,
+}
+
+/// Sum of the newest summaries of all VMs, kept by a coordinator.
+#[derive(Clone, Debug)]
+pub struct FleetPopularity {
+    config: PopularityConfig,
+    data_centre: DataCentre,
+    adapters: HashMap<AdapterRef, Vec<Counted>>,
+}
+
+impl FleetPopularity {
+    /// Counters without any source, kept in `data_centre`.
+    pub fn new(config: PopularityConfig, data_centre: DataCentre) -> Self {
+        Self {
+            config,
+            data_centre,
+            adapters: HashMap::new(),
+        }
+    }
+
+    /// Replaces the counts of `vm`. Adapters that left its top list keep decaying.
+    pub fn merge(
+        &mut self,
+        vm: &VmName,
+        vm_data_centre: &DataCentre,
+        summary: &PopularitySummary,
+        now: MonoMs,
+    ) {
+        let local = *vm_data_centre == self.data_centre;
+        for (adapter, counts) in &summary.top {
+            let entries = self.adapters.entry(adapter.clone()).or_default();
+            entries.retain(|entry| entry.vm != *vm);
+            entries.push(Counted {
+                vm: vm.clone(),
+                local,
+                at: now,
+                counts: *counts,
+            });
+        }
+    }
+
+    /// Counts of `adapter` over all VMs as of `now`.
+    pub fn get(&self, adapter: &AdapterRef, now: MonoMs) -> Decayed {
+        self.sum(adapter, now, |_| true)
+    }
+
+    /// Tokens per second that the VMs of the coordinator's data centre ask of `adapter`.
+    pub fn local_tokens_per_s(&self, adapter: &AdapterRef, now: MonoMs) -> f32 {
+        let counts = self.sum(adapter, now, |entry| entry.local);
+        let per_s = |tokens: f32, half_life_ms: u64| {
+            tokens * std::f32::consts::LN_2 * 1_000.0 / half_life_ms.max(1) as f32
+        };
+        let short = per_s(counts.short_tokens, self.config.short_half_life_ms);
+        short.max(per_s(counts.long_tokens, self.config.long_half_life_ms))
+    }
+
+    fn sum(&self, adapter: &AdapterRef, now: MonoMs, of: impl Fn(&Counted) -> bool) -> Decayed {
+        let entries = self.adapters.get(adapter).map_or(&[][..], Vec::as_slice);
+        let entries = entries.iter().filter(|entry| of(entry));
+        entries.fold(Decayed::default(), |sum, entry| {
+            sum.plus(entry.counts.after(now.since(entry.at), &self.config))
+        })
+    }
+
+    /// One comparable figure for `adapter`.
+    pub fn score(&self, adapter: &AdapterRef, now: MonoMs) -> f32 {
+        self.get(adapter, now).score(&self.config)
+    }
+
+    /// The `count` most popular adapters with their scores, most popular first.
+    pub fn top(&self, count: usize, now: MonoMs) -> Vec<(AdapterRef, f32)> {
+        let mut scored: Vec<_> = self
+            .adapters
+            .keys()
+            .map(|adapter| (adapter, self.score(adapter, now)))
+            .collect();
+        scored.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(b.0)));
+        scored.truncate(count);
+        scored.into_iter().map(|(a, s)| (a.clone(), s)).collect()
+    }
+
+    /// Forgets entries that have decayed below `floor_tokens`.
+    pub fn prune(&mut self, floor_tokens: f32, now: MonoMs) {
+        let config = self.config;
+        self.adapters.retain(|_, entries| {
+            entries.retain(|entry| {
+                let counts = entry.counts.after(now.since(entry.at), &config);
+                counts.long_tokens >= floor_tokens
+            });
+            !entries.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/src/scheduling/residency/mod.rs
@@ -0,0 +1,52 @@
+//! Residency lease: which adapters VMs may dispatch to which engines, and when an eviction is safe.
+//!
+//! A coordinator owns a [`ResidencyTable`]. VMs pull it, hold it in a [`ResidencyView`] until a
+//! deadline and report what they have in use.
+
+mod holders;
+mod messages;
+mod table;
+mod view;
+
+pub use messages::EngineRow;
+pub use messages::FORMAT;
+pub use messages::InUse;
+pub use messages::Residency;
+pub use messages::Table;
+pub use messages::TablePull;
+pub use messages::TableVersion;
+pub use messages::WaitingAdapter;
+pub use table::EngineSeen;
+pub use table::PullError;
+pub use table::ResidencyTable;
+pub use table::Slot;
+pub use view::ResidencyView;
+pub use view::Use;
+
+/// Figures of the residency lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ResidencyConfig {
+    /// Validity of a table, in milliseconds from before the pull was sent.
+    pub valid_ms: u64,
+    /// Longest time from dispatch to the end of a request, in milliseconds. Dispatchers cancel
+    /// requests that take longer.
+    pub longest_request_ms: u64,
+    /// Added to waits for silent VMs, in milliseconds, because clocks of two VMs drift apart.
+    pub drift_ms: u64,
+    /// Time for which announcements may still show the state before an order, in milliseconds.
+    pub announcement_lag_ms: u64,
+    /// Removed engines that the table remembers for VMs that hold an old version.
+    pub removed_engines: usize,
+}
+
+impl Default for ResidencyConfig {
+    fn default() -> Self {
+        Self {
+            valid_ms: 2_000,
+            longest_request_ms: 60_000,
+            drift_ms: 100,
+            announcement_lag_ms: 2_000,
+            removed_engines: 256,
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduling/residency/table.rs
@@ -0,0 +1,468 @@
+//! Residency table of a data centre, kept by its coordinator.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use snafu::Snafu;
+
+use crate::scheduling::residency::EngineRow;
+use crate::scheduling::residency::FORMAT;
+use crate::scheduling::residency::Residency;
+use crate::scheduling::residency::ResidencyConfig;
+use crate::scheduling::residency::Table;
+use crate::scheduling::residency::TablePull;
+use crate::scheduling::residency::TableVersion;
+use crate::scheduling::residency::holders::Holders;
+use crate::types::AdapterRef;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::ServerName;
+use crate::types::VmName;
+
+/// An engine as its last announcement shows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineSeen {
+    /// The engine.
+    pub server: ServerName,
+    /// Incarnation; a higher one starts empty.
+    pub incarnation: u64,
+    /// Adapter slots.
+    pub slots: u32,
+    /// Adapters that the engine lists as resident.
+    pub resident: Vec<AdapterRef>,
+}
+
+/// Why a pull got no table.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum PullError {
+    /// The pull has another format version.
+    #[snafu(display("format: {found} is not supported, only {FORMAT} is"))]
+    Format {
+        /// The version found.
+        found: u16,
+    },
+    /// The VM holds a table of a later term, so this coordinator has been replaced.
+    #[snafu(display("known.term: {known} is later than this coordinator's term {term}"))]
+    Deposed {
+        /// Term of the table that the VM holds.
+        known: u64,
+        /// Term of this coordinator.
+        term: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    residency: Residency,
+    /// Time of the last change of `residency`.
+    since: MonoMs,
+    last_used: MonoMs,
+    /// Change number of the drain mark.
+    mark: u64,
+    evicting: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Engine {
+    incarnation: u64,
+    slots: u32,
+    changed: u64,
+    adapters: BTreeMap<AdapterRef, Entry>,
+    /// Adapters evicted recently; announcements on their way may still list them.
+    evicted: HashMap<AdapterRef, MonoMs>,
+}
+
+/// An adapter in a slot, as placement sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Slot<'a> {
+    /// The adapter.
+    pub adapter: &'a AdapterRef,
+    /// Its state.
+    pub residency: Residency,
+    /// Time of the last change of state.
+    pub since: MonoMs,
+    /// Last time a VM reported it in use, or the time of its load.
+    pub last_used: MonoMs,
+    /// An eviction has been ordered.
+    pub evicting: bool,
+}
+
+/// Residency of all engines of a data centre.
+#[derive(Clone, Debug)]
+pub struct ResidencyTable {
+    config: ResidencyConfig,
+    data_centre: DataCentre,
+    term: u64,
+    change: u64,
+    backlog_loads: u32,
+    engines: BTreeMap<ServerName, Engine>,
+    removed: VecDeque<(u64, ServerName)>,
+    /// Highest change number whose removal has been forgotten.
+    forgotten: u64,
+    holders: Holders,
+}
+
+impl ResidencyTable {
+    /// An empty table of the coordinator with `term`. Every VM of `roster` may hold a table of an
+    /// earlier term and blocks evictions until it pulls or has been waited out.
+    pub fn new(
+        config: ResidencyConfig,
+        data_centre: DataCentre,
+        term: u64,
+        roster: &[VmName],
+        now: MonoMs,
+    ) -> Self {
+        Self {
+            config,
+            data_centre,
+            term,
+            change: 0,
+            backlog_loads: 0,
+            engines: BTreeMap::new(),
+            removed: VecDeque::new(),
+            forgotten: 0,
+            holders: Holders::new(config, roster, now),
+        }
+    }
+
+    /// The data centre whose engines the table lists.
+    pub fn data_centre(&self) -> &DataCentre {
+        &self.data_centre
+    }
+
+    /// Version of the table.
+    pub fn version(&self) -> TableVersion {
+        TableVersion {
+            term: self.term,
+            change: self.change,
+        }
+    }
+
+    /// Sets the number of loads that wait for the store; replies carry it.
+    pub fn set_backlog(&mut self, loads: u32) {
+        self.backlog_loads = loads;
+    }
+
+    /// Records a pull and answers it.
+    pub fn pull(&mut self, pull: &TablePull, now: MonoMs) -> Result<Table, PullError> {
+        if pull.format != FORMAT {
+            return FormatSnafu { found: pull.format }.fail();
+        }
+        if let Some(known) = pull.known.filter(|known| known.term > self.term) {
+            let known = known.term;
+            return DeposedSnafu {
+                known,
+                term: self.term,
+            }
+            .fail();
+        }
+        self.holders.record(pull, self.term, self.change, now);
+        for entry in pull.in_use.iter().filter(|entry| entry.requests > 0) {
+            if let Some(entry) = self.entry_mut(&entry.server, &entry.adapter) {
+                entry.last_used = entry.last_used.max(now);
+            }
+        }
+        Ok(self.reply(pull.known))
+    }
+
+    fn reply(&self, known: Option<TableVersion>) -> Table {
+        let since = known.filter(|known| {
+            known.term == self.term && known.change >= self.forgotten && known.change <= self.change
+        });
+        let after = since.map_or(0, |since| since.change);
+        let changed = |engine: &&Engine| since.is_none() || engine.changed > after;
+        let rows = self.engines.iter().filter(|(_, engine)| changed(engine));
+        let removed = self.removed.iter().filter(|(change, server)| {
+            since.is_some() && *change > after && !self.engines.contains_key(server)
+        });
+        Table {
+            format: FORMAT,
+            data_centre: self.data_centre.clone(),
+            version: self.version(),
+            since,
+            valid_ms: self.config.valid_ms,
+            backlog_loads: self.backlog_loads,
+            rows: rows.map(|(server, engine)| row(server, engine)).collect(),
+            removed: removed.map(|(_, server)| server.clone()).collect(),
+        }
+    }
+
+    /// Merges an announcement. Returns whether the engine is new or has restarted empty.
+    pub fn observe(&mut self, seen: &EngineSeen, now: MonoMs) -> bool {
+        let known = self.engines.get(&seen.server).map(|e| e.incarnation);
+        if known.is_some_and(|known| seen.incarnation < known) {
+            return false;
+        }
+        let is_new = known != Some(seen.incarnation);
+        if is_new {
+            let engine = Engine {
+                incarnation: seen.incarnation,
+                slots: seen.slots,
+                changed: 0,
+                adapters: BTreeMap::new(),
+                evicted: HashMap::new(),
+            };
+            self.engines.insert(seen.server.clone(), engine);
+        }
+        let lag_ms = self.config.announcement_lag_ms;
+        let changed = match self.engines.get_mut(&seen.server) {
+            Some(engine) => merge_announcement(engine, seen, lag_ms, now),
+            None => false,
+        };
+        if is_new || changed {
+            self.mark_changed(&seen.server);
+        }
+        is_new
+    }
+
+    /// Forgets an engine that is dead or has left.
+    pub fn remove_engine(&mut self, server: &ServerName) {
+        if self.engines.remove(server).is_none() {
+            return;
+        }
+        self.change += 1;
+        self.removed.push_back((self.change, server.clone()));
+        while self.removed.len() > self.config.removed_engines {
+            if let Some((change, _)) = self.removed.pop_front() {
+                self.forgotten = change;
+            }
+        }
+    }
+
+    /// Notes that a load has been ordered. Returns false if no slot is free or the adapter has one.
+    pub fn begin_load(&mut self, server: &ServerName, adapter: &AdapterRef, now: MonoMs) -> bool {
+        if self.free_slots(server) == 0 {
+            return false;
+        }
+        let Some(engine) = self.engines.get_mut(server) else {
+            return false;
+        };
+        if engine.adapters.contains_key(adapter) {
+            return false;
+        }
+        let entry = Entry::new(Residency::Loading, now);
+        engine.adapters.insert(adapter.clone(), entry);
+        self.mark_changed(server);
+        true
+    }
+
+    /// Notes that a load has succeeded on `incarnation` of the engine.
+    pub fn loaded(
+        &mut self,
+        server: &ServerName,
+        incarnation: u64,
+        adapter: &AdapterRef,
+        now: MonoMs,
+    ) {
+        let Some(engine) = self.engines.get_mut(server) else {
+            return;
+        };
+        if engine.incarnation != incarnation {
+            return;
+        }
+        let entry = Entry::new(Residency::Resident, now);
+        engine.adapters.insert(adapter.clone(), entry);
+        self.mark_changed(server);
+    }
+
+    /// Notes that a load has failed; the slot is free again.
+    pub fn load_failed(&mut self, server: &ServerName, adapter: &AdapterRef) {
+        self.remove_if(server, adapter, |entry| {
+            entry.residency == Residency::Loading
+        });
+    }
+
+    /// Marks a resident adapter as draining.
+    pub fn drain(&mut self, server: &ServerName, adapter: &AdapterRef, now: MonoMs) -> bool {
+        let mark = self.change + 1;
+        let Some(entry) = self.entry_mut(server, adapter) else {
+            return false;
+        };
+        if entry.residency != Residency::Resident {
+            return false;
+        }
+        entry.residency = Residency::Draining;
+        entry.since = now;
+        entry.mark = mark;
+        self.mark_changed(server);
+        true
+    }
+
+    /// Removes a drain mark, unless the eviction has been ordered.
+    pub fn cancel_drain(&mut self, server: &ServerName, adapter: &AdapterRef, now: MonoMs) -> bool {
+        let Some(entry) = self.entry_mut(server, adapter) else {
+            return false;
+        };
+        if entry.residency != Residency::Draining || entry.evicting {
+            return false;
+        }
+        entry.residency = Residency::Resident;
+        entry.since = now;
+        self.mark_changed(server);
+        true
+    }
+
+    /// Draining adapters that no VM can have in use, without those whose eviction is under way.
+    pub fn evictable(&mut self, now: MonoMs) -> Vec<(ServerName, AdapterRef)> {
+        self.holders.expire(now);
+        let mut clear = Vec::new();
+        for (server, engine) in &self.engines {
+            for (adapter, entry) in &engine.adapters {
+                let draining = entry.residency == Residency::Draining && !entry.evicting;
+                if draining && self.holders.all_clear(server, adapter, entry.mark, now) {
+                    clear.push((server.clone(), adapter.clone()));
+                }
+            }
+        }
+        clear
+    }
+
+    /// Notes that an eviction is ordered. Returns false, and none may be ordered, unless it is safe.
+    pub fn begin_eviction(
+        &mut self,
+        server: &ServerName,
+        adapter: &AdapterRef,
+        now: MonoMs,
+    ) -> bool {
+        let Some(mark) = self.entry_mut(server, adapter).map(|entry| entry.mark) else {
+            return false;
+        };
+        let clear = self.holders.all_clear(server, adapter, mark, now);
+        let Some(entry) = self.entry_mut(server, adapter) else {
+            return false;
+        };
+        let draining = entry.residency == Residency::Draining && !entry.evicting;
+        entry.evicting |= draining && clear;
+        draining && clear
+    }
+
+    /// Notes that an eviction has succeeded; the slot is free.
+    pub fn evicted(&mut self, server: &ServerName, adapter: &AdapterRef, now: MonoMs) {
+        self.remove_if(server, adapter, |entry| entry.evicting);
+        if let Some(engine) = self.engines.get_mut(server) {
+            engine.evicted.insert(adapter.clone(), now);
+        }
+    }
+
+    /// Notes that the engine refused an eviction; the adapter stays draining.
+    pub fn eviction_failed(&mut self, server: &ServerName, adapter: &AdapterRef, now: MonoMs) {
+        if let Some(entry) = self.entry_mut(server, adapter) {
+            entry.evicting = false;
+            entry.since = now;
+        }
+    }
+
+    /// Engines in the order of their names.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerName> {
+        self.engines.keys()
+    }
+
+    /// Incarnation of an engine.
+    pub fn incarnation(&self, server: &ServerName) -> Option<u64> {
+        self.engines.get(server).map(|engine| engine.incarnation)
+    }
+
+    /// Slots of an engine that hold nothing and are not promised to a load.
+    pub fn free_slots(&self, server: &ServerName) -> u32 {
+        self.engines.get(server).map_or(0, |engine| {
+            let taken = u32::try_from(engine.adapters.len()).unwrap_or(u32::MAX);
+            engine.slots.saturating_sub(taken)
+        })
+    }
+
+    /// Adapters on an engine in the order of their names.
+    pub fn slots(&self, server: &ServerName) -> impl Iterator<Item = Slot<'_>> {
+        let engine = self.engines.get(server);
+        let entries = engine.into_iter().flat_map(|engine| &engine.adapters);
+        entries.map(|(adapter, entry)| Slot {
+            adapter,
+            residency: entry.residency,
+            since: entry.since,
+            last_used: entry.last_used,
+            evicting: entry.evicting,
+        })
+    }
+
+    /// State of `adapter` on `server`.
+    pub fn state(&self, server: &ServerName, adapter: &AdapterRef) -> Option<Residency> {
+        let entry = self.engines.get(server)?.adapters.get(adapter)?;
+        Some(entry.residency)
+    }
+
+    /// Requests in flight on `adapter` of `server`, as of the last pulls of all VMs.
+    pub fn in_use(&self, server: &ServerName, adapter: &AdapterRef) -> u32 {
+        self.holders.in_use(server, adapter)
+    }
+
+    fn entry_mut(&mut self, server: &ServerName, adapter: &AdapterRef) -> Option<&mut Entry> {
+        self.engines.get_mut(server)?.adapters.get_mut(adapter)
+    }
+
+    fn mark_changed(&mut self, server: &ServerName) {
+        self.change += 1;
+        if let Some(engine) = self.engines.get_mut(server) {
+            engine.changed = self.change;
+        }
+    }
+
+    fn remove_if(
+        &mut self,
+        server: &ServerName,
+        adapter: &AdapterRef,
+        condition: impl Fn(&Entry) -> bool,
+    ) {
+        let Some(engine) = self.engines.get_mut(server) else {
+            return;
+        };
+        if engine.adapters.get(adapter).is_some_and(condition) {
+            engine.adapters.remove(adapter);
+            self.mark_changed(server);
+        }
+    }
+}
+
+impl Entry {
+    fn new(residency: Residency, now: MonoMs) -> Self {
+        Self {
+            residency,
+            since: now,
+            last_used: now,
+            mark: 0,
+            evicting: false,
+        }
+    }
+}
+
+fn row(server: &ServerName, engine: &Engine) -> EngineRow {
+    let adapters = engine.adapters.iter();
+    EngineRow {
+        server: server.clone(),
+        incarnation: engine.incarnation,
+        slots: engine.slots,
+        adapters: adapters
+            .map(|(a, entry)| (a.clone(), entry.residency))
+            .collect(),
+    }
+}
+
+/// Adds adapters that the engine lists and drops those that it has stopped listing. Differences
+/// younger than `lag_ms` are ignored, because announcements lag behind the results of orders.
+fn merge_announcement(engine: &mut Engine, seen: &EngineSeen, lag_ms: u64, now: MonoMs) -> bool {
+    let mut changed = engine.slots != seen.slots;
+    engine.slots = seen.slots;
+    engine.evicted.retain(|_, at| now.since(*at) < lag_ms);
+    for adapter in &seen.resident {
+        if !engine.adapters.contains_key(adapter) && !engine.evicted.contains_key(adapter) {
+            let entry = Entry::new(Residency::Resident, now);
+            engine.adapters.insert(adapter.clone(), entry);
+            changed = true;
+        }
+    }
+    let before = engine.adapters.len();
+    engine.adapters.retain(|adapter, entry| {
+        let unsettled = entry.residency == Residency::Loading || now.since(entry.since) < lag_ms;
+        unsettled || entry.evicting || seen.resident.contains(adapter)
+    });
+    changed || engine.adapters.len() != before
+}
--- /dev/null
+++ b/src/scheduling/routing/estimate.rs
@@ -0,0 +1,84 @@
+//! Estimate of the time to the first token, and the choice among near-equal servers.
+
+use crate::scheduling::routing::RouteRequest;
+use crate::scheduling::routing::RouteView;
+use crate::scheduling::routing::fleet::Server;
+use crate::scheduling::routing::hash_ring::mix;
+use crate::types::Patience;
+
+/// A server with its cost in milliseconds.
+pub(super) struct Candidate<'a> {
+    pub(super) server: &'a Server,
+    pub(super) cost_ms: f32,
+    pub(super) has_room: bool,
+}
+
+/// Rates `server` for `request`.
+pub(super) fn candidate<'a>(
+    server: &'a Server,
+    request: &RouteRequest<'_>,
+    view: &RouteView<'_>,
+) -> Candidate<'a> {
+    let peers = view.fleet.peers();
+    let config = view.config;
+    let wait_ms = server.wait_ms(request.class, peers, config);
+    let paid_ms = match (server.paid, request.class) {
+        (false, _) => 0.0,
+        (true, Patience::Urgent) => config.paid_urgent_ms,
+        (true, Patience::Patient) => config.paid_patient_ms,
+    };
+    let cost_ms = server.round_trip_ms as f32
+        + wait_ms
+        + prefill_ms(server, request, view)
+        + cold_ms(server, view)
+        + paid_ms;
+    Candidate {
+        server,
+        cost_ms,
+        has_room: server.has_room(request.class, peers, config),
+    }
+}
+
+fn prefill_ms(server: &Server, request: &RouteRequest<'_>, view: &RouteView<'_>) -> f32 {
+    let hits = view
+        .prefixes
+        .expected_hits(&server.info.name, request.prefix);
+    let cached = hits * view.config.block_tokens as f32;
+    let uncached = (request.prompt_tokens as f32 - cached).max(0.0);
+    uncached * view.config.prefill_us_per_token as f32 / 1_000.0
+}
+
+fn cold_ms(server: &Server, view: &RouteView<'_>) -> f32 {
+    let up_ms = view.now.since(server.started);
+    let left_ms = view.config.warm_up_ms.saturating_sub(up_ms);
+    view.config.cold_ms * left_ms as f32 / view.config.warm_up_ms.max(1) as f32
+}
+
+/// Picks two of the candidates that cost about as little as the cheapest one, and takes the
+/// cheaper. The numbers differ between VMs, so VMs that saw the same reports spread.
+pub(super) fn pick<'a>(
+    candidates: &[Candidate<'a>],
+    request: &RouteRequest<'_>,
+    view: &RouteView<'_>,
+) -> Option<&'a Server> {
+    let lowest = candidates
+        .iter()
+        .map(|c| c.cost_ms)
+        .min_by(f32::total_cmp)?;
+    let limit = lowest + view.config.near_ms;
+    let near: Vec<_> = candidates.iter().filter(|c| c.cost_ms <= limit).collect();
+    let random = mix(view.fleet.seed() ^ mix(request.nonce));
+    let first = near[random as usize % near.len()];
+    if near.len() == 1 {
+        return Some(first.server);
+    }
+    let others = near.len() - 1;
+    let step = 1 + (random >> 32) as usize % others;
+    let second = near[(random as usize % near.len() + step) % near.len()];
+    let cheaper = if second.cost_ms < first.cost_ms {
+        second
+    } else {
+        first
+    };
+    Some(cheaper.server)
+}
--- /dev/null
+++ b/src/scheduling/routing/fleet.rs
@@ -0,0 +1,353 @@
+//! Backend servers as one VM sees them: announcements, load reports and the VM's own dispatches.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::scheduling::routing::HashRing;
+use crate::scheduling::routing::RouteConfig;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::Patience;
+use crate::types::ServerName;
+use crate::types::ServiceName;
+use crate::types::Tokens;
+
+/// Own dispatches and completions are remembered this long, in milliseconds. Reports are younger.
+const HISTORY_MS: u64 = 5_000;
+
+/// What a server provides.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ServerKind {
+    /// Runs adapters of a base model.
+    Engine {
+        /// The base model.
+        base: Arc<str>,
+    },
+    /// Provides a plain service.
+    Service {
+        /// The service.
+        service: ServiceName,
+    },
+}
+
+/// Identity and size of a server, from its announcement.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerInfo {
+    /// Name.
+    pub name: ServerName,
+    /// Data centre.
+    pub data_centre: DataCentre,
+    /// What it provides.
+    pub kind: ServerKind,
+    /// Incarnation; changes with each start.
+    pub incarnation: u64,
+    /// Requests that it runs at the same time.
+    pub batch_slots: u32,
+    /// It takes no new work.
+    pub leaving: bool,
+}
+
+/// Load of a server at one moment.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LoadReport {
+    /// When the server took the sample, on this VM's clock.
+    pub sampled: MonoMs,
+    /// Requests that run.
+    pub running: u32,
+    /// Urgent requests that wait for a batch position.
+    pub waiting_urgent: u32,
+    /// Patient requests that wait for a batch position.
+    pub waiting_patient: u32,
+    /// Mean time for which a request holds a batch position, in milliseconds.
+    pub service_ms: u32,
+    /// Suspects of the crash quarantine among the requests.
+    pub suspects: u32,
+}
+
+/// A server and what this VM has sent to it.
+#[derive(Clone, Debug)]
+pub(super) struct Server {
+    pub(super) info: ServerInfo,
+    pub(super) started: MonoMs,
+    pub(super) paid: bool,
+    pub(super) round_trip_ms: u64,
+    report: LoadReport,
+    own_in_flight: u32,
+    own_suspects: u32,
+    /// Own dispatches (+1) and completions (-1), oldest first.
+    history: VecDeque<(MonoMs, i8)>,
+}
+
+/// Link from this VM to a data centre.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Link {
+    round_trip_ms: u64,
+    paid: bool,
+}
+
+/// All backend servers that a VM knows.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    seed: u64,
+    peers: u32,
+    links: HashMap<DataCentre, Link>,
+    servers: IndexMap<ServerName, Server>,
+    services: HashMap<ServiceName, Vec<ServerName>>,
+    rings: HashMap<Arc<str>, HashRing>,
+    /// Engines that take work, by base model and data centre.
+    engines: HashMap<Arc<str>, HashMap<DataCentre, usize>>,
+    paid_tokens: Tokens,
+}
+
+impl Fleet {
+    /// No servers. `seed` differs between VMs.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the link from this VM to a data centre. Servers of other data centres count as near
+    /// and free.
+    pub fn set_link(&mut self, data_centre: DataCentre, round_trip_ms: u64, paid: bool) {
+        let link = Link {
+            round_trip_ms,
+            paid,
+        };
+        for server in self.servers.values_mut() {
+            if server.info.data_centre == data_centre {
+                server.round_trip_ms = round_trip_ms;
+                server.paid = paid;
+            }
+        }
+        self.links.insert(data_centre, link);
+    }
+
+    /// Sets the number of other VMs that route to the same servers.
+    pub fn set_peers(&mut self, peers: u32) {
+        self.peers = peers;
+    }
+
+    /// Merges an announcement. An older incarnation or sample is ignored.
+    pub fn observe(&mut self, info: ServerInfo, report: LoadReport, now: MonoMs) {
+        let known = self.servers.get(&info.name).map(|s| s.info.clone());
+        let known_incarnation = known.as_ref().map(|known| known.incarnation);
+        if known_incarnation.is_some_and(|known| info.incarnation < known) {
+            return;
+        }
+        if known.as_ref() != Some(&info) {
+            if let Some(known) = &known {
+                self.unindex(known);
+            }
+            self.index(&info);
+        }
+        if known_incarnation != Some(info.incarnation) {
+            let server = self.new_server(info, report, now);
+            self.servers.insert(server.info.name.clone(), server);
+            return;
+        }
+        if let Some(server) = self.servers.get_mut(&info.name) {
+            server.info = info;
+            if report.sampled >= server.report.sampled {
+                server.report = report;
+            }
+        }
+    }
+
+    fn new_server(&self, info: ServerInfo, report: LoadReport, now: MonoMs) -> Server {
+        let link = self.links.get(&info.data_centre);
+        Server {
+            info,
+            started: now,
+            paid: link.is_some_and(|link| link.paid),
+            round_trip_ms: link.map_or(0, |link| link.round_trip_ms),
+            report,
+            own_in_flight: 0,
+            own_suspects: 0,
+            history: VecDeque::new(),
+        }
+    }
+
+    /// Forgets a server that is dead.
+    pub fn remove(&mut self, server: &ServerName) {
+        if let Some(server) = self.servers.swap_remove(server) {
+            self.unindex(&server.info);
+        }
+    }
+
+    /// Counts a dispatch of this VM.
+    pub fn sent(&mut self, server: &ServerName, suspect: bool, tokens: Tokens, now: MonoMs) {
+        let Some(server) = self.servers.get_mut(server) else {
+            return;
+        };
+        server.own_in_flight += 1;
+        server.own_suspects += u32::from(suspect);
+        server.remember(now, 1);
+        if server.paid {
+            self.paid_tokens += tokens;
+        }
+    }
+
+    /// Counts the end of a request that this VM dispatched to `incarnation` of the server.
+    pub fn finished(&mut self, server: &ServerName, incarnation: u64, suspect: bool, now: MonoMs) {
+        let Some(server) = self.servers.get_mut(server) else {
+            return;
+        };
+        if server.info.incarnation != incarnation {
+            return;
+        }
+        server.own_in_flight = server.own_in_flight.saturating_sub(1);
+        server.own_suspects = server.own_suspects.saturating_sub(u32::from(suspect));
+        server.remember(now, -1);
+    }
+
+    /// Tokens that this VM has sent over paid links.
+    pub fn paid_tokens(&self) -> Tokens {
+        self.paid_tokens
+    }
+
+    /// Identity of a server.
+    pub fn info(&self, server: &ServerName) -> Option<&ServerInfo> {
+        self.servers.get(server).map(|server| &server.info)
+    }
+
+    /// Estimated requests on a server: those that run and those that wait there.
+    pub fn outstanding(&self, server: &ServerName, config: &RouteConfig) -> f32 {
+        let server = self.servers.get(server);
+        server.map_or(0.0, |server| server.outstanding(self.peers, config))
+    }
+
+    pub(super) fn seed(&self) -> u64 {
+        self.seed
+    }
+
+    pub(super) fn peers(&self) -> u32 {
+        self.peers
+    }
+
+    pub(super) fn server(&self, name: &ServerName) -> Option<&Server> {
+        self.servers.get(name)
+    }
+
+    pub(super) fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    pub(super) fn providers(&self, service: &ServiceName) -> &[ServerName] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    pub(super) fn ring(&self, base: &str) -> Option<&HashRing> {
+        self.rings.get(base)
+    }
+
+    pub(super) fn has_engines(&self, data_centre: &DataCentre, base: &str) -> bool {
+        let engines = self.engines.get(base);
+        engines.is_some_and(|engines| engines.contains_key(data_centre))
+    }
+
+    fn index(&mut self, info: &ServerInfo) {
+        if info.leaving {
+            return;
+        }
+        match &info.kind {
+            ServerKind::Engine { base } => {
+                let ring = self.rings.entry(base.clone()).or_default();
+                ring.insert(&info.name);
+                let by_data_centre = self.engines.entry(base.clone()).or_default();
+                *by_data_centre.entry(info.data_centre.clone()).or_default() += 1;
+            }
+            ServerKind::Service { service } => {
+                let providers = self.services.entry(service.clone()).or_default();
+                providers.push(info.name.clone());
+            }
+        }
+    }
+
+    fn unindex(&mut self, info: &ServerInfo) {
+        if info.leaving {
+            return;
+        }
+        match &info.kind {
+            ServerKind::Engine { base } => {
+                if let Some(ring) = self.rings.get_mut(base) {
+                    ring.remove(&info.name);
+                }
+                if let Some(by_data_centre) = self.engines.get_mut(base)
+                    && let Some(engines) = by_data_centre.get_mut(&info.data_centre)
+                {
+                    *engines -= 1;
+                    if *engines == 0 {
+                        by_data_centre.remove(&info.data_centre);
+                    }
+                }
+            }
+            ServerKind::Service { service } => {
+                if let Some(providers) = self.services.get_mut(service) {
+                    providers.retain(|name| *name != info.name);
+                }
+            }
+        }
+    }
+}
+
+impl Server {
+    fn remember(&mut self, now: MonoMs, change: i8) {
+        while let Some((at, _)) = self.history.front() {
+            if now.since(*at) <= HISTORY_MS {
+                break;
+            }
+            self.history.pop_front();
+        }
+        self.history.push_back((now, change));
+    }
+
+    /// Requests on the server: the report without this VM's part at that time, plus what this VM
+    /// has there now, plus what other VMs are expected to have sent since.
+    pub(super) fn outstanding(&self, peers: u32, config: &RouteConfig) -> f32 {
+        let mut net_since = 0_i64;
+        let mut sent_since = 0_u32;
+        let recent = self.history.iter().rev();
+        for (_, change) in recent.take_while(|(at, _)| *at > self.report.sampled) {
+            net_since += i64::from(*change);
+            sent_since += u32::from(*change > 0);
+        }
+        let own_then = (i64::from(self.own_in_flight) - net_since).max(0) as f32;
+        let reported =
+            self.report.running + self.report.waiting_urgent + self.report.waiting_patient;
+        let others = (reported as f32 - own_then).max(0.0);
+        let echo = sent_since as f32 * peers as f32 * config.echo_percent as f32 / 100.0;
+        others + self.own_in_flight as f32 + echo
+    }
+
+    /// Time until a new request gets a batch position, in milliseconds. Urgent requests overtake
+    /// waiting patient ones.
+    pub(super) fn wait_ms(&self, class: Patience, peers: u32, config: &RouteConfig) -> f32 {
+        let mut outstanding = self.outstanding(peers, config);
+        if class == Patience::Urgent {
+            outstanding -= self.report.waiting_patient as f32;
+        }
+        let slots = self.info.batch_slots.max(1) as f32;
+        let ahead = (outstanding + 1.0 - slots).max(0.0);
+        ahead * self.report.service_ms as f32 / slots
+    }
+
+    /// Whether one more request of `class` is within the fill limit.
+    pub(super) fn has_room(&self, class: Patience, peers: u32, config: &RouteConfig) -> bool {
+        let percent = match class {
+            Patience::Urgent => config.urgent_fill_percent,
+            Patience::Patient => config.patient_fill_percent,
+        };
+        let limit = self.info.batch_slots as f32 * percent as f32 / 100.0;
+        self.outstanding(peers, config) + 1.0 <= limit
+    }
+
+    /// Whether a suspect of the crash quarantine is on the server.
+    pub(super) fn has_suspect(&self) -> bool {
+        self.own_suspects > 0 || self.report.suspects > 0
+    }
+}
--- /dev/null
+++ b/src/scheduling/routing/policies.rs
@@ -0,0 +1,204 @@
+//! The routing policies.
+
+use std::cmp::Ordering;
+
+use crate::scheduling::routing::Choice;
+use crate::scheduling::routing::Policy;
+use crate::scheduling::routing::RouteRequest;
+use crate::scheduling::routing::RouteTarget;
+use crate::scheduling::routing::RouteView;
+use crate::scheduling::routing::ServerKind;
+use crate::scheduling::routing::estimate;
+use crate::scheduling::routing::estimate::Candidate;
+use crate::scheduling::routing::fleet::Server;
+use crate::scheduling::routing::hash_ring::hash_adapter;
+use crate::scheduling::routing::hash_ring::hash_text;
+use crate::scheduling::routing::hash_ring::mix;
+use crate::types::AdapterRef;
+use crate::types::DataCentre;
+use crate::types::ServerName;
+
+/// Chooses a server for `request`.
+pub fn choose(request: &RouteRequest<'_>, view: &RouteView<'_>, policy: Policy) -> Choice {
+    match request.target {
+        RouteTarget::Service(service) => {
+            let providers = view.fleet.providers(service).iter();
+            let servers = sample(providers, view.config.max_candidates, request, view);
+            among(servers, request, view).unwrap_or(Choice::Nowhere)
+        }
+        RouteTarget::Adapter(adapter) => match policy {
+            Policy::Estimate => by_estimate(adapter, request, view),
+            Policy::LeastLoaded => least_loaded(adapter, request, view),
+            Policy::HashAffinity => hash_affinity(adapter, request, view),
+        },
+    }
+}
+
+fn by_estimate(adapter: &AdapterRef, request: &RouteRequest<'_>, view: &RouteView<'_>) -> Choice {
+    let residents = view.residency.residents(adapter).iter();
+    let usable = residents
+        .filter(|(_, data_centre)| view.residency.is_current(data_centre, view.now))
+        .map(|(server, _)| server);
+    let servers = sample(usable, view.config.max_candidates, request, view);
+    if let Some(choice) = among(servers, request, view) {
+        return choice;
+    }
+    match load_home(adapter, view) {
+        Some(data_centre) => Choice::WaitForLoad {
+            data_centre,
+            server: None,
+        },
+        None => Choice::Nowhere,
+    }
+}
+
+/// At most `limit` of `names`, from a position that differs between requests.
+fn sample<'a>(
+    names: impl Iterator<Item = &'a ServerName> + Clone,
+    limit: usize,
+    request: &RouteRequest<'_>,
+    view: &RouteView<'a>,
+) -> Vec<&'a Server> {
+    let total = names.clone().count();
+    let skip = if total > limit {
+        mix(request.nonce ^ view.fleet.seed()) as usize % total
+    } else {
+        0
+    };
+    names
+        .cycle()
+        .skip(skip)
+        .take(total.min(limit))
+        .filter_map(|name| view.fleet.server(name))
+        .filter(|server| !server.info.leaving)
+        .collect()
+}
+
+/// Dispatches to the best of `servers`; `None` if there is none.
+fn among(
+    servers: Vec<&Server>,
+    request: &RouteRequest<'_>,
+    view: &RouteView<'_>,
+) -> Option<Choice> {
+    let rated: Vec<_> = servers
+        .into_iter()
+        .map(|server| estimate::candidate(server, request, view))
+        .collect();
+    let best = rated
+        .iter()
+        .min_by(by_cost)?
+        .server
+        .info
+        .data_centre
+        .clone();
+    let open: Vec<_> = rated
+        .into_iter()
+        .filter(|candidate| candidate.has_room)
+        .filter(|candidate| !(request.suspect && candidate.server.has_suspect()))
+        .collect();
+    let choice = match estimate::pick(&open, request, view) {
+        Some(server) => dispatch(server),
+        None => Choice::Busy { data_centre: best },
+    };
+    Some(choice)
+}
+
+fn by_cost(a: &&Candidate<'_>, b: &&Candidate<'_>) -> Ordering {
+    a.cost_ms.total_cmp(&b.cost_ms)
+}
+
+fn dispatch(server: &Server) -> Choice {
+    Choice::Dispatch {
+        server: server.info.name.clone(),
+        paid: server.paid,
+    }
+}
+
+/// The data centre that loads `adapter` when no engine has it. All VMs agree on it, so that one
+/// load serves them all; another one is taken while its backlog is much shorter.
+pub fn load_home(adapter: &AdapterRef, view: &RouteView<'_>) -> Option<DataCentre> {
+    let current = view
+        .residency
+        .data_centres()
+        .filter(|data_centre| view.residency.is_current(data_centre, view.now))
+        .filter(|data_centre| view.fleet.has_engines(data_centre, adapter.base()));
+    let ranked = rank_homes(adapter, current);
+    let home = *ranked.first()?;
+    let backlog = |data_centre| view.residency.backlog_loads(data_centre);
+    let shortest = *ranked.iter().min_by_key(|name| backlog(name))?;
+    let spills = backlog(home) >= backlog(shortest) + view.config.spill_loads;
+    Some(if spills { shortest } else { home }.clone())
+}
+
+/// Data centres in the order in which they are asked to load `adapter` (rendezvous hashing).
+pub(in crate::scheduling) fn rank_homes<'a>(
+    adapter: &AdapterRef,
+    data_centres: impl Iterator<Item = &'a DataCentre>,
+) -> Vec<&'a DataCentre> {
+    let hash = hash_adapter(adapter);
+    let mut ranked: Vec<_> = data_centres
+        .map(|data_centre| (mix(hash ^ hash_text(data_centre.as_str())), data_centre))
+        .collect();
+    ranked.sort_unstable();
+    ranked
+        .into_iter()
+        .map(|(_, data_centre)| data_centre)
+        .collect()
+}
+
+/// Baseline: takes the least loaded engine and loads the adapter there if it is missing.
+fn least_loaded(adapter: &AdapterRef, request: &RouteRequest<'_>, view: &RouteView<'_>) -> Choice {
+    let assigned = request.assigned.and_then(|name| view.fleet.server(name));
+    let assigned = assigned.filter(|server| !server.info.leaving);
+    let least = || {
+        let engines = view.fleet.servers().filter(|server| {
+            let has_base = matches!(&server.info.kind, ServerKind::Engine { base } if **base == *adapter.base());
+            has_base && !server.info.leaving
+        });
+        let load = |server: &Server| {
+            let peers = view.fleet.peers();
+            let slots = server.info.batch_slots.max(1) as f32;
+            server.outstanding(peers, view.config) / slots
+        };
+        engines.min_by(|a, b| load(a).total_cmp(&load(b)))
+    };
+    match assigned.or_else(least) {
+        Some(server) => on_one(server, adapter, request, view),
+        None => Choice::Nowhere,
+    }
+}
+
+/// Baseline: takes the engine that the adapter hashes to and loads the adapter there.
+fn hash_affinity(adapter: &AdapterRef, request: &RouteRequest<'_>, view: &RouteView<'_>) -> Choice {
+    let owner = view
+        .fleet
+        .ring(adapter.base())
+        .and_then(|ring| ring.owner(adapter));
+    match owner.and_then(|name| view.fleet.server(name)) {
+        Some(server) => on_one(server, adapter, request, view),
+        None => Choice::Nowhere,
+    }
+}
+
+fn on_one(
+    server: &Server,
+    adapter: &AdapterRef,
+    request: &RouteRequest<'_>,
+    view: &RouteView<'_>,
+) -> Choice {
+    let data_centre = server.info.data_centre.clone();
+    if !view
+        .residency
+        .may_dispatch(&server.info.name, adapter, view.now)
+    {
+        return Choice::WaitForLoad {
+            data_centre,
+            server: Some(server.info.name.clone()),
+        };
+    }
+    let rated = estimate::candidate(server, request, view);
+    if !rated.has_room || (request.suspect && server.has_suspect()) {
+        return Choice::Busy { data_centre };
+    }
+    dispatch(server)
+}
