--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod membership;
 pub mod pipeline;
 pub mod standin;
+pub mod scheduling;
 pub mod types;
