--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,116 @@
+//! Tests of the settings reader and the example settings.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+
+use medlarlift::configs::Mistake;
+use medlarlift::configs::Reader;
+use medlarlift::configs::SettingsError;
+use medlarlift::configs::read_file;
+use medlarlift::configs::read_text;
+use medlarlift::configs::standin_callers::CallerSettings;
+use medlarlift::configs::standin_engine::EngineSettings;
+use medlarlift::configs::standin_service::ServiceSettings;
+use medlarlift::configs::standin_store::StoreSettings;
+
+fn example(name: &str) -> String {
+    format!("{}/examples/settings/{name}", env!("CARGO_MANIFEST_DIR"))
+}
+
+fn mistakes<T: std::fmt::Debug>(result: Result<T, SettingsError>) -> Vec<Mistake> {
+    match result {
+        Err(SettingsError::Mistakes { mistakes }) => mistakes,
+        other => panic!("mistakes expected, got {other:?}"),
+    }
+}
+
+fn read_peers(reader: &mut Reader<'_>) -> Vec<SocketAddr> {
+    let peers = reader.list("peers", |peer| peer.required_address("peer_address"));
+    reader.object("store", |store| store.f64("loads_per_s", 3.0, 0.1..=100.0));
+    reader.choice("policy", 1, &[("estimate", 1), ("least_loaded", 2)]);
+    reader.required_secret("token");
+    peers
+}
+
+/// Guards against a check that stops at the first mistake or names no field, value or remedy.
+#[test]
+fn check_command_reports_all_five_mistakes() {
+    let file = example("five-mistakes.yaml");
+    let output = Command::new(env!("CARGO_BIN_EXE_medlarlift"))
+        .args(["check", "--kind", "engine", "--settings", &file])
+        .output()
+        .expect("command runs");
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    for expected in [
+        "5 wrong settings",
+        "address: localhost:7400; allowed: an IP address with a port",
+        "vms[1]: 127.0.0.1; allowed: an IP address with a port",
+        "adapter_slots: 0; allowed: a whole number from 1 to 4096",
+        "fence: maybe; allowed: one of check, ignore",
+        "batch_postions: unknown field; allowed: one of name, address",
+    ] {
+        assert!(text.contains(expected), "{expected} is not in:\n{text}");
+    }
+}
+
+/// Guards against examples that do not work.
+#[test]
+fn example_settings_are_valid() {
+    let file = |name| example(name);
+    read_file(Path::new(&file("engine.yaml")), EngineSettings::read).expect("engine.yaml");
+    read_file(Path::new(&file("service.yaml")), ServiceSettings::read).expect("service.yaml");
+    read_file(Path::new(&file("store.yaml")), StoreSettings::read).expect("store.yaml");
+    read_file(Path::new(&file("callers.yaml")), CallerSettings::read).expect("callers.yaml");
+}
+
+/// Guards against mistakes inside lists and mappings that are lost or reported without their path.
+#[test]
+fn nested_mistakes_carry_their_path() {
+    let text = "
+        peers: [{peer_address: 127.0.0.1:1}, 7, {adress: x}]
+        store: {loads_per_s: fast}
+        policy: 3
+        token: 12345
+    ";
+    let found = mistakes(read_text(text, read_peers));
+    let paths: Vec<&str> = found.iter().map(|mistake| mistake.path.as_str()).collect();
+    let expected = [
+        "peers[1]",
+        "peers[1].peer_address",
+        "peers[2].peer_address",
+        "peers[2].adress",
+        "store.loads_per_s",
+        "policy",
+        "token",
+    ];
+    assert_eq!(paths, expected);
+    assert!(found.iter().all(|mistake| !mistake.allowed.is_empty()));
+}
+
+/// Guards against a key or token that is repeated in a message.
+#[test]
+fn secrets_are_not_repeated() {
+    let found = mistakes(read_text("token: 12345\npolicy: estimate", read_peers));
+    assert!(
+        found
+            .iter()
+            .all(|mistake| !mistake.to_string().contains("12345"))
+    );
+}
+
+/// Guards against defaults that are replaced by zero, and against absent fields that are mistakes.
+#[test]
+fn absent_fields_take_their_defaults() {
+    let text = "{name: e, address: '127.0.0.1:1', data_centre: d, base: b}";
+    let settings = read_text(text, EngineSettings::read).expect("valid");
+    let expected = EngineSettings {
+        name: "e".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "d".to_owned(),
+        base: "b".to_owned(),
+        ..EngineSettings::default()
+    };
+    assert_eq!(settings, expected);
+}
