--- a/src/lease/driver.rs
+++ b/src/lease/driver.rs
@@ -5,9 +5,9 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::time::Duration;
 
-use tokio::task::JoinHandle;
 use tokio::time::MissedTickBehavior;
 
 use super::candidate::Timing;
@@ -44,7 +44,6 @@
 #[derive(Clone)]
 pub struct Handle {
     shared: Arc<Shared>,
-    _task: Arc<AbortOnDrop>,
 }
 
 struct Shared {
@@ -55,14 +54,6 @@
     peers: Arc<dyn LeasePeers>,
 }
 
-struct AbortOnDrop(JoinHandle<()>);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// Starts the election of one data centre's coordinator. Must be called in a tokio runtime.
 pub fn spawn(config: Config, peers: Arc<dyn LeasePeers>) -> Handle {
     let clock = config.clock;
@@ -82,19 +73,19 @@
         known: Mutex::default(),
         peers,
     });
-    let task = tokio::spawn(run(Arc::clone(&shared)));
-    Handle {
-        shared,
-        _task: Arc::new(AbortOnDrop(task)),
-    }
+    tokio::spawn(run(Arc::downgrade(&shared)));
+    Handle { shared }
 }
 
-async fn run(shared: Arc<Shared>) {
+async fn run(shared: Weak<Shared>) {
     let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut was_held = false;
     loop {
         ticks.tick().await;
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
         let now = shared.clock.mono();
         let (outgoing, held) = {
             let mut elector = shared.elector();
--- /dev/null
+++ b/src/limits/allowance.rs
@@ -0,0 +1,130 @@
+//! The VM's side: granted tokens with local deadlines.
+
+use super::message::GrantId;
+use crate::types::AccountName;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::Tokens;
+
+/// Time constant of the average of recent use.
+const USE_AVERAGE_MS: f64 = 1_000.0;
+
+/// Longest time of recent use that is asked for ahead.
+const AHEAD_MS: u64 = 250;
+
+/// Tokens of one grant.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Lot {
+    /// Data centre whose coordinator granted them.
+    pub source: DataCentre,
+    /// The grant.
+    pub grant: GrantId,
+    /// Number of tokens.
+    pub tokens: Tokens,
+    /// Time before which they may be reserved, on the local clock.
+    pub deadline: MonoMs,
+    /// Time from which unused tokens are given back rather than kept.
+    pub keep_until: MonoMs,
+}
+
+/// Tokens reserved for one request. It must be settled; tokens of a reservation that is dropped
+/// count as used.
+#[derive(Debug)]
+#[must_use = "a reservation must be settled"]
+pub struct Reservation {
+    pub(super) account: AccountName,
+    pub(super) lots: Vec<Lot>,
+}
+
+impl Reservation {
+    /// The account.
+    pub fn account(&self) -> &AccountName {
+        &self.account
+    }
+
+    /// Tokens reserved.
+    pub fn tokens(&self) -> Tokens {
+        self.lots.iter().map(|lot| lot.tokens).sum()
+    }
+
+    /// Time before which the request should be dispatched. Rate and burst hold exactly for the
+    /// times of reservation, and for the times of dispatch if each is before this deadline. A
+    /// request that is still waiting then should settle with 0 tokens and reserve again.
+    pub fn dispatch_before(&self) -> MonoMs {
+        let deadlines = self.lots.iter().map(|lot| lot.deadline);
+        deadlines.min().unwrap_or(MonoMs(u64::MAX))
+    }
+}
+
+/// One account's unreserved tokens at one VM.
+#[derive(Debug, Default)]
+pub struct Allowance {
+    lots: Vec<Lot>,
+    use_per_ms: f64,
+    use_at: MonoMs,
+}
+
+impl Allowance {
+    /// Adds tokens.
+    pub fn add(&mut self, lot: Lot) {
+        if lot.tokens > 0 {
+            self.lots.push(lot);
+        }
+    }
+
+    /// Tokens that may be reserved at `now`.
+    pub fn available(&self, now: MonoMs) -> Tokens {
+        let live = self.lots.iter().filter(|lot| now < lot.deadline);
+        live.map(|lot| lot.tokens).sum()
+    }
+
+    /// Takes up to `tokens` out, those with the earliest deadlines first.
+    pub fn take(&mut self, now: MonoMs, tokens: Tokens) -> Vec<Lot> {
+        self.lots.sort_by_key(|lot| lot.deadline);
+        let mut missing = tokens;
+        let mut taken = Vec::new();
+        for lot in self.lots.iter_mut().filter(|lot| now < lot.deadline) {
+            let part = lot.tokens.min(missing);
+            if part == 0 {
+                break;
+            }
+            missing -= part;
+            lot.tokens -= part;
+            taken.push(Lot {
+                tokens: part,
+                ..lot.clone()
+            });
+        }
+        self.lots.retain(|lot| lot.tokens > 0);
+        taken
+    }
+
+    /// Removes the tokens that should go back to their coordinators. Once removed they can never
+    /// be used, so they may be returned even after their deadline.
+    pub fn remove_unneeded(&mut self, now: MonoMs) -> Vec<Lot> {
+        let keeps = |lot: &Lot| now < lot.keep_until;
+        let unneeded = self.lots.iter().filter(|lot| !keeps(lot));
+        let removed = unneeded.cloned().collect();
+        self.lots.retain(keeps);
+        removed
+    }
+
+    /// Records that a request asked for `tokens`.
+    pub fn note_use(&mut self, now: MonoMs, tokens: Tokens) {
+        self.decay(now);
+        self.use_per_ms += tokens as f64 / USE_AVERAGE_MS;
+    }
+
+    /// Tokens to hold for requests that are expected soon.
+    pub fn wanted_ahead(&mut self, now: MonoMs, lifetime_ms: u64) -> Tokens {
+        self.decay(now);
+        let ahead_ms = AHEAD_MS.min(lifetime_ms / 2);
+        (self.use_per_ms * ahead_ms as f64) as Tokens
+    }
+
+    fn decay(&mut self, now: MonoMs) {
+        let elapsed_ms = now.since(self.use_at) as f64;
+        self.use_per_ms *= (-elapsed_ms / USE_AVERAGE_MS).exp();
+        self.use_at = self.use_at.max(now);
+    }
+}
--- /dev/null
+++ b/src/limits/bank.rs
@@ -0,0 +1,155 @@
+//! What a VM believes about the coordinators' buckets of one account.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use super::message::Granted;
+use super::version::LimitVersion;
+use super::version::NANO;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::Tokens;
+
+/// Age up to which a coordinator's word is taken instead of asking again, so that a flood of
+/// requests over the limit does not become a flood between regions.
+const FRESH_MS: u64 = 20;
+
+/// Longest time to come back that is computed.
+const MAX_RETRY_MS: u64 = 24 * 3_600_000;
+
+/// What one coordinator last said about its bucket.
+#[derive(Clone, Copy, Debug)]
+struct Bank {
+    at: MonoMs,
+    level: u128,
+    refill_per_ms: u128,
+    capacity: u128,
+}
+
+impl Bank {
+    fn tokens_at(&self, time: MonoMs) -> Tokens {
+        let refill = u128::from(time.since(self.at)) * self.refill_per_ms;
+        let level = (self.level + refill).min(self.capacity);
+        Tokens::try_from(level / NANO).unwrap_or(Tokens::MAX)
+    }
+}
+
+/// What a data centre is believed to have.
+#[derive(Debug)]
+struct Level {
+    data_centre: DataCentre,
+    tokens: Tokens,
+    /// True if its coordinator said so just now.
+    fresh: bool,
+}
+
+/// The coordinators' buckets of one account.
+#[derive(Clone, Debug, Default)]
+pub struct Banks {
+    banks: BTreeMap<DataCentre, Bank>,
+}
+
+impl Banks {
+    /// Records what the coordinator of `data_centre` said.
+    pub fn note(&mut self, now: MonoMs, data_centre: DataCentre, granted: &Granted) {
+        let bank = Bank {
+            at: now,
+            level: u128::from(granted.left_tokens) * NANO,
+            refill_per_ms: u128::from(granted.refill_per_ms),
+            capacity: u128::from(granted.capacity_tokens) * NANO,
+        };
+        self.banks.insert(data_centre, bank);
+    }
+
+    /// Which data centres of `reachable` to ask for how much of `missing`: those that are believed
+    /// to have most, and all that were not asked since `begun` if the beliefs do not cover it.
+    /// Empty if all were asked just now and have too little together.
+    pub fn plan(
+        &self,
+        now: MonoMs,
+        begun: MonoMs,
+        limits: &LimitVersion,
+        reachable: &[DataCentre],
+        missing: Tokens,
+    ) -> Vec<(DataCentre, Tokens)> {
+        let level = |data_centre: &DataCentre| self.level(now, begun, limits, data_centre);
+        let mut levels: Vec<Level> = reachable.iter().map(level).collect();
+        let believed: Tokens = levels.iter().map(|level| level.tokens).sum();
+        let unasked = levels.iter().filter(|level| !level.fresh).count() as u64;
+        if believed < missing && unasked == 0 {
+            return Vec::new();
+        }
+        levels.sort_by_key(|level| Reverse(level.tokens));
+        let extra = missing.saturating_sub(believed).div_ceil(unasked.max(1));
+        let mut rest = missing;
+        let mut wanted = Vec::new();
+        for level in levels {
+            let part = level.tokens.min(rest);
+            rest -= part;
+            let part = if level.fresh { part } else { part + extra };
+            if part > 0 {
+                wanted.push((level.data_centre, part));
+            }
+        }
+        wanted
+    }
+
+    fn level(
+        &self,
+        now: MonoMs,
+        begun: MonoMs,
+        limits: &LimitVersion,
+        data_centre: &DataCentre,
+    ) -> Level {
+        let (tokens, fresh) = match self.banks.get(data_centre) {
+            Some(bank) => {
+                let fresh = bank.at >= begun || now.since(bank.at) < FRESH_MS;
+                (bank.tokens_at(now), fresh)
+            }
+            None => (limits.share(data_centre).capacity_tokens(), false),
+        };
+        Level {
+            data_centre: data_centre.clone(),
+            tokens,
+            fresh,
+        }
+    }
+
+    /// Smallest time after which the buckets of `reachable` hold `tokens` once `returned` is back
+    /// in them. `None` if they never will.
+    pub fn covered_after_ms(
+        &self,
+        now: MonoMs,
+        reachable: &[DataCentre],
+        returned: &BTreeMap<DataCentre, Tokens>,
+        tokens: Tokens,
+    ) -> Option<u64> {
+        let returned_to = |dc| returned.get(dc).copied().unwrap_or(0);
+        let banks: Vec<Bank> = reachable
+            .iter()
+            .filter_map(|dc| {
+                let mut bank = *self.banks.get(dc)?;
+                bank.level += u128::from(returned_to(dc)) * NANO;
+                Some(bank)
+            })
+            .collect();
+        let covered = |after_ms: u64| {
+            let time = now.plus(after_ms);
+            let levels = banks.iter().map(|bank| bank.tokens_at(time));
+            levels.sum::<Tokens>() >= tokens
+        };
+        let (mut low, mut high) = (0, MAX_RETRY_MS);
+        if !covered(high) {
+            return None;
+        }
+        while low + 1 < high {
+            let middle = (low + high) / 2;
+            if covered(middle) {
+                high = middle;
+            } else {
+                low = middle;
+            }
+        }
+        Some(high)
+    }
+}
--- /dev/null
+++ b/src/limits/bucket.rs
@@ -0,0 +1,136 @@
+//! Token bucket that also takes back tokens that were granted and not used.
+
+use std::collections::VecDeque;
+
+use super::version::NANO;
+use super::version::Share;
+use crate::types::MonoMs;
+use crate::types::Tokens;
+
+/// Number of low points remembered; older ones are merged, which can only reduce later credits.
+const MAX_LOW_POINTS: usize = 256;
+
+/// A token bucket that starts empty.
+///
+/// A return is treated as if its tokens had never been granted. Had they stayed in the bucket, the
+/// bucket might have been full earlier and lost refill. The credit is therefore limited by the
+/// smallest headroom (capacity minus level) since the grant. Without this limit, a full bucket that
+/// is lent, refilled and paid back would give out more than rate and burst allow.
+#[derive(Debug)]
+pub struct TokenBucket {
+    share: Share,
+    level: u128,
+    at: MonoMs,
+    returnable_from: MonoMs,
+    /// Times and headrooms just before grants, each headroom the smallest from its time on. Both
+    /// rise from front to back.
+    low_points: VecDeque<(MonoMs, u128)>,
+}
+
+impl TokenBucket {
+    /// An empty bucket.
+    pub fn new(share: Share, now: MonoMs) -> Self {
+        Self {
+            share,
+            level: 0,
+            at: now,
+            returnable_from: now,
+            low_points: VecDeque::new(),
+        }
+    }
+
+    /// Share of the account's limits that the bucket enforces.
+    pub fn share(&self) -> Share {
+        self.share
+    }
+
+    /// Time of the last change. Time stamps before it are treated as equal to it.
+    pub fn at(&self) -> MonoMs {
+        self.at
+    }
+
+    /// Changes the share. Tokens granted before the change can no longer be paid back.
+    pub fn set_share(&mut self, now: MonoMs, share: Share) {
+        if share == self.share {
+            return;
+        }
+        self.refill(now);
+        self.share = share;
+        self.level = self.level.min(share.capacity());
+        self.returnable_from = self.at;
+        self.low_points.clear();
+    }
+
+    /// Whole tokens in the bucket.
+    pub fn tokens(&mut self, now: MonoMs) -> Tokens {
+        self.refill(now);
+        whole(self.level)
+    }
+
+    /// Takes up to `need` tokens, and up to `ahead` more while the bucket stays half full.
+    pub fn take(&mut self, now: MonoMs, need: Tokens, ahead: Tokens) -> Tokens {
+        let level = self.tokens(now);
+        let needed = need.min(level);
+        let half = whole(self.share.capacity()) / 2;
+        let spare = (level - needed).saturating_sub(half);
+        let taken = needed + ahead.min(spare);
+        if taken > 0 {
+            self.note_low_point();
+            self.level -= u128::from(taken) * NANO;
+        }
+        taken
+    }
+
+    /// Takes back `tokens` of the grants made at `granted`.
+    pub fn give_back(&mut self, now: MonoMs, granted: MonoMs, tokens: Tokens) {
+        self.refill(now);
+        if granted < self.returnable_from || granted > self.at {
+            return;
+        }
+        let first = self.low_points.partition_point(|(at, _)| *at <= granted);
+        let headroom = self.share.capacity().saturating_sub(self.level);
+        let lowest = self
+            .low_points
+            .get(first)
+            .map_or(headroom, |(_, low)| headroom.min(*low));
+        let credit = lowest.min(u128::from(tokens) * NANO);
+        self.level += credit;
+        for (_, low) in self.low_points.iter_mut().skip(first) {
+            *low -= credit;
+        }
+        if let Some((_, low)) = self.low_points.get(first).copied() {
+            let earlier = self.low_points.iter().take(first);
+            let kept = earlier.take_while(|(_, other)| *other < low).count();
+            self.low_points.drain(kept..first);
+        }
+    }
+
+    fn refill(&mut self, now: MonoMs) {
+        let elapsed_ms = u128::from(now.since(self.at));
+        self.at = self.at.max(now);
+        let refilled = self.level + elapsed_ms * self.share.refill_per_ms;
+        self.level = refilled.min(self.share.capacity());
+    }
+
+    fn note_low_point(&mut self) {
+        let headroom = self.share.capacity() - self.level;
+        while self
+            .low_points
+            .back()
+            .is_some_and(|(_, low)| *low >= headroom)
+        {
+            self.low_points.pop_back();
+        }
+        self.low_points.push_back((self.at, headroom));
+        if self.low_points.len() > MAX_LOW_POINTS
+            && let Some((_, low)) = self.low_points.pop_front()
+            && let Some(next) = self.low_points.front_mut()
+        {
+            next.1 = low;
+        }
+    }
+}
+
+fn whole(nano: u128) -> Tokens {
+    Tokens::try_from(nano / NANO).unwrap_or(Tokens::MAX)
+}
--- /dev/null
+++ b/src/limits/client.rs
@@ -0,0 +1,180 @@
+//! Runs a VM's [`Purse`] against the clock and the network.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::Weak;
+use std::time::Duration;
+
+use futures::future::join_all;
+use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
+
+use super::allowance::Reservation;
+use super::message::BorrowPeers;
+use super::message::BorrowReply;
+use super::purse::Errand;
+use super::purse::Purse;
+use super::purse::Shortage;
+use super::purse::Step;
+use super::version::LimitVersion;
+use crate::types::AccountName;
+use crate::types::Clock;
+use crate::types::DataCentre;
+use crate::types::Tokens;
+use crate::types::VmName;
+
+/// Time between returns of unused tokens and between looks at expected use.
+const UPKEEP_MS: u64 = 50;
+
+/// Settings of a client.
+#[derive(Clone, Debug)]
+pub struct ClientConfig {
+    /// This VM.
+    pub vm: VmName,
+    /// Rises with each start of its process.
+    pub incarnation: u64,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Clock of the process.
+    pub clock: Clock,
+}
+
+/// A VM's access to tokens. Clones share it; the task ends when the last clone is dropped.
+#[derive(Clone)]
+pub struct Client {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    clock: Clock,
+    purse: Mutex<Purse>,
+    peers: Arc<dyn BorrowPeers>,
+}
+
+impl Client {
+    /// Starts a client without accounts. Must be called in a tokio runtime.
+    pub fn spawn(config: ClientConfig, peers: Arc<dyn BorrowPeers>) -> Self {
+        let purse = Purse::new(config.vm, config.incarnation, config.data_centre);
+        let shared = Arc::new(Shared {
+            clock: config.clock,
+            purse: Mutex::new(purse),
+            peers,
+        });
+        tokio::spawn(run(Arc::downgrade(&shared)));
+        Self { shared }
+    }
+
+    /// Sets an account's latest limits.
+    pub fn set_limits(&self, account: AccountName, limits: LimitVersion) {
+        self.shared.purse().set_limits(account, limits);
+    }
+
+    /// Forgets an account.
+    pub fn remove(&self, account: &AccountName) {
+        self.shared.purse().remove(account);
+    }
+
+    /// Reserves `tokens` for one request of `account`: from what the VM holds, from its own
+    /// coordinator, and then from those of the other data centres. A refusal comes as soon as all
+    /// that can be reached have answered. The tokens of a caller that stops waiting are returned.
+    pub async fn reserve(
+        &self,
+        account: &AccountName,
+        tokens: Tokens,
+    ) -> Result<Reservation, Shortage> {
+        let step = {
+            let now = self.shared.clock.mono();
+            self.shared.purse().reserve(now, account, tokens)
+        };
+        match step {
+            Step::Reserved(reservation) => Ok(reservation),
+            Step::Refused(shortage) => Err(shortage),
+            step @ Step::Send(..) => self.borrow(step).await,
+        }
+    }
+
+    /// Settles a reservation of which `used_tokens` were used.
+    pub fn settle(&self, reservation: Reservation, used_tokens: Tokens) {
+        self.shared.settle(reservation, used_tokens);
+    }
+
+    async fn borrow(&self, step: Step) -> Result<Reservation, Shortage> {
+        let (sender, receiver) = oneshot::channel();
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            let outcome = shared.finish(step).await;
+            if let Err(Ok(unwanted)) = sender.send(outcome) {
+                shared.settle(unwanted, 0);
+            }
+        });
+        let stopped = Shortage::Later {
+            retry_after_ms: UPKEEP_MS,
+        };
+        receiver.await.unwrap_or(Err(stopped))
+    }
+}
+
+async fn run(shared: Weak<Shared>) {
+    let mut ticks = tokio::time::interval(Duration::from_millis(UPKEEP_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        let errands = {
+            let now = shared.clock.mono();
+            shared.purse().upkeep(now)
+        };
+        for errand in errands {
+            let shared = Arc::clone(&shared);
+            tokio::spawn(async move {
+                let reply = shared.ask(&errand).await;
+                let now = shared.clock.mono();
+                shared.purse().upkeep_reply(now, &errand, reply.as_ref());
+            });
+        }
+    }
+}
+
+impl Shared {
+    fn purse(&self) -> MutexGuard<'_, Purse> {
+        self.purse.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn settle(&self, reservation: Reservation, used_tokens: Tokens) {
+        let now = self.clock.mono();
+        self.purse().settle(now, reservation, used_tokens);
+    }
+
+    async fn ask(&self, errand: &Errand) -> Option<BorrowReply> {
+        let sending = self.peers.borrow(errand.to.clone(), errand.request.clone());
+        match sending.await {
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                log::debug!("limits: {error}");
+                None
+            }
+        }
+    }
+
+    async fn finish(&self, mut step: Step) -> Result<Reservation, Shortage> {
+        loop {
+            match step {
+                Step::Reserved(reservation) => return Ok(reservation),
+                Step::Refused(shortage) => return Err(shortage),
+                Step::Send(mut borrowing, errands) => {
+                    let replies = join_all(errands.iter().map(|errand| self.ask(errand))).await;
+                    let now = self.clock.mono();
+                    let mut purse = self.purse();
+                    for (errand, reply) in errands.iter().zip(&replies) {
+                        purse.reply(now, &mut borrowing, errand, reply.as_ref());
+                    }
+                    step = purse.step(now, borrowing);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/limits/returns.rs
@@ -0,0 +1,87 @@
+//! Unused tokens on their way back to the coordinators.
+
+use std::collections::BTreeMap;
+
+use super::allowance::Lot;
+use super::message::GrantId;
+use super::message::Return;
+use crate::types::AccountName;
+use crate::types::DataCentre;
+use crate::types::Tokens;
+
+/// Number of times a batch is sent before it is given up. Its tokens are then lost to the account
+/// until the bucket refills.
+const MAX_ATTEMPTS: u32 = 5;
+
+/// Returns to all data centres.
+#[derive(Debug, Default)]
+pub struct Returns {
+    by_data_centre: BTreeMap<DataCentre, Pending>,
+}
+
+/// Returns to one data centre. At most one batch is in flight, so batches arrive in order.
+#[derive(Debug, Default)]
+struct Pending {
+    queued: BTreeMap<(AccountName, GrantId), Tokens>,
+    batch: Vec<Return>,
+    sequence: u64,
+    attempts: u32,
+    in_flight: bool,
+}
+
+impl Returns {
+    /// Queues `lots` of `account`. They must have been removed from the allowance for good.
+    pub fn queue(&mut self, account: &AccountName, lots: impl IntoIterator<Item = Lot>) {
+        for lot in lots.into_iter().filter(|lot| lot.tokens > 0) {
+            let pending = self.by_data_centre.entry(lot.source).or_default();
+            let key = (account.clone(), lot.grant);
+            *pending.queued.entry(key).or_default() += lot.tokens;
+        }
+    }
+
+    /// Data centres that a batch can be sent to now.
+    pub fn ready(&self) -> Vec<DataCentre> {
+        let is_ready = |pending: &Pending| {
+            let empty = pending.batch.is_empty() && pending.queued.is_empty();
+            !pending.in_flight && !empty
+        };
+        self.by_data_centre
+            .iter()
+            .filter(|(_, pending)| is_ready(pending))
+            .map(|(data_centre, _)| data_centre.clone())
+            .collect()
+    }
+
+    /// The batch to send to `data_centre` and its number. A batch that failed is sent again
+    /// unchanged, since the coordinator may have counted it.
+    pub fn start_batch(&mut self, data_centre: &DataCentre) -> (u64, Vec<Return>) {
+        let pending = self.by_data_centre.entry(data_centre.clone()).or_default();
+        if pending.batch.is_empty() {
+            let queued = std::mem::take(&mut pending.queued);
+            let entries = queued.into_iter();
+            pending.batch = entries
+                .map(|((account, grant), tokens)| Return {
+                    account,
+                    grant,
+                    tokens,
+                })
+                .collect();
+            pending.sequence += 1;
+            pending.attempts = 0;
+        }
+        pending.attempts += 1;
+        pending.in_flight = true;
+        (pending.sequence, pending.batch.clone())
+    }
+
+    /// Records whether the batch in flight to `data_centre` was counted.
+    pub fn finish_batch(&mut self, data_centre: &DataCentre, counted: bool) {
+        let Some(pending) = self.by_data_centre.get_mut(data_centre) else {
+            return;
+        };
+        pending.in_flight = false;
+        if counted || pending.attempts >= MAX_ATTEMPTS {
+            pending.batch.clear();
+        }
+    }
+}
