feat(scheduling): loads follow the fair order of the queues

The planner served waiting adapters by deadline, so an account that sends five times its rate to many cold adapters would take the weight store from the others. FairQueue::waiting now lists adapters in the order in which their first items would be served, and the planner keeps that order.

--- a/src/scheduling/fair_queue/queue.rs
+++ b/src/scheduling/fair_queue/queue.rs
@@ -260,33 +260,38 @@
         self.detach(id.0).map(|stored| stored.item)
     }
 
-    /// Adapters of all queued items, with what waits for each.
+    /// Adapters of all queued items, with what waits for each, in the order in which their first
+    /// items would be served.
     pub fn waiting(&self, now: MonoMs) -> Vec<WaitingAdapter> {
-        let mut waiting: HashMap<&AdapterRef, WaitingAdapter> = HashMap::new();
         let promote_until = now.plus(self.config.promote_slack_ms);
-        for stored in self.items.values() {
+        let mut waiting: HashMap<&AdapterRef, (bool, f64, WaitingAdapter)> = HashMap::new();
+        let mut starts: HashMap<&AccountName, f64> = HashMap::new();
+        for (start_by, id) in &self.by_start {
+            let stored = &self.items[id];
             let item = &stored.item;
-            let entry = waiting
+            let account = &self.accounts[&item.account];
+            let start = starts.entry(&item.account).or_insert(account.start);
+            let patient = item.class == Patience::Patient && *start_by > promote_until;
+            let (first_patient, first_start, entry) = waiting
                 .entry(&item.adapter)
-                .or_insert_with(|| WaitingAdapter {
-                    adapter: item.adapter.clone(),
-                    urgent: 0,
-                    patient: 0,
-                    tokens: 0,
-                    slack_ms: u64::MAX,
-                    waited_ms: 0,
-                    preferred: None,
-                });
-            let urgent = item.class == Patience::Urgent || stored.start_by <= promote_until;
-            entry.urgent += u32::from(urgent);
-            entry.patient += u32::from(!urgent);
+                .or_insert_with(|| (patient, *start, waiting_for(&item.adapter)));
+            let is_first = (patient, *start) < (*first_patient, *first_start);
+            if is_first {
+                (*first_patient, *first_start) = (patient, *start);
+            }
+            entry.urgent += u32::from(!patient);
+            entry.patient += u32::from(patient);
             entry.tokens += item.tokens;
-            entry.slack_ms = entry.slack_ms.min(stored.start_by.since(now));
+            entry.slack_ms = entry.slack_ms.min(start_by.since(now));
             entry.waited_ms = entry.waited_ms.max(now.since(stored.queued));
+            *start += item.tokens as f64 / f64::from(account.weight);
         }
         let mut waiting: Vec<_> = waiting.into_values().collect();
-        waiting.sort_by(|a, b| a.adapter.cmp(&b.adapter));
-        waiting
+        waiting.sort_by(|a, b| {
+            let by_start = a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
+            by_start.then_with(|| a.2.adapter.cmp(&b.2.adapter))
+        });
+        waiting.into_iter().map(|(_, _, entry)| entry).collect()
     }
 
     fn detach(&mut self, id: u64) -> Option<Stored<T>> {
@@ -322,3 +327,15 @@
         Patience::Patient => &mut account.patient,
     }
 }
+
+fn waiting_for(adapter: &AdapterRef) -> WaitingAdapter {
+    WaitingAdapter {
+        adapter: adapter.clone(),
+        urgent: 0,
+        patient: 0,
+        tokens: 0,
+        slack_ms: u64::MAX,
+        waited_ms: 0,
+        preferred: None,
+    }
+}
--- a/src/scheduling/placement/demand.rs
+++ b/src/scheduling/placement/demand.rs
@@ -24,6 +24,8 @@
     pub start_by: MonoMs,
     /// Time since which the first request has waited.
     pub since: MonoMs,
+    /// Best position in the VMs' fair order.
+    pub rank: usize,
     /// Engines that the VMs' policies ask for.
     pub preferred: Vec<ServerName>,
 }
@@ -49,11 +51,11 @@
     pub fn merged(&self) -> BTreeMap<AdapterRef, WaitingLoad> {
         let mut merged: BTreeMap<AdapterRef, WaitingLoad> = BTreeMap::new();
         for (at, waiting) in self.by_vm.values() {
-            for entry in waiting {
+            for (rank, entry) in waiting.iter().enumerate() {
                 let load = merged
                     .entry(entry.adapter.clone())
                     .or_insert_with(|| WaitingLoad::empty(&entry.adapter));
-                load.add(entry, *at);
+                load.add(entry, rank, *at);
             }
         }
         merged
@@ -69,20 +71,22 @@
             tokens: 0,
             start_by: MonoMs(u64::MAX),
             since: MonoMs(u64::MAX),
+            rank: usize::MAX,
             preferred: Vec::new(),
         }
     }
 
-    fn add(&mut self, entry: &WaitingAdapter, at: MonoMs) {
+    fn add(&mut self, entry: &WaitingAdapter, rank: usize, at: MonoMs) {
+        self.rank = self.rank.min(rank);
         self.urgent += entry.urgent;
         self.patient += entry.patient;
         self.tokens += entry.tokens;
         self.start_by = self.start_by.min(at.plus(entry.slack_ms));
         self.since = self.since.min(MonoMs(at.since(MonoMs(entry.waited_ms))));
-        if let Some(server) = &entry.preferred {
-            if !self.preferred.contains(server) {
-                self.preferred.push(server.clone());
-            }
+        if let Some(server) = &entry.preferred
+            && !self.preferred.contains(server)
+        {
+            self.preferred.push(server.clone());
         }
     }
 }
--- a/src/scheduling/placement/needs.rs
+++ b/src/scheduling/placement/needs.rs
@@ -44,11 +44,11 @@
     /// All needs, most important first.
     pub(super) fn needs(&self) -> Vec<Need> {
         let mut waiting: Vec<_> = self.waiting.values().collect();
-        // Urgent work in the order of its deadlines, then patient work with the most tokens per
-        // load.
+        // Urgent work in the fair order of accounts, so that an account with many cold adapters
+        // does not take the store from others, then patient work with the most tokens per load.
         waiting.sort_by_key(|load| match load.urgent {
             0 => (true, u64::MAX - load.tokens, load.start_by),
-            _ => (false, load.start_by.0, load.since),
+            _ => (false, load.rank as u64, load.start_by),
         });
         let mut needs: Vec<_> = waiting
             .iter()
--- a/src/scheduling/residency/messages.rs
+++ b/src/scheduling/residency/messages.rs
@@ -71,7 +71,7 @@
     pub known: Option<TableVersion>,
     /// Requests in flight on this data centre's engines when the pull was made.
     pub in_use: Vec<InUse>,
-    /// Adapters that the VM asks this data centre to load.
+    /// Adapters that the VM asks this data centre to load, in the fair order of its queue.
     pub waiting: Vec<WaitingAdapter>,
     /// Popularity summary, sent at longer intervals than the pull.
     pub popularity: Option<PopularitySummary>,
