feat(pipeline): admission, dispatch, relay and whole answers

A request holds its adapter lease and reserved tokens until the engine has ended it or confirmed the cancellation, so that an eviction cannot hit an adapter in use after a caller has left. An answer that was partly told is resumed at the next token on the same engine or ends with an error; an answer that was not told is generated anew elsewhere within a retry budget.

--- a/src/backend/engine_http.rs
+++ b/src/backend/engine_http.rs
@@ -99,11 +99,14 @@
         open_stream(self.client.clone(), request, identity, from).boxed()
     }
 
-    fn cancel(&self, to: SocketAddr, request_id: Arc<str>) -> BoxFuture<'static, ()> {
+    fn cancel(&self, to: SocketAddr, request_id: Arc<str>) -> BoxFuture<'static, bool> {
         let request = empty(Method::DELETE, to, &format!("/v1/requests/{request_id}"));
         let call = self.client.request(request);
         async move {
-            let _ = timeout(Duration::from_millis(CANCEL_TIMEOUT_MS), call).await;
+            let answer = timeout(Duration::from_millis(CANCEL_TIMEOUT_MS), call).await;
+            // An engine that does not know the request is not running it.
+            matches!(answer, Ok(Ok(response)) if response.status().is_success()
+                || response.status() == StatusCode::NOT_FOUND)
         }
         .boxed()
     }
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -149,8 +149,8 @@
         from: u64,
     ) -> BoxFuture<'static, Result<TokenStream>>;
 
-    /// Cancels a generation. Lost cancellations are not repeated: the engine ends at `max_tokens`.
-    fn cancel(&self, to: SocketAddr, request_id: Arc<str>) -> BoxFuture<'static, ()>;
+    /// Cancels a generation. True once the engine has confirmed that it does not run any more.
+    fn cancel(&self, to: SocketAddr, request_id: Arc<str>) -> BoxFuture<'static, bool>;
 
     /// Gives an order and waits for its outcome.
     fn order(&self, to: SocketAddr, order: EngineOrder) -> BoxFuture<'static, OrderOutcome>;
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -4,6 +4,7 @@
 pub mod standin_engine;
 pub mod standin_service;
 pub mod standin_store;
+pub mod vm;
 
 mod reader;
 
--- a/src/configs/vm.rs
+++ b/src/configs/vm.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use crate::configs::Reader;
-use crate::scheduling_policy::PolicyName;
+use crate::scheduling::routing::Policy;
 use crate::types::DataCentre;
 use crate::types::VmName;
 
@@ -13,7 +13,9 @@
 const DRAIN_MS: u64 = 20_000;
 const READY_LAG_MS: u64 = 1_000;
 const MAX_BODY_BYTES: u64 = 1024 * 1024;
-const QUEUE_PER_ACCOUNT: u64 = 512;
+const QUEUE_ITEMS: u64 = 8_192;
+const LONGEST_REQUEST_MS: u64 = 120_000;
+const LONGEST_LONGEST_REQUEST_MS: u64 = 3_600_000;
 
 /// Another VM of the system.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -66,7 +68,7 @@
     /// SHA-256 of the operators' token.
     pub operator_token_sha256: [u8; 32],
     /// Routing and placement policy.
-    pub policy: PolicyName,
+    pub policy: Policy,
     /// Limits of the weight store.
     pub store: StoreSettings,
     /// Where statsd metrics are sent, if anywhere.
@@ -79,8 +81,11 @@
     pub ready_lag_ms: u64,
     /// Largest request body, in bytes.
     pub max_body_bytes: u64,
-    /// Requests that one client account may have queued on this VM.
-    pub queue_per_account: u64,
+    /// Requests that may be queued on this VM.
+    pub queue_items: u64,
+    /// Longest time from dispatch to the end of a request, in ms. Evictions wait that long for a VM
+    /// that fell silent, so all VMs must have the same value.
+    pub longest_request_ms: u64,
 }
 
 impl VmSettings {
@@ -105,20 +110,36 @@
         admin_address: reader.required_address("admin_address"),
         peer_address: reader.required_address("peer_address"),
         data_folder: reader.optional_text("data_folder").map(PathBuf::from),
-        founders: reader.texts("founders").into_iter().map(VmName::from).collect(),
+        founders: reader
+            .texts("founders")
+            .into_iter()
+            .map(VmName::from)
+            .collect(),
         peers: reader.list("peers", read_peer),
         operator_token_sha256: operator_token_sha256.unwrap_or_default(),
-        policy: reader.choice("policy", PolicyName::default(), &PolicyName::CHOICES),
+        policy: reader.choice("policy", Policy::default(), &POLICIES),
         store: reader.object("store", read_store),
         metrics_address: reader.optional_address("metrics_address"),
         log_level: reader.choice("log_level", log::LevelFilter::Info, &LOG_LEVELS),
         drain_ms: reader.u64("drain_ms", DRAIN_MS, 0..=600_000),
         ready_lag_ms: reader.u64("ready_lag_ms", READY_LAG_MS, 0..=60_000),
         max_body_bytes: reader.u64("max_body_bytes", MAX_BODY_BYTES, 1_024..=64 * 1024 * 1024),
-        queue_per_account: reader.u64("queue_per_account", QUEUE_PER_ACCOUNT, 1..=100_000),
+        queue_items: reader.u64("queue_items", QUEUE_ITEMS, 1..=1_000_000),
+        longest_request_ms: reader.u64(
+            "longest_request_ms",
+            LONGEST_REQUEST_MS,
+            1_000..=LONGEST_LONGEST_REQUEST_MS,
+        ),
     }
 }
 
+/// Names of the policies.
+const POLICIES: [(&str, Policy); 3] = [
+    ("estimate", Policy::Estimate),
+    ("least_loaded", Policy::LeastLoaded),
+    ("hash_affinity", Policy::HashAffinity),
+];
+
 /// Names of the log levels.
 const LOG_LEVELS: [(&str, log::LevelFilter); 5] = [
     ("error", log::LevelFilter::Error),
@@ -146,7 +167,9 @@
 
 fn check_peers(settings: &VmSettings, reader: &mut Reader<'_>) {
     for (index, peer) in settings.peers.iter().enumerate() {
-        let repeated = settings.peers[..index].iter().any(|earlier| earlier.vm == peer.vm);
+        let repeated = settings.peers[..index]
+            .iter()
+            .any(|earlier| earlier.vm == peer.vm);
         if repeated {
             let path = format!("peers[{index}].vm");
             reader.reject(&path, &peer.vm, "a name that no earlier peer has");
@@ -165,6 +188,10 @@
     }
     let founds = settings.founders.contains(&settings.vm);
     if founds && settings.data_folder.is_none() {
-        reader.reject("data_folder", "missing", "a folder, since this VM is a founder");
+        reader.reject(
+            "data_folder",
+            "missing",
+            "a folder, since this VM is a founder",
+        );
     }
 }
--- /dev/null
+++ b/src/node/coordinator.rs
@@ -0,0 +1,299 @@
+//! Placement duties of the data centre's coordinator: serves the placement table, plans loads and
+//! evictions, and orders them from the engines while the lease is held.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::pipeline::Dispatcher;
+use crate::backend::Engine;
+use crate::backend::EngineOrder as WireOrder;
+use crate::backend::OrderKind;
+use crate::backend::OrderOutcome;
+use crate::lease;
+use crate::scheduling::placement::EngineOrder;
+use crate::scheduling::placement::OrderResult;
+use crate::scheduling::placement::Planner;
+use crate::scheduling::placement::PlannerConfig;
+use crate::scheduling::placement::StoreShare;
+use crate::scheduling::residency::EngineSeen;
+use crate::scheduling::residency::Table;
+use crate::scheduling::residency::TablePull;
+use crate::scheduling::routing::Policy;
+use crate::types::AdapterRef;
+use crate::types::Clock;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::ServerName;
+use crate::types::VmName;
+
+/// Longest interval between two plans.
+const PLAN_MS: u64 = 100;
+/// Wait for the orders of a predecessor in flight, towards engines that ignore fencing numbers.
+/// Equals the longest time that an order may take.
+const UNFENCED_WAIT_MS: u64 = 10_000;
+
+/// An engine as its announcements describe it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineState {
+    /// Identity, slots and resident adapters.
+    pub seen: EngineSeen,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fence: bool,
+    /// Highest fencing number it has seen.
+    pub highest_fence: u64,
+}
+
+/// What the coordinator is told from outside.
+#[derive(Clone, Debug, Default)]
+pub struct Surroundings {
+    /// Engines of this data centre that are alive and not leaving.
+    pub engines: HashMap<ServerName, EngineState>,
+    /// VMs that may hold a placement table.
+    pub roster: Vec<VmName>,
+    /// This data centre's part of the store's limits.
+    pub store: Option<StoreShare>,
+}
+
+/// Settings of the coordinator.
+pub struct CoordinatorConfig {
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Placement policy.
+    pub policy: Policy,
+    /// Figures of placement.
+    pub planner: PlannerConfig,
+}
+
+/// A term of coordination.
+struct Term {
+    number: u64,
+    /// Time from which orders may be given.
+    orders_from: MonoMs,
+    planner: Planner,
+}
+
+/// The coordinator's part of a VM; idle while the VM does not hold the lease.
+pub struct Coordinator {
+    config: CoordinatorConfig,
+    clock: Clock,
+    lease: lease::Handle,
+    engine: Arc<dyn Engine>,
+    dispatcher: Arc<Dispatcher>,
+    term: Mutex<Option<Term>>,
+    surroundings: Mutex<Surroundings>,
+    changed: Notify,
+}
+
+impl Coordinator {
+    /// Starts the planning task.
+    pub fn spawn(
+        config: CoordinatorConfig,
+        clock: Clock,
+        lease: lease::Handle,
+        engine: Arc<dyn Engine>,
+        dispatcher: Arc<Dispatcher>,
+    ) -> Arc<Self> {
+        let coordinator = Arc::new(Self {
+            config,
+            clock,
+            lease,
+            engine,
+            dispatcher,
+            term: Mutex::new(None),
+            surroundings: Mutex::default(),
+            changed: Notify::new(),
+        });
+        tokio::spawn(plan_forever(coordinator.clone()));
+        coordinator
+    }
+
+    /// Replaces what the coordinator knows about engines, roster and store.
+    pub fn set_surroundings(&self, surroundings: Surroundings) {
+        let highest = surroundings.engines.values().map(|e| e.highest_fence).max();
+        // Fencing numbers are terms, so a term must be above every number that an engine has seen.
+        if let Some(highest) = highest {
+            self.lease.require_term_above(highest);
+        }
+        *self.surroundings() = surroundings;
+    }
+
+    /// Answers a pull; `None` if this VM does not coordinate.
+    pub fn pull(&self, pull: &TablePull) -> Option<Table> {
+        let held = self.lease.current()?;
+        let now = self.clock.mono();
+        let mut term = self.term();
+        let term = term.as_mut().filter(|term| term.number == held.term)?;
+        let wants_loads = !pull.waiting.is_empty();
+        let table = match term.planner.on_pull(pull, now) {
+            Ok(table) => table,
+            Err(error) => {
+                warn!("coordinator: pull of VM {} was refused: {error}", pull.vm);
+                return None;
+            }
+        };
+        if wants_loads {
+            self.changed.notify_one();
+        }
+        Some(table)
+    }
+
+    /// Plans once and returns the orders with the term that they belong to.
+    fn plan(&self) -> Option<(u64, Vec<EngineOrder>)> {
+        let held = self.lease.current();
+        let now = self.clock.mono();
+        let surroundings = self.surroundings().clone();
+        let mut slot = self.term();
+        let Some(held) = held else {
+            if slot.take().is_some() {
+                info!("coordinator: lease of {} ended", self.config.data_centre);
+            }
+            return None;
+        };
+        if slot.as_ref().is_none_or(|term| term.number != held.term) {
+            *slot = Some(self.new_term(held.term, &surroundings, now));
+        }
+        let term = slot.as_mut()?;
+        observe(&mut term.planner, &surroundings, now);
+        if now < term.orders_from {
+            return None;
+        }
+        let orders = self
+            .dispatcher
+            .with_residency(|residency| term.planner.plan(now, residency));
+        Some((term.number, orders))
+    }
+
+    fn new_term(&self, number: u64, surroundings: &Surroundings, now: MonoMs) -> Term {
+        info!(
+            "coordinator: coordinating {} in term {number}",
+            self.config.data_centre
+        );
+        let unfenced = surroundings.engines.values().any(|e| !e.checks_fence);
+        let wait_ms = if unfenced { UNFENCED_WAIT_MS } else { 0 };
+        let share = surroundings.store.unwrap_or(StoreShare {
+            loads_per_s: 0.0,
+            burst_loads: 1.0,
+            in_flight: 1,
+        });
+        let planner = Planner::new(
+            self.config.planner,
+            self.config.policy,
+            self.config.data_centre.clone(),
+            number,
+            &surroundings.roster,
+            share,
+            now,
+        );
+        Term {
+            number,
+            orders_from: now.plus(wait_ms),
+            planner,
+        }
+    }
+
+    /// Gives one order, if the lease still has the order's term, and records its result.
+    async fn carry_out(self: Arc<Self>, term: u64, order: EngineOrder) {
+        let engine = self.engine_state(&order);
+        let outcome = match &engine {
+            Some(engine) => self.send(term, &order, engine).await,
+            None => OrderOutcome::Failed,
+        };
+        if let OrderOutcome::Fenced { highest_fence } = outcome {
+            warn!("coordinator: order was fenced by number {highest_fence}");
+            self.lease.require_term_above(highest_fence);
+        }
+        let result = OrderResult {
+            order,
+            incarnation: engine.map(|engine| engine.seen.incarnation),
+            done: outcome == OrderOutcome::Done,
+        };
+        let now = self.clock.mono();
+        if let Some(current) = self.term().as_mut()
+            && current.number == term
+        {
+            current.planner.on_result(&result, now);
+        }
+        self.changed.notify_one();
+    }
+
+    fn engine_state(&self, order: &EngineOrder) -> Option<EngineState> {
+        let (server, _) = parts(order);
+        self.surroundings().engines.get(server).cloned()
+    }
+
+    async fn send(&self, term: u64, order: &EngineOrder, engine: &EngineState) -> OrderOutcome {
+        if self.lease.current().is_none_or(|held| held.term != term) {
+            return OrderOutcome::Failed;
+        }
+        let (server, adapter) = parts(order);
+        let kind = match order {
+            EngineOrder::Load { .. } => OrderKind::Load,
+            EngineOrder::Evict { .. } => OrderKind::Evict,
+        };
+        let wire = WireOrder {
+            order: kind,
+            adapter: adapter.clone(),
+            fence: term,
+        };
+        let outcome = self.engine.order(engine.address, wire).await;
+        if outcome != OrderOutcome::Done {
+            warn!("coordinator: {kind:?} of {adapter} on {server} ended as {outcome:?}");
+        }
+        outcome
+    }
+
+    fn term(&self) -> MutexGuard<'_, Option<Term>> {
+        self.term.lock().expect("no holder panics")
+    }
+
+    fn surroundings(&self) -> MutexGuard<'_, Surroundings> {
+        self.surroundings.lock().expect("no holder panics")
+    }
+}
+
+fn parts(order: &EngineOrder) -> (&ServerName, &AdapterRef) {
+    match order {
+        EngineOrder::Load { server, adapter } | EngineOrder::Evict { server, adapter } => {
+            (server, adapter)
+        }
+    }
+}
+
+fn observe(planner: &mut Planner, surroundings: &Surroundings, now: MonoMs) {
+    let known: Vec<ServerName> = planner.table().servers().cloned().collect();
+    for server in known {
+        if !surroundings.engines.contains_key(&server) {
+            planner.remove_engine(&server);
+        }
+    }
+    for engine in surroundings.engines.values() {
+        planner.on_engine(&engine.seen, now);
+    }
+    if let Some(share) = surroundings.store {
+        planner.set_share(share, now);
+    }
+}
+
+async fn plan_forever(coordinator: Arc<Coordinator>) {
+    loop {
+        let changed = coordinator.changed.notified();
+        let _ = timeout(Duration::from_millis(PLAN_MS), changed).await;
+        let Some((term, orders)) = coordinator.plan() else {
+            continue;
+        };
+        for order in orders {
+            tokio::spawn(coordinator.clone().carry_out(term, order));
+        }
+    }
+}
--- /dev/null
+++ b/src/node/links.rs
@@ -0,0 +1,198 @@
+//! Connects the modules that talk to other VMs to the peer service.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+
+use crate::consensus::Envelope;
+use crate::consensus::FollowError;
+use crate::consensus::FollowReply;
+use crate::consensus::FollowRequest;
+use crate::consensus::FollowSource;
+use crate::consensus::Transport;
+use crate::lease::LeasePeers;
+use crate::lease::LeaseReply;
+use crate::lease::LeaseRequest;
+use crate::lease::NoReply;
+use crate::limits::BorrowPeers;
+use crate::limits::BorrowReply;
+use crate::limits::BorrowRequest;
+use crate::limits::NoCoordinator;
+use crate::membership::Delta;
+use crate::membership::Digest;
+use crate::membership::GossipPeers;
+use crate::membership::NoGossip;
+use crate::peer::AddressBook;
+use crate::peer::PeerClients;
+use crate::types::DataCentre;
+use crate::types::VmName;
+
+/// Finds the coordinator of a data centre.
+pub type CoordinatorLookup = Arc<dyn Fn(&DataCentre) -> Option<VmName> + Send + Sync>;
+
+/// Serves a borrow request on this VM.
+pub type LocalBorrow = Arc<dyn Fn(BorrowRequest) -> BorrowReply + Send + Sync>;
+
+/// Sends messages of the replicated log.
+pub struct LogLink {
+    peers: PeerClients,
+    runtime: tokio::runtime::Handle,
+}
+
+impl LogLink {
+    /// Sends through `peers` on the current runtime.
+    pub fn new(peers: PeerClients) -> Self {
+        Self {
+            peers,
+            runtime: tokio::runtime::Handle::current(),
+        }
+    }
+}
+
+impl Transport for LogLink {
+    fn send(&self, to: &VmName, envelope: Envelope) {
+        let peers = self.peers.clone();
+        let to = to.clone();
+        self.runtime.spawn(async move {
+            let _ = peers.raft(&to, envelope).await;
+        });
+    }
+}
+
+/// Pulls applied entries of the replicated log.
+pub struct FollowLink {
+    peers: PeerClients,
+}
+
+impl FollowLink {
+    /// Pulls through `peers`.
+    pub fn new(peers: PeerClients) -> Self {
+        Self { peers }
+    }
+}
+
+impl FollowSource for FollowLink {
+    fn follow(
+        &self,
+        from: &VmName,
+        request: FollowRequest,
+    ) -> BoxFuture<'_, Result<FollowReply, FollowError>> {
+        let from = from.clone();
+        async move {
+            let reply = self.peers.follow(&from, request).await;
+            reply.map_err(|error| FollowError {
+                from,
+                reason: error.to_string(),
+            })
+        }
+        .boxed()
+    }
+}
+
+/// Sends lease requests.
+pub struct LeaseLink {
+    peers: PeerClients,
+}
+
+impl LeaseLink {
+    /// Sends through `peers`.
+    pub fn new(peers: PeerClients) -> Self {
+        Self { peers }
+    }
+}
+
+impl LeasePeers for LeaseLink {
+    fn send(
+        &self,
+        to: VmName,
+        request: LeaseRequest,
+    ) -> BoxFuture<'static, Result<LeaseReply, NoReply>> {
+        let peers = self.peers.clone();
+        async move {
+            let reply = peers.lease(&to, request).await;
+            reply.map_err(|error| NoReply {
+                vm: to,
+                reason: error.to_string(),
+            })
+        }
+        .boxed()
+    }
+}
+
+/// Sends gossip and records announced addresses.
+pub struct GossipLink {
+    peers: PeerClients,
+    book: AddressBook,
+}
+
+impl GossipLink {
+    /// Sends through `peers`; addresses go to `book`.
+    pub fn new(peers: PeerClients, book: AddressBook) -> Self {
+        Self { peers, book }
+    }
+}
+
+impl GossipPeers for GossipLink {
+    fn gossip(
+        &self,
+        to: VmName,
+        address: String,
+        digest: Digest,
+    ) -> BoxFuture<'static, Result<Delta, NoGossip>> {
+        if let Ok(address) = address.parse() {
+            self.book.set(to.clone(), address);
+        }
+        let peers = self.peers.clone();
+        async move {
+            let reply = peers.gossip(&to, digest).await;
+            reply.map_err(|error| NoGossip {
+                vm: to,
+                reason: error.to_string(),
+            })
+        }
+        .boxed()
+    }
+}
+
+/// Sends borrow requests to coordinators, this VM included.
+pub struct BorrowLink {
+    /// This VM.
+    pub vm: VmName,
+    /// Connections.
+    pub peers: PeerClients,
+    /// Finds coordinators.
+    pub coordinator_of: CoordinatorLookup,
+    /// Serves requests to this VM.
+    pub local: LocalBorrow,
+}
+
+impl BorrowPeers for BorrowLink {
+    fn borrow(
+        &self,
+        data_centre: DataCentre,
+        request: BorrowRequest,
+    ) -> BoxFuture<'static, Result<BorrowReply, NoCoordinator>> {
+        let coordinator = (self.coordinator_of)(&data_centre);
+        let Some(coordinator) = coordinator else {
+            let reason = "no coordinator is known".to_owned();
+            let failure = NoCoordinator {
+                data_centre,
+                reason,
+            };
+            return futures::future::ready(Err(failure)).boxed();
+        };
+        if coordinator == self.vm {
+            return futures::future::ready(Ok((self.local)(request))).boxed();
+        }
+        let peers = self.peers.clone();
+        async move {
+            let reply = peers.borrow(&coordinator, request).await;
+            reply.map_err(|error| NoCoordinator {
+                data_centre,
+                reason: error.to_string(),
+            })
+        }
+        .boxed()
+    }
+}
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -52,7 +52,10 @@
                 let Ok(transport) = connection else { continue };
                 let _ = transport.get_ref().set_nodelay(true);
                 let channel = BaseChannel::with_defaults(transport);
-                tokio::spawn(serve(channel, handler.clone()));
+                let service = Calls {
+                    handler: handler.clone(),
+                };
+                tokio::spawn(channel.execute(service.serve()).for_each(spawn));
             }
         });
         Ok(Self {
@@ -73,14 +76,6 @@
     }
 }
 
-async fn serve<C>(channel: C, handler: Arc<dyn PeerHandler>)
-where
-    C: Channel<Req = super::service::PeerRequest, Resp = super::service::PeerResponse> + 'static,
-{
-    let calls = channel.execute(Calls { handler }.serve());
-    calls.for_each(spawn).await;
-}
-
 async fn spawn(call: impl Future<Output = ()> + Send + 'static) {
     tokio::spawn(call);
 }
--- /dev/null
+++ b/src/pipeline/admit.rs
@@ -0,0 +1,136 @@
+//! Checks the VM's state, the quarantine and the account's token limit before work is queued.
+
+use super::classify::Classified;
+use super::context::Context;
+use crate::control::CutOffPolicy;
+use crate::limits;
+use crate::limits::Reservation;
+use crate::limits::Shortage;
+use crate::membership::Fingerprint;
+use crate::membership::Verdict;
+use crate::types::AccountName;
+use crate::types::Refusal;
+use crate::types::RefusalCode;
+use crate::types::Tokens;
+
+/// Result of this stage.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// A request that may run: its tokens are reserved.
+pub struct Admitted {
+    /// The request.
+    pub request: Classified,
+    /// Its tokens.
+    pub tokens: ReservedTokens,
+}
+
+/// Tokens reserved for one request. Dropped unsettled, they return unless the request was
+/// dispatched; then all of them count as used.
+pub struct ReservedTokens {
+    limits: limits::Client,
+    reservation: Option<Reservation>,
+    dispatched: bool,
+}
+
+impl ReservedTokens {
+    /// Notes that a backend server may consume the tokens from now on.
+    pub fn mark_dispatched(&mut self) {
+        self.dispatched = true;
+    }
+
+    /// Notes that the last dispatch provably did not run.
+    pub fn mark_not_run(&mut self) {
+        self.dispatched = false;
+    }
+
+    /// Settles with the tokens that were consumed.
+    pub fn settle(mut self, used_tokens: Tokens) {
+        if let Some(reservation) = self.reservation.take() {
+            self.limits.settle(reservation, used_tokens);
+        }
+    }
+}
+
+impl Drop for ReservedTokens {
+    fn drop(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            let used = if self.dispatched {
+                reservation.tokens()
+            } else {
+                0
+            };
+            self.limits.settle(reservation, used);
+        }
+    }
+}
+
+/// Admits `request`, or refuses it at once as not run.
+///
+/// # Errors
+/// `Draining` or `Isolated` by the state of the VM, `Quarantined` by crash reports, `RateLimited`
+/// with the time to come back by the account's limit.
+pub async fn admit(cx: &Context, request: Classified) -> Result<Admitted> {
+    check_health(cx, &request)?;
+    check_quarantine(cx, &request)?;
+    let account = request.caller.account();
+    let wanted = request.completion.reserved_tokens();
+    let tokens = reserve(&cx.limits, account, wanted).await?;
+    Ok(Admitted { request, tokens })
+}
+
+/// Reserves `wanted` tokens of `account`.
+///
+/// # Errors
+/// `RateLimited` if the account is over its limit, `TooLarge` if the request can never fit.
+pub async fn reserve(
+    limits: &limits::Client,
+    account: &AccountName,
+    wanted: Tokens,
+) -> Result<ReservedTokens> {
+    let reservation = limits
+        .reserve(account, wanted)
+        .await
+        .map_err(|shortage| refuse(shortage, wanted))?;
+    Ok(ReservedTokens {
+        limits: limits.clone(),
+        reservation: Some(reservation),
+        dispatched: false,
+    })
+}
+
+fn check_health(cx: &Context, request: &Classified) -> Result<()> {
+    let policy = request.caller.parameters().when_cut_off;
+    cx.health.check_open(policy == CutOffPolicy::Serve)
+}
+
+fn check_quarantine(cx: &Context, request: &Classified) -> Result<()> {
+    let verdict = cx.quarantine.verdict(&Fingerprint(request.fingerprint));
+    let Verdict::Quarantined { until } = verdict else {
+        return Ok(());
+    };
+    let retry_after_ms = until.since(cx.clock.unix());
+    let message = "the request was running on backend servers that crashed and is quarantined";
+    Err(Refusal::not_run(RefusalCode::Quarantined, message).with_retry_after_ms(retry_after_ms))
+}
+
+fn refuse(shortage: Shortage, wanted: Tokens) -> Refusal {
+    match shortage {
+        Shortage::Later { retry_after_ms } => Refusal::not_run(
+            RefusalCode::RateLimited,
+            format!("the account is over its rate and burst; the request reserves {wanted} tokens"),
+        )
+        .with_retry_after_ms(retry_after_ms),
+        Shortage::TooLarge { largest_tokens } => Refusal::not_run(
+            RefusalCode::TooLarge,
+            format!(
+                "the request reserves {wanted} tokens, the account's burst allows {largest_tokens}"
+            ),
+        )
+        .with_field("max_tokens", wanted.to_string()),
+        Shortage::UnknownAccount => Refusal::not_run(
+            RefusalCode::RateLimited,
+            "the account's limits are not known on this VM yet",
+        )
+        .with_retry_after_ms(1_000),
+    }
+}
--- a/src/pipeline/authenticate.rs
+++ b/src/pipeline/authenticate.rs
@@ -28,21 +28,26 @@
 #[derive(Clone, Debug)]
 pub struct Caller {
     account: AccountName,
-    key_hash: KeyHash,
+    /// `None` for accepted jobs, which belong to the account and outlive the key.
+    key_hash: Option<KeyHash>,
     parameters: Arc<Parameters>,
 }
 
 impl Caller {
+    /// The account behind a job that was accepted earlier.
+    pub fn of_job(account: AccountName, parameters: Arc<Parameters>) -> Self {
+        Self {
+            account,
+            key_hash: None,
+            parameters,
+        }
+    }
+
     /// The client account that the request runs for.
     pub fn account(&self) -> &AccountName {
         &self.account
     }
 
-    /// Hash of the key, to check later that it is still live.
-    pub fn key_hash(&self) -> &KeyHash {
-        &self.key_hash
-    }
-
     /// Effective parameters of the account when the key was checked.
     pub fn parameters(&self) -> &Arc<Parameters> {
         &self.parameters
@@ -80,7 +85,7 @@
     })?;
     Ok(Caller {
         account,
-        key_hash,
+        key_hash: Some(key_hash),
         parameters,
     })
 }
@@ -90,7 +95,10 @@
 /// # Errors
 /// `unauthorized` if the key was withdrawn since.
 pub fn check_still_live(keys: &dyn Keys, caller: &Caller) -> Result<()> {
-    match keys.account_of(&caller.key_hash) {
+    let Some(key_hash) = &caller.key_hash else {
+        return Ok(());
+    };
+    match keys.account_of(key_hash) {
         Some((account, _)) if account == caller.account => Ok(()),
         _ => Err(Refusal::not_run(
             RefusalCode::Unauthorized,
--- /dev/null
+++ b/src/pipeline/dispatch.rs
@@ -0,0 +1,307 @@
+//! Queues an admitted request, sends it to an engine and waits for the first token.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use log::info;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
+
+use super::admit::Admitted;
+use super::admit::ReservedTokens;
+use super::authenticate::check_still_live;
+use super::classify::Classified;
+use super::context::Context;
+use super::dispatcher::Work;
+use super::in_flight::InFlight;
+use super::in_flight::after_ms;
+use crate::backend::BackendError;
+use crate::backend::EngineCall;
+use crate::backend::StreamIdentity;
+use crate::backend::TokenFrame;
+use crate::backend::TokenStream;
+use crate::membership::Fingerprint;
+use crate::membership::Verdict;
+use crate::metrics::Timing;
+use crate::types::MonoMs;
+use crate::types::Patience;
+use crate::types::Refusal;
+use crate::types::RefusalCode;
+use crate::types::RunState;
+
+/// Result of this stage.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Dispatches of one request, retries included.
+const MAX_ATTEMPTS: u32 = 8;
+/// Wait before a request whose adapter was not resident is queued again.
+const NOT_RESIDENT_WAIT_MS: u64 = 20;
+/// Engine priority of urgent requests.
+const URGENT_PRIORITY: u8 = 1;
+/// Bytes of prompt in one prefix block.
+const PREFIX_BLOCK_BYTES: usize = 48;
+/// Prefix blocks that are compared.
+const MAX_PREFIX_BLOCKS: usize = 64;
+
+/// A request whose first token has arrived.
+pub struct Running {
+    /// The request.
+    pub request: Classified,
+    /// The dispatch.
+    pub in_flight: InFlight,
+    /// Number of the dispatch, from 1.
+    pub attempt: u32,
+    /// First token.
+    pub first: TokenFrame,
+    /// The tokens after it.
+    pub rest: TokenStream,
+    /// When the request was accepted.
+    pub accepted: MonoMs,
+}
+
+impl Running {
+    /// The id told to the caller.
+    pub fn public_id(&self) -> String {
+        let server = self.in_flight.server();
+        self.request.request_id.on_server(self.attempt, server)
+    }
+}
+
+/// Outcome of one dispatch that gave no first token.
+struct Failure {
+    error: BackendError,
+    tokens: ReservedTokens,
+}
+
+/// Runs `admitted` until its first token, on another engine if one fails. `attempt` is the number of
+/// dispatches before.
+///
+/// # Errors
+/// A refusal as soon as the request can no longer succeed; `unknown` once an engine may have run
+/// it, otherwise `not_run`.
+pub async fn dispatch(
+    cx: &Context,
+    admitted: Admitted,
+    accepted: MonoMs,
+    mut attempt: u32,
+) -> Result<Running> {
+    let Admitted {
+        request,
+        mut tokens,
+    } = admitted;
+    let mut run = RunState::NotRun;
+    loop {
+        attempt += 1;
+        check_before_dispatch(cx, &request, run)?;
+        let failure = match try_dispatch(cx, &request, tokens, accepted, attempt).await? {
+            Ok(running) => return Ok(running),
+            Err(failure) => failure,
+        };
+        tokens = failure.tokens;
+        if !failure.error.is_not_run() {
+            run = RunState::Unknown;
+        }
+        let may_retry = attempt < MAX_ATTEMPTS && cx.retries.take();
+        if !may_retry || cx.clock.unix() >= request.deadline {
+            return Err(backend_failed(&failure.error, run));
+        }
+        if failure.error == BackendError::NotResident {
+            sleep(Duration::from_millis(NOT_RESIDENT_WAIT_MS)).await;
+        }
+    }
+}
+
+fn check_before_dispatch(cx: &Context, request: &Classified, run: RunState) -> Result<()> {
+    let with_run = |refusal: Refusal| Refusal { run, ..refusal };
+    check_still_live(&*cx.keys, &request.caller).map_err(with_run)?;
+    match cx.quarantine.verdict(&Fingerprint(request.fingerprint)) {
+        Verdict::Quarantined { until } => {
+            let message = "the request was running on backend servers that crashed";
+            let refusal = Refusal::not_run(RefusalCode::Quarantined, message)
+                .with_retry_after_ms(until.since(cx.clock.unix()));
+            Err(with_run(refusal))
+        }
+        Verdict::Clear | Verdict::Suspect => Ok(()),
+    }
+}
+
+async fn try_dispatch(
+    cx: &Context,
+    request: &Classified,
+    tokens: ReservedTokens,
+    accepted: MonoMs,
+    attempt: u32,
+) -> Result<std::result::Result<Running, Failure>> {
+    let assignment = cx.dispatcher.assign(work(cx, request)).await?;
+    check_still_live(&*cx.keys, &request.caller)?;
+    let Some((address, _)) = cx.servers.locate(assignment.server()) else {
+        let message = "the server left before the dispatch".to_owned();
+        let error = BackendError::NotStarted { message };
+        return Ok(Err(Failure { error, tokens }));
+    };
+    record_wait(cx, request, assignment.wait_ms(), assignment.load_stalled());
+    let call = engine_call(request, attempt);
+    let identity = StreamIdentity::of_call(&call);
+    let ends_by = ends_by(cx, request);
+    let in_flight = InFlight::new(
+        cx.engine.clone(),
+        address,
+        identity,
+        ends_by,
+        assignment,
+        tokens,
+    );
+    let started = cx.engine.start(address, call);
+    match first_token(started, ends_by).await {
+        Ok((first, rest)) => {
+            record_first_token(cx, request, accepted);
+            Ok(Ok(Running {
+                request: request.clone(),
+                in_flight,
+                attempt,
+                first,
+                rest,
+                accepted,
+            }))
+        }
+        Err(error) => Ok(Err(fail(cx, request, in_flight, error).await)),
+    }
+}
+
+async fn first_token(
+    started: impl Future<Output = crate::backend::Result<TokenStream>>,
+    ends_by: Instant,
+) -> crate::backend::Result<(TokenFrame, TokenStream)> {
+    let late = || BackendError::Lost {
+        message: "no token arrived in time".to_owned(),
+    };
+    let mut stream = timeout_at(ends_by, started).await.map_err(|_| late())??;
+    match timeout_at(ends_by, stream.next()).await {
+        Ok(Some(Ok(frame))) => Ok((frame, stream)),
+        Ok(Some(Err(error))) => Err(error),
+        Ok(None) => Err(BackendError::Lost {
+            message: "the stream was empty".to_owned(),
+        }),
+        Err(_) => Err(late()),
+    }
+}
+
+/// Finds out whether the server crashed, and reports the request as a suspect if it did.
+async fn fail(
+    cx: &Context,
+    request: &Classified,
+    in_flight: InFlight,
+    error: BackendError,
+) -> Failure {
+    if error.is_not_run() {
+        let tokens = in_flight.not_run();
+        return Failure { error, tokens };
+    }
+    let probe = cx
+        .engine
+        .resume(in_flight.address(), in_flight.identity().clone(), 0);
+    info!(
+        "dispatch: request on {} was lost: {error}",
+        in_flight.server()
+    );
+    let tokens = match probe.await {
+        Err(probe_error) if probe_error.is_not_run() => {
+            report_crash(cx, request, &in_flight);
+            in_flight.not_run()
+        }
+        _ => in_flight.lost(),
+    };
+    Failure { error, tokens }
+}
+
+/// Reports that the server lost a running request: it is gone or has forgotten the request.
+pub(super) fn report_crash(cx: &Context, request: &Classified, in_flight: &InFlight) {
+    let fingerprint = Fingerprint(request.fingerprint);
+    let incarnation = in_flight.assignment().incarnation();
+    cx.quarantine
+        .report(fingerprint, in_flight.server(), incarnation);
+}
+
+fn work(cx: &Context, request: &Classified) -> Work {
+    let completion = &request.completion;
+    let tokens = completion.reserved_tokens();
+    let verdict = cx.quarantine.verdict(&Fingerprint(request.fingerprint));
+    Work {
+        account: request.caller.account().clone(),
+        weight: request.caller.parameters().weight,
+        patience: request.patience,
+        tokens,
+        prompt_tokens: tokens - completion.max_tokens,
+        deadline: deadline(cx, request),
+        adapter: completion.adapter.clone(),
+        prefix: prefix_blocks(request),
+        suspect: matches!(verdict, Verdict::Suspect),
+    }
+}
+
+fn engine_call(request: &Classified, attempt: u32) -> EngineCall {
+    let completion = &request.completion;
+    EngineCall {
+        request_id: request
+            .request_id
+            .for_backend(request.caller.account(), attempt),
+        adapter: completion.adapter.clone(),
+        prompt: Arc::clone(&completion.prompt),
+        max_tokens: completion.max_tokens,
+        priority: match request.patience {
+            Patience::Urgent => URGENT_PRIORITY,
+            Patience::Patient => 0,
+        },
+    }
+}
+
+/// Deadline on the monotonic clock.
+fn deadline(cx: &Context, request: &Classified) -> MonoMs {
+    let left_ms = request.deadline.since(cx.clock.unix());
+    cx.clock.mono().plus(left_ms)
+}
+
+fn ends_by(cx: &Context, request: &Classified) -> Instant {
+    let left_ms = request.deadline.since(cx.clock.unix());
+    after_ms(left_ms.min(cx.longest_request_ms))
+}
+
+/// Hashes of the prompt's blocks, each over the adapter and all blocks before it.
+fn prefix_blocks(request: &Classified) -> Vec<u64> {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(request.completion.adapter.to_string().as_bytes());
+    let blocks = request.completion.prompt.as_bytes();
+    blocks
+        .chunks_exact(PREFIX_BLOCK_BYTES)
+        .take(MAX_PREFIX_BLOCKS)
+        .zip(1_u64..)
+        .map(|(block, position)| {
+            hasher.update(block);
+            (position << 32) | u64::from(hasher.clone().finalize())
+        })
+        .collect()
+}
+
+fn record_wait(cx: &Context, request: &Classified, wait_ms: u64, load_stalled: bool) {
+    let account = request.caller.account();
+    cx.metrics
+        .time(account, request.patience, Timing::Wait, wait_ms);
+    if load_stalled {
+        cx.metrics
+            .time(account, request.patience, Timing::LoadStall, wait_ms);
+    }
+}
+
+fn record_first_token(cx: &Context, request: &Classified, accepted: MonoMs) {
+    let elapsed_ms = cx.clock.mono().since(accepted);
+    let account = request.caller.account();
+    cx.metrics
+        .time(account, request.patience, Timing::FirstToken, elapsed_ms);
+}
+
+fn backend_failed(error: &BackendError, run: RunState) -> Refusal {
+    let refusal = Refusal::not_run(RefusalCode::BackendFailed, error.to_string());
+    Refusal { run, ..refusal }
+}
--- /dev/null
+++ b/src/pipeline/relay.rs
@@ -0,0 +1,189 @@
+//! Relays the tokens of a running request and resumes its stream if the engine's link is lost.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
+
+use super::authenticate::check_still_live;
+use super::classify::Classified;
+use super::context::Context;
+use super::dispatch::Running;
+use super::dispatch::report_crash;
+use super::in_flight::InFlight;
+use crate::backend::BackendError;
+use crate::backend::TokenFrame;
+use crate::backend::TokenStream;
+use crate::backend::Usage;
+use crate::metrics::Ending;
+use crate::metrics::Timing;
+use crate::types::MonoMs;
+use crate::types::Refusal;
+use crate::types::RefusalCode;
+
+/// Result of this stage.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Tries to resume a stream after the loss of the engine's link.
+const RESUME_TRIES: u32 = 3;
+/// Wait between two tries.
+const RESUME_WAIT_MS: u64 = 50;
+/// Interval at which the key of a running stream is checked.
+const KEY_CHECK_MS: u64 = 250;
+
+/// The tokens of one running request.
+pub struct Relay {
+    cx: Context,
+    request: Classified,
+    in_flight: Option<InFlight>,
+    rest: Option<TokenStream>,
+    next_index: u64,
+    accepted: MonoMs,
+    key_checked: MonoMs,
+    keep_when_dropped: bool,
+}
+
+impl Relay {
+    /// Relays `running`, whose first token the caller already has. With `keep_when_dropped`, the
+    /// engine goes on after the caller has left, so that the caller can resume the stream.
+    pub fn new(cx: Context, running: Running, keep_when_dropped: bool) -> (TokenFrame, Self) {
+        let relay = Self {
+            key_checked: cx.clock.mono(),
+            cx,
+            request: running.request,
+            in_flight: Some(running.in_flight),
+            rest: Some(running.rest),
+            next_index: running.first.index + 1,
+            accepted: running.accepted,
+            keep_when_dropped,
+        };
+        (running.first, relay)
+    }
+
+    /// The next token, or `None` after the last one.
+    ///
+    /// # Errors
+    /// A refusal that ends the answer: the remaining tokens are lost.
+    pub async fn next(&mut self) -> Option<Result<TokenFrame>> {
+        self.in_flight.as_ref()?;
+        if let Err(refusal) = self.check_key() {
+            return Some(Err(self.abandon(refusal)));
+        }
+        loop {
+            match self.read().await {
+                Ok(Some(frame)) => {
+                    self.next_index = frame.index + 1;
+                    return Some(Ok(frame));
+                }
+                Ok(None) => return None,
+                Err(error) => {
+                    if let Err(refusal) = self.resume(error).await {
+                        return Some(Err(self.abandon(refusal)));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Settles the request after its last token was relayed.
+    pub fn complete(&mut self, usage: Usage) {
+        let Some(in_flight) = self.in_flight.take() else {
+            return;
+        };
+        in_flight.complete(usage);
+        let account = self.request.caller.account();
+        let patience = self.request.patience;
+        let total_ms = self.cx.clock.mono().since(self.accepted);
+        let metrics = &self.cx.metrics;
+        metrics.time(account, patience, Timing::Total, total_ms);
+        metrics.ended(account, patience, Ending::Answered);
+    }
+
+    async fn read(&mut self) -> crate::backend::Result<Option<TokenFrame>> {
+        let ends_by = self.in_flight.as_ref().map(InFlight::ends_by);
+        let (Some(ends_by), Some(rest)) = (ends_by, self.rest.as_mut()) else {
+            return Ok(None);
+        };
+        match timeout_at(ends_by, rest.next()).await {
+            Ok(frame) => frame.transpose(),
+            Err(_) => Err(BackendError::Mismatch {
+                message: "the answer did not end in time".to_owned(),
+            }),
+        }
+    }
+
+    /// Reopens the stream at the next token. A server that no longer knows the request has crashed.
+    async fn resume(&mut self, error: BackendError) -> Result<()> {
+        if matches!(error, BackendError::Mismatch { .. }) {
+            return Err(lost(&error));
+        }
+        for _ in 0..RESUME_TRIES {
+            let Some(in_flight) = &self.in_flight else {
+                return Err(lost(&error));
+            };
+            let identity = in_flight.identity().clone();
+            let reopened = self
+                .cx
+                .engine
+                .resume(in_flight.address(), identity, self.next_index);
+            match reopened.await {
+                Ok(stream) => {
+                    self.rest = Some(stream);
+                    return Ok(());
+                }
+                Err(failure) if failure.is_not_run() => {
+                    report_crash(&self.cx, &self.request, in_flight);
+                    return Err(lost(&failure));
+                }
+                Err(_) => sleep(Duration::from_millis(RESUME_WAIT_MS)).await,
+            }
+        }
+        Err(lost(&error))
+    }
+
+    /// A stream whose key was withdrawn is ended, as the account no longer pays for it.
+    fn check_key(&mut self) -> Result<()> {
+        let now = self.cx.clock.mono();
+        if now.since(self.key_checked) < KEY_CHECK_MS {
+            return Ok(());
+        }
+        self.key_checked = now;
+        check_still_live(&*self.cx.keys, &self.request.caller).map_err(|refusal| Refusal {
+            run: crate::types::RunState::Unknown,
+            ..refusal
+        })
+    }
+
+    fn abandon(&mut self, refusal: Refusal) -> Refusal {
+        self.keep_when_dropped = false;
+        self.in_flight = None;
+        let account = self.request.caller.account();
+        self.cx
+            .metrics
+            .ended(account, self.request.patience, Ending::Failed);
+        refusal
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let Some(in_flight) = self.in_flight.take() else {
+            return;
+        };
+        let account = self.request.caller.account();
+        self.cx
+            .metrics
+            .ended(account, self.request.patience, Ending::Left);
+        if self.keep_when_dropped {
+            let rest = self.rest.take().unwrap_or_else(|| stream::empty().boxed());
+            in_flight.read_to_end(rest);
+        }
+    }
+}
+
+fn lost(error: &BackendError) -> Refusal {
+    let message = format!("the rest of the answer is lost: {error}");
+    Refusal::unknown(RefusalCode::BackendFailed, message)
+}
--- a/src/pipeline/request_id.rs
+++ b/src/pipeline/request_id.rs
@@ -18,7 +18,7 @@
 /// Bytes of the digest that identify a request towards backend servers.
 const BACKEND_ID_BYTES: usize = 16;
 
-/// Id of one request: a part chosen by the caller or drawn, and later the backend server.
+/// Id of one request, chosen by the caller or drawn.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct RequestId {
     base: Arc<str>,
@@ -51,31 +51,36 @@
         &self.base
     }
 
-    /// The id told to the caller once `server` runs the request.
-    pub fn on_server(&self, server: &ServerName) -> String {
-        format!("{}{SEPARATOR}{server}", self.base)
+    /// The id told to the caller once `server` runs the request as its dispatch number `attempt`.
+    pub fn on_server(&self, attempt: u32, server: &ServerName) -> String {
+        format!("{}{SEPARATOR}{attempt}{SEPARATOR}{server}", self.base)
     }
 
-    /// Splits an id told to a caller into the id and the backend server.
+    /// Splits an id told to a caller into the id, the attempt and the backend server.
     ///
     /// # Errors
     /// A refusal that names the id if it has no server or other characters than allowed.
-    pub fn parse_on_server(text: &str) -> Result<(Self, ServerName), Refusal> {
-        let (base, server) = text.split_once(SEPARATOR).ok_or_else(|| invalid(text))?;
+    pub fn parse_on_server(text: &str) -> Result<(Self, u32, ServerName), Refusal> {
+        let parts: Vec<&str> = text.splitn(3, SEPARATOR).collect();
+        let [base, attempt, server] = parts[..] else {
+            return Err(invalid(text));
+        };
+        let attempt = attempt.parse().map_err(|_| invalid(text))?;
         if !is_valid(base) || server.is_empty() {
             return Err(invalid(text));
         }
         let id = Self { base: base.into() };
-        Ok((id, ServerName::from(server)))
+        Ok((id, attempt, ServerName::from(server)))
     }
 
     /// The id used towards backend servers: a digest over the account and the caller's id, so that
     /// no account can read or cancel the requests of another.
-    pub fn for_backend(&self, account: &AccountName) -> Arc<str> {
+    pub fn for_backend(&self, account: &AccountName, attempt: u32) -> Arc<str> {
         let mut hasher = Sha256::new();
         hasher.update(account.as_str().as_bytes());
         hasher.update([0]);
         hasher.update(self.base.as_bytes());
+        hasher.update(attempt.to_be_bytes());
         hex::encode(&hasher.finalize()[..BACKEND_ID_BYTES]).into()
     }
 }
--- /dev/null
+++ b/src/pipeline/retry_budget.rs
@@ -0,0 +1,40 @@
+//! Bounds retries, so that the loss of an engine causes no retry storm.
+
+use std::sync::Mutex;
+
+/// Retries that each admitted request adds to the budget.
+const RETRIES_PER_REQUEST: f64 = 0.2;
+/// Retries that may be saved up.
+const MAX_RETRIES: f64 = 64.0;
+
+/// Retries that a VM may still make.
+#[derive(Debug)]
+pub struct RetryBudget {
+    retries: Mutex<f64>,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            retries: Mutex::new(MAX_RETRIES),
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Adds the share of one admitted request.
+    pub fn add_request(&self) {
+        let mut retries = self.retries.lock().expect("no holder panics");
+        *retries = (*retries + RETRIES_PER_REQUEST).min(MAX_RETRIES);
+    }
+
+    /// Takes one retry; false if the budget is used up.
+    pub fn take(&self) -> bool {
+        let mut retries = self.retries.lock().expect("no holder panics");
+        if *retries < 1.0 {
+            return false;
+        }
+        *retries -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/src/pipeline/run.rs
@@ -0,0 +1,126 @@
+//! Composes the stages for whole and for streamed answers.
+
+use super::Running;
+use super::admit::admit;
+use super::classify::Classified;
+use super::context::Context;
+use super::dispatch::dispatch;
+use super::relay::Relay;
+use crate::backend::TokenFrame;
+use crate::backend::Usage;
+use crate::metrics::Ending;
+use crate::types::Refusal;
+use crate::types::RunState;
+
+/// Result of a run.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Runs of a whole answer, the first one included.
+const MAX_RUNS: u32 = 3;
+
+/// A whole answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WholeAnswer {
+    /// The id told to the caller.
+    pub public_id: String,
+    /// All text.
+    pub text: String,
+    /// Why generation ended.
+    pub finish_reason: String,
+    /// Tokens consumed.
+    pub usage: Usage,
+}
+
+/// A streamed answer whose first token has arrived.
+pub struct StreamedAnswer {
+    /// The id told to the caller, with which the stream can be resumed.
+    pub public_id: String,
+    /// First token.
+    pub first: TokenFrame,
+    /// The tokens after it.
+    pub relay: Relay,
+}
+
+/// Runs `request` and returns its first token and the rest as a stream.
+///
+/// # Errors
+/// A refusal of any stage up to the first token.
+pub async fn run_streamed(cx: &Context, request: Classified) -> Result<StreamedAnswer> {
+    let running = start(cx, request, 0).await?;
+    let public_id = running.public_id();
+    let (first, relay) = Relay::new(cx.clone(), running, true);
+    Ok(StreamedAnswer {
+        public_id,
+        first,
+        relay,
+    })
+}
+
+/// Runs `request` to its end. An answer that breaks off is generated anew, since none of it was
+/// given to the caller.
+///
+/// # Errors
+/// A refusal of any stage.
+pub async fn run_whole(cx: &Context, request: Classified) -> Result<WholeAnswer> {
+    let mut runs = 0;
+    let mut attempt = 0;
+    loop {
+        runs += 1;
+        let running = start(cx, request.clone(), attempt).await.map_err(|r| {
+            // An earlier run may have consumed tokens, so the request as a whole is not "not run".
+            let run = if runs > 1 { RunState::Unknown } else { r.run };
+            Refusal { run, ..r }
+        })?;
+        attempt = running.attempt;
+        match collect(cx, running).await {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) if runs >= MAX_RUNS || !cx.retries.take() => return Err(refusal),
+            Err(_) => {}
+        }
+    }
+}
+
+async fn start(cx: &Context, request: Classified, attempt: u32) -> Result<Running> {
+    let accepted = cx.clock.mono();
+    cx.retries.add_request();
+    let account = request.caller.account().clone();
+    let patience = request.patience;
+    let started = match admit(cx, request).await {
+        Ok(admitted) => dispatch(cx, admitted, accepted, attempt).await,
+        Err(refusal) => Err(refusal),
+    };
+    if let Err(refusal) = &started {
+        let ending = match refusal.run {
+            RunState::NotRun => Ending::Refused,
+            RunState::Ran | RunState::Unknown => Ending::Failed,
+        };
+        cx.metrics.ended(&account, patience, ending);
+    }
+    started
+}
+
+async fn collect(cx: &Context, running: Running) -> Result<WholeAnswer> {
+    let public_id = running.public_id();
+    let (first, mut relay) = Relay::new(cx.clone(), running, false);
+    let mut text = String::new();
+    let mut frame = first;
+    loop {
+        text.push_str(&frame.text);
+        if let Some(finish_reason) = frame.finish_reason {
+            let usage = frame.usage.unwrap_or_default();
+            relay.complete(usage);
+            return Ok(WholeAnswer {
+                public_id,
+                text,
+                finish_reason,
+                usage,
+            });
+        }
+        frame = relay.next().await.unwrap_or_else(|| Err(ended_early()))?;
+    }
+}
+
+fn ended_early() -> Refusal {
+    let message = "the answer ended without a finish reason";
+    Refusal::unknown(crate::types::RefusalCode::BackendFailed, message)
+}
