feat(standin): load tool with checked answers

A refusal counts as wrongful while all tokens that the account sent, less its rate, stay within its burst.

--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use clap::Arg;
+use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
@@ -18,9 +19,11 @@
 
 use crate::configs::SettingsError;
 use crate::configs::read_file;
+use crate::configs::standin_callers::CallerSettings;
 use crate::configs::standin_engine::EngineSettings;
 use crate::configs::standin_service::ServiceSettings;
 use crate::configs::standin_store::StoreSettings;
+use crate::standin::callers;
 use crate::standin::engine::RunningEngine;
 use crate::standin::service::RunningService;
 use crate::standin::store::RunningStore;
@@ -56,6 +59,22 @@
         .subcommand(kind("engine", "Run an inference engine stand-in"))
         .subcommand(kind("service", "Run a plain service stand-in"))
         .subcommand(kind("store", "Run a weight store stand-in"))
+        .subcommand(
+            kind("callers", "Send a seeded load and report how it was served")
+                .arg(
+                    Arg::new("json")
+                        .long("json")
+                        .help("Print the report as JSON")
+                        .action(ArgAction::SetTrue),
+                )
+                .arg(
+                    Arg::new("seed")
+                        .long("seed")
+                        .value_name("N")
+                        .help("Use this seed instead of the one in the settings")
+                        .value_parser(value_parser!(u64)),
+                ),
+        )
 }
 
 /// Runs the stand-in until it ends or gets SIGTERM or SIGINT.
@@ -70,6 +89,7 @@
         "engine" => run_engine(path).await,
         "service" => run_service(path).await,
         "store" => run_store(path).await,
+        "callers" => run_callers(path, arguments).await,
         _ => return ExitCode::FAILURE,
     };
     match result {
@@ -113,7 +133,22 @@
     Ok(())
 }
 
-/// Prints the final counters as one line of JSON.
+/// Runs the load tool to its end, or until a signal stops the process.
+async fn run_callers(path: &Path, arguments: &ArgMatches) -> Result<()> {
+    let mut settings = read_file(path, CallerSettings::read).context(SettingsSnafu)?;
+    if let Some(seed) = arguments.get_one::<u64>("seed") {
+        settings.seed = *seed;
+    }
+    let report = callers::run(settings).await;
+    if arguments.get_flag("json") {
+        print_counts(&report);
+    } else {
+        print!("{}", report.table());
+    }
+    Ok(())
+}
+
+/// Prints counters as one line of JSON.
 fn print_counts(counts: &impl Serialize) {
     if let Ok(line) = serde_json::to_string(counts) {
         println!("{line}");
--- /dev/null
+++ b/src/standin/callers.rs
@@ -0,0 +1,44 @@
+//! Load tool: many callers of several client accounts, planned from a seed.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::task::JoinSet;
+
+use crate::configs::standin_callers::CallerSettings;
+use crate::types::Clock;
+
+use super::callers_plan;
+use super::callers_plan::Planned;
+use super::callers_report::Report;
+use super::callers_run;
+use super::callers_run::Outcome;
+use super::callers_run::Shared;
+use super::client::HttpClient;
+
+/// Sends the planned requests at their times and waits for all of them.
+pub async fn run(settings: CallerSettings) -> Report {
+    let plan = callers_plan::plan(&settings);
+    let clock = Clock::start();
+    let shared = Arc::new(Shared {
+        settings,
+        client: HttpClient::new(),
+        clock,
+        run_id: clock.unix().0,
+    });
+    let start = Instant::now();
+    let mut tasks: JoinSet<(Planned, Outcome)> = JoinSet::new();
+    for planned in plan {
+        let at = start + Duration::from_millis(planned.at_ms);
+        tokio::time::sleep_until(at.into()).await;
+        let shared = shared.clone();
+        tasks.spawn(async move {
+            let outcome = callers_run::run(shared, planned.clone()).await;
+            (planned, outcome)
+        });
+    }
+    let mut outcomes = tasks.join_all().await;
+    outcomes.sort_by_key(|(planned, _)| planned.index);
+    Report::new(&shared.settings, &outcomes)
+}
--- /dev/null
+++ b/src/standin/callers_report.rs
@@ -0,0 +1,314 @@
+//! Report of the load tool.
+
+use std::fmt::Write;
+
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::configs::standin_callers::CallerAccount;
+use crate::configs::standin_callers::CallerSettings;
+
+use super::callers_plan::Class;
+use super::callers_plan::Planned;
+use super::callers_run::Ending;
+use super::callers_run::Outcome;
+
+/// Longest time that the histograms hold, in milliseconds.
+const MAX_RECORDED_MS: u64 = 3_600_000;
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// Reasons of mismatches that are kept per class.
+const KEPT_REASONS: usize = 3;
+
+/// Counts of one class of one account, or of all together.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ClassReport {
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers of their own.
+    pub answered: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Refusals while the account was within its rate and burst.
+    pub wrongfully_refused: u64,
+    /// Answers after the deadline.
+    pub late: u64,
+    /// Errors that leave open whether the request ran.
+    pub unknown: u64,
+    /// Requests without a final response.
+    pub lost: u64,
+    /// Answers that are not whole, not their own or not the recorded ones.
+    pub mismatched: u64,
+    /// Urgent requests whose adapter became resident only after they were sent.
+    pub load_stalls: u64,
+    /// Attempts beyond the first.
+    pub resends: u64,
+    /// Median time to the first token in milliseconds.
+    pub first_token_p50_ms: u64,
+    /// 99th percentile of the time to the first token in milliseconds.
+    pub first_token_p99_ms: u64,
+    /// Refusals and unknown outcomes by error code.
+    pub codes: IndexMap<String, u64>,
+    /// What was wrong with the first mismatched answers.
+    pub mismatch_reasons: Vec<String>,
+    #[serde(skip)]
+    first_token: Times,
+}
+
+#[derive(Clone, Debug)]
+struct Times(Histogram<u64>);
+
+impl Default for Times {
+    fn default() -> Self {
+        // The bounds are constants that the constructor accepts.
+        let histogram = Histogram::new_with_max(MAX_RECORDED_MS, DIGITS);
+        Self(histogram.expect("valid histogram bounds"))
+    }
+}
+
+/// One account.
+#[derive(Clone, Debug, Serialize)]
+pub struct AccountReport {
+    /// Tokens of all requests sent.
+    pub sent_tokens: u64,
+    /// Tokens that the account was entitled to: what it sent within its rate and burst.
+    pub entitled_tokens: u64,
+    /// Tokens of the answered requests.
+    pub served_tokens: u64,
+    /// Served by entitled tokens, at most 1.
+    pub served_ratio: f64,
+    /// Counts by class.
+    pub classes: IndexMap<Class, ClassReport>,
+    #[serde(skip)]
+    meter: Meter,
+}
+
+/// Debt of an account against its rate: all tokens sent, less the rate.
+#[derive(Clone, Debug)]
+struct Meter {
+    rate_tokens_per_s: f64,
+    burst_tokens: f64,
+    debt_tokens: f64,
+    at_ms: u64,
+}
+
+impl Meter {
+    fn new(account: &CallerAccount) -> Self {
+        Self {
+            rate_tokens_per_s: account.rate_tokens_per_s as f64,
+            burst_tokens: account.burst_tokens as f64,
+            debt_tokens: 0.0,
+            at_ms: 0,
+        }
+    }
+
+    /// Charges `tokens` and returns whether the account is within its rate and burst.
+    fn charge(&mut self, at_ms: u64, tokens: u64) -> bool {
+        let elapsed_s = at_ms.saturating_sub(self.at_ms) as f64 / 1_000.0;
+        self.at_ms = at_ms;
+        let paid = elapsed_s * self.rate_tokens_per_s;
+        self.debt_tokens = (self.debt_tokens - paid).max(0.0) + tokens as f64;
+        self.debt_tokens <= self.burst_tokens
+    }
+}
+
+/// The account that got the smallest part of what it was entitled to.
+#[derive(Clone, Debug, Serialize)]
+pub struct WorstServed {
+    /// Name of the account.
+    pub account: String,
+    /// Served by entitled tokens.
+    pub ratio: f64,
+}
+
+/// Result of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Seed of the plan.
+    pub seed: u64,
+    /// Time during which requests were sent, in milliseconds.
+    pub duration_ms: u64,
+    /// All accounts and classes together.
+    pub totals: ClassReport,
+    /// The account that got the smallest part of what it was entitled to.
+    pub worst_served: Option<WorstServed>,
+    /// Counts by account.
+    pub accounts: IndexMap<String, AccountReport>,
+}
+
+impl Report {
+    /// Counts the outcomes of a plan, in the order of sending.
+    pub fn new(settings: &CallerSettings, outcomes: &[(Planned, Outcome)]) -> Self {
+        let account = |account: &CallerAccount| {
+            let report = AccountReport {
+                sent_tokens: 0,
+                entitled_tokens: 0,
+                served_tokens: 0,
+                served_ratio: 1.0,
+                classes: IndexMap::new(),
+                meter: Meter::new(account),
+            };
+            (account.name.clone(), report)
+        };
+        let mut report = Self {
+            seed: settings.seed,
+            duration_ms: settings.duration_ms,
+            totals: ClassReport::default(),
+            worst_served: None,
+            accounts: settings.accounts.iter().map(account).collect(),
+        };
+        for (planned, outcome) in outcomes {
+            report.add(settings, planned, outcome);
+        }
+        report.finish(settings);
+        report
+    }
+
+    fn add(&mut self, settings: &CallerSettings, planned: &Planned, outcome: &Outcome) {
+        let name = &settings.accounts[planned.account].name;
+        let Some(account) = self.accounts.get_mut(name) else {
+            return;
+        };
+        let cost = planned.cost_tokens();
+        let within_rate = account.meter.charge(planned.at_ms, cost);
+        account.sent_tokens += cost;
+        if outcome.ending == Ending::Answered {
+            account.served_tokens += cost;
+        }
+        let late = is_late(settings, planned.class, outcome);
+        let class = account.classes.entry(planned.class).or_default();
+        class.add(planned.class, outcome, within_rate, late);
+        self.totals.add(planned.class, outcome, within_rate, late);
+    }
+
+    fn finish(&mut self, settings: &CallerSettings) {
+        self.totals.finish();
+        for (account, report) in settings.accounts.iter().zip(self.accounts.values_mut()) {
+            let rate_tokens = account.rate_tokens_per_s * settings.duration_ms / 1_000;
+            let allowed = rate_tokens + account.burst_tokens;
+            report.entitled_tokens = report.sent_tokens.min(allowed);
+            if report.entitled_tokens > 0 {
+                let ratio = report.served_tokens as f64 / report.entitled_tokens as f64;
+                report.served_ratio = ratio.min(1.0);
+            }
+            report.classes.sort_unstable_keys();
+            report.classes.values_mut().for_each(ClassReport::finish);
+        }
+        let served = self
+            .accounts
+            .iter()
+            .filter(|(_, report)| report.entitled_tokens > 0);
+        let worst = served.min_by(|a, b| a.1.served_ratio.total_cmp(&b.1.served_ratio));
+        self.worst_served = worst.map(|(name, report)| WorstServed {
+            account: name.clone(),
+            ratio: report.served_ratio,
+        });
+    }
+
+    /// The report as a table for people.
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{:<14} {:<9} {:>6} {:>8} {:>7} {:>8} {:>5} {:>7} {:>5} {:>10} {:>6} {:>8} {:>8}\n",
+            "account",
+            "class",
+            "sent",
+            "answered",
+            "refused",
+            "wrongful",
+            "late",
+            "unknown",
+            "lost",
+            "mismatched",
+            "stalls",
+            "p50 ms",
+            "p99 ms",
+        );
+        for (name, account) in &self.accounts {
+            for (class, report) in &account.classes {
+                report.write_row(&mut text, name, class.as_str());
+            }
+        }
+        self.totals.write_row(&mut text, "all", "all");
+        for (name, account) in &self.accounts {
+            let ratio = account.served_ratio;
+            let (served, entitled) = (account.served_tokens, account.entitled_tokens);
+            let line = format!("{name}: {served} of {entitled} entitled tokens ({ratio:.3})\n");
+            text.push_str(&line);
+        }
+        for reason in &self.totals.mismatch_reasons {
+            let line = format!("mismatched: {reason}\n");
+            text.push_str(&line);
+        }
+        text
+    }
+}
+
+fn is_late(settings: &CallerSettings, class: Class, outcome: &Outcome) -> bool {
+    let limit_ms = match class {
+        Class::Patient => settings.patient_deadline_ms,
+        _ => settings.urgent_deadline_ms,
+    };
+    let first_ms = outcome.first_token_ms.unwrap_or(outcome.total_ms);
+    outcome.ending == Ending::Answered && first_ms > limit_ms
+}
+
+impl ClassReport {
+    fn add(&mut self, class: Class, outcome: &Outcome, within_rate: bool, late: bool) {
+        self.sent += 1;
+        self.resends += outcome.resends;
+        self.late += u64::from(late);
+        let urgent = matches!(class, Class::Live | Class::Streamed);
+        self.load_stalls += u64::from(urgent && outcome.stalled);
+        match &outcome.ending {
+            Ending::Answered => {
+                self.answered += 1;
+                let first_ms = outcome.first_token_ms.unwrap_or(outcome.total_ms);
+                self.first_token.0.saturating_record(first_ms);
+            }
+            Ending::Refused { code } => {
+                self.refused += 1;
+                self.wrongfully_refused += u64::from(within_rate);
+                *self.codes.entry(code.clone()).or_default() += 1;
+            }
+            Ending::Unknown { code } => {
+                self.unknown += 1;
+                *self.codes.entry(code.clone()).or_default() += 1;
+            }
+            Ending::Lost => self.lost += 1,
+            Ending::Mismatched { reason } => {
+                self.mismatched += 1;
+                if self.mismatch_reasons.len() < KEPT_REASONS {
+                    self.mismatch_reasons.push(reason.clone());
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        self.first_token_p50_ms = self.first_token.0.value_at_quantile(0.5);
+        self.first_token_p99_ms = self.first_token.0.value_at_quantile(0.99);
+    }
+
+    fn write_row(&self, text: &mut String, account: &str, class: &str) {
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            text,
+            "{account:<14} {class:<9} {:>6} {:>8} {:>7} {:>8} {:>5} {:>7} {:>5} {:>10} {:>6} \
+             {:>8} {:>8}",
+            self.sent,
+            self.answered,
+            self.refused,
+            self.wrongfully_refused,
+            self.late,
+            self.unknown,
+            self.lost,
+            self.mismatched,
+            self.load_stalls,
+            self.first_token_p50_ms,
+            self.first_token_p99_ms,
+        );
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,6 +2,11 @@
 
 pub mod announcer;
 pub mod answer;
+pub mod caller_api;
+pub mod callers;
+pub mod callers_plan;
+pub mod callers_report;
+pub mod callers_run;
 pub mod client;
 pub mod engine;
 pub mod engine_cache;
