--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -1,6 +1,8 @@
 //! `medlarlift standin`: runs one stand-in process.
 
+use std::fs;
 use std::io;
+use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -24,6 +26,7 @@
 use crate::configs::standin_service::ServiceSettings;
 use crate::configs::standin_store::StoreSettings;
 use crate::standin::callers;
+use crate::standin::callers_plan;
 use crate::standin::engine::RunningEngine;
 use crate::standin::service::RunningService;
 use crate::standin::store::RunningStore;
@@ -35,6 +38,10 @@
     Settings { source: SettingsError },
     #[snafu(display("cannot listen on the address in the settings: {source}"))]
     Bind { source: io::Error },
+    #[snafu(display("cannot write report {}: {source}", path.display()))]
+    Report { path: PathBuf, source: io::Error },
+    #[snafu(display("cannot write the output: {source}"))]
+    Output { source: io::Error },
     #[snafu(display("cannot handle signals: {source}"))]
     Signals { source: io::Error },
 }
@@ -59,22 +66,35 @@
         .subcommand(kind("engine", "Run an inference engine stand-in"))
         .subcommand(kind("service", "Run a plain service stand-in"))
         .subcommand(kind("store", "Run a weight store stand-in"))
-        .subcommand(
-            kind("callers", "Send a seeded load and report how it was served")
-                .arg(
-                    Arg::new("json")
-                        .long("json")
-                        .help("Print the report as JSON")
-                        .action(ArgAction::SetTrue),
-                )
-                .arg(
-                    Arg::new("seed")
-                        .long("seed")
-                        .value_name("N")
-                        .help("Use this seed instead of the one in the settings")
-                        .value_parser(value_parser!(u64)),
-                ),
-        )
+        .subcommand(with_caller_options(kind(
+            "callers",
+            "Send a seeded load and report how it was served",
+        )))
+}
+
+fn with_caller_options(command: Command) -> Command {
+    let flag = |name: &'static str, help: &'static str| {
+        let flag = Arg::new(name).long(name).help(help);
+        flag.action(ArgAction::SetTrue)
+    };
+    let seed = Arg::new("seed")
+        .long("seed")
+        .value_name("N")
+        .help("Use this seed instead of the one in the settings")
+        .value_parser(value_parser!(u64));
+    let report = Arg::new("report")
+        .long("report")
+        .value_name("FILE")
+        .help("Also write the report to this file as JSON")
+        .value_parser(value_parser!(PathBuf));
+    command
+        .arg(flag("json", "Print the report as JSON"))
+        .arg(flag(
+            "plan",
+            "Print the planned requests as JSON lines and send nothing",
+        ))
+        .arg(seed)
+        .arg(report)
 }
 
 /// Runs the stand-in until it ends or gets SIGTERM or SIGINT.
@@ -108,8 +128,7 @@
     log::info!("engine: listening on {}", engine.address());
     stop.wait().await;
     engine.leave().await;
-    print_counts(&engine.counts());
-    Ok(())
+    print_line(&engine.counts())
 }
 
 async fn run_service(path: &Path) -> Result<()> {
@@ -119,8 +138,7 @@
     log::info!("service: listening on {}", service.address());
     stop.wait().await;
     service.leave().await;
-    print_counts(&service.counts());
-    Ok(())
+    print_line(&service.counts())
 }
 
 async fn run_store(path: &Path) -> Result<()> {
@@ -129,8 +147,7 @@
     let store = RunningStore::bind(settings).await.context(BindSnafu)?;
     log::info!("store: listening on {}", store.address());
     stop.wait().await;
-    print_counts(&store.counts());
-    Ok(())
+    print_line(&store.counts())
 }
 
 /// Runs the load tool to its end, or until a signal stops the process.
@@ -139,20 +156,27 @@
     if let Some(seed) = arguments.get_one::<u64>("seed") {
         settings.seed = *seed;
     }
+    if arguments.get_flag("plan") {
+        return callers_plan::plan(&settings)
+            .iter()
+            .try_for_each(print_line);
+    }
     let report = callers::run(settings).await;
+    if let Some(path) = arguments.get_one::<PathBuf>("report") {
+        let text = serde_json::to_string(&report).unwrap_or_default();
+        fs::write(path, text).context(ReportSnafu { path })?;
+    }
     if arguments.get_flag("json") {
-        print_counts(&report);
+        print_line(&report)
     } else {
-        print!("{}", report.table());
+        write!(io::stdout(), "{}", report.table()).context(OutputSnafu)
     }
-    Ok(())
 }
 
-/// Prints counters as one line of JSON.
-fn print_counts(counts: &impl Serialize) {
-    if let Ok(line) = serde_json::to_string(counts) {
-        println!("{line}");
-    }
+/// Prints one line of JSON.
+fn print_line(value: &impl Serialize) -> Result<()> {
+    let line = serde_json::to_string(value).unwrap_or_default();
+    writeln!(io::stdout(), "{line}").context(OutputSnafu)
 }
 
 /// Signals that ask a process to stop.
--- a/src/standin/callers_plan.rs
+++ b/src/standin/callers_plan.rs
@@ -66,7 +66,7 @@
 }
 
 /// One request of the plan.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Planned {
     /// Unique within the plan.
     pub index: u64,
