--- /dev/null
+++ b/src/http/admin/progress.rs
@@ -0,0 +1,71 @@
+//! Which VMs have a change.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::http::admin::ACCEPT_WAIT;
+use crate::http::admin::ChangeStatus;
+use crate::http::admin::ControlPort;
+use crate::http::admin::VmProgress;
+use crate::http::admin::VmProgressState;
+use crate::http::admin::VmReach;
+
+/// Interval at which the progress of a change is read while its answer waits.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Waits until `revision` is accepted or the wait is over; gives what is true then.
+pub(super) async fn wait(port: &dyn ControlPort, revision: u64) -> (ChangeStatus, Vec<VmProgress>) {
+    let deadline = Instant::now() + ACCEPT_WAIT;
+    loop {
+        let reach = port.reach().await;
+        if is_accepted(&reach, revision) {
+            return (ChangeStatus::Accepted, views(&reach, Some(revision)));
+        }
+        if Instant::now() >= deadline {
+            return (ChangeStatus::Committed, views(&reach, Some(revision)));
+        }
+        sleep(POLL).await;
+    }
+}
+
+/// Every VM of `reach` and whether it has `revision`; all are pending if there is none.
+pub(super) fn views(reach: &[VmReach], revision: Option<u64>) -> Vec<VmProgress> {
+    reach
+        .iter()
+        .map(|vm| VmProgress {
+            vm: vm.vm.to_string(),
+            data_centre: vm.data_centre.to_string(),
+            state: match revision.is_some_and(|wanted| has(vm, wanted)) {
+                true => VmProgressState::InForce,
+                false => VmProgressState::Pending,
+            },
+            revision: vm.revision,
+        })
+        .collect()
+}
+
+/// Whether every data centre that may still serve has `revision`: a majority of its VMs has it, and
+/// so has every VM that is reachable. A VM that is cut off from both the log and the majority of
+/// its data centre refuses keyed work, so one that is out of reach does not hold the change up; a
+/// data centre that is out of reach as a whole does, because it continues to serve.
+fn is_accepted(reach: &[VmReach], revision: u64) -> bool {
+    let mut data_centres: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    for vm in reach {
+        let is_behind = vm.revision.is_some() && !has(vm, revision);
+        if is_behind {
+            return false;
+        }
+        let counts = data_centres.entry(vm.data_centre.as_str()).or_default();
+        counts.0 += usize::from(has(vm, revision));
+        counts.1 += 1;
+    }
+    let has_majority = |(in_force, all): &(usize, usize)| in_force * 2 > *all;
+    !data_centres.is_empty() && data_centres.values().all(has_majority)
+}
+
+fn has(vm: &VmReach, revision: u64) -> bool {
+    vm.revision.is_some_and(|applied| applied >= revision)
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,3 @@
+//! HTTP interfaces: the administration API.
+
+pub mod admin;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,5 @@
 //! Medlarlift serves very many LoRA adapters through a small fleet of entry VMs.
 
 pub mod control;
+pub mod http;
 pub mod types;
