--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod pipeline;
 pub mod scheduling;
 pub mod standin;
+pub mod http;
 pub mod types;
