--- a/src/control/apply.rs
+++ b/src/control/apply.rs
@@ -49,6 +49,15 @@
             return Outcome::AlreadyApplied;
         }
         self.applied_index = index;
+        let revision = self.revision();
+        let outcome = self.apply_command(command);
+        if self.revision() != revision {
+            self.record_limits(index);
+        }
+        outcome
+    }
+
+    fn apply_command(&mut self, command: &Command) -> Outcome {
         match command {
             Command::Change(change) => self.apply_change(change),
             Command::JoinVm {
@@ -63,6 +72,10 @@
             Command::Order(order) => Outcome::Order(self.orders.apply(order, &self.lost, self.now)),
             Command::Job(job) => Outcome::Job(self.jobs.apply(job, &self.lost, self.now)),
             Command::OwnerLost { vm, incarnation } => self.owner_lost(vm, *incarnation),
+            Command::SettleLimits { index } => {
+                self.settle_limits(*index);
+                Outcome::Noted
+            }
             Command::Tick { now } => self.tick(*now),
         }
     }
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -65,6 +65,11 @@
         /// Highest incarnation that has ended.
         incarnation: u64,
     },
+    /// No data centre uses limits from before the entry at `index` any more.
+    SettleLimits {
+        /// Settled index, see [`crate::limits::Settlement`].
+        index: u64,
+    },
     /// The wall clock of the log's leader; expires orders and jobs.
     Tick {
         /// Wall clock of the proposer.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod job_records;
 mod jobs;
 mod keys;
+mod limit_history;
 mod names;
 mod orders;
 mod owners;
@@ -130,6 +131,7 @@
     routes: Routes,
     roster: Roster,
     revisions: Revisions,
+    limits: limit_history::LimitHistories,
     lost: LostOwners,
     orders: Orders,
     jobs: Jobs,
@@ -146,6 +148,7 @@
     routes: BTreeMap<String, Route>,
     roster: Roster,
     revisions: Revisions,
+    limits: limit_history::LimitHistories,
     lost: LostOwners,
     orders: orders::OrderParts,
     jobs: BTreeMap<JobId, Job>,
@@ -277,6 +280,7 @@
             routes: self.routes.parts().clone(),
             roster: self.roster.clone(),
             revisions: self.revisions.clone(),
+            limits: self.limits.clone(),
             lost: self.lost.clone(),
             orders: self.orders.parts(),
             jobs: self.jobs.parts().clone(),
@@ -295,6 +299,7 @@
             routes: Routes::from_parts(snapshot.routes),
             roster: snapshot.roster,
             revisions: snapshot.revisions,
+            limits: snapshot.limits,
             lost: snapshot.lost,
             orders: Orders::from_parts(snapshot.orders),
             jobs: Jobs::from_parts(snapshot.jobs),
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -51,6 +51,8 @@
 pub struct Roster {
     vms: BTreeMap<VmName, RosterVm>,
     pending: BTreeMap<DataCentre, PendingRoster>,
+    /// Number of changes of each data centre's voters.
+    versions: BTreeMap<DataCentre, u64>,
 }
 
 /// What an acknowledgement did.
@@ -81,6 +83,11 @@
             .map(|(name, _)| name)
     }
 
+    /// Number of changes of the voters of `data_centre`; consecutive versions differ by one VM.
+    pub fn version_of(&self, data_centre: &str) -> u64 {
+        self.versions.get(data_centre).copied().unwrap_or(0)
+    }
+
     /// All data centres that have a VM.
     pub fn data_centres(&self) -> BTreeSet<&DataCentre> {
         self.vms.values().map(|vm| &vm.data_centre).collect()
@@ -108,6 +115,7 @@
             leaving: false,
         };
         self.vms.insert(name.clone(), vm);
+        self.count_change(&data_centre);
         self.wait(data_centre, revision, name, false, old_vms);
     }
 
@@ -125,9 +133,14 @@
     pub(super) fn force_removal(&mut self, name: &VmName) -> Option<RosterVm> {
         let vm = self.vms.remove(name)?;
         self.pending.remove(&vm.data_centre);
+        self.count_change(&vm.data_centre);
         Some(vm)
     }
 
+    fn count_change(&mut self, data_centre: &DataCentre) {
+        *self.versions.entry(data_centre.clone()).or_default() += 1;
+    }
+
     pub(super) fn acknowledge(&mut self, name: &VmName, revision: u64) -> Acknowledged {
         let Some(data_centre) = self.vms.get(name).map(|vm| vm.data_centre.clone()) else {
             return Acknowledged::Nothing;
@@ -148,6 +161,7 @@
         if !done.is_removal {
             return Acknowledged::Complete(None);
         }
+        self.count_change(&data_centre);
         Acknowledged::Complete(self.vms.remove_entry(&done.vm))
     }
 
--- a/src/limits/version.rs
+++ b/src/limits/version.rs
@@ -158,6 +158,16 @@
         }
     }
 
+    /// Number of versions that may still be in use.
+    pub fn len(&self) -> usize {
+        self.versions.len()
+    }
+
+    /// Whether there is no version.
+    pub fn is_empty(&self) -> bool {
+        self.versions.is_empty()
+    }
+
     /// The newest version.
     pub fn latest(&self) -> Option<&LimitVersion> {
         self.versions.last()
