feat(pipeline): orders, plain services and jobs

An order is sent only by the dispatcher whose intent was committed; a failed commit is answered not_run because nothing was sent, and a release proposed in the background lets a resend run it. An outcome that cannot be recorded is reported as ran and unrecorded instead of being told, since a resend would get another answer.

--- a/src/pipeline/context.rs
+++ b/src/pipeline/context.rs
@@ -5,8 +5,10 @@
 
 use super::authenticate::Keys;
 use super::dispatcher::Dispatcher;
+use super::ledger::Ledger;
 use super::retry_budget::RetryBudget;
 use crate::backend::Engine;
+use crate::backend::HttpClient;
 use crate::limits;
 use crate::membership::Fingerprint;
 use crate::membership::Verdict;
@@ -53,6 +55,12 @@
     pub limits: limits::Client,
     /// Queue and routing.
     pub dispatcher: Arc<Dispatcher>,
+    /// Records of orders and jobs.
+    pub ledger: Arc<dyn Ledger>,
+    /// Client for service calls that may be repeated.
+    pub pooled: HttpClient,
+    /// Client for service calls that must not be repeated.
+    pub single_use: HttpClient,
     /// Engine dialect.
     pub engine: Arc<dyn Engine>,
     /// Backend servers.
--- /dev/null
+++ b/src/pipeline/job.rs
@@ -0,0 +1,279 @@
+//! Patient work that is accepted now and fetched later.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use rand::RngExt;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use super::authenticate::Caller;
+use super::authenticate::authenticate;
+use super::classify::Classified;
+use super::classify::Completion;
+use super::classify::Format;
+use super::classify::bad;
+use super::classify::classify;
+use super::context::Context;
+use super::ledger::LedgerError;
+use super::request_id::RequestId;
+use crate::control::Command;
+use crate::control::CutOffPolicy;
+use crate::control::Job;
+use crate::control::JobAccept;
+use crate::control::JobCommand;
+use crate::control::JobPhase;
+use crate::control::JobReply;
+use crate::control::JobStatus;
+use crate::control::Outcome;
+use crate::control::RecordedResult;
+use crate::types::Patience;
+use crate::types::Refusal;
+use crate::types::RefusalCode;
+use crate::types::UnixMs;
+
+/// Result of a call about a job.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Longest wait for a job's record to be committed.
+const COMMIT_MS: u64 = 3_000;
+/// Time for which a result can be fetched after the job's deadline.
+const KEEP_MS: u64 = 24 * 60 * 60 * 1_000;
+/// Bytes reserved for the result per output token.
+const RESULT_BYTES_PER_TOKEN: u64 = 16;
+/// Bytes reserved for the rest of the result.
+const RESULT_BASE_BYTES: u64 = 1_024;
+/// Time after which a caller may try again.
+const RETRY_AFTER_MS: u64 = 2_000;
+
+/// Body of a submission.
+#[derive(Deserialize)]
+struct Submission {
+    endpoint: Option<String>,
+    body: Option<serde_json::Value>,
+}
+
+/// A job's request as it is recorded.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobRequest {
+    /// What is asked for.
+    pub completion: Completion,
+    /// Digest that recognises a request that crashes engines.
+    pub fingerprint: [u8; 32],
+}
+
+impl JobRequest {
+    /// The request as the stages run it for `caller`.
+    pub fn classified(self, job: &Job, caller: Caller) -> Classified {
+        Classified {
+            caller,
+            request_id: RequestId::random(),
+            completion: self.completion,
+            patience: Patience::Patient,
+            deadline: job.accept.deadline_unix_ms,
+            fingerprint: self.fingerprint,
+        }
+    }
+}
+
+/// What a caller is told about a job.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobView {
+    /// Id of the job.
+    pub id: String,
+    /// How far it has come.
+    pub status: JobStatus,
+    /// When it must be done.
+    pub deadline_unix_ms: UnixMs,
+    /// Number of dispatches so far.
+    pub attempt: u32,
+}
+
+impl JobView {
+    fn of(job: &Job) -> Self {
+        Self {
+            id: job.accept.job.to_string(),
+            status: job.status(),
+            deadline_unix_ms: job.accept.deadline_unix_ms,
+            attempt: job.attempt,
+        }
+    }
+}
+
+/// Accepts a job: it is committed before the caller is told.
+///
+/// # Errors
+/// The errors of a completion request; `Isolated` if the record could not be committed.
+pub async fn submit_job(cx: &Context, headers: &HeaderMap, body: &Bytes) -> Result<JobView> {
+    let caller = authenticate(&*cx.keys, headers)?;
+    let policy = caller.parameters().when_cut_off;
+    cx.health.check_open(policy == CutOffPolicy::Serve)?;
+    let (format, inner) = read_submission(body)?;
+    let now = cx.clock.unix();
+    let mut headers = headers.clone();
+    headers.insert("x-patience", http::HeaderValue::from_static("patient"));
+    let request = classify(caller, &headers, format, &inner, now)?;
+    let accept = accept(request, now);
+    let view = JobView {
+        id: accept.job.to_string(),
+        status: JobStatus::Queued,
+        deadline_unix_ms: accept.deadline_unix_ms,
+        attempt: 0,
+    };
+    let reply = propose(cx, JobCommand::Accept(accept)).await;
+    match reply.map_err(not_accepted)? {
+        JobReply::Accepted => Ok(view),
+        JobReply::Refused(error) => {
+            let refusal = Refusal::not_run(RefusalCode::Overloaded, error.to_string());
+            Err(refusal
+                .with_field(error.field, error.value)
+                .with_retry_after_ms(RETRY_AFTER_MS))
+        }
+        JobReply::Expired => Err(Refusal::not_run(
+            RefusalCode::DeadlineUnreachable,
+            "the deadline has already passed",
+        )),
+        other => Err(Refusal::not_run(
+            RefusalCode::Internal,
+            format!("the job was not accepted: {other:?}"),
+        )),
+    }
+}
+
+fn read_submission(body: &Bytes) -> Result<(Format, Bytes)> {
+    let submission: Submission = serde_json::from_slice(body).map_err(|error| {
+        bad(
+            "body",
+            "(body)",
+            format!("the body cannot be read: {error}"),
+        )
+    })?;
+    let format = match submission.endpoint.as_deref() {
+        Some("/v1/chat/completions") => Format::Chat,
+        Some("/v1/completions") => Format::Text,
+        other => {
+            let message = "the endpoint must be /v1/chat/completions or /v1/completions";
+            return Err(bad("endpoint", other.unwrap_or("missing"), message));
+        }
+    };
+    let inner = submission
+        .body
+        .ok_or_else(|| bad("body", "missing", "the request of the job is required"))?;
+    Ok((format, Bytes::from(inner.to_string())))
+}
+
+fn accept(request: Classified, now: UnixMs) -> JobAccept {
+    let id: u128 = rand::rng().random();
+    let max_tokens = request.completion.max_tokens;
+    let result_bytes = RESULT_BASE_BYTES + max_tokens * RESULT_BYTES_PER_TOKEN;
+    let recorded = JobRequest {
+        completion: request.completion,
+        fingerprint: request.fingerprint,
+    };
+    let request_bytes = serde_json::to_vec(&recorded).expect("requests are plain data");
+    JobAccept {
+        job: format!("job-{id:032x}").into(),
+        account: request.caller.account().clone(),
+        request: request_bytes.into(),
+        result_bytes: u32::try_from(result_bytes).unwrap_or(u32::MAX),
+        repeatable: true,
+        at: now,
+        deadline_unix_ms: request.deadline,
+        keep_until_unix_ms: request.deadline.plus(KEEP_MS),
+    }
+}
+
+/// How far a job of the caller has come.
+///
+/// # Errors
+/// `NotFound` if the caller's account has no such job.
+pub fn job_status(cx: &Context, headers: &HeaderMap, id: &str) -> Result<JobView> {
+    find(cx, headers, id).map(|job| JobView::of(&job))
+}
+
+/// The recorded result of a job of the caller.
+///
+/// # Errors
+/// `NotFound` if the account has no such job or it has no result yet; then with its status.
+pub fn job_result(cx: &Context, headers: &HeaderMap, id: &str) -> Result<RecordedResult> {
+    let job = find(cx, headers, id)?;
+    match &job.phase {
+        JobPhase::Done(result) => Ok(result.clone()),
+        JobPhase::Queued | JobPhase::Running(_) => Err(Refusal::not_run(
+            RefusalCode::NotFound,
+            "the job has no result yet",
+        )
+        .with_retry_after_ms(RETRY_AFTER_MS)),
+        JobPhase::Cancelled => Err(Refusal::unknown(
+            RefusalCode::NotFound,
+            "the job was cancelled",
+        )),
+        JobPhase::Missed => Err(Refusal::unknown(
+            RefusalCode::DeadlineUnreachable,
+            "the job missed its deadline",
+        )),
+        JobPhase::Unknown(_) => Err(Refusal::unknown(
+            RefusalCode::OutcomeUnknown,
+            "the VM that ran the job failed and the job may not be repeated",
+        )),
+    }
+}
+
+/// Cancels a job of the caller.
+///
+/// # Errors
+/// `NotFound` if the account has no such job, `Isolated` if the log cannot be reached.
+pub async fn cancel_job(cx: &Context, headers: &HeaderMap, id: &str) -> Result<JobView> {
+    let caller = authenticate(&*cx.keys, headers)?;
+    let cancel = JobCommand::Cancel {
+        job: Arc::from(id),
+        account: caller.account().clone(),
+    };
+    match propose(cx, cancel).await.map_err(not_accepted)? {
+        JobReply::Cancelled => Ok(JobView {
+            id: id.to_owned(),
+            status: JobStatus::Cancelled,
+            deadline_unix_ms: UnixMs::default(),
+            attempt: 0,
+        }),
+        JobReply::Ended(status) => Ok(JobView {
+            id: id.to_owned(),
+            status,
+            deadline_unix_ms: UnixMs::default(),
+            attempt: 0,
+        }),
+        _ => Err(not_found(id)),
+    }
+}
+
+fn find(cx: &Context, headers: &HeaderMap, id: &str) -> Result<Job> {
+    let caller = authenticate(&*cx.keys, headers)?;
+    let job = cx.ledger.job(id);
+    job.filter(|job| job.accept.account == *caller.account())
+        .ok_or_else(|| not_found(id))
+}
+
+async fn propose(cx: &Context, command: JobCommand) -> Result<JobReply, LedgerError> {
+    let deadline = Instant::now() + Duration::from_millis(COMMIT_MS);
+    match cx.ledger.propose(Command::Job(command), deadline).await? {
+        Outcome::Job(reply) => Ok(reply),
+        _ => Err(LedgerError::Unknown),
+    }
+}
+
+/// A job whose record may still be committed is reported as unknown: it may run.
+fn not_accepted(error: LedgerError) -> Refusal {
+    let message = format!("the job's record could not be committed: {error}");
+    let refusal = match error {
+        LedgerError::Unavailable => Refusal::not_run(RefusalCode::Isolated, message),
+        LedgerError::Unknown => Refusal::unknown(RefusalCode::OutcomeUnknown, message),
+    };
+    refusal.with_retry_after_ms(RETRY_AFTER_MS)
+}
+
+fn not_found(id: &str) -> Refusal {
+    Refusal::not_run(RefusalCode::NotFound, "the account has no such job").with_field("id", id)
+}
--- /dev/null
+++ b/src/pipeline/order.rs
@@ -0,0 +1,227 @@
+//! Calls that must not repeat: the intent is committed before the call is sent, the outcome before
+//! the caller is told.
+
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use log::warn;
+use rand::RngExt;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use super::context::Context;
+use super::ledger::Ledger;
+use super::ledger::LedgerError;
+use crate::backend::BackendError;
+use crate::backend::ServiceReply;
+use crate::control::Command;
+use crate::control::OrderCommand;
+use crate::control::OrderIntent;
+use crate::control::OrderKey;
+use crate::control::OrderReply;
+use crate::control::Outcome;
+use crate::control::RecordedResult;
+use crate::control::Sha256Hash;
+use crate::types::Refusal;
+use crate::types::RefusalCode;
+use crate::types::RunState;
+use crate::types::UnixMs;
+
+/// Result of an order.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Longest wait for the intent to be committed.
+const INTENT_MS: u64 = 3_000;
+/// Longest wait for the outcome to be committed before the caller is told that it is not recorded.
+const OUTCOME_MS: u64 = 5_000;
+/// Time for which an outcome or a release is proposed in the background.
+const BACKGROUND_MS: u64 = 10 * 60 * 1_000;
+/// Longest wait for an order that another dispatcher is running.
+const IN_PROGRESS_MS: u64 = 2_000;
+/// Interval at which such an order is asked for.
+const IN_PROGRESS_POLL_MS: u64 = 100;
+/// Time after which a caller may ask again for an outcome that is not known.
+const RETRY_AFTER_MS: u64 = 2_000;
+
+/// An order of a caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// Account and idempotency key.
+    pub key: OrderKey,
+    /// Hash of method, path and body.
+    pub body_hash: Sha256Hash,
+    /// When the record expires.
+    pub expires: UnixMs,
+}
+
+/// Sends a granted order to its backend server. Called at most once.
+pub type SendOrder =
+    Box<dyn FnOnce() -> BoxFuture<'static, std::result::Result<ServiceReply, BackendError>> + Send>;
+
+/// Runs `order` at most once across the fleet and returns its recorded outcome.
+///
+/// # Errors
+/// `not_run` if the order was not sent, `unknown` while its outcome is not known, `ran` if the
+/// outcome could not be recorded yet.
+pub async fn run_order(cx: &Context, order: Order, send: SendOrder) -> Result<RecordedResult> {
+    let intent = intent(cx, &order);
+    match claim(cx, &intent).await? {
+        Claim::Granted => dispatch(cx, intent, send).await,
+        Claim::Recorded(result) => Ok(result),
+    }
+}
+
+enum Claim {
+    Granted,
+    Recorded(RecordedResult),
+}
+
+fn intent(cx: &Context, order: &Order) -> OrderIntent {
+    OrderIntent {
+        key: order.key.clone(),
+        body_hash: order.body_hash,
+        owner: cx.ledger.owner(),
+        dispatch_id: rand::rng().random(),
+        at: cx.clock.unix(),
+        expires_unix_ms: order.expires,
+    }
+}
+
+/// Commits the intent, and waits a while if another dispatcher has the order.
+async fn claim(cx: &Context, intent: &OrderIntent) -> Result<Claim> {
+    let give_up = Instant::now() + Duration::from_millis(IN_PROGRESS_MS);
+    loop {
+        let command = Command::Order(OrderCommand::Intent(intent.clone()));
+        let reply = propose(&*cx.ledger, command, INTENT_MS).await;
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(error) => {
+                release_later(cx, intent);
+                return Err(not_committed(error));
+            }
+        };
+        match reply {
+            OrderReply::Granted => return Ok(Claim::Granted),
+            OrderReply::Recorded(result) => return Ok(Claim::Recorded(result)),
+            OrderReply::InProgress { .. } if Instant::now() < give_up => {
+                sleep(Duration::from_millis(IN_PROGRESS_POLL_MS)).await;
+            }
+            other => return Err(refuse(other)),
+        }
+    }
+}
+
+async fn dispatch(cx: &Context, intent: OrderIntent, send: SendOrder) -> Result<RecordedResult> {
+    match send().await {
+        Ok(reply) => record(cx, intent, RecordedResult::from(reply)).await,
+        Err(error) if error.is_not_run() => {
+            release_later(cx, &intent);
+            Err(
+                Refusal::not_run(RefusalCode::BackendFailed, error.to_string())
+                    .with_retry_after_ms(RETRY_AFTER_MS),
+            )
+        }
+        Err(error) => Err(Refusal::unknown(
+            RefusalCode::OutcomeUnknown,
+            format!("the order was sent and its outcome is not known: {error}"),
+        )),
+    }
+}
+
+/// Commits the outcome. The caller is not told the outcome before that, since a resend would get
+/// another one.
+async fn record(
+    cx: &Context,
+    intent: OrderIntent,
+    result: RecordedResult,
+) -> Result<RecordedResult> {
+    let command = Command::Order(OrderCommand::Outcome {
+        key: intent.key,
+        dispatch_id: intent.dispatch_id,
+        result: result.clone(),
+    });
+    match propose(&*cx.ledger, command.clone(), OUTCOME_MS).await {
+        Ok(_) => Ok(result),
+        Err(error) => {
+            warn!("order: an outcome could not be recorded yet: {error}");
+            propose_later(cx, command);
+            let message = "the order ran; its outcome is not recorded yet, ask again";
+            let refusal = Refusal::not_run(RefusalCode::OutcomeUnknown, message)
+                .with_retry_after_ms(RETRY_AFTER_MS);
+            Err(Refusal {
+                run: RunState::Ran,
+                ..refusal
+            })
+        }
+    }
+}
+
+/// Gives back an order that was not sent, so that a resend may run it.
+fn release_later(cx: &Context, intent: &OrderIntent) {
+    let release = OrderCommand::Release(intent.clone());
+    propose_later(cx, Command::Order(release));
+}
+
+fn propose_later(cx: &Context, command: Command) {
+    let ledger = cx.ledger.clone();
+    tokio::spawn(async move {
+        if let Err(error) = propose(&*ledger, command, BACKGROUND_MS).await {
+            warn!("order: a record could not be committed: {error}");
+        }
+    });
+}
+
+async fn propose(
+    ledger: &dyn Ledger,
+    command: Command,
+    wait_ms: u64,
+) -> std::result::Result<OrderReply, LedgerError> {
+    let deadline = Instant::now() + Duration::from_millis(wait_ms);
+    match ledger.propose(command, deadline).await? {
+        Outcome::Order(reply) => Ok(reply),
+        _ => Err(LedgerError::Unknown),
+    }
+}
+
+/// The order was not sent by this dispatcher and never will be.
+fn not_committed(error: LedgerError) -> Refusal {
+    Refusal::not_run(
+        RefusalCode::Isolated,
+        format!("the order could not be recorded and was not sent: {error}"),
+    )
+    .with_retry_after_ms(RETRY_AFTER_MS)
+}
+
+fn refuse(reply: OrderReply) -> Refusal {
+    let unknown = |message: &str| {
+        Refusal::unknown(RefusalCode::OutcomeUnknown, message).with_retry_after_ms(RETRY_AFTER_MS)
+    };
+    match reply {
+        OrderReply::InProgress { owner } => {
+            unknown(&format!("VM {} is still running the order", owner.vm))
+        }
+        OrderReply::Unknown => {
+            unknown("the VM that ran the order failed; its outcome is not known")
+        }
+        OrderReply::BodyConflict => Refusal::not_run(
+            RefusalCode::IdempotencyConflict,
+            "the idempotency key was used with another request",
+        )
+        .with_field("Idempotency-Key", "(used)"),
+        OrderReply::Expired => Refusal::unknown(
+            RefusalCode::OutcomeUnknown,
+            "the order has expired; it is not run again",
+        ),
+        OrderReply::Refused(error) => Refusal::not_run(RefusalCode::BadRequest, error.to_string())
+            .with_field(error.field, error.value),
+        OrderReply::OwnerGone => Refusal::not_run(
+            RefusalCode::Draining,
+            "the other VMs consider this VM failed; the order was not sent",
+        )
+        .with_retry_after_ms(RETRY_AFTER_MS),
+        OrderReply::Granted
+        | OrderReply::Recorded(_)
+        | OrderReply::Released
+        | OrderReply::Stale => unknown("the order's record changed meanwhile"),
+    }
+}
--- /dev/null
+++ b/src/pipeline/service.rs
@@ -0,0 +1,300 @@
+//! Calls of plain services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+use tokio::time::timeout;
+
+use super::authenticate::authenticate;
+use super::classify::bad;
+use super::classify::header;
+use super::classify::read_deadline;
+use super::context::Context;
+use super::order::Order;
+use super::order::run_order;
+use crate::backend::BackendError;
+use crate::backend::HttpClient;
+use crate::backend::ServiceCall;
+use crate::backend::ServiceReply;
+use crate::backend::call_service;
+use crate::control::Access;
+use crate::control::CutOffPolicy;
+use crate::control::OrderKey;
+use crate::control::RecordedResult;
+use crate::control::Route;
+use crate::control::Sha256Hash;
+use crate::types::AccountName;
+use crate::types::MonoMs;
+use crate::types::Patience;
+use crate::types::Refusal;
+use crate::types::RefusalCode;
+use crate::types::RunState;
+use crate::types::ServerName;
+use crate::types::UnixMs;
+
+/// Result of a call.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Account under which orders on open routes are recorded. No real account has this name.
+const OPEN_ACCOUNT: &str = "(open)";
+/// Tries of a call that may be repeated.
+const MAX_TRIES: u32 = 3;
+/// Time for which an order's record is kept after its deadline.
+const RECORD_MS: u64 = 12 * 60 * 60 * 1_000;
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// A call of a plain service as the caller made it.
+#[derive(Clone, Debug)]
+pub struct ServiceRequest {
+    /// Service.
+    pub service: String,
+    /// Method.
+    pub method: Method,
+    /// Path below the service, starting with `/`, without the query.
+    pub path: String,
+    /// Query without `?`.
+    pub query: Option<String>,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// A checked call.
+struct Checked {
+    account: Option<AccountName>,
+    route: Route,
+    deadline: UnixMs,
+}
+
+/// Runs `request`, at most once if its route may not be repeated.
+///
+/// # Errors
+/// `NotFound` without a route, `Unauthorized` on keyed routes, `BadRequest` without an idempotency
+/// key on routes that may not be repeated, and the failures of the call itself.
+pub async fn run_service(cx: &Context, request: ServiceRequest) -> Result<RecordedResult> {
+    let checked = check(cx, &request)?;
+    if checked.route.repeatable {
+        return run_repeatable(cx, request, &checked).await;
+    }
+    let order = read_order(&request, &checked)?;
+    // The order goes on if its caller leaves: it may have been sent already.
+    let cx = cx.clone();
+    let task = tokio::spawn(async move { run_once(&cx, request, checked, order).await });
+    task.await.unwrap_or_else(|_| {
+        let message = "the order's task failed; its outcome is not known";
+        Err(Refusal::unknown(RefusalCode::Internal, message))
+    })
+}
+
+fn check(cx: &Context, request: &ServiceRequest) -> Result<Checked> {
+    let route = find_route(cx, request)?;
+    let (account, serves_when_cut_off) = match route.access {
+        Access::Open => (None, true),
+        Access::Keyed => {
+            let caller = authenticate(&*cx.keys, &request.headers)?;
+            let policy = caller.parameters().when_cut_off;
+            (
+                Some(caller.account().clone()),
+                policy == CutOffPolicy::Serve,
+            )
+        }
+    };
+    cx.health.check_open(serves_when_cut_off)?;
+    let deadline = read_deadline(&request.headers, Patience::Urgent, cx.clock.unix())?;
+    Ok(Checked {
+        account,
+        route,
+        deadline,
+    })
+}
+
+fn find_route(cx: &Context, request: &ServiceRequest) -> Result<Route> {
+    let method = request.method.as_str();
+    cx.ledger
+        .route(&request.service, method, &request.path)
+        .ok_or_else(|| {
+            let message = "no route covers this service, method and path";
+            let call = format!("{method} {}{}", request.service, request.path);
+            Refusal::not_run(RefusalCode::NotFound, message).with_field("path", call)
+        })
+}
+
+fn read_order(request: &ServiceRequest, checked: &Checked) -> Result<Order> {
+    let name = "Idempotency-Key";
+    let key = header(&request.headers, "idempotency-key")?.unwrap_or_default();
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        let message =
+            format!("this route may not be repeated and needs a key of 1 to {MAX_KEY_BYTES} bytes");
+        let shown = if key.is_empty() {
+            "missing"
+        } else {
+            "too long"
+        };
+        return Err(bad(name, shown, message));
+    }
+    let account = checked.account.clone();
+    let mut body = Vec::new();
+    for part in [
+        request.method.as_str(),
+        &request.service,
+        &request.path,
+        request.query.as_deref().unwrap_or_default(),
+    ] {
+        body.extend_from_slice(part.as_bytes());
+        body.push(0);
+    }
+    body.extend_from_slice(&request.body);
+    Ok(Order {
+        key: OrderKey {
+            account: account.unwrap_or_else(|| AccountName::from(OPEN_ACCOUNT)),
+            key_hash: Sha256Hash::of(key.as_bytes()),
+        },
+        body_hash: Sha256Hash::of(&body),
+        expires: checked.deadline.plus(RECORD_MS),
+    })
+}
+
+async fn run_once(
+    cx: &Context,
+    request: ServiceRequest,
+    checked: Checked,
+    order: Order,
+) -> Result<RecordedResult> {
+    let order_id = hex::encode(
+        Sha256Hash::of(
+            format!("{}\0{}", order.key.account, order.key.key_hash.to_hex()).as_bytes(),
+        )
+        .0,
+    );
+    let sender = cx.clone();
+    let send = move || {
+        async move {
+            let call = service_call(&request, Some(order_id.into()));
+            let client = sender.single_use.clone();
+            try_call(&sender, &client, &checked, call).await
+        }
+        .boxed()
+    };
+    run_order(cx, order, Box::new(send)).await
+}
+
+async fn run_repeatable(
+    cx: &Context,
+    request: ServiceRequest,
+    checked: &Checked,
+) -> Result<RecordedResult> {
+    cx.retries.add_request();
+    let mut tries = 0;
+    let mut run = RunState::NotRun;
+    loop {
+        tries += 1;
+        let call = service_call(&request, None);
+        match try_call(cx, &cx.pooled, checked, call).await {
+            Ok(reply) => return Ok(RecordedResult::from(reply)),
+            Err(error) => {
+                if !error.is_not_run() {
+                    run = RunState::Unknown;
+                }
+                let expired = cx.clock.unix() >= checked.deadline;
+                if tries >= MAX_TRIES || expired || !cx.retries.take() {
+                    let refusal = Refusal::not_run(RefusalCode::BackendFailed, error.to_string());
+                    return Err(Refusal { run, ..refusal });
+                }
+            }
+        }
+    }
+}
+
+/// Sends `call` to a provider and waits for its whole answer until the deadline.
+async fn try_call(
+    cx: &Context,
+    client: &HttpClient,
+    checked: &Checked,
+    call: ServiceCall,
+) -> std::result::Result<ServiceReply, BackendError> {
+    let left_ms = checked.deadline.since(cx.clock.unix());
+    let deadline = cx.clock.mono().plus(left_ms);
+    let provider = Provider::reserve(cx, checked, deadline).await?;
+    let Some((address, _)) = cx.servers.locate(&provider.server) else {
+        return Err(not_started("the provider left before the call"));
+    };
+    let answer = call_service(client, address, call);
+    let left = Duration::from_millis(deadline.since(cx.clock.mono()));
+    timeout(left, answer).await.unwrap_or_else(|_| {
+        Err(BackendError::Lost {
+            message: "no answer arrived in time".to_owned(),
+        })
+    })
+}
+
+/// A provider that is counted as busy until it is dropped.
+struct Provider {
+    cx: Context,
+    server: ServerName,
+}
+
+impl Provider {
+    async fn reserve(
+        cx: &Context,
+        checked: &Checked,
+        deadline: MonoMs,
+    ) -> std::result::Result<Self, BackendError> {
+        let service = &checked.route.service;
+        let assigned = cx
+            .dispatcher
+            .assign_service(service, Patience::Urgent, deadline);
+        let server = assigned.await.map_err(|r| not_started(&r.message))?;
+        Ok(Self {
+            cx: cx.clone(),
+            server,
+        })
+    }
+}
+
+impl Drop for Provider {
+    fn drop(&mut self) {
+        self.cx.dispatcher.finish_service(&self.server);
+    }
+}
+
+fn not_started(message: &str) -> BackendError {
+    BackendError::NotStarted {
+        message: message.to_owned(),
+    }
+}
+
+fn service_call(request: &ServiceRequest, order_id: Option<Arc<str>>) -> ServiceCall {
+    let path = match &request.query {
+        Some(query) => format!("{}?{query}", request.path),
+        None => request.path.clone(),
+    };
+    ServiceCall {
+        method: request.method.clone(),
+        path,
+        headers: request.headers.clone(),
+        body: request.body.clone(),
+        order_id,
+    }
+}
+
+impl From<ServiceReply> for RecordedResult {
+    fn from(reply: ServiceReply) -> Self {
+        Self {
+            status: reply.status.as_u16(),
+            content_type: reply.content_type,
+            body: Some(reply.body),
+        }
+    }
+}
+
+/// The status to answer a recorded result with.
+pub fn status_of(result: &RecordedResult) -> StatusCode {
+    StatusCode::from_u16(result.status).unwrap_or(StatusCode::BAD_GATEWAY)
+}
