feat(consensus): deterministic Raft core

Time, messages, proposals and completed writes go in; messages, writes and entries to apply come out.

A leader's messages carry its clock and replies echo it, so an old reply does not pass for recent contact. Heartbeats refer to the last acknowledged entry, so a heartbeat that overtakes entries is not taken for a loss.

--- /dev/null
+++ b/src/consensus/core/append.rs
@@ -0,0 +1,74 @@
+//! The follower's side of replication.
+
+use super::Core;
+use crate::consensus::message::Message;
+use crate::consensus::types::Entry;
+use crate::consensus::types::VoterId;
+
+impl Core {
+    pub(super) fn append(&mut self, from: &VoterId, message: Message) {
+        let Message::Append {
+            prev_index,
+            prev_term,
+            entries,
+            commit_index,
+            sent_ms,
+        } = message
+        else {
+            return;
+        };
+        let last_sent = prev_index + entries.len() as u64;
+        if !self.matches(prev_index, prev_term) {
+            let hint = self.log.before_term_at(prev_index).max(self.commit_index);
+            let reply = Message::AppendReply {
+                accepted: false,
+                index: prev_index,
+                last_index: hint,
+                sent_ms,
+            };
+            return self.send_durable(from, reply);
+        }
+        for entry in entries {
+            self.append_from_leader(entry);
+        }
+        let known = commit_index.min(last_sent);
+        self.commit_index = self.commit_index.max(known);
+        let reply = Message::AppendReply {
+            accepted: true,
+            index: last_sent,
+            last_index: self.log.last_index(),
+            sent_ms,
+        };
+        self.send_durable(from, reply);
+    }
+
+    /// Whether the log agrees with the leader's up to `prev_index`. Committed entries always do.
+    fn matches(&self, prev_index: u64, prev_term: u64) -> bool {
+        prev_index <= self.commit_index || self.log.term_at(prev_index) == Some(prev_term)
+    }
+
+    fn append_from_leader(&mut self, entry: Entry) {
+        if entry.index <= self.commit_index {
+            return;
+        }
+        match self.log.term_at(entry.index) {
+            Some(term) if term == entry.term => return,
+            Some(_) => self.truncate(entry.index),
+            None => {}
+        }
+        self.append_entry(entry);
+    }
+
+    fn truncate(&mut self, from: u64) {
+        assert!(
+            from > self.commit_index,
+            "committed entry {from} would be removed"
+        );
+        self.log.truncate(from);
+        let last_kept = from - 1;
+        self.durable_index = self.durable_index.min(last_kept);
+        for write in &mut self.in_flight {
+            write.last_index = write.last_index.min(last_kept);
+        }
+    }
+}
--- /dev/null
+++ b/src/consensus/core/election.rs
@@ -0,0 +1,154 @@
+//! Elections: pre-vote, vote and the change of term.
+
+use std::collections::BTreeSet;
+
+use super::Core;
+use super::Held;
+use super::Role;
+use crate::consensus::message::Message;
+use crate::consensus::types::VoterId;
+
+impl Core {
+    pub(super) fn election_timeout(&mut self) {
+        self.reset_election_deadline();
+        if !self.is_voter() {
+            return;
+        }
+        self.leader = None;
+        self.role = Role::PreCandidate {
+            granted: BTreeSet::new(),
+        };
+        let message = Message::PreVote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        for peer in self.other_voters() {
+            self.send(&peer, message.clone());
+        }
+        self.count_pre_vote(self.config.id.clone());
+    }
+
+    pub(super) fn pre_vote(&mut self, from: &VoterId, term: u64, last_index: u64, last_term: u64) {
+        let next_term = term + 1;
+        let granted = next_term > self.meta.term
+            && self.is_up_to_date(last_index, last_term)
+            && !self.has_live_leader();
+        let reply = Message::PreVoteReply { next_term, granted };
+        self.send(from, reply);
+    }
+
+    pub(super) fn pre_vote_reply(&mut self, from: VoterId, next_term: u64, granted: bool) {
+        if granted && next_term == self.meta.term + 1 {
+            self.count_pre_vote(from);
+        }
+    }
+
+    fn count_pre_vote(&mut self, from: VoterId) {
+        let Role::PreCandidate { granted } = &mut self.role else {
+            return;
+        };
+        granted.insert(from);
+        let granted = granted.clone();
+        if self.is_quorum(&granted) {
+            self.campaign(false);
+        }
+    }
+
+    /// Opens the next term and asks for votes.
+    pub(super) fn campaign(&mut self, transfer: bool) {
+        self.reset_election_deadline();
+        self.meta.term += 1;
+        self.meta.vote = Some(self.config.id.clone());
+        self.save_meta();
+        self.leader = None;
+        self.role = Role::Candidate {
+            granted: BTreeSet::new(),
+        };
+        let message = Message::Vote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            transfer,
+        };
+        for peer in self.other_voters() {
+            self.send_durable(&peer, message.clone());
+        }
+        // A vote for oneself counts only once it is synced: after a crash the same VM could
+        // otherwise vote for another candidate in this term.
+        let term = self.meta.term;
+        self.step_held.push(Held::SelfVote { term });
+    }
+
+    pub(super) fn vote(&mut self, from: &VoterId, term: u64, last: (u64, u64), transfer: bool) {
+        if !transfer && self.has_live_leader() {
+            return;
+        }
+        if term > self.meta.term {
+            self.become_follower(term, None);
+        }
+        let is_free = self.meta.vote.as_ref().is_none_or(|vote| vote == from);
+        let granted = term == self.meta.term && is_free && self.is_up_to_date(last.0, last.1);
+        if granted && self.meta.vote.is_none() {
+            self.meta.vote = Some(from.clone());
+            self.save_meta();
+            self.reset_election_deadline();
+        }
+        self.send_durable(from, Message::VoteReply { granted });
+    }
+
+    pub(super) fn vote_reply(&mut self, from: VoterId, granted: bool) {
+        if granted {
+            self.count_vote(from);
+        }
+    }
+
+    pub(super) fn count_vote(&mut self, from: VoterId) {
+        let Role::Candidate { granted } = &mut self.role else {
+            return;
+        };
+        granted.insert(from);
+        let granted = granted.clone();
+        if self.is_quorum(&granted) {
+            self.become_leader();
+        }
+    }
+
+    /// Enters `term`, or stays in it, without leading it.
+    pub(super) fn become_follower(&mut self, term: u64, leader: Option<VoterId>) {
+        if term > self.meta.term {
+            self.meta.term = term;
+            self.meta.vote = None;
+            self.save_meta();
+        }
+        if !matches!(self.role, Role::Follower) {
+            self.role = Role::Follower;
+            self.reset_election_deadline();
+        }
+        self.leader = leader;
+    }
+
+    /// Whether a leader was heard of so recently that an election would only disturb it.
+    fn has_live_leader(&self) -> bool {
+        let contact_ms = match &self.role {
+            Role::Leader(leadership) => self.quorum_contact_ms(leadership),
+            _ => self.leader_contact_ms,
+        };
+        contact_ms.is_some_and(|at| self.now_ms < at + self.config.timeouts.election_min_ms)
+    }
+
+    fn is_up_to_date(&self, last_index: u64, last_term: u64) -> bool {
+        (last_term, last_index) >= (self.log.last_term(), self.log.last_index())
+    }
+
+    fn is_quorum(&self, members: &BTreeSet<VoterId>) -> bool {
+        let configuration = self.configuration();
+        configuration.voters.intersection(members).count() >= configuration.quorum()
+    }
+
+    pub(super) fn other_voters(&self) -> Vec<VoterId> {
+        let voters = self.configuration().voters.iter();
+        voters
+            .filter(|id| **id != self.config.id)
+            .cloned()
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/consensus/core/leader.rs
@@ -0,0 +1,393 @@
+//! The leader's side of replication, its heartbeats and the commit index.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+use super::Core;
+use super::Output;
+use super::Role;
+use super::snapshot::OutgoingSnapshot;
+use crate::consensus::message::Message;
+use crate::consensus::types::Entry;
+use crate::consensus::types::Payload;
+use crate::consensus::types::VoterId;
+
+/// Limit on the entries of one `Append`.
+const MAX_APPEND_BYTES: usize = 256 * 1_024;
+
+/// Limit on the entries sent to a member that has not answered lately.
+const MAX_PROBE_BYTES: usize = 4 * 1_024;
+
+/// Entries that may be sent to a member beyond those it has acknowledged.
+const MAX_UNACKNOWLEDGED_ENTRIES: u64 = 4_096;
+
+/// Uncommitted entries beyond which the leader accepts no proposals.
+const MAX_UNCOMMITTED_ENTRIES: u64 = 16_384;
+
+/// What the leader knows of one other member.
+#[derive(Debug)]
+pub(super) struct Progress {
+    pub(super) next_index: u64,
+    pub(super) match_index: u64,
+    /// Set until `next_index` is known to be right. Then entries are sent without waiting.
+    pub(super) probing: bool,
+    /// Set while an answer to a probe is outstanding.
+    pub(super) paused: bool,
+    /// Leader's clock when it sent the latest message that was answered.
+    pub(super) contact_ms: Option<u64>,
+    /// Commit index at `target_ms`. A learner that gets there within one election timeout has
+    /// caught up.
+    pub(super) target_index: u64,
+    pub(super) target_ms: u64,
+    /// When the member became known to this leader.
+    pub(super) since_ms: u64,
+    pub(super) snapshot: Option<OutgoingSnapshot>,
+    /// `match_index` at the last heartbeat.
+    pub(super) heartbeat_match_index: u64,
+    /// Whether entries are unacknowledged and `match_index` did not move for a heartbeat period, so
+    /// that some may be lost.
+    pub(super) is_stalled: bool,
+}
+
+/// State of a leader in its term.
+#[derive(Debug)]
+pub(super) struct Leadership {
+    pub(super) progress: BTreeMap<VoterId, Progress>,
+    pub(super) since_ms: u64,
+    pub(super) heartbeat_due_ms: u64,
+    /// First entry of this term. Membership changes wait until it is committed.
+    pub(super) noop_index: u64,
+    /// Deadline of a handover in progress.
+    pub(super) transfer_until_ms: Option<u64>,
+    /// Whether a voter was asked to take over since the last heartbeat.
+    pub(super) transfer_asked: bool,
+}
+
+impl Core {
+    pub(super) fn become_leader(&mut self) {
+        self.leader = Some(self.config.id.clone());
+        self.role = Role::Leader(Box::new(Leadership {
+            progress: BTreeMap::new(),
+            since_ms: self.now_ms,
+            heartbeat_due_ms: self.now_ms + self.config.timeouts.heartbeat_ms,
+            noop_index: self.log.last_index() + 1,
+            transfer_until_ms: None,
+            transfer_asked: false,
+        }));
+        self.track_members();
+        self.append_local(Payload::Noop);
+        self.replicate_all();
+    }
+
+    /// Starts and stops replication according to the latest membership.
+    pub(super) fn track_members(&mut self) {
+        let configuration = self.configuration().clone();
+        let next_index = self.log.last_index() + 1;
+        let now_ms = self.now_ms;
+        let id = self.config.id.clone();
+        let Role::Leader(leadership) = &mut self.role else {
+            return;
+        };
+        leadership
+            .progress
+            .retain(|member, _| configuration.contains(member));
+        let members = configuration.voters.iter().chain(&configuration.learners);
+        for member in members.filter(|member| **member != id) {
+            let progress = leadership.progress.entry(member.clone());
+            progress.or_insert_with(|| Progress {
+                next_index,
+                match_index: 0,
+                probing: true,
+                paused: false,
+                contact_ms: None,
+                target_index: u64::MAX,
+                target_ms: 0,
+                since_ms: now_ms,
+                snapshot: None,
+                heartbeat_match_index: 0,
+                is_stalled: false,
+            });
+        }
+    }
+
+    pub(super) fn leader_timers(&mut self) {
+        let max_ms = self.config.timeouts.election_max_ms;
+        let heartbeat_ms = self.config.timeouts.heartbeat_ms;
+        let Role::Leader(leadership) = &self.role else {
+            return;
+        };
+        let contact_ms = self.quorum_contact_ms(leadership);
+        if contact_ms.is_some_and(|at| self.now_ms > at + max_ms) {
+            return self.become_follower(self.meta.term, None);
+        }
+        if self.now_ms < leadership.heartbeat_due_ms {
+            return;
+        }
+        self.reconcile_members();
+        self.heartbeat(self.now_ms + heartbeat_ms);
+        for member in self.members() {
+            self.send_append(&member, true);
+        }
+        self.continue_transfer();
+    }
+
+    fn heartbeat(&mut self, next_due_ms: u64) {
+        let now_ms = self.now_ms;
+        let commit_index = self.commit_index;
+        let round_ms = self.config.timeouts.election_max_ms;
+        let Role::Leader(leadership) = &mut self.role else {
+            return;
+        };
+        leadership.heartbeat_due_ms = next_due_ms;
+        leadership.transfer_asked = false;
+        leadership.transfer_until_ms = leadership.transfer_until_ms.filter(|at| now_ms < *at);
+        for progress in leadership.progress.values_mut() {
+            // A probe or chunk without a reply is repeated.
+            progress.paused = false;
+            progress.is_stalled = progress.next_index > progress.match_index + 1
+                && progress.match_index == progress.heartbeat_match_index;
+            progress.heartbeat_match_index = progress.match_index;
+            let is_reached = progress.match_index >= progress.target_index;
+            if is_reached || now_ms > progress.target_ms + round_ms {
+                progress.target_index = commit_index;
+                progress.target_ms = now_ms;
+            }
+        }
+    }
+
+    pub(super) fn propose(&mut self, commands: Vec<Bytes>) {
+        let backlog = self.log.last_index() - self.commit_index;
+        let refused = match &self.role {
+            Role::Leader(leadership) => {
+                leadership.transfer_until_ms.is_some() || backlog > MAX_UNCOMMITTED_ENTRIES
+            }
+            _ => {
+                let leader = self.leader.as_ref().map(|id| id.vm.clone());
+                return self.outputs.push(Output::Rejected {
+                    leader,
+                    unavailable: false,
+                });
+            }
+        };
+        if refused {
+            return self.outputs.push(Output::Rejected {
+                leader: Some(self.config.id.vm.clone()),
+                unavailable: true,
+            });
+        }
+        self.outputs.push(Output::Accepted {
+            first_index: self.log.last_index() + 1,
+            term: self.meta.term,
+        });
+        for command in commands {
+            self.append_local(Payload::Command(command));
+        }
+        self.replicate_all();
+    }
+
+    /// Sends new entries to every member that is ready for them, before they are synced here.
+    pub(super) fn replicate_all(&mut self) {
+        for member in self.members() {
+            self.send_append(&member, false);
+        }
+    }
+
+    fn members(&self) -> Vec<VoterId> {
+        match &self.role {
+            Role::Leader(leadership) => leadership.progress.keys().cloned().collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Sends the entries that `to` lacks, as far as it is ready for them. An empty message is sent
+    /// only if `heartbeat` is set.
+    pub(super) fn send_append(&mut self, to: &VoterId, heartbeat: bool) {
+        let base_index = self.log.base_index();
+        let last_index = self.log.last_index();
+        let is_active = self.is_active(to);
+        let Some(progress) = self.progress(to) else {
+            return;
+        };
+        if progress.snapshot.is_some() || progress.next_index <= base_index {
+            if is_active {
+                return self.send_chunk(to);
+            }
+            // A member that does not answer gets no chunks, which would load the link for nothing.
+            if heartbeat {
+                self.send_entries(to, base_index + 1, Vec::new());
+            }
+            return;
+        }
+        let unacknowledged = progress.next_index - 1 - progress.match_index;
+        let ready = !progress.paused
+            && (progress.probing || unacknowledged < MAX_UNACKNOWLEDGED_ENTRIES)
+            && !(progress.probing && heartbeat)
+            && progress.next_index <= last_index;
+        if !ready && !heartbeat {
+            return;
+        }
+        let next_index = progress.next_index;
+        let match_index = progress.match_index;
+        let is_uncertain = progress.probing || progress.is_stalled;
+        let max_bytes = if progress.probing && !is_active {
+            MAX_PROBE_BYTES
+        } else {
+            MAX_APPEND_BYTES
+        };
+        if ready {
+            let entries = self.log.entries_from(next_index, max_bytes);
+            return self.send_entries(to, next_index, entries);
+        }
+        // An empty message that refers to what was acknowledged is accepted even if it overtakes
+        // entries. Lost entries show when it refers to the last one sent.
+        let is_settled = !is_uncertain && match_index >= base_index;
+        let after = if is_settled {
+            match_index + 1
+        } else {
+            next_index
+        };
+        self.send_entries(to, after, Vec::new());
+    }
+
+    fn send_entries(&mut self, to: &VoterId, next_index: u64, entries: Vec<Entry>) {
+        let prev_index = next_index - 1;
+        let prev_term = self
+            .log
+            .term_at(prev_index)
+            .expect("next_index is after the base of the log");
+        let sent = entries.len() as u64;
+        let message = Message::Append {
+            prev_index,
+            prev_term,
+            entries,
+            commit_index: self.commit_index,
+            sent_ms: self.now_ms,
+        };
+        self.send(to, message);
+        if let Some(progress) = self.progress(to) {
+            if progress.probing {
+                progress.paused = sent > 0;
+            } else {
+                progress.next_index += sent;
+            }
+        }
+    }
+
+    pub(super) fn progress(&mut self, member: &VoterId) -> Option<&mut Progress> {
+        match &mut self.role {
+            Role::Leader(leadership) => leadership.progress.get_mut(member),
+            _ => None,
+        }
+    }
+
+    pub(super) fn append_reply(
+        &mut self,
+        from: &VoterId,
+        accepted: bool,
+        (index, last_index): (u64, u64),
+        sent_ms: u64,
+    ) {
+        let base_index = self.log.base_index();
+        let Some(progress) = self.progress(from) else {
+            return;
+        };
+        progress.contact_ms = progress.contact_ms.max(Some(sent_ms));
+        if accepted {
+            progress.match_index = progress.match_index.max(index);
+            progress.next_index = progress.next_index.max(progress.match_index + 1);
+            progress.probing = false;
+            progress.paused = false;
+            let match_index = progress.match_index;
+            if progress.snapshot.is_some() && match_index >= base_index {
+                progress.snapshot = None;
+                progress.next_index = match_index + 1;
+            }
+            self.advance_commit();
+            self.continue_transfer();
+        } else {
+            let is_stale = progress.probing && index + 1 != progress.next_index;
+            if is_stale || index <= progress.match_index {
+                return;
+            }
+            progress.next_index = index.min(last_index + 1).max(progress.match_index + 1);
+            progress.probing = true;
+            progress.paused = false;
+        }
+        self.send_append(from, false);
+    }
+
+    /// Commits what a majority of the voters has synced, if the last such entry is of this term.
+    pub(super) fn advance_commit(&mut self) {
+        let Role::Leader(leadership) = &self.role else {
+            return;
+        };
+        let configuration = self.configuration();
+        let mut synced: Vec<u64> = configuration
+            .voters
+            .iter()
+            .map(|id| match leadership.progress.get(id) {
+                Some(progress) => progress.match_index,
+                None => self.durable_index,
+            })
+            .collect();
+        synced.sort_unstable_by(|a, b| b.cmp(a));
+        let index = synced[configuration.quorum() - 1];
+        if index > self.commit_index && self.log.term_at(index) == Some(self.meta.term) {
+            self.commit_index = index;
+            for member in self.members() {
+                self.send_append(&member, true);
+            }
+            self.reconcile_members();
+        }
+    }
+
+    /// Leader's clock at which a majority of the voters, itself included, last confirmed it.
+    pub(super) fn quorum_contact_ms(&self, leadership: &Leadership) -> Option<u64> {
+        let configuration = self.configuration();
+        let mut contacts: Vec<u64> = configuration
+            .voters
+            .iter()
+            .map(|id| match leadership.progress.get(id) {
+                Some(progress) => progress.contact_ms.unwrap_or(0),
+                None => self.now_ms,
+            })
+            .collect();
+        contacts.sort_unstable_by(|a, b| b.cmp(a));
+        let contact_ms = contacts.get(configuration.quorum() - 1).copied();
+        contact_ms.map(|at| at.max(leadership.since_ms))
+    }
+
+    pub(super) fn start_transfer(&mut self) {
+        let until_ms = self.now_ms + self.config.timeouts.election_max_ms;
+        if let Role::Leader(leadership) = &mut self.role {
+            leadership.transfer_until_ms = Some(until_ms);
+        }
+        self.continue_transfer();
+    }
+
+    /// Asks the voter that is furthest ahead to take over, once it has the whole log.
+    fn continue_transfer(&mut self) {
+        let Role::Leader(leadership) = &self.role else {
+            return;
+        };
+        if leadership.transfer_until_ms.is_none() || leadership.transfer_asked {
+            return;
+        }
+        let last_index = self.log.last_index();
+        let voters = &self.configuration().voters;
+        let candidates = leadership
+            .progress
+            .iter()
+            .filter(|(id, progress)| voters.contains(*id) && progress.match_index == last_index);
+        let target = candidates
+            .max_by_key(|(_, progress)| progress.contact_ms)
+            .map(|(id, _)| id.clone());
+        if let Some(target) = target {
+            if let Role::Leader(leadership) = &mut self.role {
+                leadership.transfer_asked = true;
+            }
+            self.send(&target, Message::TimeoutNow);
+        }
+    }
+}
--- /dev/null
+++ b/src/consensus/core/log.rs
@@ -0,0 +1,183 @@
+//! The log in memory: a snapshot, the entries after it and a short tail before it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::consensus::types::Configuration;
+use crate::consensus::types::Entry;
+use crate::consensus::types::Payload;
+use crate::consensus::types::Snapshot;
+
+/// Entries before the snapshot that stay in memory, so that a member that lags a little gets
+/// entries instead of a snapshot.
+const TAIL_ENTRIES: u64 = 1_024;
+
+/// Entries, their snapshot and the memberships among them.
+#[derive(Clone, Debug)]
+pub struct Log {
+    snapshot: Arc<Snapshot>,
+    base_index: u64,
+    base_term: u64,
+    entries: VecDeque<Entry>,
+    configurations: Vec<(u64, Configuration)>,
+}
+
+impl Log {
+    /// A log that starts at `snapshot` and continues with the `entries` after it.
+    pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
+        let mut log = Self {
+            base_index: snapshot.index,
+            base_term: snapshot.term,
+            entries: VecDeque::new(),
+            configurations: vec![(snapshot.index, snapshot.configuration.clone())],
+            snapshot: Arc::new(snapshot),
+        };
+        for entry in entries {
+            log.push(entry);
+        }
+        log
+    }
+
+    /// Index of the last entry, 0 if there is none.
+    pub fn last_index(&self) -> u64 {
+        self.base_index + self.entries.len() as u64
+    }
+
+    /// Term of the last entry.
+    pub fn last_term(&self) -> u64 {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    /// Index before the first entry in memory.
+    pub fn base_index(&self) -> u64 {
+        self.base_index
+    }
+
+    /// The latest snapshot.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.snapshot
+    }
+
+    /// Term of the entry at `index`, if it is known.
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        if index == self.snapshot.index {
+            return Some(self.snapshot.term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    /// The entry at `index`, if it is in memory.
+    pub fn entry(&self, index: u64) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Entries from `from` on, as many as fit into `max_bytes` but at least one.
+    pub fn entries_from(&self, from: u64, max_bytes: usize) -> Vec<Entry> {
+        let skip = from.saturating_sub(self.base_index + 1) as usize;
+        let mut bytes = 0;
+        let mut chosen = Vec::new();
+        for entry in self.entries.iter().skip(skip) {
+            bytes += entry.size_bytes();
+            if !chosen.is_empty() && bytes > max_bytes {
+                break;
+            }
+            chosen.push(entry.clone());
+        }
+        chosen
+    }
+
+    /// Entries with an index in `from..=to`.
+    pub fn range(&self, from: u64, to: u64) -> Vec<Entry> {
+        let skip = from.saturating_sub(self.base_index + 1) as usize;
+        let count = (to + 1).saturating_sub(from) as usize;
+        self.entries
+            .iter()
+            .skip(skip)
+            .take(count)
+            .cloned()
+            .collect()
+    }
+
+    /// Appends the next entry.
+    pub fn push(&mut self, entry: Entry) {
+        assert_eq!(
+            entry.index,
+            self.last_index() + 1,
+            "log entries must be consecutive"
+        );
+        if let Payload::Configuration(configuration) = &entry.payload {
+            self.configurations
+                .push((entry.index, configuration.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entry at `from` and all after it.
+    pub fn truncate(&mut self, from: u64) {
+        let keep = from.saturating_sub(self.base_index + 1) as usize;
+        self.entries.truncate(keep);
+        self.configurations.retain(|(index, _)| *index < from);
+    }
+
+    /// Last entry before `index` whose term is not the term of the entry at `index`.
+    pub fn before_term_at(&self, index: u64) -> u64 {
+        let Some(term) = self.term_at(index) else {
+            return self.last_index().min(index.saturating_sub(1));
+        };
+        let mut before = index.saturating_sub(1);
+        while before > self.base_index && self.term_at(before) == Some(term) {
+            before -= 1;
+        }
+        before
+    }
+
+    /// The latest membership, committed or not, and the index of its entry.
+    pub fn configuration(&self) -> &(u64, Configuration) {
+        self.configurations
+            .last()
+            .expect("the membership of the snapshot is never removed")
+    }
+
+    /// The membership after the entry at `index`.
+    pub fn configuration_at(&self, index: u64) -> &Configuration {
+        self.configurations
+            .iter()
+            .rev()
+            .find(|(at, _)| *at <= index)
+            .map_or(&self.snapshot.configuration, |(_, found)| found)
+    }
+
+    /// Replaces the snapshot by one of this VM's own machine and drops old entries.
+    pub fn compact(&mut self, snapshot: Snapshot) {
+        let new_base = snapshot.index.saturating_sub(TAIL_ENTRIES);
+        if new_base > self.base_index {
+            self.base_term = self
+                .term_at(new_base)
+                .expect("an applied entry after the base is in memory");
+            self.entries.drain(..(new_base - self.base_index) as usize);
+            self.base_index = new_base;
+        }
+        let current = self
+            .configurations
+            .iter()
+            .rposition(|(at, _)| *at <= snapshot.index)
+            .unwrap_or(0);
+        self.configurations.drain(..current);
+        self.snapshot = Arc::new(snapshot);
+    }
+
+    /// Replaces the snapshot by one of the leader. Returns whether all entries were dropped, which
+    /// happens unless the log contains the snapshot's last entry.
+    pub fn install(&mut self, snapshot: Snapshot) -> bool {
+        if self.term_at(snapshot.index) == Some(snapshot.term) {
+            self.compact(snapshot);
+            return false;
+        }
+        *self = Self::new(snapshot, Vec::new());
+        true
+    }
+}
--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -1,1 +1,435 @@
-//! Deterministic Raft core.
+//! Deterministic Raft core: time, messages, proposals and completed writes go in; messages, writes
+//! and entries to apply come out. It reads no clock and does no I/O.
+
+mod append;
+mod election;
+mod founding;
+mod leader;
+mod log;
+mod membership;
+mod receive;
+mod snapshot;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Deserialize;
+use serde::Serialize;
+
+use self::founding::BlankFounder;
+use self::leader::Leadership;
+use self::log::Log;
+use self::snapshot::IncomingSnapshot;
+use super::message::Envelope;
+use super::message::FORMAT_VERSION;
+use super::message::Message;
+use super::types::Configuration;
+use super::types::Entry;
+use super::types::Payload;
+use super::types::Snapshot;
+use super::types::Timeouts;
+use super::types::VoterId;
+use crate::types::VmName;
+
+/// Fixed properties of a core.
+#[derive(Clone, Debug)]
+pub struct CoreConfig {
+    /// Identity of this VM.
+    pub id: VoterId,
+    /// VMs that found the cluster.
+    pub founders: Vec<VmName>,
+    /// Periods of the protocol.
+    pub timeouts: Timeouts,
+    /// Seed of the random election timeouts.
+    pub seed: u64,
+}
+
+/// Durable state besides the log.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Meta {
+    /// Disk id of this data folder.
+    pub disk_id: u64,
+    /// Cluster that this VM belongs to, 0 while it has none.
+    pub cluster_id: u64,
+    /// Highest term seen.
+    pub term: u64,
+    /// Candidate that got this VM's vote in that term.
+    pub vote: Option<VoterId>,
+}
+
+/// State found on disk when a voter starts.
+#[derive(Clone, Debug, Default)]
+pub struct Loaded {
+    /// Term, vote and identity.
+    pub meta: Meta,
+    /// Latest snapshot, the empty one if there is none.
+    pub snapshot: Snapshot,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry>,
+    /// An index that is known to be committed.
+    pub commit_index: u64,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time passed.
+    Tick,
+    /// A message came in.
+    Receive(Envelope),
+    /// Commands to append.
+    Propose(Vec<Bytes>),
+    /// All writes up to this sequence number are synced.
+    Written(u64),
+    /// The machine's state after the entry at `index`.
+    SnapshotTaken {
+        /// Index of the last applied entry.
+        index: u64,
+        /// State of the machine.
+        data: Bytes,
+    },
+    /// Hand leadership to another voter.
+    Transfer,
+    /// Remove the voter on this VM for good.
+    RemoveVoter(VmName),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Send a message.
+    Send(Envelope),
+    /// Write and sync, then report `Input::Written`. Writes are done in order.
+    Write(Write),
+    /// Apply committed entries.
+    Apply(Vec<Entry>),
+    /// Replace the machine's state.
+    Restore(Arc<Snapshot>),
+    /// The proposals of this step were appended from this index on, in this term.
+    Accepted {
+        /// Index of the first one.
+        first_index: u64,
+        /// Term of all of them.
+        term: u64,
+    },
+    /// The proposals of this step were not appended.
+    Rejected {
+        /// Last known leader.
+        leader: Option<VmName>,
+        /// Whether this VM leads but accepts no proposals now.
+        unavailable: bool,
+    },
+    /// Another cluster member reports that this identity may not join again.
+    Retired,
+}
+
+/// Changes of the durable state, to be written in the order of the fields.
+#[derive(Clone, Debug, Default)]
+pub struct Write {
+    /// Rising number.
+    pub seq: u64,
+    /// New term, vote or cluster.
+    pub meta: Option<Meta>,
+    /// New snapshot.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// Whether all earlier entries are void.
+    pub reset_log: bool,
+    /// Entries to append. An entry replaces an earlier one at its index and all after that.
+    pub entries: Vec<Entry>,
+    /// An index that is known to be committed.
+    pub commit_index: u64,
+}
+
+/// What the core reports about itself.
+#[derive(Clone, Debug)]
+pub struct CoreStatus {
+    /// Last known leader.
+    pub leader: Option<VoterId>,
+    /// Highest term seen.
+    pub term: u64,
+    /// Cluster, 0 while there is none.
+    pub cluster_id: u64,
+    /// Last index known to be committed.
+    pub commit_index: u64,
+    /// Index of the last entry, committed or not.
+    pub last_index: u64,
+    /// Latest membership.
+    pub configuration: Configuration,
+    /// Whether this VM leads.
+    pub is_leader: bool,
+    /// Time on the core's clock when a quorum last confirmed this VM's state.
+    pub quorum_contact_ms: Option<u64>,
+}
+
+/// Work that must wait until a write is synced.
+#[derive(Clone, Debug)]
+enum Held {
+    Send(Box<Envelope>),
+    SelfVote { term: u64 },
+}
+
+/// Part a VM plays in its term.
+#[derive(Debug)]
+enum Role {
+    Follower,
+    PreCandidate { granted: BTreeSet<VoterId> },
+    Candidate { granted: BTreeSet<VoterId> },
+    Leader(Box<Leadership>),
+}
+
+/// The last index that a write in flight makes durable.
+#[derive(Debug)]
+struct InFlight {
+    seq: u64,
+    last_index: u64,
+}
+
+/// One member's protocol state.
+#[derive(Debug)]
+pub struct Core {
+    config: CoreConfig,
+    meta: Meta,
+    log: Log,
+    commit_index: u64,
+    applied_index: u64,
+    restored: bool,
+    role: Role,
+    leader: Option<VoterId>,
+    leader_contact_ms: Option<u64>,
+    now_ms: u64,
+    election_deadline_ms: u64,
+    probe_due_ms: u64,
+    blank_founders: BTreeMap<VmName, BlankFounder>,
+    incoming: Option<IncomingSnapshot>,
+    rng: StdRng,
+    durable_index: u64,
+    in_flight: VecDeque<InFlight>,
+    next_seq: u64,
+    held: VecDeque<(u64, Held)>,
+    step_held: Vec<Held>,
+    write: Option<Write>,
+    outputs: Vec<Output>,
+}
+
+impl Core {
+    /// A member that continues from the state on its disk.
+    pub fn new(config: CoreConfig, loaded: Loaded, now_ms: u64) -> Self {
+        let log = Log::new(loaded.snapshot, loaded.entries);
+        let floor = log.snapshot().index;
+        let commit_index = loaded.commit_index.clamp(floor, log.last_index());
+        let mut core = Self {
+            rng: StdRng::seed_from_u64(config.seed),
+            meta: loaded.meta,
+            commit_index,
+            applied_index: floor,
+            restored: floor == 0,
+            role: Role::Follower,
+            leader: None,
+            leader_contact_ms: None,
+            now_ms,
+            election_deadline_ms: 0,
+            probe_due_ms: now_ms,
+            blank_founders: BTreeMap::new(),
+            incoming: None,
+            durable_index: log.last_index(),
+            in_flight: VecDeque::new(),
+            next_seq: 1,
+            held: VecDeque::new(),
+            step_held: Vec::new(),
+            write: None,
+            outputs: Vec::new(),
+            config,
+            log,
+        };
+        core.reset_election_deadline();
+        if core.is_sole_voter() {
+            core.election_deadline_ms = now_ms;
+        }
+        core
+    }
+
+    /// Takes one input and returns what is to be done, in order. `now_ms` is the VM's monotonic
+    /// time; an earlier time than before is read as no time passed.
+    pub fn step(&mut self, now_ms: u64, input: Input) -> Vec<Output> {
+        self.now_ms = self.now_ms.max(now_ms);
+        // Timers run before the input, so that a process that was frozen gives up a stale role
+        // before it counts messages that waited in its queue.
+        self.run_timers();
+        match input {
+            Input::Tick => {}
+            Input::Receive(envelope) => self.receive(envelope),
+            Input::Propose(commands) => self.propose(commands),
+            Input::Written(seq) => self.written(seq),
+            Input::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
+            Input::Transfer => self.start_transfer(),
+            Input::RemoveVoter(vm) => self.remove_voter(&vm),
+        }
+        self.flush();
+        self.emit_committed();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The state that callers may see.
+    pub fn status(&self) -> CoreStatus {
+        let quorum_contact_ms = match &self.role {
+            Role::Leader(leadership) => self.quorum_contact_ms(leadership),
+            _ => self.leader_contact_ms,
+        };
+        CoreStatus {
+            leader: self.leader.clone(),
+            term: self.meta.term,
+            cluster_id: self.meta.cluster_id,
+            commit_index: self.commit_index,
+            last_index: self.log.last_index(),
+            configuration: self.log.configuration().1.clone(),
+            is_leader: matches!(self.role, Role::Leader(_)),
+            quorum_contact_ms,
+        }
+    }
+
+    /// Identity of this member.
+    pub fn id(&self) -> &VoterId {
+        &self.config.id
+    }
+
+    fn run_timers(&mut self) {
+        if matches!(self.role, Role::Leader(_)) {
+            self.leader_timers();
+        } else if self.now_ms >= self.election_deadline_ms {
+            self.election_timeout();
+        }
+        if self.now_ms >= self.probe_due_ms {
+            self.probe_if_lost();
+        }
+    }
+
+    /// Emits the step's write and holds what depends on it or on earlier writes.
+    fn flush(&mut self) {
+        if let Some(mut write) = self.write.take() {
+            write.seq = self.next_seq;
+            write.commit_index = self.commit_index;
+            self.next_seq += 1;
+            self.in_flight.push_back(InFlight {
+                seq: write.seq,
+                last_index: self.log.last_index(),
+            });
+            self.outputs.push(Output::Write(write));
+        }
+        let held = std::mem::take(&mut self.step_held);
+        match self.in_flight.back().map(|last| last.seq) {
+            Some(seq) => self.held.extend(held.into_iter().map(|item| (seq, item))),
+            None => held.into_iter().for_each(|item| self.release(item)),
+        }
+    }
+
+    fn written(&mut self, seq: u64) {
+        while let Some(done) = self.in_flight.pop_front_if(|first| first.seq <= seq) {
+            self.durable_index = done.last_index;
+        }
+        while let Some((_, item)) = self.held.pop_front_if(|(after, _)| *after <= seq) {
+            self.release(item);
+        }
+        self.advance_commit();
+    }
+
+    fn release(&mut self, item: Held) {
+        match item {
+            Held::Send(envelope) => self.outputs.push(Output::Send(*envelope)),
+            Held::SelfVote { term } => {
+                if term == self.meta.term {
+                    self.count_vote(self.config.id.clone());
+                }
+            }
+        }
+    }
+
+    fn emit_committed(&mut self) {
+        if !self.restored || self.applied_index < self.log.snapshot().index {
+            self.restored = true;
+            self.applied_index = self.log.snapshot().index;
+            self.outputs
+                .push(Output::Restore(Arc::clone(self.log.snapshot())));
+        }
+        if self.applied_index < self.commit_index {
+            let entries = self.log.range(self.applied_index + 1, self.commit_index);
+            self.applied_index = self.commit_index;
+            self.outputs.push(Output::Apply(entries));
+        }
+    }
+
+    /// The write of this step, created on first use.
+    fn write(&mut self) -> &mut Write {
+        self.write.get_or_insert_with(Write::default)
+    }
+
+    fn save_meta(&mut self) {
+        let meta = self.meta.clone();
+        self.write().meta = Some(meta);
+    }
+
+    fn append_local(&mut self, payload: Payload) -> u64 {
+        let entry = Entry {
+            index: self.log.last_index() + 1,
+            term: self.meta.term,
+            payload,
+        };
+        let index = entry.index;
+        self.append_entry(entry);
+        index
+    }
+
+    fn append_entry(&mut self, entry: Entry) {
+        self.write().entries.push(entry.clone());
+        self.log.push(entry);
+    }
+
+    fn envelope(&self, to: &VoterId, message: Message) -> Envelope {
+        Envelope {
+            version: FORMAT_VERSION,
+            cluster_id: self.meta.cluster_id,
+            from: self.config.id.clone(),
+            to: to.clone(),
+            term: self.meta.term,
+            message,
+        }
+    }
+
+    fn send(&mut self, to: &VoterId, message: Message) {
+        let envelope = self.envelope(to, message);
+        self.outputs.push(Output::Send(envelope));
+    }
+
+    /// Sends once all writes so far are synced.
+    fn send_durable(&mut self, to: &VoterId, message: Message) {
+        let envelope = self.envelope(to, message);
+        self.step_held.push(Held::Send(Box::new(envelope)));
+    }
+
+    fn reset_election_deadline(&mut self) {
+        let timeouts = self.config.timeouts;
+        let range = timeouts.election_min_ms..=timeouts.election_max_ms;
+        self.election_deadline_ms = self.now_ms + self.rng.random_range(range);
+    }
+
+    fn configuration(&self) -> &Configuration {
+        &self.log.configuration().1
+    }
+
+    fn is_voter(&self) -> bool {
+        self.configuration().voters.contains(&self.config.id)
+    }
+
+    fn is_sole_voter(&self) -> bool {
+        self.is_voter() && self.configuration().voters.len() == 1
+    }
+
+    fn is_blank(&self) -> bool {
+        self.log.last_index() == 0
+    }
+}
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -170,6 +170,8 @@
     pub commit_index: u64,
     /// Time since the sender's state was last confirmed by a quorum, through all relays.
     pub quorum_contact_age_ms: u64,
+    /// Time the request waited at the sender.
+    pub waited_ms: u64,
     /// Entries or a part of a snapshot.
     pub content: FollowContent,
 }
