--- /dev/null
+++ b/src/consensus/storage/disk.rs
@@ -0,0 +1,141 @@
+//! The few file operations that storage needs, and the data folder that provides them.
+
+use std::fs;
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io::ErrorKind;
+use std::io::Result;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+/// File that a process locks while it uses the folder.
+const LOCK_FILE: &str = "lock";
+
+/// Suffix of a file that is not complete yet.
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
+/// A flat set of files.
+pub trait Disk: Send {
+    /// Names of all files.
+    fn names(&mut self) -> Result<Vec<String>>;
+
+    /// Whole content of a file.
+    fn read(&mut self, name: &str) -> Result<Vec<u8>>;
+
+    /// Appends to a file and creates it if needed. Not durable before `sync`.
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<()>;
+
+    /// Makes all appends to a file durable, and its creation.
+    fn sync(&mut self, name: &str) -> Result<()>;
+
+    /// Cuts a file. Durable on return.
+    fn truncate(&mut self, name: &str, len: usize) -> Result<()>;
+
+    /// Sets the content of a file: after a crash it has the old or the new one. Durable on return.
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<()>;
+
+    /// Removes a file if it exists. Durable on return.
+    fn remove(&mut self, name: &str) -> Result<()>;
+}
+
+/// A folder of the file system, locked against other processes.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    folder: File,
+    appending: Option<(String, File)>,
+    is_new: bool,
+    _lock: File,
+}
+
+impl Folder {
+    /// Creates the folder if needed and locks it.
+    pub fn open(path: &Path) -> Result<Self> {
+        fs::create_dir_all(path)?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(path.join(LOCK_FILE))?;
+        lock.try_lock()?;
+        let folder = File::open(path)?;
+        folder.sync_all()?;
+        Ok(Self {
+            path: path.to_owned(),
+            folder,
+            appending: None,
+            is_new: false,
+            _lock: lock,
+        })
+    }
+
+    fn append_file(&mut self, name: &str) -> Result<&mut File> {
+        let is_open = matches!(&self.appending, Some((open, _)) if open == name);
+        if !is_open {
+            let path = self.path.join(name);
+            self.is_new = !path.exists();
+            let file = OpenOptions::new().create(true).append(true).open(path)?;
+            self.appending = Some((name.to_owned(), file));
+        }
+        let (_, file) = self.appending.as_mut().expect("opened above");
+        Ok(file)
+    }
+}
+
+impl Disk for Folder {
+    fn names(&mut self) -> Result<Vec<String>> {
+        let mut names = Vec::new();
+        for file in fs::read_dir(&self.path)? {
+            let name = file?.file_name().to_string_lossy().into_owned();
+            if name.ends_with(TEMPORARY_SUFFIX) {
+                fs::remove_file(self.path.join(name))?;
+            } else if name != LOCK_FILE {
+                names.push(name);
+            }
+        }
+        Ok(names)
+    }
+
+    fn read(&mut self, name: &str) -> Result<Vec<u8>> {
+        fs::read(self.path.join(name))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        self.append_file(name)?.write_all(bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> Result<()> {
+        self.append_file(name)?.sync_data()?;
+        if self.is_new {
+            self.folder.sync_all()?;
+            self.is_new = false;
+        }
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, len: usize) -> Result<()> {
+        let file = OpenOptions::new().write(true).open(self.path.join(name))?;
+        file.set_len(len as u64)?;
+        file.sync_all()
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        let temporary = self.path.join(format!("{name}{TEMPORARY_SUFFIX}"));
+        let mut file = File::create(&temporary)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        fs::rename(&temporary, self.path.join(name))?;
+        self.folder.sync_all()
+    }
+
+    fn remove(&mut self, name: &str) -> Result<()> {
+        if matches!(&self.appending, Some((open, _)) if open == name) {
+            self.appending = None;
+        }
+        match fs::remove_file(self.path.join(name)) {
+            Err(error) if error.kind() != ErrorKind::NotFound => Err(error),
+            _ => self.folder.sync_all(),
+        }
+    }
+}
