feat(consensus): driver for voters and followers

The core, the writer and the state machine run on three threads; events wake the core, so a commit waits for no timer. Writes that come in during a sync share the next one.

--- /dev/null
+++ b/src/consensus/driver/applier.rs
@@ -0,0 +1,161 @@
+//! The thread that applies committed entries to the state machine.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+
+use bytes::Bytes;
+use tokio::sync::oneshot;
+
+use super::config::Applied;
+use super::config::ProposeError;
+use super::machine::RestoreError;
+use super::machine::SharedMachine;
+use super::machine::StateMachine;
+use super::shared::Shared;
+use super::shared::lock;
+use crate::consensus::types::Configuration;
+use crate::consensus::types::Entry;
+use crate::consensus::types::Payload;
+use crate::consensus::types::Snapshot;
+
+/// Where the outcome of a proposal goes.
+pub(super) type Reply = oneshot::Sender<std::result::Result<Applied, ProposeError>>;
+
+/// Receives snapshots of the machine, by index.
+pub(super) type OnSnapshot = Box<dyn FnMut(u64, Bytes) + Send>;
+
+/// Receives the outcome of a restore.
+pub(super) type OnRestored = Box<dyn FnOnce(Result<(), RestoreError>) + Send>;
+
+/// What the thread is asked to do, in order.
+pub(super) enum Job {
+    /// Apply committed entries.
+    Apply(Vec<Entry>),
+    /// Replace the machine's state.
+    Restore(Arc<Snapshot>, OnRestored),
+    /// Answer these proposals when their entries are applied.
+    Expect {
+        first_index: u64,
+        term: u64,
+        replies: Vec<Reply>,
+    },
+    /// Keep a snapshot of the present state for followers.
+    OfferSnapshot(oneshot::Sender<()>),
+}
+
+/// The machine with what is needed to answer proposals and followers.
+pub(super) struct Applier<M> {
+    pub(super) machine: SharedMachine<M>,
+    pub(super) shared: Arc<Shared>,
+    pub(super) snapshot_every_entries: u64,
+    pub(super) on_snapshot: Option<OnSnapshot>,
+    expected: BTreeMap<u64, (u64, Reply)>,
+    applied: (u64, u64),
+    snapshot_index: u64,
+    configuration: Configuration,
+}
+
+impl<M: StateMachine> Applier<M> {
+    pub(super) fn new(machine: SharedMachine<M>, shared: Arc<Shared>) -> Self {
+        Self {
+            machine,
+            shared,
+            snapshot_every_entries: u64::MAX,
+            on_snapshot: None,
+            expected: BTreeMap::new(),
+            applied: (0, 0),
+            snapshot_index: 0,
+            configuration: Configuration::default(),
+        }
+    }
+
+    /// Works until all senders are gone.
+    pub(super) fn run(mut self, jobs: Receiver<Job>) {
+        for job in jobs {
+            match job {
+                Job::Apply(entries) => self.apply_all(entries),
+                Job::Restore(snapshot, done) => {
+                    done(self.restore(&snapshot));
+                }
+                Job::Expect {
+                    first_index,
+                    term,
+                    replies,
+                } => {
+                    let indices = first_index..;
+                    let expected = replies.into_iter().map(|reply| (term, reply));
+                    self.expected.extend(indices.zip(expected));
+                }
+                Job::OfferSnapshot(done) => {
+                    let snapshot = self.take_snapshot();
+                    self.shared.log().offer_snapshot(snapshot);
+                    let _ = done.send(());
+                }
+            }
+        }
+    }
+
+    fn apply_all(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            self.apply(entry);
+        }
+        self.shared.applied.send_replace(self.applied.0);
+        let pending = self.applied.0 - self.snapshot_index;
+        if self.on_snapshot.is_some() && pending >= self.snapshot_every_entries {
+            let snapshot = self.take_snapshot();
+            self.snapshot_index = snapshot.index;
+            if let Some(on_snapshot) = &mut self.on_snapshot {
+                on_snapshot(snapshot.index, snapshot.data.clone());
+            }
+        }
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        let answer = match &entry.payload {
+            Payload::Command(command) => lock(&self.machine).apply(entry.index, command),
+            Payload::Configuration(configuration) => {
+                self.configuration = configuration.clone();
+                Vec::new()
+            }
+            Payload::Noop => Vec::new(),
+        };
+        self.applied = (entry.index, entry.term);
+        if let Some((term, reply)) = self.expected.remove(&entry.index) {
+            // Another term means that a new leader put another entry in the place of the proposal.
+            let outcome = if term == entry.term {
+                let index = entry.index;
+                Ok(Applied { index, answer })
+            } else {
+                let leader = self.shared.view().leader.clone();
+                Err(ProposeError::NotLeader { leader })
+            };
+            let _ = reply.send(outcome);
+        }
+        self.shared.log().push(entry);
+    }
+
+    fn restore(&mut self, snapshot: &Arc<Snapshot>) -> Result<(), RestoreError> {
+        lock(&self.machine).restore(&snapshot.data)?;
+        self.applied = (snapshot.index, snapshot.term);
+        self.snapshot_index = snapshot.index;
+        self.configuration = snapshot.configuration.clone();
+        self.shared.log().restart(Arc::clone(snapshot));
+        self.shared.applied.send_replace(snapshot.index);
+        let later = self.expected.split_off(&(snapshot.index + 1));
+        for (_, (_, reply)) in std::mem::replace(&mut self.expected, later) {
+            let _ = reply.send(Err(ProposeError::Unknown));
+        }
+        Ok(())
+    }
+
+    fn take_snapshot(&self) -> Arc<Snapshot> {
+        let data = lock(&self.machine).snapshot();
+        Arc::new(Snapshot {
+            index: self.applied.0,
+            term: self.applied.1,
+            configuration: self.configuration.clone(),
+            data: Bytes::from(data),
+        })
+    }
+}
--- /dev/null
+++ b/src/consensus/driver/config.rs
@@ -0,0 +1,109 @@
+//! Settings, results and errors of the replicated log.
+
+use std::path::PathBuf;
+
+use snafu::Snafu;
+use tokio::sync::watch;
+
+use crate::consensus::types::Timeouts;
+use crate::consensus::types::VoterId;
+use crate::types::VmName;
+
+/// Result of opening a voter.
+pub type Result<T> = std::result::Result<T, OpenError>;
+
+/// Settings of a voter.
+#[derive(Clone, Debug)]
+pub struct VoterConfig {
+    /// Name of this VM.
+    pub vm: VmName,
+    /// Folder that only this module writes to.
+    pub data_folder: PathBuf,
+    /// The VMs that found the cluster, and the contacts of a voter that joins later.
+    pub founders: Vec<VmName>,
+    /// Periods of the protocol.
+    pub timeouts: Timeouts,
+    /// Applied entries after which a snapshot is taken and the log compacted.
+    pub snapshot_every_entries: u64,
+    /// Longest wait of a proposal for its commit.
+    pub propose_timeout_ms: u64,
+}
+
+impl VoterConfig {
+    /// Settings with default periods.
+    pub fn new(vm: VmName, data_folder: impl Into<PathBuf>, founders: Vec<VmName>) -> Self {
+        Self {
+            vm,
+            data_folder: data_folder.into(),
+            founders,
+            timeouts: Timeouts::default(),
+            snapshot_every_entries: 8_192,
+            propose_timeout_ms: 3_000,
+        }
+    }
+}
+
+/// Settings of a follower without a disk.
+#[derive(Clone, Debug)]
+pub struct FollowerConfig {
+    /// Name of this VM.
+    pub vm: VmName,
+    /// VMs to pull from in order of preference, own data centre first. May be replaced while the
+    /// follower runs.
+    pub sources: watch::Receiver<Vec<VmName>>,
+}
+
+/// A command that was committed and applied.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Applied {
+    /// Position in the log.
+    pub index: u64,
+    /// Answer of the state machine.
+    pub answer: Vec<u8>,
+}
+
+/// Why a proposal was not acknowledged.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum ProposeError {
+    /// This VM does not lead the log. The command was not and will not be applied.
+    #[snafu(display("this VM does not lead the log; leader: {leader:?}"))]
+    NotLeader {
+        /// Last known leader.
+        leader: Option<VmName>,
+    },
+    /// The log accepts no proposals now. The command was not and will not be applied.
+    #[snafu(display("the log accepts no proposals now"))]
+    Unavailable,
+    /// The command may or may not be applied, now or later.
+    #[snafu(display("the outcome of the proposal is not known"))]
+    Unknown,
+}
+
+/// State of the log as this VM sees it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Status {
+    /// Last known leader.
+    pub leader: Option<VmName>,
+    /// Highest term seen.
+    pub term: u64,
+    /// Last index known to be committed.
+    pub commit_index: u64,
+    /// Last index applied to the machine.
+    pub applied_index: u64,
+    /// Members whose votes count.
+    pub voters: Vec<VoterId>,
+    /// Members that receive the log and do not vote.
+    pub learners: Vec<VoterId>,
+    /// Whether this VM leads the log.
+    pub is_leader: bool,
+    /// Time since this VM's state was last confirmed by a quorum; `u64::MAX` if it never was.
+    pub quorum_contact_age_ms: u64,
+}
+
+/// The data folder cannot be used.
+#[derive(Debug, Snafu)]
+#[snafu(display("data folder cannot be opened: {reason}"))]
+pub struct OpenError {
+    /// What went wrong.
+    pub reason: String,
+}
--- /dev/null
+++ b/src/consensus/driver/follower.rs
@@ -0,0 +1,260 @@
+//! A follower without a disk: pulls applied entries from voters or other followers.
+
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use super::applier::Job;
+use super::config::FollowerConfig;
+use super::machine::FollowSource;
+use super::shared::Shared;
+use crate::consensus::message::FORMAT_VERSION;
+use crate::consensus::message::FollowContent;
+use crate::consensus::message::FollowReply;
+use crate::consensus::message::FollowRequest;
+use crate::consensus::message::SnapshotPosition;
+use crate::consensus::types::Entry;
+use crate::consensus::types::Snapshot;
+use crate::types::VmName;
+
+/// Longest wait of a request for new entries.
+const WAIT_MS: u64 = 1_000;
+
+/// Time after which a request without a reply is given up.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(WAIT_MS + 400);
+
+/// The same for the first request to a source, which does not wait for entries.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Pause after a request that brought nothing usable.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// Age of a source's quorum contact from which another source is tried. It ends the case that two
+/// relays follow each other, where the age grows without bound. A chain of two relays that both poll
+/// once a second stays below it.
+const STALE_MS: u64 = 2_500;
+
+/// Time after which a preferred source is tried again.
+const RETURN_MS: u64 = 5_000;
+
+/// The pulling task.
+pub(super) struct Follower {
+    config: FollowerConfig,
+    shared: Arc<Shared>,
+    source: Arc<dyn FollowSource>,
+    jobs: Sender<Job>,
+    position: usize,
+    moved_ms: u64,
+    current: Option<VmName>,
+    incoming: Option<(u64, BytesMut)>,
+}
+
+/// Whether a source should be kept.
+#[derive(Debug, Eq, PartialEq)]
+enum Verdict {
+    Good,
+    Bad,
+}
+
+impl Follower {
+    pub(super) fn new(
+        config: FollowerConfig,
+        shared: Arc<Shared>,
+        source: Arc<dyn FollowSource>,
+        jobs: Sender<Job>,
+    ) -> Self {
+        Self {
+            config,
+            shared,
+            source,
+            jobs,
+            position: 0,
+            moved_ms: 0,
+            current: None,
+            incoming: None,
+        }
+    }
+
+    /// Pulls until `stop` becomes true.
+    pub(super) async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        loop {
+            tokio::select! {
+                biased;
+                _ = stop.wait_for(|stop| *stop) => return,
+                () = self.pull() => {}
+            }
+        }
+    }
+
+    async fn pull(&mut self) {
+        let Some(from) = self.choose() else {
+            tokio::time::sleep(RETRY).await;
+            return;
+        };
+        if self.pull_from(&from).await == Verdict::Bad {
+            self.position += 1;
+            self.current = None;
+            self.moved_ms = self.shared.now_ms();
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+
+    fn choose(&mut self) -> Option<VmName> {
+        if self.config.sources.has_changed().unwrap_or(false) {
+            self.position = 0;
+        }
+        if self.shared.now_ms() >= self.moved_ms + RETURN_MS {
+            self.position = 0;
+        }
+        let mut sources = self.config.sources.borrow_and_update().clone();
+        sources.retain(|vm| *vm != self.config.vm);
+        let count = sources.len().max(1);
+        sources.into_iter().nth(self.position % count)
+    }
+
+    async fn pull_from(&mut self, from: &VmName) -> Verdict {
+        let sent_ms = self.shared.now_ms();
+        // The first request to a source returns at once, so that trying an unreachable source does
+        // not hold up entries for long.
+        let is_trial = self.current.as_ref() != Some(from);
+        self.current = Some(from.clone());
+        let (wait_ms, timeout) = match is_trial {
+            true => (0, TRIAL_TIMEOUT),
+            false => (WAIT_MS, REPLY_TIMEOUT),
+        };
+        let reply = self.source.follow(from, self.request(wait_ms));
+        match tokio::time::timeout(timeout, reply).await {
+            Ok(Ok(reply)) => self.take(from, reply, sent_ms).await,
+            Ok(Err(error)) => {
+                log::debug!("consensus: {error}");
+                Verdict::Bad
+            }
+            Err(_) => {
+                log::debug!("consensus: follow request to {from} timed out");
+                Verdict::Bad
+            }
+        }
+    }
+
+    fn request(&self, wait_ms: u64) -> FollowRequest {
+        FollowRequest {
+            version: FORMAT_VERSION,
+            cluster_id: self.shared.view().cluster_id,
+            next_index: *self.shared.applied.borrow() + 1,
+            snapshot: self
+                .incoming
+                .as_ref()
+                .map(|(index, data)| SnapshotPosition {
+                    index: *index,
+                    offset: data.len() as u64,
+                }),
+            wait_ms,
+        }
+    }
+
+    async fn take(&mut self, from: &VmName, reply: FollowReply, sent_ms: u64) -> Verdict {
+        let cluster_id = self.shared.view().cluster_id;
+        let is_foreign = cluster_id != 0 && reply.cluster_id != cluster_id;
+        if reply.version != FORMAT_VERSION || reply.cluster_id == 0 || is_foreign {
+            log::warn!(
+                "consensus: {from} serves cluster {:x} in format {}",
+                reply.cluster_id,
+                reply.version
+            );
+            return Verdict::Bad;
+        }
+        let applied_index = *self.shared.applied.borrow();
+        let is_behind = reply.commit_index < applied_index;
+        let is_stale = reply.quorum_contact_age_ms > STALE_MS;
+        self.note(&reply, sent_ms);
+        let is_taken = self.take_content(reply.content, applied_index).await;
+        match is_taken && !is_behind && !is_stale {
+            true => Verdict::Good,
+            false => Verdict::Bad,
+        }
+    }
+
+    /// Updates the view. The reply may have been on its way for any time, so its age is counted from
+    /// the earliest moment at which it can have been sent.
+    fn note(&self, reply: &FollowReply, sent_ms: u64) {
+        let contact_ms = (sent_ms + reply.waited_ms).checked_sub(reply.quorum_contact_age_ms);
+        let mut view = self.shared.view();
+        view.cluster_id = reply.cluster_id;
+        if reply.term >= view.term {
+            view.term = reply.term;
+            view.leader = reply.leader.clone().or(view.leader.take());
+            view.configuration.voters = reply.voters.iter().cloned().collect();
+        }
+        view.commit_index = view.commit_index.max(reply.commit_index);
+        view.quorum_contact_ms = view.quorum_contact_ms.max(contact_ms);
+    }
+
+    async fn take_content(&mut self, content: FollowContent, applied_index: u64) -> bool {
+        match content {
+            FollowContent::Entries(entries) => self.apply(entries, applied_index).await,
+            FollowContent::Snapshot {
+                index,
+                term,
+                configuration,
+                offset,
+                total_bytes,
+                data,
+            } => {
+                let mut incoming = match self.incoming.take() {
+                    Some((known, data)) if known == index => data,
+                    _ => BytesMut::new(),
+                };
+                if offset != incoming.len() as u64 {
+                    return false;
+                }
+                incoming.extend_from_slice(&data);
+                if (incoming.len() as u64) < total_bytes {
+                    self.incoming = Some((index, incoming));
+                    return true;
+                }
+                self.restore(Snapshot {
+                    index,
+                    term,
+                    configuration,
+                    data: incoming.freeze(),
+                })
+                .await
+            }
+        }
+    }
+
+    async fn apply(&mut self, entries: Vec<Entry>, applied_index: u64) -> bool {
+        let Some(last) = entries.last().map(|entry| entry.index) else {
+            return true;
+        };
+        let is_next = entries[0].index == applied_index + 1;
+        if !is_next || self.jobs.send(Job::Apply(entries)).is_err() {
+            return false;
+        }
+        let mut applied = self.shared.applied.subscribe();
+        applied.wait_for(|index| *index >= last).await.is_ok()
+    }
+
+    async fn restore(&mut self, snapshot: Snapshot) -> bool {
+        let (done, restored) = oneshot::channel();
+        let on_restored = Box::new(move |outcome| {
+            let _ = done.send(outcome);
+        });
+        let job = Job::Restore(Arc::new(snapshot), on_restored);
+        if self.jobs.send(job).is_err() {
+            return false;
+        }
+        match restored.await {
+            Ok(Ok(())) => true,
+            Ok(Err(error)) => {
+                log::error!("consensus: {error}");
+                false
+            }
+            Err(_) => false,
+        }
+    }
+}
--- a/src/consensus/driver/handle.rs
+++ b/src/consensus/driver/handle.rs
@@ -1,181 +1,320 @@
 //! The interface of the replicated log.
 
-use std::path::PathBuf;
+use std::io;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc;
+use std::sync::mpsc::Sender;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
 
-use snafu::Snafu;
+use bytes::Bytes;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use super::applied::Lookup;
+use super::applier::Applier;
+use super::applier::Job;
+use super::config::Applied;
+use super::config::FollowerConfig;
+use super::config::OpenError;
+use super::config::ProposeError;
+use super::config::Result;
+use super::config::Status;
+use super::config::VoterConfig;
+use super::follower::Follower;
 use super::machine::FollowSource;
 use super::machine::SharedMachine;
 use super::machine::StateMachine;
 use super::machine::Transport;
+use super::shared::Shared;
+use super::shared::lock;
+use super::voter::Event;
+use super::voter::Voter;
+use super::writer;
+use crate::consensus::core::Core;
+use crate::consensus::core::CoreConfig;
+use crate::consensus::core::Loaded;
 use crate::consensus::message::Envelope;
+use crate::consensus::message::FORMAT_VERSION;
+use crate::consensus::message::FollowContent;
 use crate::consensus::message::FollowReply;
 use crate::consensus::message::FollowRequest;
-use crate::consensus::types::Timeouts;
+use crate::consensus::storage::Folder;
+use crate::consensus::storage::StorageError;
+use crate::consensus::storage::Store;
 use crate::consensus::types::VoterId;
 use crate::types::VmName;
 
-/// Result of opening a voter.
-pub type Result<T> = std::result::Result<T, OpenError>;
-
-/// Settings of a voter.
-#[derive(Clone, Debug)]
-pub struct VoterConfig {
-    /// Name of this VM.
-    pub vm: VmName,
-    /// Folder that only this module writes to.
-    pub data_folder: PathBuf,
-    /// The VMs that found the cluster, and the contacts of a voter that joins later.
-    pub founders: Vec<VmName>,
-    /// Periods of the protocol.
-    pub timeouts: Timeouts,
-    /// Applied entries after which a snapshot is taken and the log compacted.
-    pub snapshot_every_entries: u64,
-    /// Longest wait of a proposal for its commit.
-    pub propose_timeout_ms: u64,
-}
+/// Longest wait of a follow request.
+const MAX_FOLLOW_WAIT_MS: u64 = 1_000;
 
-impl VoterConfig {
-    /// Settings with default periods.
-    pub fn new(vm: VmName, data_folder: impl Into<PathBuf>, founders: Vec<VmName>) -> Self {
-        Self {
-            vm,
-            data_folder: data_folder.into(),
-            founders,
-            timeouts: Timeouts::default(),
-            snapshot_every_entries: 8_192,
-            propose_timeout_ms: 3_000,
-        }
-    }
-}
-
-/// Settings of a follower without a disk.
-#[derive(Clone, Debug)]
-pub struct FollowerConfig {
-    /// Name of this VM.
-    pub vm: VmName,
-    /// VMs to pull from in order of preference, own data centre first. May be replaced while the
-    /// follower runs.
-    pub sources: watch::Receiver<Vec<VmName>>,
+/// A running voter or follower. Clones share it.
+#[derive(Clone)]
+pub struct Handle {
+    inner: Arc<Inner>,
 }
 
-/// A command that was committed and applied.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Applied {
-    /// Position in the log.
-    pub index: u64,
-    /// Answer of the state machine.
-    pub answer: Vec<u8>,
+struct Inner {
+    shared: Arc<Shared>,
+    jobs: Mutex<Option<Sender<Job>>>,
+    part: Part,
+    threads: Mutex<Vec<JoinHandle<()>>>,
 }
 
-/// Why a proposal was not acknowledged.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
-pub enum ProposeError {
-    /// This VM does not lead the log. The command was not and will not be applied.
-    #[snafu(display("this VM does not lead the log; leader: {leader:?}"))]
-    NotLeader {
-        /// Last known leader.
-        leader: Option<VmName>,
+enum Part {
+    Voter {
+        events: Sender<Event>,
+        propose_timeout: Duration,
+    },
+    Follower {
+        stop: watch::Sender<bool>,
     },
-    /// The log accepts no proposals now. The command was not and will not be applied.
-    #[snafu(display("the log accepts no proposals now"))]
-    Unavailable,
-    /// The command may or may not be applied, now or later.
-    #[snafu(display("the outcome of the proposal is not known"))]
-    Unknown,
-}
-
-/// State of the log as this VM sees it.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Status {
-    /// Last known leader.
-    pub leader: Option<VmName>,
-    /// Highest term seen.
-    pub term: u64,
-    /// Last index known to be committed.
-    pub commit_index: u64,
-    /// Last index applied to the machine.
-    pub applied_index: u64,
-    /// Members whose votes count.
-    pub voters: Vec<VoterId>,
-    /// Members that receive the log and do not vote.
-    pub learners: Vec<VoterId>,
-    /// Whether this VM leads the log.
-    pub is_leader: bool,
-    /// Time since this VM's state was last confirmed by a quorum; `u64::MAX` if it never was.
-    pub quorum_contact_age_ms: u64,
-}
-
-/// The data folder cannot be used.
-#[derive(Debug, Snafu)]
-#[snafu(display("data folder cannot be opened: {reason}"))]
-pub struct OpenError {
-    /// What went wrong.
-    pub reason: String,
 }
 
-/// A running voter or follower. Clones share it.
-#[derive(Clone)]
-pub struct Handle {}
-
 impl Handle {
-    /// Opens the data folder and runs a voter on threads of its own.
+    /// Opens the data folder and runs a voter on threads of its own. The machine must be in its
+    /// initial state. A damaged folder is cleared, and the voter joins as a new identity.
     pub fn open_voter<M: StateMachine>(
         config: VoterConfig,
         machine: SharedMachine<M>,
         transport: Arc<dyn Transport>,
     ) -> Result<Self> {
-        let _ = (config, machine, transport);
-        todo!()
+        let (store, loaded) = open_store(&config)?;
+        let shared = Arc::new(Shared::new());
+        let (event_sender, events) = mpsc::channel();
+        let (write_sender, writes) = mpsc::channel();
+        let (job_sender, jobs) = mpsc::channel();
+        let mut applier = Applier::new(machine, Arc::clone(&shared));
+        applier.snapshot_every_entries = config.snapshot_every_entries;
+        let snapshots = event_sender.clone();
+        applier.on_snapshot = Some(Box::new(move |index, data| {
+            let _ = snapshots.send(Event::SnapshotTaken(index, data));
+        }));
+        let core_config = CoreConfig {
+            id: VoterId::new(config.vm, loaded.meta.disk_id),
+            founders: config.founders,
+            timeouts: config.timeouts,
+            seed: rand::random(),
+        };
+        let voter = Voter {
+            core: Core::new(core_config, loaded, shared.now_ms()),
+            shared: Arc::clone(&shared),
+            transport,
+            writes: write_sender,
+            jobs: job_sender.clone(),
+            events: event_sender.clone(),
+            is_retired: false,
+        };
+        let written = event_sender.clone();
+        let threads = vec![
+            spawn("consensus-write", move || {
+                writer::run(store, writes, written)
+            })?,
+            spawn("consensus-apply", move || applier.run(jobs))?,
+            spawn("consensus-core", move || voter.run(events))?,
+        ];
+        let part = Part::Voter {
+            events: event_sender,
+            propose_timeout: Duration::from_millis(config.propose_timeout_ms),
+        };
+        Ok(Self::new(shared, job_sender, part, threads))
     }
 
-    /// Runs a follower without a disk. Must be called within a tokio runtime.
+    /// Runs a follower without a disk. The machine must be in its initial state. Must be called
+    /// within a tokio runtime.
     pub fn spawn_follower<M: StateMachine>(
         config: FollowerConfig,
         machine: SharedMachine<M>,
         source: Arc<dyn FollowSource>,
     ) -> Self {
-        let _ = (config, machine, source);
-        todo!()
+        let shared = Arc::new(Shared::new());
+        let (job_sender, jobs) = mpsc::channel();
+        let applier = Applier::new(machine, Arc::clone(&shared));
+        let thread = thread::spawn(move || applier.run(jobs));
+        let (stop, stopped) = watch::channel(false);
+        let follower = Follower::new(config, Arc::clone(&shared), source, job_sender.clone());
+        tokio::spawn(follower.run(stopped));
+        Self::new(shared, job_sender, Part::Follower { stop }, vec![thread])
+    }
+
+    fn new(
+        shared: Arc<Shared>,
+        jobs: Sender<Job>,
+        part: Part,
+        threads: Vec<JoinHandle<()>>,
+    ) -> Self {
+        Self {
+            inner: Arc::new(Inner {
+                shared,
+                jobs: Mutex::new(Some(jobs)),
+                part,
+                threads: Mutex::new(threads),
+            }),
+        }
     }
 
-    /// Takes a message from another VM.
+    /// Takes a message from another VM. A follower ignores it.
     pub fn receive(&self, envelope: Envelope) {
-        let _ = envelope;
+        if let Part::Voter { events, .. } = &self.inner.part {
+            let _ = events.send(Event::Receive(envelope));
+        }
     }
 
     /// Proposes a command and waits until it is applied here.
     pub async fn propose(&self, command: Vec<u8>) -> std::result::Result<Applied, ProposeError> {
-        let _ = command;
-        todo!()
+        self.submit(|reply| Event::Propose(Bytes::from(command), reply))
+            .await
+    }
+
+    /// Removes the voter on `vm` for good; only the leader can. Meant for a VM that is gone.
+    pub async fn remove_voter(&self, vm: VmName) -> std::result::Result<(), ProposeError> {
+        let applied = self.submit(|reply| Event::RemoveVoter(vm, reply)).await;
+        applied.map(|_| ())
+    }
+
+    async fn submit(
+        &self,
+        event: impl FnOnce(super::applier::Reply) -> Event,
+    ) -> std::result::Result<Applied, ProposeError> {
+        let (events, timeout) = match &self.inner.part {
+            Part::Voter {
+                events,
+                propose_timeout,
+            } => (events, *propose_timeout),
+            Part::Follower { .. } => {
+                let leader = self.inner.shared.view().leader.clone();
+                return Err(ProposeError::NotLeader { leader });
+            }
+        };
+        let (reply, outcome) = oneshot::channel();
+        if events.send(event(reply)).is_err() {
+            return Err(ProposeError::Unavailable);
+        }
+        match tokio::time::timeout(timeout, outcome).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => Err(ProposeError::Unknown),
+        }
     }
 
     /// Serves a follower: waits for entries from `next_index` for at most 1,000 ms.
     pub async fn follow(&self, request: FollowRequest) -> FollowReply {
-        let _ = request;
-        todo!()
+        let shared = &self.inner.shared;
+        let came_ms = shared.now_ms();
+        let wait = Duration::from_millis(request.wait_ms.min(MAX_FOLLOW_WAIT_MS));
+        let mut applied = shared.applied.subscribe();
+        let reached = applied.wait_for(|index| *index >= request.next_index);
+        let _ = tokio::time::timeout(wait, reached).await;
+        let content = self.follow_content(&request).await;
+        let view = shared.view().clone();
+        FollowReply {
+            version: FORMAT_VERSION,
+            cluster_id: view.cluster_id,
+            term: view.term,
+            leader: view.leader,
+            voters: view.configuration.voters.into_iter().collect(),
+            commit_index: view.commit_index,
+            quorum_contact_age_ms: shared.quorum_contact_age_ms(),
+            waited_ms: shared.now_ms() - came_ms,
+            content,
+        }
     }
 
-    /// Removes the voter on `vm` for good; only the leader can. Meant for a VM that is gone.
-    pub async fn remove_voter(&self, vm: VmName) -> std::result::Result<(), ProposeError> {
-        let _ = vm;
-        todo!()
+    async fn follow_content(&self, request: &FollowRequest) -> FollowContent {
+        let cluster_id = self.inner.shared.view().cluster_id;
+        let is_foreign = request.cluster_id != 0 && request.cluster_id != cluster_id;
+        if is_foreign || request.version != FORMAT_VERSION {
+            return FollowContent::Entries(Vec::new());
+        }
+        if let Some(found) = self.lookup(request) {
+            return found;
+        }
+        let (done, offered) = oneshot::channel();
+        if let Some(jobs) = &*lock(&self.inner.jobs) {
+            let _ = jobs.send(Job::OfferSnapshot(done));
+        }
+        let _ = offered.await;
+        let found = self.lookup(request);
+        found.unwrap_or_else(|| FollowContent::Entries(Vec::new()))
+    }
+
+    fn lookup(&self, request: &FollowRequest) -> Option<FollowContent> {
+        let log = self.inner.shared.log();
+        match log.lookup(request.next_index, request.snapshot) {
+            Lookup::Found(content) => Some(content),
+            Lookup::NeedsSnapshot => None,
+        }
     }
 
     /// The state of the log.
     pub fn status(&self) -> Status {
-        todo!()
+        self.inner.shared.status()
     }
 
     /// Reports each change of the applied index.
     pub fn subscribe_applied(&self) -> watch::Receiver<u64> {
-        todo!()
+        self.inner.shared.applied.subscribe()
     }
 
     /// Hands leadership over, syncs and stops. Pending proposals end as `Unknown`.
     pub async fn shutdown(&self) {
-        todo!()
+        match &self.inner.part {
+            Part::Voter { events, .. } => {
+                let (done, left) = oneshot::channel();
+                let _ = events.send(Event::Shutdown(done));
+                let _ = left.await;
+            }
+            Part::Follower { stop } => {
+                stop.send_replace(true);
+            }
+        }
+        lock(&self.inner.jobs).take();
+        let threads = std::mem::take(&mut *lock(&self.inner.threads));
+        let joined = tokio::task::spawn_blocking(move || {
+            for thread in threads {
+                let _ = thread.join();
+            }
+        });
+        let _ = joined.await;
+    }
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        match &self.part {
+            Part::Voter { events, .. } => {
+                let _ = events.send(Event::Stop);
+            }
+            Part::Follower { stop } => {
+                stop.send_replace(true);
+            }
+        }
     }
 }
+
+fn open_store(config: &VoterConfig) -> Result<(Store<Folder>, Loaded)> {
+    let new_disk_id = rand::random::<u64>().max(1);
+    let folder = || {
+        Folder::open(&config.data_folder).map_err(|error| OpenError {
+            reason: format!("{}: {error}", config.data_folder.display()),
+        })
+    };
+    let opened = match Store::open(folder()?, new_disk_id) {
+        Err(error) if error.is_corrupt() => {
+            log::error!("consensus: data folder is cleared, joining as a new identity: {error}");
+            Store::start_over(folder()?, new_disk_id)
+        }
+        opened => opened,
+    };
+    opened.map_err(|error: StorageError| OpenError {
+        reason: error.to_string(),
+    })
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>> {
+    let started = thread::Builder::new().name(name.to_owned()).spawn(run);
+    started.map_err(|error: io::Error| OpenError {
+        reason: format!("thread {name} does not start: {error}"),
+    })
+}
--- a/src/consensus/driver/machine.rs
+++ b/src/consensus/driver/machine.rs
@@ -38,7 +38,8 @@
 
 /// Sends messages to other VMs.
 pub trait Transport: Send + Sync + 'static {
-    /// Sends `envelope` to `to` if it can. Must not block; may lose, delay or repeat messages.
+    /// Sends `envelope` to `to` if it can. Must not block; may lose, delay or repeat messages. Should
+    /// keep the order of messages to one VM, because each reordering may cost a round trip.
     fn send(&self, to: &VmName, envelope: Envelope);
 }
 
--- /dev/null
+++ b/src/consensus/driver/voter.rs
@@ -0,0 +1,223 @@
+//! The thread that runs the core of a voter.
+
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::oneshot;
+
+use super::applier::Job;
+use super::applier::Reply;
+use super::config::ProposeError;
+use super::machine::RestoreError;
+use super::machine::Transport;
+use super::shared::Shared;
+use super::shared::View;
+use crate::consensus::core::Core;
+use crate::consensus::core::Input;
+use crate::consensus::core::Output;
+use crate::consensus::core::Write;
+use crate::consensus::message::Envelope;
+use crate::consensus::types::Snapshot;
+use crate::types::VmName;
+
+/// Period of timer checks. All other work is done when an event comes in.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Most events that are taken before the results are published.
+const MAX_BATCH: usize = 1_024;
+
+/// Longest wait for another voter to take over.
+const HANDOVER_MS: u64 = 1_500;
+
+/// What the thread reacts to.
+pub(super) enum Event {
+    Receive(Envelope),
+    Propose(Bytes, Reply),
+    RemoveVoter(VmName, Reply),
+    Written(u64),
+    SnapshotTaken(u64, Bytes),
+    /// Storage or the state machine failed; nothing may be sent any more.
+    Failed,
+    /// Hand leadership over, then stop.
+    Shutdown(oneshot::Sender<()>),
+    /// Stop at once.
+    Stop,
+}
+
+/// The core and the channels to the other threads.
+pub(super) struct Voter {
+    pub(super) core: Core,
+    pub(super) shared: Arc<Shared>,
+    pub(super) transport: Arc<dyn Transport>,
+    pub(super) writes: Sender<Write>,
+    pub(super) jobs: Sender<Job>,
+    pub(super) events: Sender<Event>,
+    pub(super) is_retired: bool,
+}
+
+/// A shutdown in progress.
+struct Leaving {
+    until_ms: u64,
+    done: Vec<oneshot::Sender<()>>,
+}
+
+impl Voter {
+    /// Runs until a shutdown is complete or something failed.
+    pub(super) fn run(mut self, events: Receiver<Event>) {
+        let mut leaving: Option<Leaving> = None;
+        self.step(Input::Tick, Vec::new());
+        self.publish();
+        while !self.has_left(leaving.as_ref()) {
+            let mut batch = Vec::new();
+            match events.recv_timeout(TICK) {
+                Ok(event) => batch.push(event),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => break,
+            }
+            batch.extend(events.try_iter().take(MAX_BATCH));
+            let mut is_stopped = false;
+            let mut proposals = (Vec::new(), Vec::new());
+            for event in batch {
+                match event {
+                    Event::Propose(command, reply) => {
+                        proposals.0.push(command);
+                        proposals.1.push(reply);
+                    }
+                    Event::Shutdown(done) => self.start_leaving(&mut leaving, done),
+                    Event::Failed | Event::Stop => is_stopped = true,
+                    event => self.handle(event),
+                }
+            }
+            if is_stopped {
+                break;
+            }
+            self.step(Input::Tick, Vec::new());
+            if !proposals.0.is_empty() {
+                self.step(Input::Propose(proposals.0), proposals.1);
+            }
+            self.publish();
+        }
+        self.shared.view().is_leader = false;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Receive(envelope) => self.step(Input::Receive(envelope), Vec::new()),
+            Event::RemoveVoter(vm, reply) => self.step(Input::RemoveVoter(vm), vec![reply]),
+            Event::Written(seq) => self.step(Input::Written(seq), Vec::new()),
+            Event::SnapshotTaken(index, data) => {
+                self.step(Input::SnapshotTaken { index, data }, Vec::new());
+            }
+            Event::Propose(..) | Event::Failed | Event::Shutdown(_) | Event::Stop => {}
+        }
+    }
+
+    fn start_leaving(&mut self, leaving: &mut Option<Leaving>, done: oneshot::Sender<()>) {
+        let until_ms = self.shared.now_ms() + HANDOVER_MS;
+        let state = leaving.get_or_insert(Leaving {
+            until_ms,
+            done: Vec::new(),
+        });
+        state.done.push(done);
+        self.step(Input::Transfer, Vec::new());
+    }
+
+    fn has_left(&self, leaving: Option<&Leaving>) -> bool {
+        let Some(leaving) = leaving else {
+            return false;
+        };
+        let status = self.core.status();
+        let is_alone = status.configuration.voters.len() == 1;
+        !status.is_leader || is_alone || self.shared.now_ms() >= leaving.until_ms
+    }
+
+    fn step(&mut self, input: Input, replies: Vec<Reply>) {
+        let mut replies = Some(replies);
+        for output in self.core.step(self.shared.now_ms(), input) {
+            match output {
+                Output::Send(envelope) => {
+                    let to = envelope.to.vm.clone();
+                    self.transport.send(&to, envelope);
+                }
+                Output::Write(write) => {
+                    let _ = self.writes.send(write);
+                }
+                Output::Apply(entries) => self.assign(Job::Apply(entries)),
+                Output::Restore(snapshot) => self.restore(snapshot),
+                Output::Accepted { first_index, term } => {
+                    let replies = replies.take().unwrap_or_default();
+                    self.assign(Job::Expect {
+                        first_index,
+                        term,
+                        replies,
+                    });
+                }
+                Output::Rejected {
+                    leader,
+                    unavailable,
+                } => reject(replies.take().unwrap_or_default(), leader, unavailable),
+                Output::Retired => self.report_retired(),
+            }
+        }
+    }
+
+    /// Passes a snapshot on. A machine that cannot restore it ends the voter.
+    fn restore(&mut self, snapshot: Arc<Snapshot>) {
+        let events = self.events.clone();
+        let on_restored = Box::new(move |outcome: Result<(), RestoreError>| {
+            if let Err(error) = outcome {
+                log::error!("consensus: voter stops: {error}");
+                let _ = events.send(Event::Failed);
+            }
+        });
+        self.assign(Job::Restore(snapshot, on_restored));
+    }
+
+    /// Gives the applier a job. It is gone only if the state machine panicked.
+    fn assign(&mut self, job: Job) {
+        if self.jobs.send(job).is_err() {
+            log::error!("consensus: voter stops: the state machine failed");
+            let _ = self.events.send(Event::Failed);
+        }
+    }
+
+    fn report_retired(&mut self) {
+        if !self.is_retired {
+            let id = self.core.id();
+            log::error!(
+                "consensus: voter {id} was removed and may not join again; clear its data folder"
+            );
+            self.is_retired = true;
+        }
+    }
+
+    fn publish(&self) {
+        let status = self.core.status();
+        *self.shared.view() = View {
+            leader: status.leader.map(|id| id.vm),
+            term: status.term,
+            cluster_id: status.cluster_id,
+            commit_index: status.commit_index,
+            configuration: status.configuration,
+            is_leader: status.is_leader,
+            quorum_contact_ms: status.quorum_contact_ms,
+        };
+    }
+}
+
+fn reject(replies: Vec<Reply>, leader: Option<VmName>, unavailable: bool) {
+    for reply in replies {
+        let error = if unavailable {
+            ProposeError::Unavailable
+        } else {
+            ProposeError::NotLeader {
+                leader: leader.clone(),
+            }
+        };
+        let _ = reply.send(Err(error));
+    }
+}
