fix(control): count live keys per account instead of walking all grants

Each grant walked every grant to count the account's live keys, so a replay of many grants took quadratic time. The attempt check in finish is dropped: the comparison with the holder covers it.

--- a/src/control/job_records.rs
+++ b/src/control/job_records.rs
@@ -111,7 +111,7 @@
     Released,
     /// The job is cancelled. A running attempt should be stopped.
     Cancelled,
-    /// The job had ended before.
+    /// The job had ended before, perhaps by an earlier proposal of the same command.
     Ended(JobStatus),
     /// The claimant does not have the job; its result is ignored.
     Stale {
--- a/src/control/jobs.rs
+++ b/src/control/jobs.rs
@@ -193,11 +193,6 @@
         let Some(job) = self.records.get(id) else {
             return JobReply::NotFound;
         };
-        if job.attempt != claimant.attempt {
-            return JobReply::Stale {
-                attempt: job.attempt,
-            };
-        }
         if !job.is_held_by(claimant) {
             return match job.status() {
                 JobStatus::Queued | JobStatus::Running => JobReply::Stale {
--- a/src/control/keys.rs
+++ b/src/control/keys.rs
@@ -78,8 +78,10 @@
 pub struct KeyRing {
     grants: BTreeMap<String, Grant>,
     withdrawn: BTreeSet<KeyHash>,
-    /// Ids of live keys by the first bytes of their hash.
+    /// Live keys by the first bytes of their hash.
     live: HashMap<u64, Vec<(KeyHash, AccountName)>>,
+    /// Number of live keys per account.
+    live_count: HashMap<AccountName, usize>,
 }
 
 /// The parts of a [`KeyRing`] that a snapshot holds.
@@ -126,9 +128,7 @@
 
     /// Number of live keys of `account`.
     pub fn live_of(&self, account: &AccountName) -> usize {
-        self.of_account(account)
-            .filter(|(_, grant)| !self.is_withdrawn(&grant.hash))
-            .count()
+        self.live_count.get(account).copied().unwrap_or(0)
     }
 
     /// All withdrawn hashes.
@@ -153,10 +153,14 @@
 
     /// Adds `hash` to the withdrawn set; false if it was there already.
     pub(super) fn withdraw(&mut self, hash: KeyHash) -> bool {
-        if let Some(candidates) = self.live.get_mut(&bucket(&hash)) {
-            candidates.retain(|(candidate, _)| *candidate != hash);
-            if candidates.is_empty() {
-                self.live.remove(&bucket(&hash));
+        let candidates = self.live.remove(&bucket(&hash)).unwrap_or_default();
+        let (gone, kept): (Vec<_>, Vec<_>) = candidates.into_iter().partition(|(h, _)| *h == hash);
+        if !kept.is_empty() {
+            self.live.insert(bucket(&hash), kept);
+        }
+        for (_, account) in gone {
+            if let Some(count) = self.live_count.get_mut(&account) {
+                *count -= 1;
             }
         }
         self.withdrawn.insert(hash)
@@ -167,6 +171,7 @@
             .entry(bucket(&grant.hash))
             .or_default()
             .push((grant.hash, grant.account.clone()));
+        *self.live_count.entry(grant.account.clone()).or_default() += 1;
     }
 
     pub(super) fn parts(&self) -> KeyRingParts {
@@ -178,9 +183,8 @@
 
     pub(super) fn from_parts(parts: KeyRingParts) -> Self {
         let mut ring = Self {
-            grants: BTreeMap::new(),
             withdrawn: parts.withdrawn,
-            live: HashMap::new(),
+            ..Self::default()
         };
         for (id, grant) in parts.grants {
             if !ring.withdrawn.contains(&grant.hash) {
