--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! Commands of the `medlarlift` binary.
+
+pub mod admin;
