fix(http): check the change id of a withdrawal before it takes effect

A withdrawal was gossiped before the log refused its change id, so a request that was answered as refused had withdrawn the key. Every command is now also tested without the operator's token.

--- a/src/control/apply.rs
+++ b/src/control/apply.rs
@@ -225,7 +225,9 @@
     }
 }
 
-fn check_change_id(id: &str) -> Result<(), FieldError> {
+/// Checks the id of a change that a client chose: 1 to 63 printable characters, not one of the ids
+/// that VMs use for changes that they make by themselves.
+pub fn check_change_id(id: &str) -> Result<(), FieldError> {
     names::check_id("change_id", id)?;
     if id.starts_with(AUTO_PREFIX) {
         let allowed = format!("an id that does not start with {AUTO_PREFIX}");
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -27,6 +27,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use apply::check_change_id;
 pub use codec::DecodeError;
 pub use codec::FORMAT_VERSION;
 pub use codec::Result;
--- a/src/http/admin/changes.rs
+++ b/src/http/admin/changes.rs
@@ -16,6 +16,7 @@
 use crate::control::KeyHash;
 use crate::control::Outcome;
 use crate::control::Sha256Hash;
+use crate::control::check_change_id;
 use crate::control::key_id;
 use crate::http::admin::AccountBody;
 use crate::http::admin::ChangeRef;
@@ -137,6 +138,8 @@
     let operator = authorize(&request)?;
     let body = body.into_inner();
     let port = &*request.context().port;
+    // Checked first, so that a request that is refused has withdrawn nothing.
+    check_change_id(&body.change.change_id).map_err(|error| AdminError::invalid(&error))?;
     let key_hash = named_key(&request, &body)?;
     port.withdraw_locally(key_hash).await;
     let change_id = body.change.change_id.clone();
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -82,6 +82,13 @@
             .revision()
     }
 
+    fn withdrawn(&self) -> Vec<KeyHash> {
+        self.withdrawn
+            .lock()
+            .expect("no test panics while it holds the lock")
+            .clone()
+    }
+
     fn set_slow(&self, slow: &[(&'static str, Reach)]) {
         *self
             .slow
@@ -483,12 +490,7 @@
         "{}",
         report.output
     );
-    let withdrawn = cut_off
-        .shared
-        .withdrawn
-        .lock()
-        .expect("no test panics while it holds the lock");
-    assert_eq!(*withdrawn, [hash]);
+    assert_eq!(cut_off.shared.withdrawn(), [hash]);
 }
 
 /// Guards against changes without a token, errors that do not say what is allowed, and errors that
@@ -561,6 +563,9 @@
             .is_some_and(|f| f.contains("shares_ppm")),
         "{answer}"
     );
+    let body = r#"{"change": {"change_id": "auto:m"}, "key": "some key"}"#;
+    let (_, answer) = fleet.raw("POST", "/v1/withdrawals", body).await;
+    assert_eq!(answer["error"]["field"], "change_id", "{answer}");
     let body = r#"{"change": {"change_id": "m"}, "force": true, "farce": 1}"#;
     let (_, answer) = fleet.raw("POST", "/v1/roster/a1/removal", body).await;
     assert!(answer.to_string().contains("farce"), "{answer}");
@@ -574,9 +579,38 @@
         },
         ..fleet
     };
-    let report = wrong.run("account set acme --weight 9").await;
-    assert_eq!(report.code, EXIT_REFUSED);
-    assert!(report.error.contains("unauthorized"), "{}", report.error);
+    let route = "route set r --service s --path-prefix / --access open --method GET";
+    for line in [
+        "account create x --template gold",
+        "account list",
+        "account set acme --weight 9",
+        "diff 0",
+        "history",
+        "jobs",
+        "key grant acme",
+        "key list acme",
+        "key withdraw --key-id k",
+        "quarantine",
+        "roster list",
+        "roster remove a1",
+        "route list",
+        "route remove r",
+        route,
+        "share set acme",
+        "status",
+        "template list",
+        "template set gold --weight 9",
+        "template show gold",
+    ] {
+        let report = wrong.run(line).await;
+        assert_eq!(report.code, EXIT_REFUSED, "{line}");
+        assert!(
+            report.error.contains("unauthorized"),
+            "{line}: {}",
+            report.error
+        );
+    }
+    assert!(wrong.shared.withdrawn().is_empty());
     let (status, _) = wrong.raw("GET", "/v1/nothing", "").await;
     assert!(status.contains("404"), "{status}");
     assert_eq!(wrong.shared.revision(), before);
