test(scheduling): residency lease and fair queue against oracles

Two gaps in the residency table, found while writing the oracle, are closed. An engine that was removed and came back with the same incarnation lost its drain marks while an eviction was under way; its entries are now kept. An eviction without an answer may still be carried out, so its drain mark can no longer be taken back.

--- a/src/scheduling/placement/planner.rs
+++ b/src/scheduling/placement/planner.rs
@@ -129,7 +129,8 @@
                 let again = now.plus(self.config.retry_ms);
                 self.evict_again
                     .insert((server.clone(), adapter.clone()), again);
-                self.table.eviction_failed(server, adapter, now);
+                let answered = result.incarnation.is_some();
+                self.table.eviction_failed(server, adapter, answered, now);
             }
         }
     }
--- a/src/scheduling/residency/table.rs
+++ b/src/scheduling/residency/table.rs
@@ -61,6 +61,8 @@
     /// Change number of the drain mark.
     mark: u64,
     evicting: bool,
+    /// An eviction got no answer and may still be carried out.
+    uncertain: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -68,6 +70,9 @@
     incarnation: u64,
     slots: u32,
     changed: u64,
+    /// The engine has been removed. Its entries are kept, because orders may still be under way if
+    /// the same incarnation comes back.
+    gone: bool,
     adapters: BTreeMap<AdapterRef, Entry>,
     /// Adapters evicted recently; announcements on their way may still list them.
     evicted: HashMap<AdapterRef, MonoMs>,
@@ -171,10 +176,12 @@
             known.term == self.term && known.change >= self.forgotten && known.change <= self.change
         });
         let after = since.map_or(0, |since| since.change);
-        let changed = |engine: &&Engine| since.is_none() || engine.changed > after;
-        let rows = self.engines.iter().filter(|(_, engine)| changed(engine));
+        let rows = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| !engine.gone && (since.is_none() || engine.changed > after));
         let removed = self.removed.iter().filter(|(change, server)| {
-            since.is_some() && *change > after && !self.engines.contains_key(server)
+            since.is_some() && *change > after && self.present(server).is_none()
         });
         Table {
             format: FORMAT,
@@ -200,6 +207,7 @@
                 incarnation: seen.incarnation,
                 slots: seen.slots,
                 changed: 0,
+                gone: false,
                 adapters: BTreeMap::new(),
                 evicted: HashMap::new(),
             };
@@ -207,7 +215,10 @@
         }
         let lag_ms = self.config.announcement_lag_ms;
         let changed = match self.engines.get_mut(&seen.server) {
-            Some(engine) => merge_announcement(engine, seen, lag_ms, now),
+            Some(engine) => {
+                let returned = std::mem::take(&mut engine.gone);
+                merge_announcement(engine, seen, lag_ms, now) || returned
+            }
             None => false,
         };
         if is_new || changed {
@@ -218,21 +229,24 @@
 
     /// Forgets an engine that is dead or has left.
     pub fn remove_engine(&mut self, server: &ServerName) {
-        if self.engines.remove(server).is_none() {
+        let Some(engine) = self.engines.get_mut(server).filter(|engine| !engine.gone) else {
             return;
-        }
+        };
+        engine.gone = true;
         self.change += 1;
         self.removed.push_back((self.change, server.clone()));
         while self.removed.len() > self.config.removed_engines {
-            if let Some((change, _)) = self.removed.pop_front() {
+            if let Some((change, server)) = self.removed.pop_front() {
                 self.forgotten = change;
+                self.engines
+                    .retain(|name, engine| *name != server || !engine.gone);
             }
         }
     }
 
     /// Notes that a load has been ordered. Returns false if no slot is free or the adapter has one.
     pub fn begin_load(&mut self, server: &ServerName, adapter: &AdapterRef, now: MonoMs) -> bool {
-        if self.free_slots(server) == 0 {
+        if self.free_slots(server) == 0 || self.present(server).is_none() {
             return false;
         }
         let Some(engine) = self.engines.get_mut(server) else {
@@ -294,7 +308,7 @@
         let Some(entry) = self.entry_mut(server, adapter) else {
             return false;
         };
-        if entry.residency != Residency::Draining || entry.evicting {
+        if entry.residency != Residency::Draining || entry.evicting || entry.uncertain {
             return false;
         }
         entry.residency = Residency::Resident;
@@ -345,17 +359,26 @@
         }
     }
 
-    /// Notes that the engine refused an eviction; the adapter stays draining.
-    pub fn eviction_failed(&mut self, server: &ServerName, adapter: &AdapterRef, now: MonoMs) {
+    /// Notes that an eviction failed; the adapter stays draining. Without an answer from the
+    /// engine it may still be carried out, so the drain mark can then not be taken back.
+    pub fn eviction_failed(
+        &mut self,
+        server: &ServerName,
+        adapter: &AdapterRef,
+        answered: bool,
+        now: MonoMs,
+    ) {
         if let Some(entry) = self.entry_mut(server, adapter) {
             entry.evicting = false;
+            entry.uncertain |= !answered;
             entry.since = now;
         }
     }
 
     /// Engines in the order of their names.
     pub fn servers(&self) -> impl Iterator<Item = &ServerName> {
-        self.engines.keys()
+        let present = self.engines.iter().filter(|(_, engine)| !engine.gone);
+        present.map(|(server, _)| server)
     }
 
     /// Incarnation of an engine.
@@ -395,6 +418,10 @@
         self.holders.in_use(server, adapter)
     }
 
+    fn present(&self, server: &ServerName) -> Option<&Engine> {
+        self.engines.get(server).filter(|engine| !engine.gone)
+    }
+
     fn entry_mut(&mut self, server: &ServerName, adapter: &AdapterRef) -> Option<&mut Entry> {
         self.engines.get_mut(server)?.adapters.get_mut(adapter)
     }
@@ -430,6 +457,7 @@
             last_used: now,
             mark: 0,
             evicting: false,
+            uncertain: false,
         }
     }
 }
--- /dev/null
+++ b/tests/load.rs
@@ -0,0 +1,17 @@
+//! Tests of the scheduling decisions, driven in virtual time against simple oracles.
+
+#[path = "load/fair_queue.rs"]
+mod fair_queue;
+#[path = "load/placement.rs"]
+mod placement;
+#[path = "load/residency.rs"]
+mod residency;
+#[path = "load/routing.rs"]
+mod routing;
+
+use medlarlift::types::AdapterRef;
+
+/// Version 1 of adapter `name` of the base model `base`.
+fn adapter(name: &str) -> AdapterRef {
+    AdapterRef::new("base", name, 1)
+}
