--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod commands;
 pub mod configs;
 pub mod consensus;
-pub mod commands;
 pub mod control;
 pub mod http;
 pub mod lease;
--- a/tests/load/residency.rs
+++ b/tests/load/residency.rs
@@ -482,3 +482,35 @@
     table.observe(&engine_with(&["x"]), now.plus(500));
     assert_eq!(table.state(&server, &x), None);
 }
+
+/// Guards against a late pull that hides a use which a newer pull has reported.
+#[test]
+fn a_late_pull_does_not_hide_a_use() {
+    let (mut table, mut view, centre) = table_with(&["x"]);
+    let (server, x, now) = (ServerName::from("e"), adapter("x"), MonoMs(6_000));
+    exchange(&mut table, &mut view, now);
+    let late = view.pull(&centre, Vec::new(), None, now);
+    let used = view.begin(&server, &x, now).expect("resident");
+    table.drain(&server, &x, now);
+    exchange(&mut table, &mut view, now);
+    exchange(&mut table, &mut view, now);
+    table.pull(&late, now).expect("a reply");
+    assert_eq!(table.evictable(now), Vec::new());
+    view.finish(used);
+}
+
+/// Guards against a drain mark that is taken back while an unanswered eviction may still be
+/// carried out, and against one that is lost when the engine's announcements pause.
+#[test]
+fn an_unanswered_eviction_keeps_its_drain_mark() {
+    let (mut table, _, _) = table_with(&["x"]);
+    let (server, x, now) = (ServerName::from("e"), adapter("x"), MonoMs(6_000));
+    table.drain(&server, &x, now);
+    assert!(table.begin_eviction(&server, &x, now));
+    table.eviction_failed(&server, &x, false, now);
+    assert!(!table.cancel_drain(&server, &x, now));
+    table.remove_engine(&server);
+    table.observe(&engine_with(&["x"]), now);
+    assert_matches!(table.state(&server, &x), Some(Residency::Draining));
+    assert_eq!(table.evictable(now), vec![(server, x)]);
+}
