--- a/benches/routing.rs
+++ /dev/null
@@ -1,2 +0,0 @@
-//! Stub.
-fn main() {}
