--- /dev/null
+++ b/src/http/calls.rs
@@ -0,0 +1,171 @@
+//! The calls of the caller API that run work.
+
+use std::sync::Arc;
+
+use dropshot::Body;
+use dropshot::RequestContext;
+use dropshot::StreamingBody;
+use http::Response;
+use http::StatusCode;
+use serde_json::json;
+
+use super::answer::json_answer;
+use super::answer::recorded_answer;
+use super::answer::stream_answer;
+use super::body::read_body;
+use super::caller::CallerContext;
+use super::completion::AnswerHead;
+use super::completion::whole_answer;
+use super::stream::relay_body;
+use super::stream::resumed_body;
+use crate::backend::StreamIdentity;
+use crate::pipeline::Classified;
+use crate::pipeline::Context;
+use crate::pipeline::Format;
+use crate::pipeline::RequestId;
+use crate::pipeline::ServiceRequest;
+use crate::pipeline::authenticate;
+use crate::pipeline::classify;
+use crate::pipeline::run_service;
+use crate::pipeline::run_streamed;
+use crate::pipeline::run_whole;
+use crate::types::Refusal;
+use crate::types::RefusalCode;
+
+/// An answer, or a refusal with the id of the request.
+pub type CallOutcome = Result<Response<Body>, (String, Refusal)>;
+
+type Request = RequestContext<Arc<CallerContext>>;
+
+/// Runs a completion.
+pub async fn completion(request: &Request, format: Format, body: StreamingBody) -> CallOutcome {
+    let cx = request.context();
+    let draft = |refusal| (request.request_id.clone(), refusal);
+    let headers = request.request.headers();
+    // The key is checked before the body is read, so that strangers cannot make the VM buffer it.
+    let caller = authenticate(&*cx.pipeline.keys, headers).map_err(draft)?;
+    let body = read_body(body, cx.max_body_bytes).await.map_err(draft)?;
+    let now = cx.pipeline.clock.unix();
+    let classified = classify(caller, headers, format, &body, now).map_err(draft)?;
+    let id = classified.request_id.as_str().to_owned();
+    let answer = if classified.completion.stream {
+        streamed(&cx.pipeline, classified).await
+    } else {
+        whole(&cx.pipeline, classified).await
+    };
+    answer.map_err(|refusal| (id, refusal))
+}
+
+async fn streamed(cx: &Context, request: Classified) -> Result<Response<Body>, Refusal> {
+    let completion = request.completion.clone();
+    let answer = run_streamed(cx, request).await?;
+    let head = AnswerHead::new(answer.public_id, &completion, created_s(cx));
+    let id = head.id.clone();
+    let body = relay_body(head, answer.first, answer.relay);
+    Ok(stream_answer(&id, body))
+}
+
+async fn whole(cx: &Context, request: Classified) -> Result<Response<Body>, Refusal> {
+    let completion = request.completion.clone();
+    let answer = run_whole(cx, request).await?;
+    let head = AnswerHead::new(answer.public_id, &completion, created_s(cx));
+    let body = whole_answer(&head, &answer.text, &answer.finish_reason, answer.usage);
+    Ok(json_answer(StatusCode::OK, &head.id, &body))
+}
+
+fn created_s(cx: &Context) -> u64 {
+    cx.clock.unix().0 / 1_000
+}
+
+/// Continues a stream from the server that its id names, through whichever VM.
+pub async fn resume(request: &Request, id: &str) -> CallOutcome {
+    let draft = |refusal| (id.to_owned(), refusal);
+    let cx = &request.context().pipeline;
+    let headers = request.request.headers();
+    let caller = authenticate(&*cx.keys, headers).map_err(draft)?;
+    let running = RequestId::parse_on_server(id).map_err(draft)?;
+    let from = next_index(request).map_err(draft)?;
+    let (address, _) = cx
+        .servers
+        .locate(&running.server)
+        .ok_or_else(|| draft(not_found(id)))?;
+    let identity = StreamIdentity {
+        request_id: running.id.for_backend(caller.account(), running.attempt),
+        model: None,
+    };
+    let tokens = cx.engine.resume(address, identity, from).await;
+    let tokens = tokens.map_err(|_| draft(not_found(id)))?;
+    let head = AnswerHead {
+        id: id.to_owned(),
+        model: None,
+        format: running.format,
+        created_s: created_s(cx),
+    };
+    Ok(stream_answer(id, resumed_body(head, tokens)))
+}
+
+/// The token after the one that the caller received last.
+fn next_index(request: &Request) -> Result<u64, Refusal> {
+    let name = "last-event-id";
+    let Some(value) = request.request.headers().get(name) else {
+        return Ok(0);
+    };
+    let text = value.to_str().unwrap_or("(not text)");
+    text.parse::<u64>().map(|last| last + 1).map_err(|_| {
+        let message = "Last-Event-ID must be the id of the last event received";
+        Refusal::not_run(RefusalCode::BadRequest, message).with_field("Last-Event-ID", text)
+    })
+}
+
+/// Cancels a running request of the caller.
+pub async fn cancel(request: &Request, id: &str) -> CallOutcome {
+    let draft = |refusal| (id.to_owned(), refusal);
+    let cx = &request.context().pipeline;
+    let caller = authenticate(&*cx.keys, request.request.headers()).map_err(draft)?;
+    let running = RequestId::parse_on_server(id).map_err(draft)?;
+    let (address, _) = cx
+        .servers
+        .locate(&running.server)
+        .ok_or_else(|| draft(not_found(id)))?;
+    let backend_id = running.id.for_backend(caller.account(), running.attempt);
+    let confirmed = cx.engine.cancel(address, backend_id).await;
+    let body = json!({"id": id, "cancelled": confirmed});
+    Ok(json_answer(StatusCode::OK, id, &body))
+}
+
+/// Calls a plain service.
+pub async fn service(
+    request: &Request,
+    service: String,
+    segments: &[String],
+    body: StreamingBody,
+) -> CallOutcome {
+    let cx = request.context();
+    let id = request.request_id.clone();
+    let body = match read_body(body, cx.max_body_bytes).await {
+        Ok(body) => body,
+        Err(refusal) => return Err((id, refusal)),
+    };
+    let call = ServiceRequest {
+        service,
+        method: request.request.method().clone(),
+        path: format!("/{}", segments.join("/")),
+        query: request.request.uri().query().map(str::to_owned),
+        headers: request.request.headers().clone(),
+        body,
+    };
+    match run_service(&cx.pipeline, call).await {
+        Ok(result) => Ok(recorded_answer(&id, &result)),
+        Err(refusal) => Err((id, refusal)),
+    }
+}
+
+/// The refusal of a call whose task failed.
+pub fn task_failed() -> Refusal {
+    Refusal::unknown(RefusalCode::Internal, "the task of the call failed")
+}
+
+fn not_found(id: &str) -> Refusal {
+    let message = "no running request of the account has this id";
+    Refusal::not_run(RefusalCode::NotFound, message).with_field("id", id)
+}
--- a/src/http/completion.rs
+++ b/src/http/completion.rs
@@ -120,5 +120,7 @@
 }
 
 fn encode(event: Sse) -> Bytes {
-    event.encode().expect("ids, names and JSON have no line breaks")
+    event
+        .encode()
+        .expect("ids, names and JSON have no line breaks")
 }
--- /dev/null
+++ b/src/http/stream.rs
@@ -0,0 +1,105 @@
+//! Bodies of streamed answers.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use dropshot::Body;
+use futures::StreamExt;
+use futures::stream;
+use http_body::Frame;
+use http_body_util::StreamBody;
+use tokio::sync::mpsc;
+
+use super::completion::AnswerHead;
+use super::completion::done_event;
+use super::completion::error_event;
+use super::completion::token_event;
+use crate::backend::TokenFrame;
+use crate::backend::TokenStream;
+use crate::pipeline::Relay;
+use crate::types::Refusal;
+use crate::types::RefusalCode;
+
+/// Tokens that may wait for a slow caller before the engine's stream is not read any further.
+const BUFFERED_EVENTS: usize = 64;
+
+/// Streams a running answer. The relay is dropped when the caller leaves.
+pub fn relay_body(head: AnswerHead, first: TokenFrame, relay: Relay) -> Body {
+    let (events, body) = channel_body();
+    tokio::spawn(send_relay(head, first, relay, events));
+    body
+}
+
+/// Streams the rest of an answer that the caller resumes.
+pub fn resumed_body(head: AnswerHead, tokens: TokenStream) -> Body {
+    let (events, body) = channel_body();
+    tokio::spawn(send_resumed(head, tokens, events));
+    body
+}
+
+fn channel_body() -> (mpsc::Sender<Bytes>, Body) {
+    let (sender, receiver) = mpsc::channel(BUFFERED_EVENTS);
+    let frames = stream::unfold(receiver, |mut receiver| async move {
+        let event: Bytes = receiver.recv().await?;
+        Some((Ok::<_, Infallible>(Frame::data(event)), receiver))
+    });
+    (sender, Body::wrap(StreamBody::new(frames)))
+}
+
+async fn send_relay(
+    head: AnswerHead,
+    first: TokenFrame,
+    mut relay: Relay,
+    events: mpsc::Sender<Bytes>,
+) {
+    let mut frame = first;
+    loop {
+        let finished = frame.finish_reason.is_some();
+        if events.send(token_event(&head, &frame)).await.is_err() {
+            return;
+        }
+        if finished {
+            relay.complete(frame.usage.unwrap_or_default());
+            let _ = events.send(done_event()).await;
+            return;
+        }
+        frame = match relay.next().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(refusal)) => return end_with(&events, &refusal).await,
+            None => return end_with(&events, &cut()).await,
+        };
+    }
+}
+
+async fn send_resumed(head: AnswerHead, mut tokens: TokenStream, events: mpsc::Sender<Bytes>) {
+    loop {
+        let frame = match tokens.next().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(error)) => {
+                let message = format!("the rest of the answer is lost: {error}");
+                let refusal = Refusal::unknown(RefusalCode::BackendFailed, message);
+                return end_with(&events, &refusal).await;
+            }
+            None => return end_with(&events, &cut()).await,
+        };
+        let finished = frame.finish_reason.is_some();
+        if events.send(token_event(&head, &frame)).await.is_err() {
+            return;
+        }
+        if finished {
+            let _ = events.send(done_event()).await;
+            return;
+        }
+    }
+}
+
+async fn end_with(events: &mpsc::Sender<Bytes>, refusal: &Refusal) {
+    let _ = events.send(error_event(refusal)).await;
+}
+
+fn cut() -> Refusal {
+    Refusal::unknown(
+        RefusalCode::BackendFailed,
+        "the answer ended before its last token",
+    )
+}
--- a/src/pipeline/context.rs
+++ b/src/pipeline/context.rs
@@ -25,6 +25,12 @@
     /// `Draining` during a shutdown, `Isolated` while the VM is cut off and the account or the VM
     /// must not serve on its own.
     fn check_open(&self, serve_when_cut_off: bool) -> Result<(), Refusal>;
+
+    /// Refuses while the load balancer must not send work to the VM.
+    ///
+    /// # Errors
+    /// The reason why the VM is not ready.
+    fn check_ready(&self) -> Result<(), Refusal>;
 }
 
 /// Backend servers as the stages see them.
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -65,7 +65,10 @@
     /// The id told to the caller.
     pub fn public_id(&self) -> String {
         let server = self.in_flight.server();
-        self.request.request_id.on_server(self.attempt, server)
+        let format = self.request.completion.format;
+        self.request
+            .request_id
+            .on_server(format, self.attempt, server)
     }
 }
 
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -53,6 +53,7 @@
 pub use order::run_order;
 pub use relay::Relay;
 pub use request_id::RequestId;
+pub use request_id::RunningId;
 pub use retry_budget::RetryBudget;
 pub use run::StreamedAnswer;
 pub use run::WholeAnswer;
--- a/src/pipeline/request_id.rs
+++ b/src/pipeline/request_id.rs
@@ -6,6 +6,7 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use super::classify::Format;
 use crate::types::AccountName;
 use crate::types::Refusal;
 use crate::types::RefusalCode;
@@ -13,6 +14,10 @@
 
 /// Separates the caller's part of an id from the name of the backend server.
 const SEPARATOR: char = '~';
+/// Marks the dispatch number of a chat completion.
+const CHAT_MARK: char = 'c';
+/// Marks the dispatch number of a text completion.
+const TEXT_MARK: char = 't';
 /// Longest caller part, in bytes.
 const MAX_BASE_BYTES: usize = 96;
 /// Bytes of the digest that identify a request towards backend servers.
@@ -52,25 +57,23 @@
     }
 
     /// The id told to the caller once `server` runs the request as its dispatch number `attempt`.
-    pub fn on_server(&self, attempt: u32, server: &ServerName) -> String {
-        format!("{}{SEPARATOR}{attempt}{SEPARATOR}{server}", self.base)
+    pub fn on_server(&self, format: Format, attempt: u32, server: &ServerName) -> String {
+        let format = match format {
+            Format::Chat => CHAT_MARK,
+            Format::Text => TEXT_MARK,
+        };
+        format!(
+            "{}{SEPARATOR}{format}{attempt}{SEPARATOR}{server}",
+            self.base
+        )
     }
 
-    /// Splits an id told to a caller into the id, the attempt and the backend server.
+    /// Reads an id told to a caller once its server was known.
     ///
     /// # Errors
     /// A refusal that names the id if it has no server or other characters than allowed.
-    pub fn parse_on_server(text: &str) -> Result<(Self, u32, ServerName), Refusal> {
-        let parts: Vec<&str> = text.splitn(3, SEPARATOR).collect();
-        let [base, attempt, server] = parts[..] else {
-            return Err(invalid(text));
-        };
-        let attempt = attempt.parse().map_err(|_| invalid(text))?;
-        if !is_valid(base) || server.is_empty() {
-            return Err(invalid(text));
-        }
-        let id = Self { base: base.into() };
-        Ok((id, attempt, ServerName::from(server)))
+    pub fn parse_on_server(text: &str) -> Result<RunningId, Refusal> {
+        parse_running(text).ok_or_else(|| invalid(text))
     }
 
     /// The id used towards backend servers: a digest over the account and the caller's id, so that
@@ -85,6 +88,36 @@
     }
 }
 
+/// An id told to a caller once its server was known.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RunningId {
+    /// The caller's part.
+    pub id: RequestId,
+    /// Format of the answer.
+    pub format: Format,
+    /// Number of the dispatch, from 1.
+    pub attempt: u32,
+    /// Backend server that runs the request.
+    pub server: ServerName,
+}
+
+fn parse_running(text: &str) -> Option<RunningId> {
+    let mut parts = text.splitn(3, SEPARATOR);
+    let base = parts.next().filter(|base| is_valid(base))?;
+    let dispatch = parts.next()?;
+    let server = parts.next().filter(|server| !server.is_empty())?;
+    let (format, attempt) = match dispatch.strip_prefix(CHAT_MARK) {
+        Some(attempt) => (Format::Chat, attempt),
+        None => (Format::Text, dispatch.strip_prefix(TEXT_MARK)?),
+    };
+    Some(RunningId {
+        id: RequestId { base: base.into() },
+        format,
+        attempt: attempt.parse().ok()?,
+        server: ServerName::from(server),
+    })
+}
+
 fn is_valid(text: &str) -> bool {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
     !text.is_empty() && text.len() <= MAX_BASE_BYTES && text.chars().all(allowed)
