--- /dev/null
+++ b/src/node/ledger.rs
@@ -0,0 +1,57 @@
+//! The replicated log as the request stages use it.
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use tokio::time::Instant;
+
+use super::machine::SharedState;
+use super::machine::lock;
+use super::proposer::ProposeError;
+use super::proposer::Proposer;
+use crate::control::Command;
+use crate::control::Job;
+use crate::control::Outcome;
+use crate::control::Owner;
+use crate::control::Route;
+use crate::pipeline::Ledger;
+use crate::pipeline::LedgerError;
+
+/// Proposes through the log and reads what this VM has applied.
+pub struct LogLedger {
+    /// Proposes.
+    pub proposer: Proposer,
+    /// The control state.
+    pub state: SharedState,
+    /// This process.
+    pub owner: Owner,
+}
+
+impl Ledger for LogLedger {
+    fn propose(
+        &self,
+        command: Command,
+        deadline: Instant,
+    ) -> BoxFuture<'_, Result<Outcome, LedgerError>> {
+        async move {
+            match self.proposer.propose(&command, deadline).await {
+                Ok(proposed) => Ok(proposed.outcome),
+                Err(ProposeError::Unavailable) => Err(LedgerError::Unavailable),
+                Err(ProposeError::Unknown) => Err(LedgerError::Unknown),
+            }
+        }
+        .boxed()
+    }
+
+    fn owner(&self) -> Owner {
+        self.owner.clone()
+    }
+
+    fn route(&self, service: &str, method: &str, path: &str) -> Option<Route> {
+        let machine = lock(&self.state);
+        machine.state().route(service, method, path).cloned()
+    }
+
+    fn job(&self, id: &str) -> Option<Job> {
+        lock(&self.state).state().jobs().get(id).cloned()
+    }
+}
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -145,11 +145,13 @@
         }
         let peers = self.peers.clone();
         async move {
+            let failed = |reason: String| NoGossip {
+                vm: to.clone(),
+                reason,
+            };
             let reply = peers.gossip(&to, digest).await;
-            reply.map_err(|error| NoGossip {
-                vm: to,
-                reason: error.to_string(),
-            })
+            let reply = reply.map_err(|error| failed(error.to_string()))?;
+            reply.ok_or_else(|| failed("the gossip format is unknown there".to_owned()))
         }
         .boxed()
     }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -99,7 +99,7 @@
     ///
     /// # Errors
     /// The VM is unknown, unreachable or silent.
-    pub async fn gossip(&self, to: &VmName, digest: Digest) -> Result<Delta> {
+    pub async fn gossip(&self, to: &VmName, digest: Digest) -> Result<Option<Delta>> {
         let client = self.client(to).await?;
         let answer = client.gossip(deadline(CALL_TIMEOUT_MS), digest).await;
         self.check(to, answer)
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -14,6 +14,7 @@
 pub use book::AddressBook;
 pub use client::PeerClients;
 pub use server::PeerServer;
+pub use service::Accepted;
 pub use service::PeerHandler;
 pub use service::ProposeFailure;
 pub use service::ProposeReply;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -99,7 +99,7 @@
         self.handler.propose(command).await
     }
 
-    async fn gossip(self, _: Context, digest: Digest) -> Delta {
+    async fn gossip(self, _: Context, digest: Digest) -> Option<Delta> {
         self.handler.gossip(digest)
     }
 
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -55,8 +55,8 @@
     async fn follow(request: FollowRequest) -> FollowReply;
     /// Proposes a command if this VM leads the log.
     async fn propose(command: Vec<u8>) -> ProposeReply;
-    /// Exchanges membership news.
-    async fn gossip(digest: Digest) -> Delta;
+    /// Exchanges membership news; `None` if the format is unknown.
+    async fn gossip(digest: Digest) -> Option<Delta>;
     /// Asks for the coordinator lease.
     async fn lease(request: LeaseRequest) -> LeaseReply;
     /// Asks the coordinator for tokens.
@@ -73,8 +73,8 @@
     fn follow(&self, request: FollowRequest) -> BoxFuture<'static, FollowReply>;
     /// Proposes a command if this VM leads the log.
     fn propose(&self, command: Vec<u8>) -> BoxFuture<'static, ProposeReply>;
-    /// Exchanges membership news.
-    fn gossip(&self, digest: Digest) -> Delta;
+    /// Exchanges membership news; `None` if the format is unknown.
+    fn gossip(&self, digest: Digest) -> Option<Delta>;
     /// Decides on the coordinator lease.
     fn lease(&self, request: LeaseRequest) -> LeaseReply;
     /// Hands out tokens if this VM coordinates.
