fix(control): ignore ticks of clocks that are far behind

A tick could move the state's time back without bound, but only 60 s forward. One leader with an unset clock would have stopped expiry for years. Ticks before 2026 or more than 24 h behind are ignored, and the time is set freely while nothing can expire.

--- a/src/control/apply.rs
+++ b/src/control/apply.rs
@@ -5,9 +5,11 @@
 use crate::control::Change;
 use crate::control::ChangeId;
 use crate::control::Command;
+use crate::control::EARLIEST_TICK;
 use crate::control::FieldError;
 use crate::control::HistoryEntry;
 use crate::control::KeyHash;
+use crate::control::MAX_TICK_BACK_MS;
 use crate::control::MAX_TICK_STEP_MS;
 use crate::control::MAX_VMS;
 use crate::control::Object;
@@ -212,9 +214,19 @@
         }
     }
 
+    fn has_nothing_to_expire(&self) -> bool {
+        self.orders.is_empty()
+            && self.orders.tombstones() == 0
+            && self.jobs.is_empty()
+            && self.lost.is_empty()
+    }
+
     fn tick(&mut self, now: UnixMs) -> Outcome {
-        let is_first = self.now == UnixMs(0);
-        self.now = match is_first {
+        let is_free = self.now == UnixMs(0) || self.has_nothing_to_expire();
+        if now < EARLIEST_TICK || !is_free && self.now.since(now) > MAX_TICK_BACK_MS {
+            return Outcome::Noted;
+        }
+        self.now = match is_free {
             true => now,
             false => now.min(self.now.plus(MAX_TICK_STEP_MS)),
         };
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -113,6 +113,11 @@
 /// Farthest that one tick moves the state's time forward. A leader whose clock jumps ahead then
 /// cannot expire tombstones at once; the time goes back when a tick with a lower stamp arrives.
 pub const MAX_TICK_STEP_MS: u64 = 60_000;
+/// Farthest that a tick moves the state's time back; ticks from farther back are ignored, because
+/// at [`MAX_TICK_STEP_MS`] a tick it would take days to make up for one wrong clock.
+pub const MAX_TICK_BACK_MS: u64 = 24 * 3_600_000;
+/// 2026-01-01. Ticks before it come from a clock that was not set yet and are ignored.
+pub const EARLIEST_TICK: UnixMs = UnixMs(1_767_225_600_000);
 /// Most templates.
 pub const MAX_TEMPLATES: usize = 1_000;
 /// Most accounts.
--- a/src/control/owners.rs
+++ b/src/control/owners.rs
@@ -64,6 +64,11 @@
             .is_some_and(|(incarnation, _)| owner.incarnation <= *incarnation)
     }
 
+    /// Whether no ended process is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.highest.is_empty()
+    }
+
     pub(super) fn add(&mut self, vm: VmName, incarnation: u64, now: UnixMs) {
         let entry = self.highest.entry(vm).or_insert((incarnation, now));
         entry.0 = entry.0.max(incarnation);
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use medlarlift::control::Claimant;
 use medlarlift::control::Command;
+use medlarlift::control::EARLIEST_TICK;
 use medlarlift::control::JobAccept;
 use medlarlift::control::JobCommand;
 use medlarlift::control::JobReply;
@@ -16,6 +17,7 @@
 use medlarlift::control::MAX_ORDER_LIFETIME_MS;
 use medlarlift::control::MAX_ORDER_RESULT_BYTES;
 use medlarlift::control::MAX_RELEASES;
+use medlarlift::control::MAX_TICK_BACK_MS;
 use medlarlift::control::MAX_TICK_STEP_MS;
 use medlarlift::control::OrderCommand;
 use medlarlift::control::OrderIntent;
@@ -30,7 +32,7 @@
 use medlarlift::types::UnixMs;
 use proptest::prelude::*;
 
-const START_MS: u64 = 1_000_000;
+const START_MS: u64 = EARLIEST_TICK.0 + 1_000_000;
 const LIFE_MS: u64 = 50_000;
 
 /// A state with short forms of its commands.
@@ -202,6 +204,29 @@
     assert_eq!(log.intend(&late), OrderReply::Expired);
 }
 
+/// Guards against a leader with a wrong clock whose ticks move the state's time so far that it cannot
+/// be made up for.
+#[test]
+fn ticks_of_a_wrong_clock_do_little() {
+    let mut log = Log::at_start();
+    let now = |log: &Log| log.state.now().0;
+    log.tick(START_MS + 3 * MAX_TICK_STEP_MS);
+    assert_eq!(now(&log), START_MS + 3 * MAX_TICK_STEP_MS);
+    log.tick(START_MS);
+    assert_eq!(log.intend(&intent(1)), OrderReply::Granted);
+    for far_back in [0, 1, EARLIEST_TICK.0 - 1] {
+        log.tick(far_back);
+        assert_eq!(now(&log), START_MS);
+    }
+    log.tick(START_MS + 3 * MAX_TICK_STEP_MS);
+    assert_eq!(now(&log), START_MS + MAX_TICK_STEP_MS);
+    log.tick(START_MS);
+    assert_eq!(now(&log), START_MS);
+    log.advance(START_MS + 2 * MAX_TICK_BACK_MS);
+    log.tick(START_MS);
+    assert_eq!(now(&log), START_MS + 2 * MAX_TICK_BACK_MS);
+}
+
 /// Guards against "unknown" orders that run again, and against a grant for a process that is known
 /// to have ended.
 #[test]
