--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -493,8 +493,7 @@
     assert_eq!(cut_off.shared.withdrawn(), [hash]);
 }
 
-/// Guards against changes without a token, errors that do not say what is allowed, and errors that
-/// show a key.
+/// Guards against errors that do not say which field and value is wrong and what is allowed.
 #[tokio::test]
 async fn refusals_name_field_value_and_what_is_allowed() {
     let fleet = Fleet::one().with_account().await;
@@ -543,6 +542,12 @@
             assert!(report.error.contains(part), "{line}: {}", report.error);
         }
     }
+}
+
+/// Guards against errors of malformed bodies that do not name the field, and errors that show a key.
+#[tokio::test]
+async fn malformed_bodies_are_refused_by_field() {
+    let fleet = Fleet::one().with_account().await;
     let (status, answer) = fleet
         .raw(
             "POST",
@@ -569,7 +574,12 @@
     let body = r#"{"change": {"change_id": "m"}, "force": true, "farce": 1}"#;
     let (_, answer) = fleet.raw("POST", "/v1/roster/a1/removal", body).await;
     assert!(answer.to_string().contains("farce"), "{answer}");
+}
 
+/// Guards against a command that works without the token of an operator.
+#[tokio::test]
+async fn every_command_needs_a_token() {
+    let fleet = Fleet::one().with_account().await;
     let before = fleet.shared.revision();
     let wrong = Fleet {
         token: {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use medlarlift::control::Access;
 use medlarlift::control::Action;
@@ -13,6 +15,8 @@
 use medlarlift::control::CutOffPolicy;
 use medlarlift::control::DecodeError;
 use medlarlift::control::FORMAT_VERSION;
+use medlarlift::control::MAX_CHANGE_IDS;
+use medlarlift::control::MAX_HISTORY;
 use medlarlift::control::Outcome;
 use medlarlift::control::Overrides;
 use medlarlift::control::Parameters;
@@ -315,3 +319,40 @@
     long.push(0);
     assert_matches::assert_matches!(State::from_bytes(&long), Err(DecodeError::Damaged { .. }));
 }
+
+/// Guards against a history or memory of change ids without bounds, against a change that is applied
+/// again once its id is forgotten, and against a restart that takes longer than its target of 1 s.
+#[test]
+fn many_changes_stay_bounded() {
+    const CHANGES: u64 = MAX_CHANGE_IDS as u64 + 10;
+    let mut script = Script::default();
+    let line = |number: u64| {
+        format!(
+            "template gold rate={number} id=n{number} base={}",
+            number - 1
+        )
+    };
+    for number in 1..=CHANGES {
+        script.run(&Line::parse(&line(number)));
+    }
+    let revisions = script.state.revisions();
+    assert_eq!(revisions.current(), CHANGES);
+    assert_eq!(revisions.after(0).count(), MAX_HISTORY);
+    assert_matches::assert_matches!(revisions.diff(0, CHANGES), Err(_));
+    let oldest = CHANGES - MAX_HISTORY as u64;
+    assert_matches::assert_matches!(revisions.diff(oldest, CHANGES), Ok(lines) if lines.len() == 1);
+    let bytes = script.state.to_bytes();
+    let start = Instant::now();
+    script.state = State::from_bytes(&bytes).expect("a snapshot is decodable");
+    assert!(
+        start.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        start.elapsed()
+    );
+    assert_eq!(
+        script.run(&Line::parse(&line(11))),
+        "applied r11 template/gold"
+    );
+    let forgotten = script.run(&Line::parse(&line(10)));
+    assert_eq!(forgotten, format!("conflict r{CHANGES} winner None"));
+}
