--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -91,6 +91,14 @@
         self.pending.get(data_centre)
     }
 
+    /// Revision that `vm` has to acknowledge, if a change of its data centre waits for it.
+    pub fn to_acknowledge(&self, vm: &str) -> Option<u64> {
+        let data_centre = &self.vms.get(vm)?.data_centre;
+        let pending = self.pending.get(data_centre)?;
+        let is_missing = pending.old_vms.contains(vm) && !pending.acknowledged.contains(vm);
+        is_missing.then_some(pending.revision)
+    }
+
     /// Number of VMs.
     pub fn len(&self) -> usize {
         self.vms.len()
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -250,6 +250,7 @@
                 let vms = state.roster().vms_of(line.text("dc"));
                 vms.map(|vm| vm.to_string()).collect::<Vec<_>>().join(" ")
             }
+            "owes" => format!("{:?}", state.roster().to_acknowledge(line.name)),
             "history" => self.history(),
             "diff" => self.diff(line),
             "restore" => {
