feat(node): serve runs one VM

Connects the log, membership, lease, limits, placement and the request stages. A shutdown fails readiness first, waits for the load balancer, refuses new work and then finishes what it has.

--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -16,12 +16,14 @@
 use crate::configs::standin_engine::EngineSettings;
 use crate::configs::standin_service::ServiceSettings;
 use crate::configs::standin_store::StoreSettings;
+use crate::configs::vm::VmSettings;
 
 /// Reads one kind of settings file and drops the result.
 type Check = fn(&Path) -> Result<(), SettingsError>;
 
 /// Each kind of settings file and its reader.
 const KINDS: &[(&str, Check)] = &[
+    ("vm", |path| read_file(path, VmSettings::read).map(drop)),
     ("engine", |path| {
         read_file(path, EngineSettings::read).map(drop)
     }),
@@ -46,7 +48,7 @@
                 .long("kind")
                 .help("Kind of settings file")
                 .value_parser(PossibleValuesParser::new(kinds))
-                .required(true),
+                .default_value("vm"),
         )
         .arg(
             Arg::new("settings")
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,4 +3,5 @@
 pub mod admin;
 pub mod ask;
 pub mod check;
+pub mod serve;
 pub mod standin;
--- /dev/null
+++ b/src/commands/serve.rs
@@ -0,0 +1,69 @@
+//! `medlarlift serve`: runs one VM of the system.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::configs::read_file;
+use crate::configs::vm::VmSettings;
+use crate::node::Vm;
+
+/// The command with its arguments.
+pub fn command() -> Command {
+    Command::new("serve").about("Run one VM of the system").arg(
+        Arg::new("settings")
+            .long("settings")
+            .value_name("FILE")
+            .help("Settings file (YAML)")
+            .required(true)
+            .value_parser(value_parser!(PathBuf)),
+    )
+}
+
+/// Runs the VM until a signal asks it to stop. The first SIGTERM or SIGINT drains it; the second
+/// ends the process at once.
+pub async fn run(arguments: &ArgMatches) -> ExitCode {
+    let path: &PathBuf = arguments
+        .get_one("settings")
+        .expect("clap requires the argument");
+    let settings = match read_file(path, VmSettings::read) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            return ExitCode::from(2);
+        }
+    };
+    log::set_max_level(settings.log_level);
+    let vm = match Vm::open(settings).await {
+        Ok(vm) => vm,
+        Err(error) => {
+            eprintln!("medlarlift serve: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    stopped().await;
+    tokio::select! {
+        finished = async { vm.drain().await.close().await } => {
+            if finished { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        () = stopped() => {
+            log::warn!("vm: second signal; stopping at once");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn stopped() {
+    let mut terminate = signal(SignalKind::terminate()).expect("a signal handler can be set");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("a signal handler can be set");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- a/src/configs/vm.rs
+++ b/src/configs/vm.rs
@@ -28,6 +28,17 @@
     pub peer_address: SocketAddr,
 }
 
+/// The link from this VM to another data centre.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LinkSettings {
+    /// The other data centre.
+    pub data_centre: DataCentre,
+    /// Round trip time, in ms.
+    pub round_trip_ms: u64,
+    /// Whether the link is billed by volume.
+    pub paid: bool,
+}
+
 /// Limits of the weight store, which all data centres share.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoreSettings {
@@ -65,6 +76,8 @@
     pub founders: Vec<VmName>,
     /// VMs through which this VM joins.
     pub peers: Vec<PeerSettings>,
+    /// Links to other data centres; those not listed count as near and free.
+    pub links: Vec<LinkSettings>,
     /// SHA-256 of the operators' token.
     pub operator_token_sha256: [u8; 32],
     /// Routing and placement policy.
@@ -116,6 +129,7 @@
             .map(VmName::from)
             .collect(),
         peers: reader.list("peers", read_peer),
+        links: reader.list("links", read_link),
         operator_token_sha256: operator_token_sha256.unwrap_or_default(),
         policy: reader.choice("policy", Policy::default(), &POLICIES),
         store: reader.object("store", read_store),
@@ -157,6 +171,14 @@
     }
 }
 
+fn read_link(reader: &mut Reader<'_>) -> LinkSettings {
+    LinkSettings {
+        data_centre: DataCentre::from(reader.required_text("data_centre")),
+        round_trip_ms: reader.u64("round_trip_ms", 0, 0..=10_000),
+        paid: reader.bool("paid", false),
+    }
+}
+
 fn read_store(reader: &mut Reader<'_>) -> StoreSettings {
     let default = StoreSettings::default();
     StoreSettings {
--- a/src/control/limit_history.rs
+++ b/src/control/limit_history.rs
@@ -20,9 +20,10 @@
         self.limits.get(account)
     }
 
-    /// Whether any account has versions that a settlement would drop.
-    pub fn has_unsettled_limits(&self) -> bool {
-        self.limits.values().any(|history| history.len() > 1)
+    /// Log index from which on a settlement drops a version; `None` if there is nothing to drop.
+    pub fn oldest_unsettled_limit(&self) -> Option<u64> {
+        let histories = self.limits.values();
+        histories.filter_map(History::next_settled_revision).min()
     }
 
     /// Adds a version for each account whose rate, burst or shares changed with the entry at
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod limits;
 pub mod membership;
 pub mod metrics;
+pub mod node;
 pub mod peer;
 pub mod pipeline;
 pub mod scheduling;
--- a/src/limits/version.rs
+++ b/src/limits/version.rs
@@ -158,14 +158,9 @@
         }
     }
 
-    /// Number of versions that may still be in use.
-    pub fn len(&self) -> usize {
-        self.versions.len()
-    }
-
-    /// Whether there is no version.
-    pub fn is_empty(&self) -> bool {
-        self.versions.is_empty()
+    /// Control index from which on [`History::settle`] drops a version; `None` if there is only one.
+    pub fn next_settled_revision(&self) -> Option<u64> {
+        self.versions.get(1).map(|version| version.revision)
     }
 
     /// The newest version.
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,8 +16,10 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(commands::admin::command())
         .subcommand(commands::ask::command())
         .subcommand(commands::check::command())
+        .subcommand(commands::serve::command())
         .subcommand(commands::standin::command())
 }
 
@@ -34,6 +36,8 @@
     let matches = cli().get_matches();
     match matches.subcommand() {
         Some(("ask", arguments)) => commands::ask::run(arguments).await,
+        Some(("admin", arguments)) => commands::admin::run(arguments).await,
+        Some(("serve", arguments)) => commands::serve::run(arguments).await,
         Some(("check", arguments)) => commands::check::run(arguments),
         Some(("standin", arguments)) => commands::standin::run(arguments).await,
         _ => ExitCode::FAILURE,
--- /dev/null
+++ b/src/node/admin_port.rs
@@ -0,0 +1,105 @@
+//! What the administration API needs, over the log and the membership.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use tokio::time::Instant;
+
+use super::control_feed::RevisionIndex;
+use super::machine::SharedState;
+use super::machine::lock;
+use super::proposer::ProposeError as ProposerError;
+use super::proposer::Proposer;
+use crate::control::Command;
+use crate::control::KeyHash;
+use crate::control::Outcome;
+use crate::control::State;
+use crate::http::admin::ControlPort;
+use crate::http::admin::ProposeError;
+use crate::http::admin::QuarantineEntry;
+use crate::http::admin::VmReach;
+use crate::membership;
+use crate::membership::Liveness;
+use crate::types::Clock;
+
+/// Longest wait for an operator's change to be committed.
+const COMMIT_MS: u64 = 3_000;
+
+/// The administration port of a VM.
+pub struct AdminPort {
+    /// Proposes changes.
+    pub proposer: Proposer,
+    /// The control state.
+    pub state: SharedState,
+    /// The membership.
+    pub members: membership::Handle,
+    /// Maps log indexes to revisions.
+    pub revisions: Arc<RevisionIndex>,
+    /// Time.
+    pub clock: Clock,
+}
+
+impl AdminPort {
+    fn vm_reaches(&self) -> Vec<VmReach> {
+        let snapshot = self.members.snapshot();
+        let now = self.clock.mono();
+        let machine = lock(&self.state);
+        let vms = machine.state().roster().iter();
+        vms.map(|(vm, entry)| {
+            let view = snapshot.vms.get(vm);
+            let alive = view.filter(|view| view.liveness(now) != Liveness::Dead);
+            VmReach {
+                vm: vm.clone(),
+                data_centre: entry.data_centre.clone(),
+                revision: alive
+                    .map(|view| self.revisions.revision_at(view.status.applied_index))
+                    .map(|revision| revision.unwrap_or(0)),
+            }
+        })
+        .collect()
+    }
+}
+
+impl ControlPort for AdminPort {
+    fn propose(&self, command: Command) -> BoxFuture<'_, Result<Outcome, ProposeError>> {
+        async move {
+            let deadline = Instant::now() + Duration::from_millis(COMMIT_MS);
+            match self.proposer.propose(&command, deadline).await {
+                Ok(proposed) => Ok(proposed.outcome),
+                Err(ProposerError::Unavailable) => Err(ProposeError::NoQuorum),
+                Err(ProposerError::Unknown) => Err(ProposeError::Uncertain),
+            }
+        }
+        .boxed()
+    }
+
+    fn with_state(&self, read: &mut dyn FnMut(&State)) {
+        read(lock(&self.state).state());
+    }
+
+    fn reach(&self) -> BoxFuture<'_, Vec<VmReach>> {
+        async move { self.vm_reaches() }.boxed()
+    }
+
+    fn withdraw_locally(&self, key_hash: KeyHash) -> BoxFuture<'_, ()> {
+        // The log's leader proposes the withdrawal once it hears of it by gossip.
+        self.members.withdraw_key(key_hash.0);
+        async {}.boxed()
+    }
+
+    fn quarantine(&self) -> BoxFuture<'_, Vec<QuarantineEntry>> {
+        let snapshot = self.members.snapshot();
+        let quarantined = snapshot.quarantine.quarantined(self.clock.unix());
+        let entries = quarantined
+            .into_iter()
+            .map(|(fingerprint, until)| QuarantineEntry {
+                fingerprint: hex::encode(fingerprint.0),
+                crashes: u32::try_from(membership::QUARANTINE_CRASHES).unwrap_or(u32::MAX),
+                until_unix_ms: Some(until.0),
+            })
+            .collect();
+        async move { entries }.boxed()
+    }
+}
--- a/src/node/coordinator.rs
+++ b/src/node/coordinator.rs
@@ -13,12 +13,12 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use crate::pipeline::Dispatcher;
 use crate::backend::Engine;
 use crate::backend::EngineOrder as WireOrder;
 use crate::backend::OrderKind;
 use crate::backend::OrderOutcome;
 use crate::lease;
+use crate::pipeline::Dispatcher;
 use crate::scheduling::placement::EngineOrder;
 use crate::scheduling::placement::OrderResult;
 use crate::scheduling::placement::Planner;
--- /dev/null
+++ b/src/node/duties.rs
@@ -0,0 +1,172 @@
+//! Duties of the VM that leads the replicated log: time, lost owners, settled limits, and
+//! withdrawals that were made while the log was out of reach.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use super::machine::SharedState;
+use super::machine::lock;
+use super::proposer::Proposer;
+use crate::consensus;
+use crate::control::Command;
+use crate::control::Owner;
+use crate::control::Sha256Hash;
+use crate::control::TICK_INTERVAL_MS;
+use crate::lease;
+use crate::limits::Settlement;
+use crate::membership;
+use crate::membership::Liveness;
+use crate::membership::Snapshot;
+use crate::types::Clock;
+use crate::types::MonoMs;
+use crate::types::VmName;
+
+/// Interval between two looks.
+const ROUND_MS: u64 = 200;
+/// Longest wait for a proposal.
+const PROPOSE_MS: u64 = 2_000;
+/// Time without news after which the process of a VM counts as ended. Longer than the detector's
+/// own limit, because the orders of a VM that is wrongly declared lost end as unknown.
+const OWNER_LOST_MS: u64 = 10_000;
+
+/// What the duties need.
+pub struct Duties {
+    /// Time.
+    pub clock: Clock,
+    /// The control state.
+    pub state: SharedState,
+    /// Tells whether this VM leads the log.
+    pub log: consensus::Handle,
+    /// Proposes.
+    pub proposer: Proposer,
+    /// The membership.
+    pub members: membership::Handle,
+    /// Length of a coordinator lease.
+    pub lease_ms: u64,
+}
+
+/// What was seen while leading.
+struct Leading {
+    settlement: Settlement,
+    ticked: Option<MonoMs>,
+    /// Highest incarnation seen of each VM.
+    seen: BTreeMap<VmName, u64>,
+}
+
+impl Duties {
+    /// Does the duties whenever this VM leads the log.
+    pub async fn run(self) {
+        let mut leading: Option<Leading> = None;
+        loop {
+            sleep(Duration::from_millis(ROUND_MS)).await;
+            if !self.log.status().is_leader {
+                leading = None;
+                continue;
+            }
+            let leading = leading.get_or_insert_with(|| Leading {
+                settlement: Settlement::new(self.lease_ms),
+                ticked: None,
+                seen: BTreeMap::new(),
+            });
+            for command in self.due(leading) {
+                let deadline = Instant::now() + Duration::from_millis(PROPOSE_MS);
+                if let Err(error) = self.proposer.propose(&command, deadline).await {
+                    log::debug!("control: a proposal of the leader failed: {error}");
+                }
+            }
+        }
+    }
+
+    fn due(&self, leading: &mut Leading) -> Vec<Command> {
+        let now = self.clock.mono();
+        let snapshot = self.members.snapshot();
+        let mut commands = Vec::new();
+        commands.extend(self.tick(leading, now));
+        commands.extend(self.lost_owners(leading, &snapshot, now));
+        commands.extend(self.settled(leading, &snapshot, now));
+        commands.extend(self.withdrawals(&snapshot));
+        commands
+    }
+
+    fn tick(&self, leading: &mut Leading, now: MonoMs) -> Option<Command> {
+        let due = leading
+            .ticked
+            .is_none_or(|at| now.since(at) >= TICK_INTERVAL_MS);
+        if !due {
+            return None;
+        }
+        leading.ticked = Some(now);
+        Some(Command::Tick {
+            now: self.clock.unix(),
+        })
+    }
+
+    /// VMs that are silent for long, and earlier processes of VMs that have restarted.
+    fn lost_owners(&self, leading: &mut Leading, snapshot: &Snapshot, now: MonoMs) -> Vec<Command> {
+        let mut lost = Vec::new();
+        for (vm, view) in &snapshot.vms {
+            let previous = leading.seen.insert(vm.clone(), view.incarnation);
+            let ended = if now.since(view.heard) >= OWNER_LOST_MS {
+                Some(view.incarnation)
+            } else if previous != Some(view.incarnation) {
+                view.incarnation.checked_sub(1)
+            } else {
+                None
+            };
+            if let Some(incarnation) = ended {
+                lost.push(Owner {
+                    vm: vm.clone(),
+                    incarnation,
+                });
+            }
+        }
+        let machine = lock(&self.state);
+        let known = machine.state().lost_owners();
+        lost.into_iter()
+            .filter(|owner| !known.contains(owner))
+            .map(|owner| Command::OwnerLost {
+                vm: owner.vm,
+                incarnation: owner.incarnation,
+            })
+            .collect()
+    }
+
+    fn settled(&self, leading: &mut Leading, snapshot: &Snapshot, now: MonoMs) -> Option<Command> {
+        let machine = lock(&self.state);
+        let state = machine.state();
+        let roster = state.roster();
+        for data_centre in roster.data_centres() {
+            let version = roster.version_of(data_centre.as_str());
+            let vms = roster.vms_of(data_centre.as_str()).cloned();
+            leading
+                .settlement
+                .set_roster(data_centre.clone(), lease::Roster::new(version, vms));
+        }
+        for (vm, view) in &snapshot.vms {
+            if view.liveness(now) != Liveness::Dead {
+                leading
+                    .settlement
+                    .note_applied(vm, view.status.applied_index);
+            }
+        }
+        let index = leading.settlement.settled_index(now);
+        let oldest = state.oldest_unsettled_limit()?;
+        (index >= oldest).then_some(Command::SettleLimits { index })
+    }
+
+    fn withdrawals(&self, snapshot: &Snapshot) -> Vec<Command> {
+        let machine = lock(&self.state);
+        let keys = machine.state().keys();
+        let hashes = snapshot.withdrawn.iter().map(|hash| Sha256Hash(*hash));
+        hashes
+            .filter(|hash| !keys.is_withdrawn(hash))
+            .map(|key_hash| Command::WithdrawGossiped {
+                key_hash,
+                at: self.clock.unix(),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/node/jobs.rs
@@ -0,0 +1,269 @@
+//! Runs accepted jobs: claims them in the replicated log, runs them and records their results.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use log::warn;
+use rand::RngExt;
+use serde_json::json;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use super::health::VmHealth;
+use super::machine::SharedState;
+use super::machine::lock;
+use crate::control::Claimant;
+use crate::control::Command;
+use crate::control::Job;
+use crate::control::JobCommand;
+use crate::control::JobId;
+use crate::control::JobPhase;
+use crate::control::JobReply;
+use crate::control::Outcome;
+use crate::control::RecordedResult;
+use crate::http::AnswerHead;
+use crate::http::whole_answer;
+use crate::pipeline::Caller;
+use crate::pipeline::Context;
+use crate::pipeline::JobRequest;
+use crate::pipeline::run_whole;
+use crate::types::Refusal;
+use crate::types::RefusalCode;
+
+/// Interval at which queued jobs are looked for.
+const ROUND_MS: u64 = 100;
+/// Jobs that one VM runs at the same time.
+const MAX_RUNNING: usize = 64;
+/// Time for which a job is left to the VM that its id hashes to. Spreads the jobs without a
+/// conversation, and lets the others take over when that VM does not.
+const PREFERRED_MS: u64 = 1_000;
+/// Longest wait for a claim or a result to be committed in one try.
+const COMMIT_MS: u64 = 5_000;
+/// Wait before a job that could not run is tried again.
+const RETRY_MS: u64 = 500;
+/// Longest such wait.
+const MAX_RETRY_MS: u64 = 10_000;
+
+/// What the runner needs.
+#[derive(Clone)]
+pub struct JobRunner {
+    /// Runs requests.
+    pub pipeline: Context,
+    /// The control state.
+    pub state: SharedState,
+    /// Tells when to stop claiming.
+    pub health: Arc<VmHealth>,
+    /// Jobs that run here.
+    pub running: Arc<Mutex<HashSet<JobId>>>,
+}
+
+impl JobRunner {
+    /// A runner without jobs.
+    pub fn new(pipeline: Context, state: SharedState, health: Arc<VmHealth>) -> Self {
+        Self {
+            pipeline,
+            state,
+            health,
+            running: Arc::default(),
+        }
+    }
+
+    /// Looks for queued jobs until the task is dropped.
+    pub async fn run(self) {
+        loop {
+            sleep(Duration::from_millis(ROUND_MS)).await;
+            if self.health.is_closed() || self.health.is_cut_off() {
+                continue;
+            }
+            for job in self.claimable() {
+                tokio::spawn(self.clone().run_job(job));
+            }
+        }
+    }
+
+    /// Number of jobs that run here.
+    pub fn running_count(&self) -> usize {
+        self.running.lock().expect("no holder panics").len()
+    }
+
+    /// Queued jobs that this VM may claim now; they count as running from here on.
+    fn claimable(&self) -> Vec<Job> {
+        let mut running = self.running.lock().expect("no holder panics");
+        let now = self.pipeline.clock.unix();
+        let machine = lock(&self.state);
+        let state = machine.state();
+        let vms: Vec<_> = state.roster().iter().map(|(vm, _)| vm.clone()).collect();
+        let own = self.pipeline.ledger.owner().vm;
+        let queued = state.jobs().queued();
+        queued
+            .filter(|job| {
+                let id = &job.accept.job;
+                let hash = crc32fast::hash(id.as_bytes()) as usize;
+                let preferred = vms.get(hash % vms.len().max(1)) == Some(&own);
+                preferred || now.since(job.accept.at) >= PREFERRED_MS
+            })
+            .filter(|job| running.len() < MAX_RUNNING && running.insert(job.accept.job.clone()))
+            .cloned()
+            .collect()
+    }
+
+    async fn run_job(self, job: Job) {
+        let id = job.accept.job.clone();
+        if let Some(claimant) = self.claim(&job).await {
+            let result = self.run_until_done(&job, &claimant).await;
+            if let Some(result) = result {
+                self.finish(&job, claimant, result).await;
+            }
+        }
+        let mut running = self.running.lock().expect("no holder panics");
+        running.remove(&id);
+    }
+
+    async fn claim(&self, job: &Job) -> Option<Claimant> {
+        let claimant = Claimant {
+            owner: self.pipeline.ledger.owner(),
+            claim_id: rand::rng().random(),
+            attempt: job.attempt + 1,
+        };
+        let claim = JobCommand::Claim {
+            job: job.accept.job.clone(),
+            claimant: claimant.clone(),
+        };
+        match self.propose(claim).await {
+            Some(JobReply::Claimed { .. }) => Some(claimant),
+            Some(_) => None,
+            None => {
+                // The claim may still be committed; giving it back lets another VM run the job.
+                let release = JobCommand::Release {
+                    job: job.accept.job.clone(),
+                    claimant,
+                };
+                self.propose(release).await;
+                None
+            }
+        }
+    }
+
+    /// Runs the job, again after a refusal, until it has a result or is no longer wanted.
+    async fn run_until_done(&self, job: &Job, claimant: &Claimant) -> Option<RecordedResult> {
+        let mut wait_ms = RETRY_MS;
+        loop {
+            let refusal = match self.run_once(job).await {
+                Ok(result) => return Some(result),
+                Err(refusal) => refusal,
+            };
+            if !self.is_still_claimed(job, claimant) {
+                return None;
+            }
+            let next = self.pipeline.clock.unix().plus(wait_ms);
+            if !may_retry(&refusal) || next >= job.accept.deadline_unix_ms {
+                return Some(refused(&refusal));
+            }
+            if self.health.is_closed() {
+                self.release(job, claimant.clone()).await;
+                return None;
+            }
+            sleep(Duration::from_millis(
+                refusal.retry_after_ms.unwrap_or(wait_ms).min(MAX_RETRY_MS),
+            ))
+            .await;
+            wait_ms = (wait_ms * 2).min(MAX_RETRY_MS);
+        }
+    }
+
+    async fn run_once(&self, job: &Job) -> Result<RecordedResult, Refusal> {
+        let request: JobRequest = serde_json::from_slice(&job.accept.request)
+            .map_err(|error| failed(format!("the recorded request cannot be read: {error}")))?;
+        let account = {
+            let machine = lock(&self.state);
+            let account = machine.state().account(job.accept.account.as_str());
+            account.cloned()
+        };
+        let account = account.ok_or_else(|| failed("the account is gone".to_owned()))?;
+        let caller = Caller::of_job(account.name, account.parameters);
+        let completion = request.completion.clone();
+        let answer = run_whole(&self.pipeline, request.classified(job, caller)).await?;
+        let created_s = self.pipeline.clock.unix().0 / 1_000;
+        let head = AnswerHead::new(answer.public_id, &completion, created_s);
+        let body = whole_answer(&head, &answer.text, &answer.finish_reason, answer.usage);
+        Ok(RecordedResult {
+            status: 200,
+            content_type: Some("application/json".to_owned()),
+            body: Some(body.to_string().into()),
+        })
+    }
+
+    fn is_still_claimed(&self, job: &Job, claimant: &Claimant) -> bool {
+        let machine = lock(&self.state);
+        let current = machine.state().jobs().get(&job.accept.job);
+        match current.map(|job| &job.phase) {
+            Some(JobPhase::Running(running)) => running == claimant,
+            // This VM may not have applied its own claim yet.
+            Some(JobPhase::Queued) => true,
+            _ => false,
+        }
+    }
+
+    async fn finish(&self, job: &Job, claimant: Claimant, result: RecordedResult) {
+        let finish = JobCommand::Finish {
+            job: job.accept.job.clone(),
+            claimant,
+            result,
+        };
+        // The result is worth keeping until nobody may fetch it any more.
+        while self.pipeline.clock.unix() < job.accept.keep_until_unix_ms {
+            match self.propose(finish.clone()).await {
+                Some(JobReply::Finished) => return,
+                Some(other) => {
+                    warn!(
+                        "jobs: result of {} was not recorded: {other:?}",
+                        job.accept.job
+                    );
+                    return;
+                }
+                None => sleep(Duration::from_millis(RETRY_MS)).await,
+            }
+        }
+    }
+
+    async fn release(&self, job: &Job, claimant: Claimant) {
+        let job = job.accept.job.clone();
+        self.propose(JobCommand::Release { job, claimant }).await;
+    }
+
+    async fn propose(&self, command: JobCommand) -> Option<JobReply> {
+        let deadline = Instant::now() + Duration::from_millis(COMMIT_MS);
+        let command = Command::Job(command);
+        match self.pipeline.ledger.propose(command, deadline).await {
+            Ok(Outcome::Job(reply)) => Some(reply),
+            _ => None,
+        }
+    }
+}
+
+/// Work that did not run, or may be repeated, is tried again unless a retry cannot help.
+fn may_retry(refusal: &Refusal) -> bool {
+    !matches!(
+        refusal.code,
+        RefusalCode::BadRequest
+            | RefusalCode::DeadlineUnreachable
+            | RefusalCode::Forbidden
+            | RefusalCode::Quarantined
+            | RefusalCode::TooLarge
+            | RefusalCode::Unauthorized
+    )
+}
+
+fn refused(refusal: &Refusal) -> RecordedResult {
+    RecordedResult {
+        status: refusal.code.http_status(),
+        content_type: Some("application/json".to_owned()),
+        body: Some(json!({"error": refusal}).to_string().into()),
+    }
+}
+
+fn failed(message: String) -> Refusal {
+    Refusal::not_run(RefusalCode::BadRequest, message)
+}
--- /dev/null
+++ b/src/node/member_feed.rs
@@ -0,0 +1,215 @@
+//! Passes what the membership knows to routing, placement and the coordinator lookup.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::coordinator::Coordinator;
+use super::coordinator::EngineState;
+use super::coordinator::Surroundings;
+use super::machine::SharedState;
+use super::machine::lock;
+use super::server_names::provider_name;
+use crate::configs::vm::StoreSettings;
+use crate::lease;
+use crate::membership;
+use crate::membership::Liveness;
+use crate::membership::ServerKind as AnnouncedKind;
+use crate::membership::ServerPayload;
+use crate::membership::Snapshot;
+use crate::membership::View;
+use crate::peer::AddressBook;
+use crate::pipeline::Dispatcher;
+use crate::scheduling::placement::StoreShare;
+use crate::scheduling::residency::EngineSeen;
+use crate::scheduling::routing::LoadReport;
+use crate::scheduling::routing::ServerInfo;
+use crate::scheduling::routing::ServerKind;
+use crate::types::Clock;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::ServerName;
+use crate::types::VmName;
+
+/// Age of a load sample when its announcement arrives.
+const REPORT_LAG_MS: u64 = 500;
+/// Mean time for which a request holds a batch position, until servers report it.
+const SERVICE_MS: u32 = 500;
+
+/// What the feed needs.
+pub struct MemberFeed {
+    /// This VM.
+    pub vm: VmName,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Time.
+    pub clock: Clock,
+    /// The membership.
+    pub members: membership::Handle,
+    /// The control state.
+    pub state: SharedState,
+    /// Gets the coordinators of other data centres.
+    pub lease: lease::Handle,
+    /// Gets the servers.
+    pub dispatcher: Arc<Dispatcher>,
+    /// Gets engines, roster and store share.
+    pub coordinator: Arc<Coordinator>,
+    /// Gets the addresses of VMs.
+    pub book: AddressBook,
+    /// Limits of the weight store.
+    pub store: StoreSettings,
+}
+
+impl MemberFeed {
+    /// Follows the membership until it ends.
+    pub async fn run(self) {
+        let mut snapshots = self.members.subscribe();
+        let mut routed = BTreeSet::new();
+        while snapshots.changed().await.is_ok() {
+            let snapshot = snapshots.borrow_and_update().clone();
+            let now = self.clock.mono();
+            self.pass_vms(&snapshot, now);
+            self.pass_servers(&snapshot, &mut routed, now);
+            self.pass_surroundings(&snapshot, now);
+        }
+    }
+
+    fn pass_vms(&self, snapshot: &Snapshot, now: MonoMs) {
+        let mut coordinators: HashMap<DataCentre, (u64, VmName)> = HashMap::new();
+        let mut peers = 0;
+        for (vm, view) in &snapshot.vms {
+            if let Ok(address) = view.payload.peer_address.parse() {
+                self.book.set(vm.clone(), address);
+            }
+            if view.liveness(now) == Liveness::Dead {
+                continue;
+            }
+            peers += u32::from(*vm != self.vm);
+            let term = view.status.coordinator_term;
+            let known = coordinators.get(&view.payload.data_centre);
+            if term > 0 && known.is_none_or(|(highest, _)| term > *highest) {
+                let coordinator = (term, vm.clone());
+                coordinators.insert(view.payload.data_centre.clone(), coordinator);
+            }
+        }
+        for (data_centre, (_, vm)) in coordinators {
+            if data_centre != self.data_centre {
+                self.lease.note_coordinator(data_centre, Some(vm));
+            }
+        }
+        self.dispatcher.set_peers(peers);
+    }
+
+    fn pass_servers(&self, snapshot: &Snapshot, routed: &mut BTreeSet<ServerName>, now: MonoMs) {
+        let mut alive = BTreeSet::new();
+        for (server, view) in &snapshot.servers {
+            let liveness = view.liveness(now);
+            if liveness == Liveness::Dead {
+                continue;
+            }
+            // A silent server gets no new work while others can take it.
+            let leaving = view.payload.leaving || liveness == Liveness::Suspect;
+            for info in server_infos(server, view, leaving) {
+                alive.insert(info.name.clone());
+                self.dispatcher.observe(info, load_report(view));
+            }
+        }
+        for gone in routed.difference(&alive) {
+            self.dispatcher.remove(gone);
+        }
+        *routed = alive;
+    }
+
+    fn pass_surroundings(&self, snapshot: &Snapshot, now: MonoMs) {
+        let engines = snapshot.servers.iter();
+        let engines = engines
+            .filter(|(_, view)| self.takes_orders(view, now))
+            .filter_map(|(server, view)| Some((server.clone(), engine_state(server, view)?)))
+            .collect();
+        let (roster, data_centres) = {
+            let machine = lock(&self.state);
+            let roster = machine.state().roster();
+            let vms: Vec<VmName> = roster.iter().map(|(vm, _)| vm.clone()).collect();
+            (vms, roster.data_centres().len())
+        };
+        self.coordinator.set_surroundings(Surroundings {
+            engines,
+            roster,
+            store: Some(store_share(&self.store, data_centres)),
+        });
+    }
+
+    fn takes_orders(&self, view: &View<ServerPayload>, now: MonoMs) -> bool {
+        view.payload.kind == AnnouncedKind::Engine
+            && view.payload.data_centre == self.data_centre
+            && !view.payload.leaving
+            && view.liveness(now) != Liveness::Dead
+    }
+}
+
+fn server_infos(server: &ServerName, view: &View<ServerPayload>, leaving: bool) -> Vec<ServerInfo> {
+    let payload = &view.payload;
+    let info = |name: ServerName, kind: ServerKind| ServerInfo {
+        name,
+        data_centre: payload.data_centre.clone(),
+        kind,
+        incarnation: view.incarnation,
+        batch_slots: payload.batch_positions,
+        leaving,
+    };
+    match (&payload.kind, &payload.base_model) {
+        (AnnouncedKind::Engine, Some(base)) => {
+            let kind = ServerKind::Engine { base: base.clone() };
+            vec![info(server.clone(), kind)]
+        }
+        (AnnouncedKind::Engine, None) => Vec::new(),
+        (AnnouncedKind::Service, _) => {
+            let provided = payload.services.len();
+            let services = payload.services.iter();
+            services
+                .map(|service| {
+                    let name = provider_name(server, service, provided);
+                    let service = service.clone();
+                    info(name, ServerKind::Service { service })
+                })
+                .collect()
+        }
+    }
+}
+
+fn load_report(view: &View<ServerPayload>) -> LoadReport {
+    LoadReport {
+        sampled: MonoMs(view.heard.0.saturating_sub(REPORT_LAG_MS)),
+        running: view.status.running,
+        waiting_urgent: view.status.queued,
+        waiting_patient: 0,
+        service_ms: SERVICE_MS,
+        suspects: 0,
+    }
+}
+
+fn engine_state(server: &ServerName, view: &View<ServerPayload>) -> Option<EngineState> {
+    Some(EngineState {
+        seen: EngineSeen {
+            server: server.clone(),
+            incarnation: view.incarnation,
+            slots: view.payload.adapter_slots,
+            resident: view.payload.resident_adapters.clone(),
+        },
+        address: view.payload.address.parse().ok()?,
+        checks_fence: view.payload.checks_fence,
+        highest_fence: view.status.highest_fence,
+    })
+}
+
+/// Equal parts of the store's limits for all data centres, so that a data centre that is cut off
+/// cannot exceed them.
+fn store_share(store: &StoreSettings, data_centres: usize) -> StoreShare {
+    let parts = u64::try_from(data_centres.max(1)).unwrap_or(u64::MAX);
+    let in_flight = (store.loads_in_flight / parts).max(1);
+    StoreShare {
+        loads_per_s: store.loads_per_s / parts as f64,
+        burst_loads: in_flight as f64,
+        in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,25 @@
+//! One VM: connects the modules, runs their tasks and shuts them down.
+
+mod admin_port;
+mod control_feed;
+mod coordinator;
+mod duties;
+mod handler;
+mod health;
+mod jobs;
+mod ledger;
+mod links;
+mod machine;
+mod member_feed;
+mod proposer;
+mod self_entry;
+mod server_names;
+mod tables;
+mod topology;
+mod views;
+mod vm;
+
+pub use vm::Draining;
+pub use vm::Open;
+pub use vm::OpenError;
+pub use vm::Vm;
--- a/src/node/tables.rs
+++ b/src/node/tables.rs
@@ -6,9 +6,9 @@
 use tokio::time::timeout;
 
 use super::coordinator::Coordinator;
-use crate::pipeline::Dispatcher;
 use crate::lease;
 use crate::peer::PeerClients;
+use crate::pipeline::Dispatcher;
 use crate::types::Clock;
 use crate::types::DataCentre;
 use crate::types::VmName;
--- /dev/null
+++ b/src/node/topology.rs
@@ -0,0 +1,109 @@
+//! Follows which data centres and VMs exist: whom to pull placement tables and log entries from.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use super::machine::SharedState;
+use super::machine::lock;
+use super::tables::TablePuller;
+use crate::configs::vm::VmSettings;
+use crate::consensus;
+use crate::membership;
+use crate::types::DataCentre;
+use crate::types::VmName;
+
+/// Interval between two looks.
+const ROUND_MS: u64 = 500;
+
+/// Stops the pulls of one data centre when dropped.
+struct Pulls(JoinHandle<()>);
+
+impl Drop for Pulls {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// What the topology is read from and passed to.
+pub struct Topology {
+    /// Settings of this VM.
+    pub settings: VmSettings,
+    /// The control state.
+    pub state: SharedState,
+    /// The membership.
+    pub members: membership::Handle,
+    /// Knows the voters.
+    pub log: consensus::Handle,
+    /// Gets the VMs to follow the log from.
+    pub sources: watch::Sender<Vec<VmName>>,
+    /// Pulls tables.
+    pub puller: TablePuller,
+}
+
+impl Topology {
+    /// Follows the topology until the task is dropped.
+    pub async fn run(self) {
+        let mut pulls: BTreeMap<DataCentre, Pulls> = BTreeMap::new();
+        loop {
+            for data_centre in self.data_centres() {
+                pulls.entry(data_centre).or_insert_with_key(|data_centre| {
+                    let puller = self.puller.clone();
+                    Pulls(tokio::spawn(puller.run(data_centre.clone())))
+                });
+            }
+            self.update_sources();
+            sleep(Duration::from_millis(ROUND_MS)).await;
+        }
+    }
+
+    fn data_centres(&self) -> Vec<DataCentre> {
+        let snapshot = self.members.snapshot();
+        let seen = snapshot
+            .vms
+            .values()
+            .map(|view| view.payload.data_centre.clone());
+        let machine = lock(&self.state);
+        let roster = machine.state().roster().data_centres();
+        let mut all: Vec<DataCentre> = seen.chain(roster.into_iter().cloned()).collect();
+        all.sort();
+        all.dedup();
+        all
+    }
+
+    /// Voters of the own data centre first, then its other VMs, then the voters elsewhere.
+    fn update_sources(&self) {
+        let snapshot = self.members.snapshot();
+        let status = self.log.status();
+        let voters = status.voters.iter().map(|voter| voter.vm.clone());
+        let voters: Vec<VmName> = voters.chain(self.settings.founders.clone()).collect();
+        let mut ranked: Vec<(u8, VmName)> = snapshot
+            .vms
+            .iter()
+            .filter(|(vm, _)| **vm != self.settings.vm)
+            .map(|(vm, view)| {
+                let near = view.payload.data_centre == self.settings.data_centre;
+                let rank = match (near, voters.contains(vm)) {
+                    (true, true) => 0,
+                    (false, true) => 1,
+                    (true, false) => 2,
+                    (false, false) => 3,
+                };
+                (rank, vm.clone())
+            })
+            .collect();
+        if ranked.is_empty() {
+            return;
+        }
+        ranked.sort();
+        let sources: Vec<VmName> = ranked.into_iter().map(|(_, vm)| vm).collect();
+        self.sources.send_if_modified(|known| {
+            let changed = *known != sources;
+            *known = sources;
+            changed
+        });
+    }
+}
--- a/src/scheduling/residency/view.rs
+++ b/src/scheduling/residency/view.rs
@@ -237,6 +237,11 @@
         self.in_use.values().filter_map(|uses| uses.get(&key)).sum()
     }
 
+    /// Requests in flight from this VM on all engines.
+    pub fn total_in_use(&self) -> u32 {
+        self.in_use.values().flat_map(|uses| uses.values()).sum()
+    }
+
     /// Engines that list `adapter` as resident, without a check of the tables' deadlines.
     pub fn residents(&self, adapter: &AdapterRef) -> &[(ServerName, DataCentre)] {
         self.resident.get(adapter).map_or(&[], Vec::as_slice)
