feat(membership): table, gossip, quarantine and driver

Sending digests of all entries was ruled out: they grow with the fleet. Entries that fill a gap are not relayed, so that a joining VM does not repeat the whole table.

--- /dev/null
+++ b/src/membership/hash.rs
@@ -0,0 +1,8 @@
+//! Hashes that are equal on all VMs.
+
+use serde::Serialize;
+
+/// CRC-32 of the value's encoding. It finds differences between tables; it protects from nothing.
+pub fn stable_hash<T: Serialize>(value: &T) -> u32 {
+    bincode::serialize(value).map_or(0, |bytes| crc32fast::hash(&bytes))
+}
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -44,8 +44,11 @@
     pub data_centre: DataCentre,
     /// Hashes of the same parts of the sender's table.
     pub marks: Marks,
-    /// News, and entries of parts whose hashes differ.
+    /// News.
     pub news: News,
+    /// Entries and facts of parts whose hashes differ. The receiver does not pass them on, since
+    /// others are likely to have them.
+    pub missing: News,
 }
 
 /// Hashes of consecutive parts of the table.
@@ -74,7 +77,10 @@
 
 /// A whole entry.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(bound = "N: Serialize + serde::de::DeserializeOwned")]
+#[serde(bound(
+    serialize = "N: Serialize",
+    deserialize = "N: serde::de::DeserializeOwned"
+))]
 pub struct Entry<N, P: Member> {
     /// Name of the member.
     pub name: N,
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,10 +1,20 @@
 //! Who is there: VMs and backend servers, spread by gossip, with a failure detector; and facts that
 //! spread the same way (crash reports, local key withdrawals).
 
+mod directory;
+mod driver;
 mod entry;
+mod facts;
+mod hash;
 mod message;
+mod pace;
 mod quarantine;
+mod table;
 
+pub use directory::Change;
+pub use driver::Config;
+pub use driver::Handle;
+pub use driver::spawn;
 pub use entry::Announcement;
 pub use entry::Liveness;
 pub use entry::Member;
@@ -25,11 +35,17 @@
 pub use message::News;
 pub use message::NoGossip;
 pub use message::Withdrawal;
+pub use pace::ROUND_MS;
 pub use quarantine::CrashReport;
 pub use quarantine::FIRST_QUARANTINE_MS;
 pub use quarantine::Fingerprint;
 pub use quarantine::Lift;
 pub use quarantine::MAX_QUARANTINE_MS;
 pub use quarantine::QUARANTINE_CRASHES;
+pub use quarantine::Quarantine;
 pub use quarantine::REPORT_LIFETIME_MS;
 pub use quarantine::Verdict;
+pub use table::Contact;
+pub use table::Snapshot;
+pub use table::Table;
+pub use table::TableConfig;
--- a/src/membership/quarantine.rs
+++ b/src/membership/quarantine.rs
@@ -1,5 +1,7 @@
 //! Quarantine of requests that crash the backend servers that run them.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -58,3 +60,70 @@
         until: UnixMs,
     },
 }
+
+/// The crash reports and lifts that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    /// By fingerprint, server and incarnation: earliest reported time of the crash.
+    crashes: BTreeMap<Fingerprint, BTreeMap<(ServerName, u64), UnixMs>>,
+    lifts: BTreeMap<Fingerprint, UnixMs>,
+}
+
+impl Quarantine {
+    /// Adds a report.
+    pub fn report(&mut self, report: &CrashReport) {
+        let crashes = self.crashes.entry(report.fingerprint).or_default();
+        let key = (report.server.clone(), report.incarnation);
+        let at = crashes.entry(key).or_insert(report.at);
+        *at = report.at.min(*at);
+    }
+
+    /// Adds a lift.
+    pub fn lift(&mut self, lift: &Lift) {
+        let at = self.lifts.entry(lift.fingerprint).or_insert(lift.at);
+        *at = lift.at.max(*at);
+    }
+
+    /// How a request must be treated at `now`. After a quarantine the request is a suspect again;
+    /// each further crash doubles the next quarantine.
+    pub fn verdict(&self, fingerprint: &Fingerprint, now: UnixMs) -> Verdict {
+        let Some(crashes) = self.crashes.get(fingerprint) else {
+            return Verdict::Clear;
+        };
+        let lifted = self.lifts.get(fingerprint).copied();
+        let counts = |at: &&UnixMs| {
+            let expired = now.since(**at) >= REPORT_LIFETIME_MS;
+            !expired && lifted.is_none_or(|lifted| **at > lifted)
+        };
+        let times: Vec<UnixMs> = crashes.values().filter(counts).copied().collect();
+        let Some(last) = times.iter().max().copied() else {
+            return Verdict::Clear;
+        };
+        let until = match times.len().checked_sub(QUARANTINE_CRASHES) {
+            Some(further) => last.min(now).plus(quarantine_ms(further)),
+            None => return Verdict::Suspect,
+        };
+        if now < until {
+            Verdict::Quarantined { until }
+        } else {
+            Verdict::Suspect
+        }
+    }
+
+    /// Fingerprints that are quarantined at `now`, with the ends of their quarantines.
+    pub fn quarantined(&self, now: UnixMs) -> Vec<(Fingerprint, UnixMs)> {
+        let fingerprints = self.crashes.keys();
+        fingerprints
+            .filter_map(|fingerprint| match self.verdict(fingerprint, now) {
+                Verdict::Quarantined { until } => Some((*fingerprint, until)),
+                Verdict::Clear | Verdict::Suspect => None,
+            })
+            .collect()
+    }
+}
+
+/// Length of the quarantine after `further` crashes beyond the first that led to one.
+fn quarantine_ms(further: usize) -> u64 {
+    let doublings = u32::try_from(further).unwrap_or(u32::MAX).min(16);
+    (FIRST_QUARANTINE_MS << doublings).min(MAX_QUARANTINE_MS)
+}
