--- a/src/lease/elector.rs
+++ b/src/lease/elector.rs
@@ -316,9 +316,12 @@
         turn.min(MAX_STAGGER_RANK) * STAGGER_MS + rank as u64 % STAGGER_MS
     }
 
+    /// Term to ask for. Incarnations are wall clock times of process starts, so a term is also
+    /// above those that a data centre forgot because all its VMs restarted.
     fn next_term(&self) -> u64 {
         let known = self.known_term.max(self.grantor.highest_term());
-        (known + 1).max(self.wanted_term)
+        let forgotten = self.config.me.incarnation;
+        (known + 1).max(self.wanted_term).max(forgotten)
     }
 
     fn tick_candidate(&mut self, now: MonoMs, candidate: Candidate) -> Vec<Outgoing> {
--- a/src/lease/message.rs
+++ b/src/lease/message.rs
@@ -16,7 +16,7 @@
 pub struct Identity {
     /// Name of the VM.
     pub vm: VmName,
-    /// Rises with each start of the VM's process.
+    /// Rises with each start of the VM's process, usually its wall clock time in milliseconds.
     pub incarnation: u64,
 }
 
