--- a/src/backend/frame.rs
+++ b/src/backend/frame.rs
@@ -7,6 +7,7 @@
 use super::BackendError;
 use super::Result;
 use super::StreamIdentity;
+use crate::types::UnixMs;
 
 /// Data of the event that closes a stream.
 const DONE: &str = "[DONE]";
@@ -38,6 +39,8 @@
     pub finish_reason: Option<String>,
     /// Tokens consumed, on the last frame only.
     pub usage: Option<Usage>,
+    /// When the adapter became resident on the engine, if the engine tells.
+    pub resident_since: Option<UnixMs>,
 }
 
 /// The JSON object of a completion chunk.
@@ -50,6 +53,8 @@
     choices: Vec<ChunkChoice>,
     #[serde(default)]
     usage: Option<Usage>,
+    #[serde(default)]
+    resident_since_unix_ms: Option<UnixMs>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -121,6 +126,7 @@
         text,
         finish_reason,
         usage: chunk.usage,
+        resident_since: chunk.resident_since_unix_ms,
     }
 }
 
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -76,7 +76,7 @@
     pub prompt: Arc<str>,
     /// Most output tokens to generate.
     pub max_tokens: u64,
-    /// Engine priority, higher runs first.
+    /// Engine priority, lower runs first.
     pub priority: u8,
 }
 
--- a/src/http/calls.rs
+++ b/src/http/calls.rs
@@ -68,8 +68,8 @@
 async fn whole(cx: &Context, request: Classified) -> Result<Response<Body>, Refusal> {
     let completion = request.completion.clone();
     let answer = run_whole(cx, request).await?;
-    let head = AnswerHead::new(answer.public_id, &completion, created_s(cx));
-    let body = whole_answer(&head, &answer.text, &answer.finish_reason, answer.usage);
+    let head = AnswerHead::new(answer.public_id.clone(), &completion, created_s(cx));
+    let body = whole_answer(&head, &answer);
     Ok(json_answer(StatusCode::OK, &head.id, &body))
 }
 
--- a/src/http/completion.rs
+++ b/src/http/completion.rs
@@ -9,6 +9,7 @@
 use crate::backend::Usage;
 use crate::pipeline::Completion;
 use crate::pipeline::Format;
+use crate::pipeline::WholeAnswer;
 use crate::types::Refusal;
 
 /// Data of the event that closes a stream.
@@ -63,6 +64,9 @@
     if let Some(usage) = frame.usage {
         chunk["usage"] = usage_json(usage);
     }
+    if let Some(since) = frame.resident_since {
+        chunk["resident_since_unix_ms"] = json!(since);
+    }
     let event = Sse::default()
         .id(frame.index.to_string())
         .data(chunk.to_string());
@@ -81,7 +85,12 @@
 }
 
 /// A whole answer in one object.
-pub fn whole_answer(head: &AnswerHead, text: &str, finish_reason: &str, usage: Usage) -> Value {
+pub fn whole_answer(head: &AnswerHead, whole: &WholeAnswer) -> Value {
+    let WholeAnswer {
+        text,
+        finish_reason,
+        ..
+    } = whole;
     let (object, choice) = match head.format {
         Format::Chat => (
             "chat.completion",
@@ -97,7 +106,10 @@
         ),
     };
     let mut answer = envelope(head, object, choice);
-    answer["usage"] = usage_json(usage);
+    answer["usage"] = usage_json(whole.usage);
+    if let Some(since) = whole.resident_since {
+        answer["resident_since_unix_ms"] = json!(since);
+    }
     answer
 }
 
--- a/src/node/jobs.rs
+++ b/src/node/jobs.rs
@@ -186,8 +186,8 @@
         let completion = request.completion.clone();
         let answer = run_whole(&self.pipeline, request.classified(job, caller)).await?;
         let created_s = self.pipeline.clock.unix().0 / 1_000;
-        let head = AnswerHead::new(answer.public_id, &completion, created_s);
-        let body = whole_answer(&head, &answer.text, &answer.finish_reason, answer.usage);
+        let head = AnswerHead::new(answer.public_id.clone(), &completion, created_s);
+        let body = whole_answer(&head, &answer);
         Ok(RecordedResult {
             status: 200,
             content_type: Some("application/json".to_owned()),
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -38,8 +38,10 @@
 const MAX_ATTEMPTS: u32 = 8;
 /// Wait before a request whose adapter was not resident is queued again.
 const NOT_RESIDENT_WAIT_MS: u64 = 20;
-/// Engine priority of urgent requests.
-const URGENT_PRIORITY: u8 = 1;
+/// Engine priority of urgent requests; lower runs first.
+const URGENT_PRIORITY: u8 = 0;
+/// Engine priority of patient requests.
+const PATIENT_PRIORITY: u8 = 1;
 /// Bytes of prompt in one prefix block.
 const PREFIX_BLOCK_BYTES: usize = 48;
 /// Prefix blocks that are compared.
@@ -255,7 +257,7 @@
         max_tokens: completion.max_tokens,
         priority: match request.patience {
             Patience::Urgent => URGENT_PRIORITY,
-            Patience::Patient => 0,
+            Patience::Patient => PATIENT_PRIORITY,
         },
     }
 }
--- a/src/pipeline/job.rs
+++ b/src/pipeline/job.rs
@@ -17,6 +17,7 @@
 use super::classify::Format;
 use super::classify::bad;
 use super::classify::classify;
+use super::classify::header;
 use super::context::Context;
 use super::ledger::LedgerError;
 use super::request_id::RequestId;
@@ -25,11 +26,13 @@
 use crate::control::Job;
 use crate::control::JobAccept;
 use crate::control::JobCommand;
+use crate::control::JobId;
 use crate::control::JobPhase;
 use crate::control::JobReply;
 use crate::control::JobStatus;
 use crate::control::Outcome;
 use crate::control::RecordedResult;
+use crate::control::Sha256Hash;
 use crate::types::Patience;
 use crate::types::Refusal;
 use crate::types::RefusalCode;
@@ -46,14 +49,15 @@
 const RESULT_BYTES_PER_TOKEN: u64 = 16;
 /// Bytes reserved for the rest of the result.
 const RESULT_BASE_BYTES: u64 = 1_024;
+/// Bytes of a job id.
+const JOB_ID_BYTES: usize = 16;
 /// Time after which a caller may try again.
 const RETRY_AFTER_MS: u64 = 2_000;
 
-/// Body of a submission.
+/// The part of a submission that tells its format.
 #[derive(Deserialize)]
-struct Submission {
-    endpoint: Option<String>,
-    body: Option<serde_json::Value>,
+struct Shape {
+    messages: Option<serde::de::IgnoredAny>,
 }
 
 /// A job's request as it is recorded.
@@ -111,12 +115,13 @@
     let caller = authenticate(&*cx.keys, headers)?;
     let policy = caller.parameters().when_cut_off;
     cx.health.check_open(policy == CutOffPolicy::Serve)?;
-    let (format, inner) = read_submission(body)?;
+    let format = read_format(body)?;
     let now = cx.clock.unix();
     let mut headers = headers.clone();
     headers.insert("x-patience", http::HeaderValue::from_static("patient"));
-    let request = classify(caller, &headers, format, &inner, now)?;
-    let accept = accept(request, now);
+    let request = classify(caller, &headers, format, body, now)?;
+    let key = header(&headers, "idempotency-key")?;
+    let accept = accept(request, key, now);
     let view = JobView {
         id: accept.job.to_string(),
         status: JobStatus::Queued,
@@ -132,6 +137,11 @@
                 .with_field(error.field, error.value)
                 .with_retry_after_ms(RETRY_AFTER_MS))
         }
+        JobReply::Conflict => Err(Refusal::not_run(
+            RefusalCode::IdempotencyConflict,
+            "the idempotency key was used with another request",
+        )
+        .with_field("Idempotency-Key", "(used)")),
         JobReply::Expired => Err(Refusal::not_run(
             RefusalCode::DeadlineUnreachable,
             "the deadline has already passed",
@@ -143,30 +153,23 @@
     }
 }
 
-fn read_submission(body: &Bytes) -> Result<(Format, Bytes)> {
-    let submission: Submission = serde_json::from_slice(body).map_err(|error| {
+/// A job is a chat completion if it has messages, else a text completion.
+fn read_format(body: &Bytes) -> Result<Format> {
+    let shape: Shape = serde_json::from_slice(body).map_err(|error| {
         bad(
             "body",
             "(body)",
             format!("the body cannot be read: {error}"),
         )
     })?;
-    let format = match submission.endpoint.as_deref() {
-        Some("/v1/chat/completions") => Format::Chat,
-        Some("/v1/completions") => Format::Text,
-        other => {
-            let message = "the endpoint must be /v1/chat/completions or /v1/completions";
-            return Err(bad("endpoint", other.unwrap_or("missing"), message));
-        }
-    };
-    let inner = submission
-        .body
-        .ok_or_else(|| bad("body", "missing", "the request of the job is required"))?;
-    Ok((format, Bytes::from(inner.to_string())))
+    Ok(match shape.messages {
+        Some(_) => Format::Chat,
+        None => Format::Text,
+    })
 }
 
-fn accept(request: Classified, now: UnixMs) -> JobAccept {
-    let id: u128 = rand::rng().random();
+fn accept(request: Classified, key: Option<&str>, now: UnixMs) -> JobAccept {
+    let id = job_id(&request, key);
     let max_tokens = request.completion.max_tokens;
     let result_bytes = RESULT_BASE_BYTES + max_tokens * RESULT_BYTES_PER_TOKEN;
     let recorded = JobRequest {
@@ -175,7 +178,7 @@
     };
     let request_bytes = serde_json::to_vec(&recorded).expect("requests are plain data");
     JobAccept {
-        job: format!("job-{id:032x}").into(),
+        job: id,
         account: request.caller.account().clone(),
         request: request_bytes.into(),
         result_bytes: u32::try_from(result_bytes).unwrap_or(u32::MAX),
@@ -186,6 +189,19 @@
     }
 }
 
+/// A submission that is sent again with the same idempotency key names the same job.
+fn job_id(request: &Classified, key: Option<&str>) -> JobId {
+    let id = match key {
+        None => rand::rng().random::<u128>().to_be_bytes().to_vec(),
+        Some(key) => {
+            let account = request.caller.account();
+            let digest = Sha256Hash::of(format!("{account}\0{key}").as_bytes());
+            digest.0[..JOB_ID_BYTES].to_vec()
+        }
+    };
+    format!("job-{}", hex::encode(id)).into()
+}
+
 /// How far a job of the caller has come.
 ///
 /// # Errors
--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -11,6 +11,7 @@
 use crate::metrics::Ending;
 use crate::types::Refusal;
 use crate::types::RunState;
+use crate::types::UnixMs;
 
 /// Result of a run.
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
@@ -29,6 +30,8 @@
     pub finish_reason: String,
     /// Tokens consumed.
     pub usage: Usage,
+    /// When the adapter became resident on the engine, if the engine tells.
+    pub resident_since: Option<UnixMs>,
 }
 
 /// A streamed answer whose first token has arrived.
@@ -114,6 +117,7 @@
                 text,
                 finish_reason,
                 usage,
+                resident_since: frame.resident_since,
             });
         }
         frame = relay.next().await.unwrap_or_else(|| Err(ended_early()))?;
