--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -25,6 +25,8 @@
 SERVICE = "records"
 TEMPLATE = "standard"
 READY_S = 20
+# Exit codes of `medlarlift admin` for changes that were committed.
+DONE, PENDING = 0, 5
 STOP_S = 8
 
 # Offsets of each kind of port above the base port, so that all ports lie in one range.
@@ -244,7 +246,7 @@
         command = [self.binary, "admin", "--server", self.address(ADMIN, vm),
                    "--token-file", token_file, *[str(argument) for argument in arguments]]
         done = subprocess.run(command, capture_output=True, text=True, timeout=15, check=False)
-        if done.returncode != 0:
+        if done.returncode not in (DONE, PENDING):
             raise AdminError(f"{' '.join(arguments_shown(arguments))}: {done.stderr.strip()}")
         return done.stdout
 
@@ -269,12 +271,16 @@
             template = f"{TEMPLATE}-{rate}-{burst}"
             self.admin_retried(
                 "template", "set", template, "--rate-tokens-per-s", rate,
-                "--burst-tokens", burst, "--adapters", "*", "--classes", "urgent,patient")
+                "--burst-tokens", burst, "--adapters", f"{BASE}:*",
+                "--patience", "urgent", "--patience", "patient")
             self.admin_retried("account", "create", name, "--template", template)
-            granted = json.loads(self.admin("key", "grant", name, "--json"))
+            granted = json.loads(self.admin_retried("key", "grant", name, "--json"))
             keys[name] = granted["key"]
-        self.admin_retried("route", "set", SERVICE, "--prefix", "/", "--access", "keyed",
-                           "--repeatable", "false")
+        self.admin_retried("route", "set", SERVICE, "--service", SERVICE, "--path-prefix", "/",
+                           "--method", "POST", "--access", "keyed")
+        self.admin_retried("route", "set", f"{SERVICE}-reads", "--service", SERVICE,
+                           "--path-prefix", "/", "--method", "GET", "--access", "keyed",
+                           "--repeatable")
         return keys
 
     # Counters
--- a/src/http/calls.rs
+++ b/src/http/calls.rs
@@ -24,8 +24,8 @@
 use crate::pipeline::Format;
 use crate::pipeline::RequestId;
 use crate::pipeline::ServiceRequest;
-use crate::pipeline::authenticate;
 use crate::pipeline::classify;
+use crate::pipeline::identify;
 use crate::pipeline::run_service;
 use crate::pipeline::run_streamed;
 use crate::pipeline::run_whole;
@@ -43,7 +43,7 @@
     let draft = |refusal| (request.request_id.clone(), refusal);
     let headers = request.request.headers();
     // The key is checked before the body is read, so that strangers cannot make the VM buffer it.
-    let caller = authenticate(&*cx.pipeline.keys, headers).map_err(draft)?;
+    let caller = identify(&cx.pipeline, headers).map_err(draft)?;
     let body = read_body(body, cx.max_body_bytes).await.map_err(draft)?;
     let now = cx.pipeline.clock.unix();
     let classified = classify(caller, headers, format, &body, now).map_err(draft)?;
@@ -82,7 +82,7 @@
     let draft = |refusal| (id.to_owned(), refusal);
     let cx = &request.context().pipeline;
     let headers = request.request.headers();
-    let caller = authenticate(&*cx.keys, headers).map_err(draft)?;
+    let caller = identify(cx, headers).map_err(draft)?;
     let running = RequestId::parse_on_server(id).map_err(draft)?;
     let from = next_index(request).map_err(draft)?;
     let (address, _) = cx
@@ -121,7 +121,7 @@
 pub async fn cancel(request: &Request, id: &str) -> CallOutcome {
     let draft = |refusal| (id.to_owned(), refusal);
     let cx = &request.context().pipeline;
-    let caller = authenticate(&*cx.keys, request.request.headers()).map_err(draft)?;
+    let caller = identify(cx, request.request.headers()).map_err(draft)?;
     let running = RequestId::parse_on_server(id).map_err(draft)?;
     let (address, _) = cx
         .servers
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,7 @@
 use clap::Command;
 use medlarlift::commands;
 use simplelog::ColorChoice;
-use simplelog::Config;
+use simplelog::ConfigBuilder;
 use simplelog::LevelFilter;
 use simplelog::TermLogger;
 use simplelog::TerminalMode;
@@ -24,10 +24,14 @@
 }
 
 fn start_log() {
-    let config = Config::default();
+    // Libraries report each call at the same levels as this crate reports changes.
+    let config = ConfigBuilder::new()
+        .add_filter_allow_str("medlarlift")
+        .build();
     let choice = ColorChoice::Never;
     // A second logger is not an error worth stopping for.
-    let _ = TermLogger::init(LevelFilter::Info, config, TerminalMode::Stderr, choice);
+    let _ = TermLogger::init(LevelFilter::Trace, config, TerminalMode::Stderr, choice);
+    log::set_max_level(log::LevelFilter::Info);
 }
 
 #[tokio::main]
--- a/src/node/control_feed.rs
+++ b/src/node/control_feed.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use super::health::VmHealth;
 use super::machine::SharedState;
 use super::machine::lock;
 use super::proposer::Proposer;
@@ -81,6 +82,8 @@
     pub limits: limits::Client,
     /// Gets the limits for token buckets.
     pub dispenser: limits::Server,
+    /// Told when the VM has caught up.
+    pub health: Arc<VmHealth>,
     /// Gets the revisions seen.
     pub revisions: Arc<RevisionIndex>,
     /// Gets the index up to which everything is in force.
@@ -130,7 +133,10 @@
         let status = self.log.status();
         let up_to_date = in_force.index >= status.commit_index
             && status.quorum_contact_age_ms < FRESH_CONTACT_MS;
-        in_force.caught_up |= up_to_date;
+        if up_to_date && !in_force.caught_up {
+            in_force.caught_up = true;
+            self.health.set_caught_up();
+        }
         let reported = in_force.caught_up.then_some(in_force.index);
         self.lease.set_applied(reported);
         self.in_force.send_replace(in_force.index);
--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -1,5 +1,6 @@
 //! Whether the VM may accept work.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 
@@ -30,6 +31,7 @@
 /// Judges the VM's phase and its contact with others.
 pub struct VmHealth {
     phase: AtomicU8,
+    caught_up: AtomicBool,
     log: consensus::Handle,
     lease: lease::Handle,
 }
@@ -39,6 +41,7 @@
     pub fn new(log: consensus::Handle, lease: lease::Handle) -> Self {
         Self {
             phase: AtomicU8::new(Phase::Open as u8),
+            caught_up: AtomicBool::new(false),
             log,
             lease,
         }
@@ -49,6 +52,11 @@
         self.phase.fetch_max(phase as u8, Ordering::SeqCst);
     }
 
+    /// Notes that the VM has applied the log up to what a quorum had committed after its start.
+    pub fn set_caught_up(&self) {
+        self.caught_up.store(true, Ordering::SeqCst);
+    }
+
     /// Whether new work is refused.
     pub fn is_closed(&self) -> bool {
         self.phase.load(Ordering::SeqCst) >= Phase::Closed as u8
@@ -64,7 +72,12 @@
         self.is_cut_off() && self.lease.majority_contact_age_ms() > CUT_OFF_MS
     }
 
+    /// A VM that has not caught up would take live keys for unknown ones.
     fn check_contact(&self) -> Result<(), Refusal> {
+        if !self.caught_up.load(Ordering::SeqCst) {
+            let message = "the VM has not caught up with the replicated log since its start";
+            return Err(refuse(RefusalCode::Isolated, message));
+        }
         if self.is_isolated() {
             let message = "the VM has lost contact with the other VMs";
             return Err(refuse(RefusalCode::Isolated, message));
--- a/src/node/vm.rs
+++ b/src/node/vm.rs
@@ -576,6 +576,7 @@
         lease: parts.lease.clone(),
         limits: parts.limits.clone(),
         dispenser: parts.dispenser.clone(),
+        health: parts.health.clone(),
         revisions,
         in_force,
     };
--- a/src/pipeline/authenticate.rs
+++ b/src/pipeline/authenticate.rs
@@ -5,6 +5,7 @@
 use http::HeaderMap;
 
 use super::classify::header;
+use super::context::Context;
 use crate::control::KeyHash;
 use crate::control::Parameters;
 use crate::control::Sha256Hash;
@@ -70,6 +71,16 @@
     }
 }
 
+/// Checks that the VM may serve and then the bearer key in `headers`. A VM that has lost touch with
+/// the control state must not call a live key unknown.
+///
+/// # Errors
+/// The VM's reason to refuse work; `unauthorized` if the key is missing, unknown or withdrawn.
+pub fn identify(cx: &Context, headers: &HeaderMap) -> Result<Caller> {
+    cx.health.check_open(true)?;
+    authenticate(&*cx.keys, headers)
+}
+
 /// Checks the bearer key in `headers`.
 ///
 /// # Errors
--- a/src/pipeline/job.rs
+++ b/src/pipeline/job.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::authenticate::Caller;
-use super::authenticate::authenticate;
+use super::authenticate::identify;
 use super::classify::Classified;
 use super::classify::Completion;
 use super::classify::Format;
@@ -112,7 +112,7 @@
 /// # Errors
 /// The errors of a completion request; `Isolated` if the record could not be committed.
 pub async fn submit_job(cx: &Context, headers: &HeaderMap, body: &Bytes) -> Result<JobView> {
-    let caller = authenticate(&*cx.keys, headers)?;
+    let caller = identify(cx, headers)?;
     let policy = caller.parameters().when_cut_off;
     cx.health.check_open(policy == CutOffPolicy::Serve)?;
     let format = read_format(body)?;
@@ -243,7 +243,7 @@
 /// # Errors
 /// `NotFound` if the account has no such job, `Isolated` if the log cannot be reached.
 pub async fn cancel_job(cx: &Context, headers: &HeaderMap, id: &str) -> Result<JobView> {
-    let caller = authenticate(&*cx.keys, headers)?;
+    let caller = identify(cx, headers)?;
     let cancel = JobCommand::Cancel {
         job: Arc::from(id),
         account: caller.account().clone(),
@@ -266,7 +266,7 @@
 }
 
 fn find(cx: &Context, headers: &HeaderMap, id: &str) -> Result<Job> {
-    let caller = authenticate(&*cx.keys, headers)?;
+    let caller = identify(cx, headers)?;
     let job = cx.ledger.job(id);
     job.filter(|job| job.accept.account == *caller.account())
         .ok_or_else(|| not_found(id))
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -26,6 +26,7 @@
 pub use authenticate::Keys;
 pub use authenticate::authenticate;
 pub use authenticate::check_still_live;
+pub use authenticate::identify;
 pub use classify::Classified;
 pub use classify::Completion;
 pub use classify::Format;
--- a/src/pipeline/service.rs
+++ b/src/pipeline/service.rs
@@ -94,6 +94,7 @@
 }
 
 fn check(cx: &Context, request: &ServiceRequest) -> Result<Checked> {
+    cx.health.check_open(true)?;
     let route = find_route(cx, request)?;
     let (account, serves_when_cut_off) = match route.access {
         Access::Open => (None, true),
