feat(placement): engines confirm that an adapter is idle

After a restart or the loss of a VM, evictions waited for the longest request (120 s). An engine that tells which adapters it has requests for ends that wait as soon as the VM can no longer dispatch. Engines that do not tell are waited out as before.

--- a/src/backend/engine_http.rs
+++ b/src/backend/engine_http.rs
@@ -21,6 +21,7 @@
 use sse_stream::SseStream;
 use tokio::time::timeout;
 
+use super::AdaptersInUse;
 use super::BackendError;
 use super::Engine;
 use super::EngineCall;
@@ -38,6 +39,10 @@
 pub(super) const ORDER_TIMEOUT_MS: u64 = 3_000;
 /// Longest time for a cancellation.
 const CANCEL_TIMEOUT_MS: u64 = 1_000;
+/// Longest time for the list of adapters in use.
+const IN_USE_TIMEOUT_MS: u64 = 1_000;
+/// Most bytes read of that list.
+const MAX_IN_USE_BYTES: usize = 1024 * 1024;
 /// Most bytes read of an error answer.
 const MAX_ERROR_BYTES: usize = 16 * 1024;
 
@@ -111,6 +116,21 @@
         .boxed()
     }
 
+    fn in_use(&self, to: SocketAddr) -> BoxFuture<'static, Option<AdaptersInUse>> {
+        let call = self.client.request(empty(Method::GET, to, "/v1/in_use"));
+        async move {
+            let answer = timeout(Duration::from_millis(IN_USE_TIMEOUT_MS), call).await;
+            let response = answer.ok()?.ok()?;
+            if response.status() != StatusCode::OK {
+                return None;
+            }
+            let limited = Limited::new(response.into_body(), MAX_IN_USE_BYTES);
+            let body = limited.collect().await.ok()?.to_bytes();
+            serde_json::from_slice(&body).ok()
+        }
+        .boxed()
+    }
+
     fn order(&self, to: SocketAddr, order: EngineOrder) -> BoxFuture<'static, OrderOutcome> {
         let request = post(to, "/v1/orders", &json!(order));
         let call = self.client.request(request);
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -139,6 +139,15 @@
     Failed,
 }
 
+/// Adapters that an engine is running or has queued requests for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AdaptersInUse {
+    /// Incarnation of the engine.
+    pub incarnation: u64,
+    /// The adapters.
+    pub adapters: Vec<AdapterRef>,
+}
+
 /// The dialect of an inference engine.
 pub trait Engine: Send + Sync + 'static {
     /// Starts a generation and returns its tokens.
@@ -155,6 +164,9 @@
     /// Cancels a generation. True once the engine has confirmed that it does not run any more.
     fn cancel(&self, to: SocketAddr, request_id: Arc<str>) -> BoxFuture<'static, bool>;
 
+    /// Asks which adapters are in use; `None` if the engine does not tell.
+    fn in_use(&self, to: SocketAddr) -> BoxFuture<'static, Option<AdaptersInUse>>;
+
     /// Gives an order and waits for its outcome.
     fn order(&self, to: SocketAddr, order: EngineOrder) -> BoxFuture<'static, OrderOutcome>;
 }
--- a/src/node/coordinator.rs
+++ b/src/node/coordinator.rs
@@ -38,6 +38,10 @@
 
 /// Longest interval between two plans.
 const PLAN_MS: u64 = 100;
+/// Time for which an eviction is held up before its engine is asked about its use.
+const BLOCKED_MS: u64 = 300;
+/// Least interval between two rounds of such questions.
+const ASK_MS: u64 = 300;
 /// Wait for the orders of a predecessor in flight, towards engines that ignore fencing numbers.
 const UNFENCED_WAIT_MS: u64 = LONGEST_ORDER_MS;
 
@@ -205,6 +209,33 @@
         }
     }
 
+    /// Asks engines whose evictions are held up which adapters they have requests for.
+    async fn ask_blocked_engines(self: Arc<Self>, term: u64) {
+        let now = self.clock.mono();
+        let blocked = match self.term().as_ref() {
+            Some(current) if current.number == term => {
+                current.planner.table().blocked(BLOCKED_MS, now)
+            }
+            _ => return,
+        };
+        for server in blocked {
+            let engine = self.surroundings().engines.get(&server).cloned();
+            let Some(engine) = engine else { continue };
+            let sampled = self.clock.mono();
+            let Some(told) = self.engine.in_use(engine.address).await else {
+                continue;
+            };
+            if let Some(current) = self.term().as_mut()
+                && current.number == term
+                && current.planner.table().incarnation(&server) == Some(told.incarnation)
+            {
+                let adapters = told.adapters.into_iter().collect();
+                current.planner.on_engine_use(&server, adapters, sampled);
+            }
+        }
+        self.changed.notify_one();
+    }
+
     /// Gives one order, if the lease still has the order's term, and records its result.
     async fn carry_out(self: Arc<Self>, term: u64, order: EngineOrder) {
         let engine = self.engine_state(&order);
@@ -289,6 +320,7 @@
 }
 
 async fn plan_forever(coordinator: Arc<Coordinator>) {
+    let mut asked = MonoMs::default();
     loop {
         let changed = coordinator.changed.notified();
         let _ = timeout(Duration::from_millis(PLAN_MS), changed).await;
@@ -298,5 +330,10 @@
         for order in orders {
             tokio::spawn(coordinator.clone().carry_out(term, order));
         }
+        let now = coordinator.clock.mono();
+        if now.since(asked) >= ASK_MS {
+            asked = now;
+            tokio::spawn(coordinator.clone().ask_blocked_engines(term));
+        }
     }
 }
--- a/src/scheduling/placement/planner.rs
+++ b/src/scheduling/placement/planner.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use crate::scheduling::placement::Demand;
 use crate::scheduling::placement::EngineOrder;
@@ -103,6 +104,16 @@
         self.table.observe(seen, now);
     }
 
+    /// Records an engine's own list of adapters in use, asked for at `sampled`.
+    pub fn on_engine_use(
+        &mut self,
+        server: &ServerName,
+        adapters: HashSet<AdapterRef>,
+        sampled: MonoMs,
+    ) {
+        self.table.record_engine_use(server, adapters, sampled);
+    }
+
     /// Forgets an engine that is dead or has left.
     pub fn remove_engine(&mut self, server: &ServerName) {
         self.table.remove_engine(server);
--- a/src/scheduling/residency/table.rs
+++ b/src/scheduling/residency/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 
 use snafu::Snafu;
@@ -233,6 +234,7 @@
             return;
         };
         engine.gone = true;
+        self.holders.forget_engine(server);
         self.change += 1;
         self.removed.push_back((self.change, server.clone()));
         while self.removed.len() > self.config.removed_engines {
@@ -244,6 +246,33 @@
         }
     }
 
+    /// Records an engine's own list of adapters in use, asked for at `sampled`. It ends the wait for
+    /// VMs that can no longer dispatch.
+    pub fn record_engine_use(
+        &mut self,
+        server: &ServerName,
+        adapters: HashSet<AdapterRef>,
+        sampled: MonoMs,
+    ) {
+        self.holders.record_engine_use(server, adapters, sampled);
+    }
+
+    /// Engines with a draining adapter that some VM has kept from being evicted for `blocked_ms`.
+    pub fn blocked(&self, blocked_ms: u64, now: MonoMs) -> Vec<ServerName> {
+        let waits = |engine: &Engine| {
+            engine.adapters.values().any(|entry| {
+                entry.residency == Residency::Draining
+                    && !entry.evicting
+                    && now.since(entry.since) >= blocked_ms
+            })
+        };
+        let engines = self.engines.iter();
+        engines
+            .filter(|(_, engine)| waits(engine))
+            .map(|(server, _)| server.clone())
+            .collect()
+    }
+
     /// Notes that a load has been ordered. Returns false if no slot is free or the adapter has one.
     pub fn begin_load(&mut self, server: &ServerName, adapter: &AdapterRef, now: MonoMs) -> bool {
         if self.free_slots(server) == 0 || self.present(server).is_none() {
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -263,6 +263,7 @@
             (&Method::GET, ["v1", "kv", key]) => Some(self.export_kv(key)),
             (&Method::PUT, ["v1", "kv", key]) => Some(self.import_kv(key)),
             (&Method::GET, ["v1", "cache_events"]) => Some(self.cache_events(&request)),
+            (&Method::GET, ["v1", "in_use"]) => Some(self.in_use()),
             (&Method::GET, ["_counts"]) => {
                 let counts = serde_json::to_value(&self.lock().counts).unwrap_or_default();
                 Some(server::json(StatusCode::OK, &counts))
@@ -409,6 +410,16 @@
         server::json(StatusCode::OK, &body)
     }
 
+    /// Adapters that have requests, running or queued.
+    fn in_use(&self) -> Response<Body> {
+        let state = self.lock();
+        let resident = state.resident.iter();
+        let used = resident.filter(|(_, resident)| resident.in_use > 0);
+        let adapters: Vec<&String> = used.map(|(adapter, _)| adapter).collect();
+        let body = json!({"incarnation": state.incarnation, "adapters": adapters});
+        server::json(StatusCode::OK, &body)
+    }
+
     fn cache_events(&self, request: &Request<Incoming>) -> Response<Body> {
         let after = server::query_u64(request, "after").unwrap_or(0);
         let events = {
