fix(consensus): count granted pre-votes of members with an earlier term

A granted pre-vote carries the voter's own term, which may be earlier than the candidate's. The reply was dropped as stale, so a candidate whose only living peer had an earlier term was never elected.

--- a/src/consensus/core/election.rs
+++ b/src/consensus/core/election.rs
@@ -37,8 +37,8 @@
         self.send(from, reply);
     }
 
-    pub(super) fn pre_vote_reply(&mut self, from: VoterId, next_term: u64, granted: bool) {
-        if granted && next_term == self.meta.term + 1 {
+    pub(super) fn pre_vote_granted(&mut self, from: VoterId, next_term: u64) {
+        if next_term == self.meta.term + 1 {
             self.count_pre_vote(from);
         }
     }
--- a/src/consensus/core/receive.rs
+++ b/src/consensus/core/receive.rs
@@ -67,6 +67,11 @@
                 last_term,
                 transfer,
             } => return self.vote(&from, term, (last_index, last_term), transfer),
+            // Granting a pre-vote does not raise the term, so the reply may carry an earlier one.
+            Message::PreVoteReply {
+                next_term,
+                granted: true,
+            } => return self.pre_vote_granted(from, next_term),
             _ => {}
         }
         let is_from_leader = matches!(message, Message::Append { .. } | Message::Snapshot { .. });
@@ -78,7 +83,7 @@
         }
         if is_from_leader {
             self.follow_leader(&from, term, cluster_id);
-        } else if term > self.meta.term && !self.is_granted_pre_vote(&message) {
+        } else if term > self.meta.term {
             self.become_follower(term, None);
         }
         self.dispatch_current(from, message);
@@ -86,9 +91,6 @@
 
     fn dispatch_current(&mut self, from: VoterId, message: Message) {
         match message {
-            Message::PreVoteReply { next_term, granted } => {
-                self.pre_vote_reply(from, next_term, granted);
-            }
             Message::VoteReply { granted } => self.vote_reply(from, granted),
             Message::Append { .. } => self.append(&from, message),
             Message::AppendReply {
@@ -108,10 +110,6 @@
         }
     }
 
-    fn is_granted_pre_vote(&self, message: &Message) -> bool {
-        matches!(message, Message::PreVoteReply { granted: true, .. })
-    }
-
     /// Accepts the sender as the leader of `term`.
     fn follow_leader(&mut self, from: &VoterId, term: u64, cluster_id: u64) {
         assert!(
