fix(consensus): end each record with a mark

A last sector that was not written could not be told from a record that ends in zeros if it was shorter than 32 bytes, and the voter then gave up its identity. With a last byte that is never zero, any zero last sector is torn.

--- a/src/consensus/storage/memory.rs
+++ b/src/consensus/storage/memory.rs
@@ -10,6 +10,9 @@
 
 use super::disk::Disk;
 
+/// Unit in which the disk writes.
+const SECTOR_BYTES: usize = 512;
+
 /// Files in memory. Clones share them, so a test can damage what a store has written.
 #[derive(Clone, Debug, Default)]
 pub struct MemoryDisk {
@@ -36,20 +39,24 @@
         self.lock().operations_left = Some(count);
     }
 
-    /// Loses power: of the bytes that are not synced, each file keeps at most `keep_bytes`, the
-    /// next `zero_bytes` read as zeros, and the rest is gone. Then the disk works again.
-    pub fn crash(&self, keep_bytes: usize, zero_bytes: usize) {
+    /// Loses power. Of the bytes that are not synced, each file keeps at most `keep_bytes`. With
+    /// `is_extended` it keeps its length, and the sectors after those bytes read as zeros. Then the
+    /// disk works again.
+    pub fn crash(&self, keep_bytes: usize, is_extended: bool) {
         let mut state = self.lock();
         state.operations_left = None;
-        let lost = keep_bytes == 0 && zero_bytes == 0;
-        state
-            .files
-            .retain(|_, file| file.is_durable || !lost && !file.bytes.is_empty());
+        let is_kept = |file: &Content| file.is_durable || keep_bytes > 0 || is_extended;
+        state.files.retain(|_, file| is_kept(file));
         for file in state.files.values_mut() {
             let len = file.bytes.len();
-            let kept = len.min(file.synced + keep_bytes);
+            let mut kept = len.min(file.synced + keep_bytes);
+            if is_extended && kept < len {
+                kept = (kept / SECTOR_BYTES * SECTOR_BYTES).max(file.synced);
+            }
             file.bytes.truncate(kept);
-            file.bytes.resize(len.min(kept + zero_bytes), 0);
+            if is_extended {
+                file.bytes.resize(len, 0);
+            }
             file.synced = file.bytes.len();
             file.is_durable = true;
         }
--- a/src/consensus/storage/record.rs
+++ b/src/consensus/storage/record.rs
@@ -5,15 +5,15 @@
 
 use crate::consensus::message::FORMAT_VERSION;
 
-/// Bytes of a header: length (4), version (2), zero (2), CRC-32 of the content (4), CRC-32 of the
-/// header before it (4).
+/// Bytes of a header: length of the content and the end mark (4), version (2), zero (2), CRC-32 of
+/// the content and the end mark (4), CRC-32 of the header before it (4).
 pub(super) const HEADER_BYTES: usize = 16;
 
 /// Unit in which disks write. A torn write leaves whole sectors unwritten.
 const SECTOR_BYTES: usize = 512;
 
-/// Shortest run of zeros within a sector that is taken for an unwritten sector.
-const MIN_UNWRITTEN_BYTES: usize = 32;
+/// Last byte of each record. Not zero, so that an unwritten last sector shows.
+const END_MARK: u8 = 0xa5;
 
 /// What follows at some position of a file.
 #[derive(Debug)]
@@ -34,6 +34,7 @@
 pub(super) fn encode(content: &impl Serialize) -> Vec<u8> {
     let mut bytes = vec![0; HEADER_BYTES];
     bincode::serialize_into(&mut bytes, content).expect("a record can be written to memory");
+    bytes.push(END_MARK);
     let (header, content) = bytes.split_at_mut(HEADER_BYTES);
     let len = u32::try_from(content.len()).expect("a record is smaller than 4 GiB");
     header[0..4].copy_from_slice(&len.to_le_bytes());
@@ -80,7 +81,7 @@
             false => Parsed::Corrupt("the content does not match its checksum".to_owned()),
         };
     }
-    match bincode::deserialize(content) {
+    match bincode::deserialize(&content[..content.len() - 1]) {
         Ok(record) => Parsed::Record(record, offset + end),
         Err(error) => Parsed::Corrupt(error.to_string()),
     }
@@ -94,8 +95,7 @@
 /// torn write from a damaged byte in a record that was synced and may have been acknowledged.
 fn has_unwritten_sector(content: &[u8], offset: usize) -> bool {
     let first = (SECTOR_BYTES - offset % SECTOR_BYTES).min(content.len());
-    let (head, tail) = content.split_at(first);
-    std::iter::once(head)
-        .chain(tail.chunks(SECTOR_BYTES))
-        .any(|sector| sector.len() >= MIN_UNWRITTEN_BYTES && sector.iter().all(|byte| *byte == 0))
+    let (_, sectors) = content.split_at(first);
+    let is_unwritten = |sector: &[u8]| sector.iter().all(|byte| *byte == 0);
+    sectors.chunks(SECTOR_BYTES).any(is_unwritten)
 }
