--- /dev/null
+++ b/tests/consensus_sim/mod.rs
@@ -0,0 +1,408 @@
+//! A cluster of cores and stores in virtual time, with faults and an oracle.
+
+#![allow(dead_code)]
+
+mod oracle;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use medlarlift::consensus::Entry;
+use medlarlift::consensus::Envelope;
+use medlarlift::consensus::Timeouts;
+use medlarlift::consensus::VoterId;
+use medlarlift::consensus::core::Core;
+use medlarlift::consensus::core::CoreConfig;
+use medlarlift::consensus::core::CoreStatus;
+use medlarlift::consensus::core::Input;
+use medlarlift::consensus::core::Output;
+use medlarlift::consensus::core::Write;
+use medlarlift::consensus::storage::MemoryDisk;
+use medlarlift::consensus::storage::Storage;
+use medlarlift::consensus::storage::Store;
+use medlarlift::types::VmName;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+pub use self::oracle::Oracle;
+pub use self::oracle::Replica;
+
+const TICK_MS: u64 = 20;
+
+/// One VM: a disk, and a process while it is up.
+#[derive(Default)]
+pub struct Node {
+    pub disk: MemoryDisk,
+    pub process: Option<Process>,
+    pub clock_skew_ms: i64,
+    pub frozen_until_ms: u64,
+    inbox: Vec<Envelope>,
+    /// Set when a bit of the disk was flipped, so that the next start may find damage.
+    pub is_damaged: bool,
+}
+
+pub struct Process {
+    pub core: Core,
+    store: Store<MemoryDisk>,
+    writes: VecDeque<Write>,
+    write_due_ms: u64,
+    tick_due_ms: u64,
+    pub replica: Replica,
+}
+
+/// Faults of the network and the sizes that vary between runs.
+pub struct Options {
+    pub loss: f64,
+    pub duplication: f64,
+    pub delay_ms: (u64, u64),
+    pub sync_ms: (u64, u64),
+    pub snapshot_every: u64,
+    pub padding_bytes: usize,
+}
+
+pub struct Sim {
+    pub now_ms: u64,
+    pub rng: StdRng,
+    pub nodes: BTreeMap<VmName, Node>,
+    pub blocked: BTreeSet<(VmName, VmName)>,
+    pub options: Options,
+    pub oracle: Oracle,
+    /// Disks lost or damaged, and snapshots installed from a leader.
+    pub lost_disks: usize,
+    pub installs: usize,
+    founders: Vec<VmName>,
+    flights: BTreeMap<(u64, u64), Envelope>,
+    next_number: u64,
+}
+
+impl Sim {
+    pub fn new(seed: u64, founders: &[&str], options: Options) -> Self {
+        let founders: Vec<VmName> = founders.iter().map(|name| VmName::from(*name)).collect();
+        let mut sim = Self {
+            now_ms: 1_000,
+            rng: StdRng::seed_from_u64(seed),
+            nodes: BTreeMap::new(),
+            blocked: BTreeSet::new(),
+            options,
+            oracle: Oracle::default(),
+            lost_disks: 0,
+            installs: 0,
+            founders: founders.clone(),
+            flights: BTreeMap::new(),
+            next_number: 1,
+        };
+        for vm in founders {
+            sim.nodes.insert(vm.clone(), Node::default());
+            sim.start(&vm);
+        }
+        sim
+    }
+
+    pub fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    pub fn names(&self) -> Vec<VmName> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    /// Starts a process from its disk. A damaged disk makes it a new identity.
+    pub fn start(&mut self, vm: &VmName) {
+        let disk_id = self.number();
+        let seed = self.rng.random();
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        if node.process.is_some() {
+            return;
+        }
+        let opened = match Store::open(node.disk.clone(), disk_id) {
+            Err(error) if error.is_corrupt() => {
+                assert!(
+                    node.is_damaged,
+                    "{vm}: a crash left a corrupt disk: {error}"
+                );
+                self.lost_disks += 1;
+                Store::start_over(node.disk.clone(), disk_id)
+            }
+            opened => opened,
+        };
+        let Ok((store, loaded)) = opened else {
+            return self.crash(vm);
+        };
+        node.is_damaged = false;
+        let config = CoreConfig {
+            id: VoterId::new(vm.clone(), loaded.meta.disk_id),
+            founders: self.founders.clone(),
+            timeouts: Timeouts::default(),
+            seed,
+        };
+        let local_ms = self.now_ms.saturating_add_signed(node.clock_skew_ms);
+        node.process = Some(Process {
+            core: Core::new(config, loaded, local_ms),
+            store,
+            writes: VecDeque::new(),
+            write_due_ms: 0,
+            tick_due_ms: self.now_ms,
+            replica: Replica::default(),
+        });
+        self.step(vm, Input::Tick);
+    }
+
+    /// Ends a process; of its unsynced bytes a random part survives.
+    pub fn crash(&mut self, vm: &VmName) {
+        let keep_bytes = match self.rng.random_range(0..3) {
+            0 => 0,
+            1 => self.rng.random_range(0..2_000),
+            _ => usize::MAX / 2,
+        };
+        let is_extended = self.rng.random();
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        node.process = None;
+        node.inbox.clear();
+        node.frozen_until_ms = 0;
+        node.disk.crash(keep_bytes, is_extended);
+    }
+
+    pub fn lose_disk(&mut self, vm: &VmName) {
+        self.lost_disks += 1;
+        self.crash(vm);
+        self.nodes[vm].disk.wipe();
+    }
+
+    pub fn isolate(&mut self, vm: &VmName) {
+        for other in self.names() {
+            self.blocked.insert((vm.clone(), other.clone()));
+            self.blocked.insert((other, vm.clone()));
+        }
+    }
+
+    pub fn status(&self, vm: &VmName) -> Option<CoreStatus> {
+        let process = self.nodes[vm].process.as_ref();
+        process.map(|process| process.core.status())
+    }
+
+    /// The leader of the highest term.
+    pub fn leader(&self) -> Option<VmName> {
+        let leaders = self.nodes.keys().filter_map(|vm| {
+            let status = self.status(vm)?;
+            status.is_leader.then_some((status.term, vm.clone()))
+        });
+        leaders.max().map(|(_, vm)| vm)
+    }
+
+    pub fn propose(&mut self, vm: &VmName, command: Vec<u8>) -> bool {
+        let is_running = self.nodes[vm].process.is_some();
+        let is_frozen = self.nodes[vm].frozen_until_ms > self.now_ms;
+        is_running && !is_frozen && self.step(vm, Input::Propose(vec![Bytes::from(command)]))
+    }
+
+    pub fn run(&mut self, duration_ms: u64) {
+        for _ in 0..duration_ms {
+            self.now_ms += 1;
+            self.deliver();
+            for vm in self.names() {
+                self.run_node(&vm);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let later = self.flights.split_off(&(self.now_ms + 1, 0));
+        for (_, envelope) in std::mem::replace(&mut self.flights, later) {
+            let link = (envelope.from.vm.clone(), envelope.to.vm.clone());
+            if self.blocked.contains(&link) {
+                continue;
+            }
+            if let Some(node) = self.nodes.get_mut(&link.1)
+                && node.process.is_some()
+            {
+                node.inbox.push(envelope);
+            }
+        }
+    }
+
+    fn run_node(&mut self, vm: &VmName) {
+        let now_ms = self.now_ms;
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        if node.frozen_until_ms > now_ms {
+            return;
+        }
+        for envelope in std::mem::take(&mut node.inbox) {
+            self.step(vm, Input::Receive(envelope));
+        }
+        let Some(process) = self
+            .nodes
+            .get_mut(vm)
+            .and_then(|node| node.process.as_mut())
+        else {
+            return;
+        };
+        if process.tick_due_ms <= now_ms {
+            process.tick_due_ms = now_ms + TICK_MS;
+            self.step(vm, Input::Tick);
+        }
+        self.run_writes(vm);
+    }
+
+    fn run_writes(&mut self, vm: &VmName) {
+        let now_ms = self.now_ms;
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        let Some(process) = node.process.as_mut() else {
+            return;
+        };
+        if process.writes.is_empty() || process.write_due_ms > now_ms {
+            return;
+        }
+        let batch: Vec<Write> = process.writes.drain(..).collect();
+        let seq = batch.last().map_or(0, |write| write.seq);
+        match process.store.write(batch) {
+            Ok(()) => {
+                self.step(vm, Input::Written(seq));
+            }
+            Err(_) => self.crash(vm),
+        }
+    }
+
+    /// Steps a core and carries out its outputs. Returns whether proposals were accepted.
+    pub fn step(&mut self, vm: &VmName, input: Input) -> bool {
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        let local_ms = self.now_ms.saturating_add_signed(node.clock_skew_ms);
+        let Some(process) = node.process.as_mut() else {
+            return false;
+        };
+        let outputs = process.core.step(local_ms, input);
+        let id = process.core.id().clone();
+        self.oracle.check_leader(&id, &process.core.status());
+        let mut is_accepted = false;
+        for output in outputs {
+            is_accepted |= matches!(output, Output::Accepted { .. });
+            self.perform(vm, output);
+        }
+        is_accepted
+    }
+
+    fn perform(&mut self, vm: &VmName, output: Output) {
+        let sync_ms = self
+            .rng
+            .random_range(self.options.sync_ms.0..=self.options.sync_ms.1);
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        let Some(process) = node.process.as_mut() else {
+            return;
+        };
+        match output {
+            Output::Send(envelope) => self.send(envelope),
+            Output::Write(write) => {
+                if process.writes.is_empty() {
+                    process.write_due_ms = self.now_ms + sync_ms;
+                }
+                process.writes.push_back(write);
+            }
+            Output::Apply(entries) => self.apply(vm, entries),
+            Output::Restore(snapshot) => {
+                self.installs += usize::from(process.replica.index > 0);
+                process.replica = self.oracle.restore(&snapshot);
+            }
+            Output::Accepted { .. } | Output::Rejected { .. } | Output::Retired => {}
+        }
+    }
+
+    fn apply(&mut self, vm: &VmName, entries: Vec<Entry>) {
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        let process = node.process.as_mut().expect("is running");
+        for entry in entries {
+            self.oracle.apply(vm, &mut process.replica, entry);
+        }
+        let replica = &mut process.replica;
+        if replica.index >= replica.snapshot_index + self.options.snapshot_every {
+            replica.snapshot_index = replica.index;
+            let index = replica.index;
+            let data = replica.encode(self.options.padding_bytes);
+            self.step(vm, Input::SnapshotTaken { index, data });
+        }
+    }
+
+    fn send(&mut self, envelope: Envelope) {
+        if self.rng.random_bool(self.options.loss) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.options.duplication));
+        for _ in 0..copies {
+            let delay_ms = self
+                .rng
+                .random_range(self.options.delay_ms.0..=self.options.delay_ms.1);
+            let key = (self.now_ms + delay_ms, self.number());
+            self.flights.insert(key, envelope.clone());
+        }
+    }
+
+    /// Ends all faults and starts all processes.
+    pub fn heal(&mut self) {
+        self.blocked.clear();
+        self.options.loss = 0.0;
+        self.options.duplication = 0.0;
+        for vm in self.names() {
+            let node = self.nodes.get_mut(&vm).expect("known VM");
+            node.frozen_until_ms = 0;
+            node.disk.fail_after(u64::MAX);
+            self.start(&vm);
+        }
+    }
+
+    /// The state of each VM, one per line.
+    pub fn describe(&self) -> String {
+        let lines = self.nodes.iter().map(|(vm, node)| {
+            let Some(process) = &node.process else {
+                return format!("{vm}: down\n");
+            };
+            let status = process.core.status();
+            let members = &status.configuration;
+            let voters: Vec<String> = members.voters.iter().map(VoterId::to_string).collect();
+            let learners: Vec<String> = members.learners.iter().map(VoterId::to_string).collect();
+            format!(
+                "{}: term {} leader {} last {} commit {} applied {} voters {} learners {}\n",
+                process.core.id(),
+                status.term,
+                status.leader.map_or("-".to_owned(), |id| id.to_string()),
+                status.last_index,
+                status.commit_index,
+                process.replica.index,
+                voters.join(" "),
+                learners.join(" "),
+            )
+        });
+        lines.collect()
+    }
+
+    /// Whether the committed membership consists of all VMs with their present disks, so that the
+    /// cluster survives the loss of any minority of them.
+    pub fn is_repaired(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let live: BTreeSet<VoterId> = self
+            .nodes
+            .values()
+            .filter_map(|node| node.process.as_ref())
+            .map(|process| process.core.id().clone())
+            .collect();
+        let process = self.nodes[&leader].process.as_ref().expect("leads");
+        let committed = &process.replica.configuration;
+        let latest = process.core.status().configuration;
+        *committed == latest
+            && committed.learners.is_empty()
+            && committed.voters == live
+            && live.len() == self.nodes.len()
+    }
+
+    /// Whether all VMs have applied everything that any of them has.
+    pub fn has_converged(&self) -> bool {
+        let replicas = self.nodes.values().map(|node| {
+            let process = node.process.as_ref();
+            process.map_or(0, |process| process.replica.index)
+        });
+        replicas.min() == Some(self.oracle.last_index())
+    }
+}
