fix(consensus): open a log whose first entries were replaced

After compaction, a later segment may replace entries from before the first one that is left. Opening took that for corruption, and the voter gave up its identity without need.

--- a/src/consensus/storage/segments.rs
+++ b/src/consensus/storage/segments.rs
@@ -216,10 +216,12 @@
         for entry in record.entries {
             if let Some(first) = self.entries.first() {
                 let next_index = first.index + self.entries.len() as u64;
-                if entry.index > next_index || entry.index < first.index {
+                if entry.index > next_index {
                     return Err(format!("entry {} follows {}", entry.index, next_index - 1));
                 }
-                self.entries.truncate((entry.index - first.index) as usize);
+                // The entry replaces all, if it is earlier than what compaction has left.
+                let kept = entry.index.saturating_sub(first.index);
+                self.entries.truncate(kept as usize);
             }
             self.entries.push(entry);
         }
