--- /dev/null
+++ b/tests/consensus_core.rs
@@ -0,0 +1,289 @@
+//! Single rules of the consensus core, shown on one member whose peers are played by the test.
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use medlarlift::consensus::Configuration;
+use medlarlift::consensus::Entry;
+use medlarlift::consensus::Envelope;
+use medlarlift::consensus::FORMAT_VERSION;
+use medlarlift::consensus::Message;
+use medlarlift::consensus::Payload;
+use medlarlift::consensus::Timeouts;
+use medlarlift::consensus::VoterId;
+use medlarlift::consensus::core::Core;
+use medlarlift::consensus::core::CoreConfig;
+use medlarlift::consensus::core::Input;
+use medlarlift::consensus::core::Loaded;
+use medlarlift::consensus::core::Meta;
+use medlarlift::consensus::core::Output;
+use medlarlift::consensus::core::Write;
+
+const CLUSTER_ID: u64 = 1;
+
+/// Member `a` of the voters `a`, `b` and `c`, with a log of two entries of which the last is not
+/// committed.
+struct Member {
+    core: Core,
+    now_ms: u64,
+    writes: Vec<Write>,
+    sent: Vec<Envelope>,
+    accepted: u64,
+}
+
+fn id(vm: &str) -> VoterId {
+    VoterId::new(vm, u64::from(vm.as_bytes()[0]))
+}
+
+fn entry(index: u64, term: u64, payload: Payload) -> Entry {
+    Entry {
+        index,
+        term,
+        payload,
+    }
+}
+
+fn stored() -> Loaded {
+    let founded = Payload::Configuration(Configuration {
+        voters: ["a", "b", "c"].map(id).into(),
+        ..Configuration::default()
+    });
+    Loaded {
+        meta: Meta {
+            disk_id: id("a").disk_id,
+            cluster_id: CLUSTER_ID,
+            term: 3,
+            vote: None,
+        },
+        entries: vec![
+            entry(1, 1, founded),
+            entry(2, 2, Payload::Command(Bytes::from_static(b"early"))),
+        ],
+        commit_index: 1,
+        ..Loaded::default()
+    }
+}
+
+impl Member {
+    fn start(loaded: Loaded) -> Self {
+        let config = CoreConfig {
+            id: id("a"),
+            founders: vec!["a".into(), "b".into(), "c".into()],
+            timeouts: Timeouts::default(),
+            seed: 1,
+        };
+        Self {
+            core: Core::new(config, loaded, 0),
+            now_ms: 0,
+            writes: Vec::new(),
+            sent: Vec::new(),
+            accepted: 0,
+        }
+    }
+
+    /// Steps the core and leaves its writes unsynced.
+    fn step(&mut self, input: Input) {
+        for output in self.core.step(self.now_ms, input) {
+            match output {
+                Output::Write(write) => self.writes.push(write),
+                Output::Send(envelope) => self.sent.push(envelope),
+                Output::Accepted { .. } => self.accepted += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn sync(&mut self) {
+        let seq = self.writes.last().map_or(0, |write| write.seq);
+        self.step(Input::Written(seq));
+    }
+
+    fn receive(&mut self, from: &str, term: u64, message: Message) {
+        self.step(Input::Receive(Envelope {
+            version: FORMAT_VERSION,
+            cluster_id: CLUSTER_ID,
+            from: id(from),
+            to: id("a"),
+            term,
+            message,
+        }));
+    }
+
+    /// Makes the member the leader of term 4, with nothing acknowledged by its peers.
+    fn lead(&mut self) {
+        self.now_ms += 1_000;
+        self.step(Input::Tick);
+        let granted = Message::PreVoteReply {
+            next_term: 4,
+            granted: true,
+        };
+        self.receive("b", 3, granted);
+        self.sync();
+        self.receive("b", 4, Message::VoteReply { granted: true });
+        assert!(self.core.status().is_leader);
+        self.sync();
+    }
+
+    fn acknowledge(&mut self, from: &str, index: u64) {
+        let sent_ms = self.now_ms;
+        let reply = Message::AppendReply {
+            accepted: true,
+            index,
+            last_index: index,
+            sent_ms,
+        };
+        self.receive(from, 4, reply);
+    }
+
+    fn replies(&self) -> Vec<&Message> {
+        self.sent.iter().map(|envelope| &envelope.message).collect()
+    }
+
+    fn voted(&self) -> bool {
+        let is_vote = |message: &&Message| matches!(message, Message::VoteReply { granted: true });
+        self.replies().iter().any(is_vote)
+    }
+}
+
+fn ask_for_vote() -> Message {
+    Message::Vote {
+        last_index: 9,
+        last_term: 3,
+        transfer: false,
+    }
+}
+
+/// Guards against a leader that counts acknowledgements of an earlier term's entry as a commit. A
+/// member without that entry could still be elected and overwrite it.
+#[test]
+fn an_earlier_terms_entry_commits_only_with_one_of_this_term() {
+    let mut member = Member::start(stored());
+    member.lead();
+    member.acknowledge("b", 2);
+    member.acknowledge("c", 2);
+    assert_eq!(member.core.status().commit_index, 1);
+    member.acknowledge("b", 3);
+    assert_eq!(member.core.status().commit_index, 3);
+}
+
+/// Guards against a vote or an acknowledgement that is sent before it is synced, and is forgotten
+/// in a crash.
+#[test]
+fn replies_wait_for_the_sync() {
+    let mut member = Member::start(stored());
+    member.receive("b", 7, ask_for_vote());
+    assert!(!member.voted());
+    let meta = member.writes.last().and_then(|write| write.meta.clone());
+    assert_matches!(&meta, Some(meta) if meta.term == 7 && meta.vote == Some(id("b")));
+    member.sync();
+    assert!(member.voted());
+
+    let mut restarted = Member::start(Loaded {
+        meta: meta.expect("checked above"),
+        ..stored()
+    });
+    restarted.receive("c", 7, ask_for_vote());
+    restarted.sync();
+    assert!(!restarted.voted(), "a second vote in term 7");
+
+    let append = Message::Append {
+        prev_index: 2,
+        prev_term: 2,
+        entries: vec![entry(3, 7, Payload::Noop)],
+        commit_index: 2,
+        sent_ms: 0,
+    };
+    restarted.sent.clear();
+    restarted.receive("b", 7, append.clone());
+    // A repeated message must not be acknowledged before the sync of the first one either.
+    restarted.receive("b", 7, append);
+    assert_matches!(restarted.replies()[..], []);
+    restarted.sync();
+    assert_matches!(
+        restarted.replies()[..],
+        [
+            Message::AppendReply {
+                accepted: true,
+                index: 3,
+                ..
+            },
+            ..
+        ]
+    );
+}
+
+/// Guards against a commit that counts the leader's own entry before it is synced.
+#[test]
+fn the_leader_counts_itself_after_its_sync() {
+    let mut member = Member::start(stored());
+    member.lead();
+    member.acknowledge("b", 3);
+    member.step(Input::Propose(vec![Bytes::from_static(b"next")]));
+    member.acknowledge("b", 4);
+    assert_eq!(member.core.status().commit_index, 3);
+    member.sync();
+    assert_eq!(member.core.status().commit_index, 4);
+}
+
+/// Guards against two membership changes in progress at once, or one before the leader's first
+/// commit: their majorities need not overlap.
+#[test]
+fn memberships_change_one_at_a_time() {
+    let mut member = Member::start(stored());
+    member.lead();
+    let learners = |member: &Member| member.core.status().configuration.learners.len();
+    member.receive("x", 0, Message::Probe { blank: true });
+    assert_eq!(learners(&member), 0, "before the first commit of the term");
+    member.acknowledge("b", 3);
+    member.receive("x", 0, Message::Probe { blank: true });
+    assert_eq!(learners(&member), 1);
+    member.receive("y", 0, Message::Probe { blank: true });
+    assert_eq!(
+        learners(&member),
+        1,
+        "while the first change is not committed"
+    );
+    member.sync();
+    member.acknowledge("b", 4);
+    member.receive("y", 0, Message::Probe { blank: true });
+    assert_eq!(learners(&member), 2);
+}
+
+/// Guards against a snapshot that is put together from chunks of two leaders, whose machines may
+/// encode the same state differently.
+#[test]
+fn snapshot_chunks_of_two_leaders_do_not_mix() {
+    let mut member = Member::start(stored());
+    let chunk = |offset, data: &'static [u8]| Message::Snapshot {
+        index: 50,
+        term: 3,
+        configuration: Configuration::default(),
+        offset,
+        total_bytes: 6,
+        data: Bytes::from_static(data),
+        sent_ms: 0,
+    };
+    member.receive("b", 4, chunk(0, b"bbb"));
+    member.receive("c", 5, chunk(3, b"ccc"));
+    assert_eq!(member.core.status().commit_index, 1);
+    member.receive("c", 5, chunk(0, b"ccc"));
+    member.receive("c", 5, chunk(3, b"ccc"));
+    assert_eq!(member.core.status().commit_index, 50);
+    let installed = member
+        .writes
+        .iter()
+        .find_map(|write| write.snapshot.clone());
+    assert_matches!(installed, Some(snapshot) if snapshot.data == b"cccccc"[..]);
+}
+
+/// Guards against a process that was frozen as leader and, before it notices the time, takes a
+/// proposal or counts an acknowledgement that waited in its queue.
+#[test]
+fn a_resumed_leader_steps_down_before_it_takes_input() {
+    let mut member = Member::start(stored());
+    member.lead();
+    member.acknowledge("b", 3);
+    member.now_ms += 60_000;
+    member.step(Input::Propose(vec![Bytes::from_static(b"late")]));
+    assert_eq!(member.accepted, 0);
+    assert!(!member.core.status().is_leader);
+}
