fix(consensus): admit no member of another cluster, back off between sources

A disk of another cluster drops all messages of the leader, which added it as a learner, dropped it after 10 s of silence and added it again. The leader now refuses it, and the driver tells the operator once. A follower doubles its pause when no source is usable, and logs a foreign cluster once.

--- a/src/consensus/core/founding.rs
+++ b/src/consensus/core/founding.rs
@@ -47,8 +47,10 @@
         contacts
     }
 
-    pub(super) fn probe(&mut self, from: &VoterId, _blank: bool) {
-        let retired = self.configuration().retired.contains(from);
+    pub(super) fn probe(&mut self, from: &VoterId, cluster_id: u64) {
+        let own_id = self.meta.cluster_id;
+        let is_foreign = cluster_id != 0 && own_id != 0 && cluster_id != own_id;
+        let retired = is_foreign || self.configuration().retired.contains(from);
         if !retired {
             self.admit(from);
         }
--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -125,7 +125,7 @@
         /// Whether this VM leads but accepts no proposals now.
         unavailable: bool,
     },
-    /// Another cluster member reports that this identity may not join again.
+    /// A member reports that this identity is retired or of another cluster and may not join.
     Retired,
 }
 
--- a/src/consensus/core/receive.rs
+++ b/src/consensus/core/receive.rs
@@ -14,7 +14,7 @@
             return;
         }
         match envelope.message {
-            Message::Probe { blank } => return self.probe(&envelope.from, blank),
+            Message::Probe { .. } => return self.probe(&envelope.from, envelope.cluster_id),
             Message::ProbeReply {
                 blank,
                 leader,
--- a/src/consensus/driver/follower.rs
+++ b/src/consensus/driver/follower.rs
@@ -30,8 +30,11 @@
 /// The same for the first request to a source, which does not wait for entries.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Pause after a request that brought nothing usable.
-const RETRY: Duration = Duration::from_millis(50);
+/// Pause after a request that brought nothing usable. Doubles each time that no source did.
+const RETRY_MS: u64 = 50;
+
+/// Most doublings of the pause.
+const MAX_DOUBLINGS: usize = 4;
 
 /// Age of a source's quorum contact from which another source is tried. It ends the case that two
 /// relays follow each other, where the age grows without bound. A chain of two relays that both poll
@@ -48,6 +51,8 @@
     source: Arc<dyn FollowSource>,
     jobs: Sender<Job>,
     position: usize,
+    failures: usize,
+    has_warned: bool,
     moved_ms: u64,
     current: Option<VmName>,
     incoming: Option<(u64, BytesMut)>,
@@ -73,6 +78,8 @@
             source,
             jobs,
             position: 0,
+            failures: 0,
+            has_warned: false,
             moved_ms: 0,
             current: None,
             incoming: None,
@@ -91,16 +98,21 @@
     }
 
     async fn pull(&mut self) {
-        let Some(from) = self.choose() else {
-            tokio::time::sleep(RETRY).await;
-            return;
+        let verdict = match self.choose() {
+            Some(from) => self.pull_from(&from).await,
+            None => Verdict::Bad,
         };
-        if self.pull_from(&from).await == Verdict::Bad {
-            self.position += 1;
-            self.current = None;
-            self.moved_ms = self.shared.now_ms();
-            tokio::time::sleep(RETRY).await;
+        if verdict == Verdict::Good {
+            self.failures = 0;
+            return;
         }
+        let sources = self.config.sources.borrow().len().max(1);
+        let doublings = (self.failures / sources).min(MAX_DOUBLINGS);
+        self.failures += 1;
+        self.position += 1;
+        self.current = None;
+        self.moved_ms = self.shared.now_ms();
+        tokio::time::sleep(Duration::from_millis(RETRY_MS << doublings)).await;
     }
 
     fn choose(&mut self) -> Option<VmName> {
@@ -160,16 +172,20 @@
         let cluster_id = self.shared.view().cluster_id;
         let is_foreign = cluster_id != 0 && reply.cluster_id != cluster_id;
         if reply.version != FORMAT_VERSION || reply.cluster_id == 0 || is_foreign {
-            log::warn!(
-                "consensus: {from} serves cluster {:x} in format {}",
-                reply.cluster_id,
-                reply.version
-            );
+            if !self.has_warned && reply.cluster_id != 0 {
+                log::warn!(
+                    "consensus: {from} serves cluster {:x} in format {}",
+                    reply.cluster_id,
+                    reply.version
+                );
+                self.has_warned = true;
+            }
             return Verdict::Bad;
         }
         let applied_index = *self.shared.applied.borrow();
         let is_behind = reply.commit_index < applied_index;
         let is_stale = reply.quorum_contact_age_ms > STALE_MS;
+        self.has_warned = false;
         self.note(&reply, sent_ms);
         let is_taken = self.take_content(reply.content, applied_index).await;
         match is_taken && !is_behind && !is_stale {
--- a/src/consensus/driver/voter.rs
+++ b/src/consensus/driver/voter.rs
@@ -189,7 +189,7 @@
         if !self.is_retired {
             let id = self.core.id();
             log::error!(
-                "consensus: voter {id} was removed and may not join again; clear its data folder"
+                "consensus: {id} was removed or is of another cluster; clear its data folder to rejoin"
             );
             self.is_retired = true;
         }
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -124,7 +124,7 @@
         blank: bool,
         /// Leader that the sender knows.
         leader: Option<VoterId>,
-        /// Whether the probing identity is retired and may not join.
+        /// Whether the probing identity is retired or of another cluster, and may not join.
         retired: bool,
     },
 }
--- a/tests/consensus_core.rs
+++ b/tests/consensus_core.rs
@@ -98,9 +98,13 @@
     }
 
     fn receive(&mut self, from: &str, term: u64, message: Message) {
+        self.receive_from(CLUSTER_ID, from, term, message);
+    }
+
+    fn receive_from(&mut self, cluster_id: u64, from: &str, term: u64, message: Message) {
         self.step(Input::Receive(Envelope {
             version: FORMAT_VERSION,
-            cluster_id: CLUSTER_ID,
+            cluster_id,
             from: id(from),
             to: id("a"),
             term,
@@ -248,6 +252,21 @@
     assert_eq!(learners(&member), 2);
 }
 
+/// Guards against a leader that adds and drops, again and again, a VM whose disk belongs to another
+/// cluster and that drops all its messages.
+#[test]
+fn a_member_of_another_cluster_is_not_admitted() {
+    let mut member = Member::start(stored());
+    member.lead();
+    member.acknowledge("b", 3);
+    member.receive_from(CLUSTER_ID + 1, "x", 0, Message::Probe { blank: false });
+    assert!(member.core.status().configuration.learners.is_empty());
+    assert_matches!(
+        member.replies().last(),
+        Some(Message::ProbeReply { retired: true, .. })
+    );
+}
+
 /// Guards against a snapshot that is put together from chunks of two leaders, whose machines may
 /// encode the same state differently.
 #[test]
