--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -43,6 +43,7 @@
     Options {
         loss: 0.0,
         duplication: 0.0,
+        stragglers: 0.0,
         delay_ms: (DELAY_MS, DELAY_MS),
         sync_ms: (SYNC_MS, SYNC_MS),
         snapshot_every,
--- a/tests/consensus_fuzz.rs
+++ b/tests/consensus_fuzz.rs
@@ -19,6 +19,7 @@
     Options {
         loss: 0.02,
         duplication: 0.02,
+        stragglers: 0.02,
         delay_ms: (1, 1 + seed % 40),
         sync_ms: (0, seed % 7 * 5),
         snapshot_every: [20, 200, 5_000][seed as usize % 3],
--- a/tests/consensus_sim/mod.rs
+++ b/tests/consensus_sim/mod.rs
@@ -57,6 +57,8 @@
 pub struct Options {
     pub loss: f64,
     pub duplication: f64,
+    /// Share of messages of which a copy arrives many seconds late.
+    pub stragglers: f64,
     pub delay_ms: (u64, u64),
     pub sync_ms: (u64, u64),
     pub snapshot_every: u64,
@@ -328,6 +330,13 @@
         if self.rng.random_bool(self.options.loss) {
             return;
         }
+        if self.rng.random_bool(self.options.stragglers) {
+            let key = (
+                self.now_ms + self.rng.random_range(500..20_000),
+                self.number(),
+            );
+            self.flights.insert(key, envelope.clone());
+        }
         let copies = 1 + usize::from(self.rng.random_bool(self.options.duplication));
         for _ in 0..copies {
             let delay_ms = self
@@ -343,6 +352,7 @@
         self.blocked.clear();
         self.options.loss = 0.0;
         self.options.duplication = 0.0;
+        self.options.stragglers = 0.0;
         for vm in self.names() {
             let node = self.nodes.get_mut(&vm).expect("known VM");
             node.frozen_until_ms = 0;
