--- a/tests/consensus_fuzz.rs
+++ b/tests/consensus_fuzz.rs
@@ -92,7 +92,10 @@
     }
 }
 
-fn work(sim: &mut Sim, until_ms: u64) {
+/// Proposes and disturbs. One seed in four has a fault every 165 ms on average, which is less than an
+/// election takes.
+fn work(sim: &mut Sim, seed: u64, until_ms: u64) {
+    let longest_ms = if seed % 4 == 3 { 310 } else { 1_500 };
     let mut command = sim.number();
     let mut fault_due_ms = sim.now_ms;
     while sim.now_ms < until_ms {
@@ -102,7 +105,7 @@
         command += 1;
         sim.propose(&target, format!("command {command}").into_bytes());
         if sim.now_ms >= fault_due_ms {
-            fault_due_ms = sim.now_ms + sim.rng.random_range(50..1_500);
+            fault_due_ms = sim.now_ms + sim.rng.random_range(20..longest_ms);
             disturb(sim);
         }
     }
@@ -113,7 +116,7 @@
     let mut sim = Sim::new(seed, founders, options(seed));
     sim.run(3_000);
     let until_ms = sim.now_ms + RUN_MS;
-    work(&mut sim, until_ms);
+    work(&mut sim, seed, until_ms);
     sim.heal();
     let deadline_ms = sim.now_ms + RECOVERY_MS;
     while !(sim.is_repaired() && sim.has_converged()) {
