feat(consensus): tell whether a voter still runs

A voter stops for good when its disk or state machine fails. The process can now notice and end. The tests pass every message through its encoding.

--- a/src/consensus/driver/handle.rs
+++ b/src/consensus/driver/handle.rs
@@ -251,6 +251,13 @@
         }
     }
 
+    /// Whether all threads run. A voter stops for good when its disk or state machine fails; the
+    /// process should then end, so that it is restarted.
+    pub fn is_running(&self) -> bool {
+        let threads = lock(&self.inner.threads);
+        !threads.is_empty() && !threads.iter().any(JoinHandle::is_finished)
+    }
+
     /// The state of the log.
     pub fn status(&self) -> Status {
         self.inner.shared.status()
--- a/tests/consensus_driver.rs
+++ b/tests/consensus_driver.rs
@@ -38,6 +38,7 @@
 
 impl StateMachine for Journal {
     fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
+        assert!(command != b"panic", "the machine fails");
         self.commands.push(command.to_vec());
         self.commands.len().to_string().into_bytes()
     }
@@ -85,6 +86,7 @@
         if self.0.cut_off.lock().unwrap().contains(&envelope.from.vm) {
             return;
         }
+        let envelope = through_wire(&envelope);
         let link = (envelope.from.vm.clone(), to.clone());
         let arrives = Instant::now() + self.0.delay;
         let mut links = self.0.links.lock().unwrap();
@@ -102,7 +104,10 @@
         let from = from.clone();
         async move {
             match self.0.handle(&from) {
-                Some(handle) => Ok(handle.follow(request).await),
+                Some(handle) => {
+                    let reply = handle.follow(through_wire(&request)).await;
+                    Ok(through_wire(&reply))
+                }
                 None => std::future::pending().await,
             }
         }
@@ -110,6 +115,12 @@
     }
 }
 
+/// Encodes and decodes as the peer protocol does.
+fn through_wire<T: serde::Serialize + serde::de::DeserializeOwned>(message: &T) -> T {
+    let bytes = bincode::serialize(message).expect("encodes");
+    bincode::deserialize(&bytes).expect("decodes")
+}
+
 /// Delivers the messages of one link in order.
 fn start_link() -> mpsc::Sender<Delivery> {
     let (sender, deliveries) = mpsc::channel::<Delivery>();
@@ -401,6 +412,24 @@
     assert_eq!(cluster.commands("late"), cluster.commands("b"));
 }
 
+/// Guards against a voter whose state machine failed and that goes on as if it had not.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_voter_with_a_failed_machine_stops() {
+    let cluster = Cluster::found(Duration::ZERO).await;
+    let leader = cluster.leader().await;
+    assert!(leader.is_running());
+    let outcome = leader.propose(b"panic".to_vec()).await;
+    assert_matches!(outcome, Err(ProposeError::Unknown));
+    let _ = leader.propose(b"next".to_vec()).await;
+    let has_stopped = || !leader.is_running() && !leader.status().is_leader;
+    eventually("the voter stops", has_stopped).await;
+    let outcome = leader.propose(b"late".to_vec()).await;
+    assert_matches!(
+        outcome,
+        Err(ProposeError::Unavailable | ProposeError::Unknown)
+    );
+}
+
 /// Guards against two processes that write to the same data folder.
 #[tokio::test]
 async fn a_data_folder_has_one_user() {
