feat(scheduling): policy trace and a planner that ranks popularity once a second

It also loads another copy for patient work when the engines with its adapter are full and another engine has free batch positions.

--- /dev/null
+++ b/benches/policies/main.rs
@@ -0,0 +1,79 @@
+//! Compares the routing policies on seeded traces in virtual time: one VM and one coordinator
+//! against fake engines. Run with `cargo bench --bench policies`.
+
+mod engines;
+mod optimum;
+mod run;
+mod trace;
+
+use medlarlift::scheduling::routing::Policy;
+
+use crate::run::Run;
+use crate::trace::TraceConfig;
+
+const INDEPENDENT: TraceConfig = TraceConfig {
+    name: "independent",
+    seed: 20_261_204,
+    end_ms: 1_200_000,
+    adapters: 3_000,
+    exponent: 1.1,
+    urgent_per_s: 6.0,
+    session_requests: 1.0,
+    think_ms: 15_000.0,
+    batches_per_s: 0.25,
+    batch_items: 100,
+    batch_due_ms: 600_000,
+    shift_ms: 400_000,
+    flood_from_ms: 600_000,
+    flood_until_ms: 800_000,
+    restart_ms: 1_000_000,
+    engine_slots: 8,
+    loads_per_s: 3.0,
+};
+
+const TRACES: [TraceConfig; 4] = [
+    INDEPENDENT,
+    TraceConfig {
+        name: "sessions",
+        session_requests: 4.0,
+        ..INDEPENDENT
+    },
+    TraceConfig {
+        name: "sixteen slots",
+        engine_slots: 16,
+        ..INDEPENDENT
+    },
+    TraceConfig {
+        name: "four loads/s",
+        loads_per_s: 4.0,
+        ..INDEPENDENT
+    },
+];
+
+fn main() {
+    // `cargo bench --bench policies -- sessions Estimate` runs one trace and one policy.
+    let words: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|word| word != "--bench")
+        .collect();
+    let traces = TRACES
+        .iter()
+        .filter(|config| words.first().is_none_or(|word| word == config.name));
+    for config in traces {
+        let arrivals = trace::arrivals(config);
+        let slots = run::ENGINES * config.engine_slots as usize;
+        let optimum = optimum::loads(&arrivals, slots);
+        println!(
+            "{}: {} requests, optimum {optimum} loads",
+            config.name,
+            arrivals.len()
+        );
+        for policy in [Policy::Estimate, Policy::LeastLoaded, Policy::HashAffinity] {
+            let name = format!("{policy:?}");
+            if words.get(1).is_none_or(|word| *word == name) {
+                let report = Run::new(config, &arrivals, policy).finish();
+                println!("  {name}: {report}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/benches/routing.rs
@@ -0,0 +1,2 @@
+//! Stub.
+fn main() {}
--- a/src/scheduling/placement/mod.rs
+++ b/src/scheduling/placement/mod.rs
@@ -38,6 +38,9 @@
     /// Time for which an urgent request must wait for a full engine before another copy is loaded,
     /// in milliseconds.
     pub busy_wait_ms: u64,
+    /// Patient requests per copy that must wait for full engines before another copy is loaded on
+    /// an engine with free batch positions.
+    pub copy_patient_items: u32,
     /// Time for which a loaded adapter is not evicted, in milliseconds.
     pub min_resident_ms: u64,
     /// Factor by which an adapter must be more popular than the one it replaces without being
@@ -70,6 +73,7 @@
             copy_tokens_per_s: 500.0,
             local_copy_percent: 50.0,
             busy_wait_ms: 200,
+            copy_patient_items: 16,
             min_resident_ms: 2_000,
             hysteresis: 2.0,
             copy_value_percent: 10.0,
--- a/src/scheduling/placement/needs.rs
+++ b/src/scheduling/placement/needs.rs
@@ -3,10 +3,9 @@
 use std::collections::HashSet;
 
 use crate::scheduling::placement::WaitingLoad;
+use crate::scheduling::placement::victims::Copies;
 use crate::scheduling::placement::victims::Keeping;
-use crate::scheduling::placement::victims::copies_here;
 use crate::scheduling::placement::waiting_score;
-use crate::scheduling::residency::Residency;
 use crate::scheduling::routing::rank_homes;
 use crate::types::AdapterRef;
 
@@ -21,8 +20,10 @@
     Stalled,
     /// Urgent requests wait because the engines with the adapter are full.
     Busy,
-    /// Patient requests wait.
+    /// Patient requests wait and no engine has the adapter.
     Patient,
+    /// Many patient requests wait because the engines with the adapter are full.
+    BusyPatient,
     /// The data centre uses the adapter so much that it wants more copies.
     Hot,
     /// The adapter is popular and no engine has it.
@@ -55,18 +56,15 @@
             .filter_map(|load| self.waiting_need(load))
             .collect();
         let mut named: HashSet<_> = needs.iter().map(|need| need.adapter.clone()).collect();
-        for (adapter, score) in self
-            .popularity
-            .top(self.config.prefetch_candidates, self.now)
-        {
-            if !named.contains(&adapter)
-                && let Some(reason) = self.popular_reason(&adapter, score)
+        for (adapter, score) in self.top {
+            if !named.contains(adapter)
+                && let Some(reason) = self.popular_reason(adapter, *score)
             {
                 named.insert(adapter.clone());
                 needs.push(Need {
-                    adapter,
+                    adapter: adapter.clone(),
                     reason,
-                    score,
+                    score: *score,
                     waited_ms: 0,
                 });
             }
@@ -77,25 +75,21 @@
 
     fn waiting_need(&self, load: &WaitingLoad) -> Option<Need> {
         let waited_ms = self.now.since(load.since);
-        let reason = match (self.newest_copy_ms(&load.adapter), load.urgent > 0) {
-            (Some(Copy::Loading), _) => return None,
-            (Some(Copy::ResidentFor(age_ms)), urgent) => {
-                let news_has_spread = age_ms >= NEWS_MS;
-                if !urgent || !news_has_spread || waited_ms < self.config.busy_wait_ms {
-                    return None;
-                }
-                Reason::Busy
+        let copies = self.copies_of(&load.adapter);
+        if copies.loading > 0 {
+            return None;
+        }
+        let reason = if copies.resident > 0 {
+            self.busy_reason(load, copies, waited_ms)?
+        } else {
+            // The work was addressed here before the other data centre's load was known.
+            if self.is_elsewhere(&load.adapter) && waited_ms < NEWS_MS {
+                return None;
             }
-            (None, urgent) => {
-                // The work was addressed here before the other data centre's load was known.
-                if self.is_elsewhere(&load.adapter) && waited_ms < NEWS_MS {
-                    return None;
-                }
-                if urgent {
-                    Reason::Stalled
-                } else {
-                    Reason::Patient
-                }
+            if load.urgent > 0 {
+                Reason::Stalled
+            } else {
+                Reason::Patient
             }
         };
         Some(Need {
@@ -106,27 +100,26 @@
         })
     }
 
-    /// The copy in this data centre that changed last.
-    fn newest_copy_ms(&self, adapter: &AdapterRef) -> Option<Copy> {
-        let slots = self
-            .table
-            .servers()
-            .flat_map(|server| self.table.slots(server));
-        let copies = slots.filter(|slot| slot.adapter == adapter);
-        let states = copies.filter_map(|slot| match slot.residency {
-            Residency::Loading => Some(Copy::Loading),
-            Residency::Resident => Some(Copy::ResidentFor(self.now.since(slot.since))),
-            Residency::Draining => None,
-        });
-        states.min()
+    /// Reason for another copy of a resident adapter whose engines are full.
+    fn busy_reason(&self, load: &WaitingLoad, copies: Copies, waited_ms: u64) -> Option<Reason> {
+        let news_has_spread = self.now.since(copies.newest) >= NEWS_MS;
+        if !news_has_spread || waited_ms < self.config.busy_wait_ms {
+            return None;
+        }
+        if load.urgent > 0 {
+            return Some(Reason::Busy);
+        }
+        let fills_engine = load.patient >= self.config.copy_patient_items * copies.resident;
+        fills_engine.then_some(Reason::BusyPatient)
     }
 
     fn popular_reason(&self, adapter: &AdapterRef, score: f32) -> Option<Reason> {
-        let here = copies_here(self.table, adapter);
+        let copies = self.copies_of(adapter);
+        let here = copies.resident + copies.loading;
         let local = self.popularity.local_tokens_per_s(adapter, self.now);
         let wanted = local / self.config.copy_tokens_per_s;
         let own_copy = wanted * 100.0 >= self.config.local_copy_percent;
-        if own_copy && here < wanted.ceil() as usize && (here > 0 || self.is_elsewhere(adapter)) {
+        if own_copy && here < wanted.ceil() as u32 && (here > 0 || self.is_elsewhere(adapter)) {
             return Some(Reason::Hot);
         }
         let missing = here == 0 && !self.is_elsewhere(adapter);
@@ -144,10 +137,3 @@
         ranked.first().is_some_and(|home| *home == own)
     }
 }
-
-/// State of a copy; a load under way counts as newer than any age.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Copy {
-    Loading,
-    ResidentFor(u64),
-}
--- a/src/scheduling/placement/planner.rs
+++ b/src/scheduling/placement/planner.rs
@@ -14,6 +14,8 @@
 use crate::scheduling::placement::needs::Need;
 use crate::scheduling::placement::needs::Reason;
 use crate::scheduling::placement::victims::Keeping;
+use crate::scheduling::placement::victims::Victim;
+use crate::scheduling::placement::victims::count_copies;
 use crate::scheduling::placement::victims::has_copy;
 use crate::scheduling::popularity::FleetPopularity;
 use crate::scheduling::residency::EngineSeen;
@@ -34,6 +36,8 @@
 const POPULARITY_FLOOR_TOKENS: f32 = 1.0;
 /// Time between two rounds of forgetting, in milliseconds.
 const PRUNE_MS: u64 = 10_000;
+/// Time between two rankings of all adapters by popularity, in milliseconds.
+const RANK_MS: u64 = 1_000;
 /// Time after which an urgent request may claim a slot whose adapter is in use, in milliseconds.
 const CLAIM_IN_USE_MS: u64 = 500;
 
@@ -49,6 +53,9 @@
     pub(super) failures: Failures,
     evict_again: HashMap<(ServerName, AdapterRef), MonoMs>,
     pruned: MonoMs,
+    /// The most popular adapters, as of `ranked`.
+    top: Vec<(AdapterRef, f32)>,
+    ranked: MonoMs,
 }
 
 impl Planner {
@@ -74,6 +81,8 @@
             failures: Failures::default(),
             evict_again: HashMap::new(),
             pruned: now,
+            top: Vec::new(),
+            ranked: now,
         }
     }
 
@@ -163,6 +172,10 @@
             self.load_failed(&server, &adapter, now);
         }
         self.demand.expire(self.config.residency.valid_ms, now);
+        if now.since(self.ranked) >= RANK_MS {
+            self.ranked = now;
+            self.top = self.popularity.top(self.config.prefetch_candidates, now);
+        }
         if now.since(self.pruned) >= PRUNE_MS {
             self.pruned = now;
             self.popularity.prune(POPULARITY_FLOOR_TOKENS, now);
@@ -241,6 +254,8 @@
             popularity: &self.popularity,
             waiting,
             elsewhere,
+            copies: count_copies(&self.table),
+            top: &self.top,
             now,
         }
     }
@@ -249,12 +264,12 @@
     fn load(&mut self, need: &Need, now: MonoMs) -> Option<EngineOrder> {
         let reserved = match need.reason {
             Reason::Stalled | Reason::Busy => 0.0,
-            Reason::Patient | Reason::Hot | Reason::Prefetch => self.config.reserved_loads,
+            _ => self.config.reserved_loads,
         };
         if self.store.available(reserved, now) == 0 || !self.failures.may_load(&need.adapter, now) {
             return None;
         }
-        let server = self.free_engine(&need.adapter, now)?;
+        let server = self.free_engine(need, now)?;
         self.start_load(&server, &need.adapter, now)
     }
 
@@ -277,24 +292,22 @@
         })
     }
 
-    /// The engine with the fewest requests in flight among those with a free slot.
-    fn free_engine(&self, adapter: &AdapterRef, now: MonoMs) -> Option<ServerName> {
+    /// The engine with the most free batch positions among those with a free slot.
+    fn free_engine(&self, need: &Need, now: MonoMs) -> Option<ServerName> {
         let usable = self.table.servers().filter(|server| {
             self.table.free_slots(server) > 0
-                && self.table.state(server, adapter).is_none()
-                && self.failures.may_load_on(server, adapter, now)
+                && self.table.state(server, &need.adapter).is_none()
+                && self.failures.may_load_on(server, &need.adapter, now)
         });
-        let in_flight = |server: &ServerName| -> u32 {
-            let slots = self.table.slots(server);
-            slots
-                .map(|slot| self.table.in_use(server, slot.adapter))
-                .sum()
+        let free = |server: &&ServerName| {
+            (
+                self.table.free_positions(server),
+                self.table.free_slots(server),
+            )
         };
-        let least = usable.min_by_key(|server| {
-            let free = self.table.free_slots(server);
-            (in_flight(server), u32::MAX - free)
-        });
-        least.cloned()
+        let best = usable.max_by_key(free)?;
+        let helps = need.reason != Reason::BusyPatient || self.table.free_positions(best) > 0;
+        helps.then(|| best.clone())
     }
 
     /// Drains the least valuable adapters to make room for needs that found no free slot.
@@ -308,30 +321,23 @@
         let free: u32 = self.table.servers().map(|s| self.table.free_slots(s)).sum();
         let mut coming = free as usize + self.draining().len();
         let most = self.store.available(0.0, now).max(1) as usize;
-        let victims = self.keeping(waiting, elsewhere, now).victims();
-        let mut victims = victims.into_iter();
+        let mut victims = self.keeping(waiting, elsewhere, now).victims();
         let mut chosen = Vec::new();
         let mut made = 0;
         for need in unmet.iter().take(most) {
-            if coming > made {
-                made += 1;
-                continue;
-            }
-            let Some(victim) = victims.next() else { break };
-            let urgent = need.reason <= Reason::Busy;
-            let idle = victim.in_use == 0;
-            let allowed = if urgent {
-                idle || need.waited_ms >= CLAIM_IN_USE_MS
-            } else {
-                idle && victim.value * self.config.hysteresis < need.score
-            };
-            if !allowed || has_copy(&self.table, &victim.server, &need.adapter) {
-                break;
-            }
-            chosen.push(victim);
-            coming += 1;
             made += 1;
+            if coming < made {
+                let Some(at) = victims
+                    .iter()
+                    .position(|victim| self.may_replace(victim, need))
+                else {
+                    break;
+                };
+                chosen.push(victims.remove(at));
+                coming += 1;
+            }
         }
+        let mut victims = victims.into_iter();
         let spare = self.config.spare_slots as usize;
         while coming < made + spare {
             match victims.next() {
@@ -344,4 +350,17 @@
             self.table.drain(&victim.server, &victim.adapter, now);
         }
     }
+
+    fn may_replace(&self, victim: &Victim, need: &Need) -> bool {
+        if has_copy(&self.table, &victim.server, &need.adapter) {
+            return false;
+        }
+        let idle = victim.in_use == 0;
+        if need.reason <= Reason::Busy {
+            return idle || need.waited_ms >= CLAIM_IN_USE_MS;
+        }
+        let has_room =
+            need.reason != Reason::BusyPatient || self.table.free_positions(&victim.server) > 0;
+        has_room && idle && victim.value * self.config.hysteresis < need.score
+    }
 }
--- a/src/scheduling/placement/victims.rs
+++ b/src/scheduling/placement/victims.rs
@@ -1,6 +1,7 @@
 //! Which resident adapter gives up its slot.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use crate::scheduling::placement::PlannerConfig;
 use crate::scheduling::placement::WaitingLoad;
@@ -33,10 +34,44 @@
     pub(super) popularity: &'a FleetPopularity,
     pub(super) waiting: &'a BTreeMap<AdapterRef, WaitingLoad>,
     pub(super) elsewhere: &'a ResidencyView,
+    /// Copies of each adapter in the data centre.
+    pub(super) copies: HashMap<&'a AdapterRef, Copies>,
+    /// The most popular adapters with their scores.
+    pub(super) top: &'a [(AdapterRef, f32)],
     pub(super) now: MonoMs,
 }
 
+/// Copies of one adapter in the data centre, without those that are draining.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Copies {
+    pub(super) resident: u32,
+    pub(super) loading: u32,
+    /// Time at which the last copy became resident.
+    pub(super) newest: MonoMs,
+}
+
+/// Counts the copies of all adapters.
+pub(super) fn count_copies(table: &ResidencyTable) -> HashMap<&AdapterRef, Copies> {
+    let mut copies: HashMap<&AdapterRef, Copies> = HashMap::new();
+    for slot in table.servers().flat_map(|server| table.slots(server)) {
+        let entry = copies.entry(slot.adapter).or_default();
+        match slot.residency {
+            Residency::Loading => entry.loading += 1,
+            Residency::Resident => {
+                entry.resident += 1;
+                entry.newest = entry.newest.max(slot.since);
+            }
+            Residency::Draining => {}
+        }
+    }
+    copies
+}
+
 impl Keeping<'_> {
+    pub(super) fn copies_of(&self, adapter: &AdapterRef) -> Copies {
+        self.copies.get(adapter).copied().unwrap_or_default()
+    }
+
     /// Resident adapters that may be drained, least valuable first. Adapters in use come last.
     pub(super) fn victims(&self) -> Vec<Victim> {
         let mut victims = Vec::new();
@@ -71,7 +106,7 @@
         let waiting = self.waiting.get(adapter);
         let waiting = waiting.map_or(0.0, |waiting| waiting_score(waiting.tokens));
         let score = self.popularity.score(adapter, self.now) + waiting;
-        if copies_here(self.table, adapter) > 1 || self.is_kept_elsewhere(adapter) {
+        if self.copies_of(adapter).resident > 1 || self.is_kept_elsewhere(adapter) {
             score * self.config.copy_value_percent / 100.0
         } else {
             score
@@ -104,14 +139,6 @@
     }
 }
 
-/// Copies of an adapter in the data centre, those being loaded included.
-pub(super) fn copies_here(table: &ResidencyTable, adapter: &AdapterRef) -> usize {
-    let servers = table.servers();
-    servers
-        .filter(|server| has_copy(table, server, adapter))
-        .count()
-}
-
 /// Whether the engine has the adapter or loads it.
 pub(super) fn has_copy(table: &ResidencyTable, server: &ServerName, adapter: &AdapterRef) -> bool {
     table
--- a/src/scheduling/residency/table.rs
+++ b/src/scheduling/residency/table.rs
@@ -29,6 +29,8 @@
     pub incarnation: u64,
     /// Adapter slots.
     pub slots: u32,
+    /// Requests that it runs at the same time.
+    pub positions: u32,
     /// Adapters that the engine lists as resident.
     pub resident: Vec<AdapterRef>,
 }
@@ -69,6 +71,7 @@
 struct Engine {
     incarnation: u64,
     slots: u32,
+    positions: u32,
     changed: u64,
     /// The engine has been removed. Its entries are kept, because orders may still be under way if
     /// the same incarnation comes back.
@@ -206,6 +209,7 @@
             let engine = Engine {
                 incarnation: seen.incarnation,
                 slots: seen.slots,
+                positions: seen.positions,
                 changed: 0,
                 gone: false,
                 adapters: BTreeMap::new(),
@@ -394,6 +398,15 @@
         })
     }
 
+    /// Batch positions of an engine without a request, as of the last pulls of all VMs.
+    pub fn free_positions(&self, server: &ServerName) -> u32 {
+        self.engines.get(server).map_or(0, |engine| {
+            let adapters = engine.adapters.keys();
+            let running: u32 = adapters.map(|adapter| self.in_use(server, adapter)).sum();
+            engine.positions.saturating_sub(running)
+        })
+    }
+
     /// Adapters on an engine in the order of their names.
     pub fn slots(&self, server: &ServerName) -> impl Iterator<Item = Slot<'_>> {
         let engine = self.engines.get(server);
@@ -479,6 +492,7 @@
 fn merge_announcement(engine: &mut Engine, seen: &EngineSeen, lag_ms: u64, now: MonoMs) -> bool {
     let mut changed = engine.slots != seen.slots;
     engine.slots = seen.slots;
+    engine.positions = seen.positions;
     engine.evicted.retain(|_, at| now.since(*at) < lag_ms);
     for adapter in &seen.resident {
         if !engine.adapters.contains_key(adapter) && !engine.evicted.contains_key(adapter) {
--- a/tests/load/residency.rs
+++ b/tests/load/residency.rs
@@ -292,6 +292,7 @@
                 server: server.clone(),
                 incarnation: engine.incarnation,
                 slots: SLOTS,
+                positions: 8,
                 resident: engine.resident.iter().cloned().collect(),
             };
             self.table.observe(&seen, MonoMs(self.now));
@@ -370,6 +371,7 @@
         server: ServerName::from("e"),
         incarnation: 1,
         slots: SLOTS,
+        positions: 8,
         resident: resident.iter().map(|name| adapter(name)).collect(),
     }
 }
