feat(scheduling): popularity in expected tokens per second, with measured returns

Each VM now measures how often an adapter is used again within 30 s beyond what its long counter explains, and the score is the expected rate. Prefetch still reloads too much.

--- a/benches/policies/run.rs
+++ b/benches/policies/run.rs
@@ -73,6 +73,7 @@
     fill_resident: f64,
     accounts: Vec<f64>,
     absent: usize,
+    reasons: Vec<(&'static str, u64)>,
 }
 
 impl fmt::Display for Report {
@@ -82,7 +83,7 @@
             f,
             "stalled {} of {} urgent ({:.1}%), wait p99 {} ms, late {} urgent {} patient, \
              loads {}, fill {:.2} while work waits, {:.2} while work for resident adapters waits, \
-             worst account {worst:.3}, absent {}",
+             worst account {worst:.3}, absent {}, loads by reason {:?}",
             self.stalled,
             self.urgent,
             100.0 * self.stalled as f64 / self.urgent as f64,
@@ -93,6 +94,7 @@
             self.fill,
             self.fill_resident,
             self.absent,
+            self.reasons,
         )
     }
 }
@@ -558,6 +560,7 @@
                 .map(|(e, s)| (s as f64 / *e as f64).min(1.0))
                 .collect(),
             absent: self.absent,
+            reasons: self.planner.loads_started().collect(),
         }
     }
 }
--- a/src/scheduling/placement/mod.rs
+++ b/src/scheduling/placement/mod.rs
@@ -51,7 +51,7 @@
     pub copy_value_percent: f32,
     /// Loads kept in the store's budget for urgent work when patient work or prefetch wants one.
     pub reserved_loads: f64,
-    /// Score from which an adapter is prefetched.
+    /// Expected tokens per second from which an adapter is prefetched.
     pub prefetch_score: f32,
     /// Adapters that are considered for prefetch.
     pub prefetch_candidates: usize,
@@ -78,7 +78,7 @@
             hysteresis: 2.0,
             copy_value_percent: 10.0,
             reserved_loads: 1.0,
-            prefetch_score: 2_000.0,
+            prefetch_score: 4.0,
             prefetch_candidates: 256,
             spare_slots: 0,
             retry_ms: 1_000,
@@ -118,7 +118,10 @@
     pub done: bool,
 }
 
-/// Score of `tokens` waiting tokens, to compare waiting work with popularity.
+/// Time within which waiting work is expected to be served when its adapter is loaded, in seconds.
+const WAITING_HORIZON_S: f32 = 20.0;
+
+/// Tokens per second of waiting work, to compare it with popularity.
 fn waiting_score(tokens: Tokens) -> f32 {
-    tokens as f32
+    tokens as f32 / WAITING_HORIZON_S
 }
--- a/src/scheduling/placement/needs.rs
+++ b/src/scheduling/placement/needs.rs
@@ -30,6 +30,20 @@
     Prefetch,
 }
 
+impl Reason {
+    /// The name used in metrics.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Stalled => "stalled",
+            Self::Busy => "busy",
+            Self::Patient => "patient",
+            Self::BusyPatient => "busy_patient",
+            Self::Hot => "hot",
+            Self::Prefetch => "prefetch",
+        }
+    }
+}
+
 /// An adapter that should be loaded.
 #[derive(Clone, Debug)]
 pub(super) struct Need {
--- a/src/scheduling/placement/planner.rs
+++ b/src/scheduling/placement/planner.rs
@@ -56,6 +56,7 @@
     /// The most popular adapters, as of `ranked`.
     top: Vec<(AdapterRef, f32)>,
     ranked: MonoMs,
+    started: BTreeMap<Reason, u64>,
 }
 
 impl Planner {
@@ -83,6 +84,7 @@
             pruned: now,
             top: Vec::new(),
             ranked: now,
+            started: BTreeMap::new(),
         }
     }
 
@@ -91,6 +93,13 @@
         &self.table
     }
 
+    /// Loads started since the start, by reason. Baseline policies do not count.
+    pub fn loads_started(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        self.started
+            .iter()
+            .map(|(reason, loads)| (reason.as_str(), *loads))
+    }
+
     /// Changes the data centre's part of the store's limits.
     pub fn set_share(&mut self, share: StoreShare, now: MonoMs) {
         self.store.set_share(share, now);
@@ -270,7 +279,9 @@
             return None;
         }
         let server = self.free_engine(need, now)?;
-        self.start_load(&server, &need.adapter, now)
+        let order = self.start_load(&server, &need.adapter, now)?;
+        *self.started.entry(need.reason).or_default() += 1;
+        Some(order)
     }
 
     pub(super) fn start_load(
--- a/src/scheduling/popularity.rs
+++ b/src/scheduling/popularity.rs
@@ -22,8 +22,8 @@
     pub short_half_life_ms: u64,
     /// Half-life of the counter that follows a working day, in milliseconds.
     pub long_half_life_ms: u64,
-    /// Weight of the short counter in the score.
-    pub short_weight: f32,
+    /// Time within which a second use of an adapter counts as its return, in milliseconds.
+    pub return_ms: u64,
     /// Adapters in one summary.
     pub summary_adapters: usize,
     /// Adapters that one VM counts. The least popular half is dropped when there are more.
@@ -33,9 +33,9 @@
 impl Default for PopularityConfig {
     fn default() -> Self {
         Self {
-            short_half_life_ms: 60_000,
-            long_half_life_ms: 900_000,
-            short_weight: 4.0,
+            short_half_life_ms: 15_000,
+            long_half_life_ms: 600_000,
+            return_ms: 30_000,
             summary_adapters: 128,
             max_adapters: 32_768,
         }
@@ -66,12 +66,20 @@
         }
     }
 
-    /// One figure for comparison between adapters. Higher means that the next use is nearer.
-    pub fn score(self, config: &PopularityConfig) -> f32 {
-        self.short_tokens * config.short_weight + self.long_tokens
+    /// Expected tokens per second in the near future. `burst` is the part of uses that is followed
+    /// by another use soon, beyond what the long counter explains.
+    pub fn score(self, burst: f32, config: &PopularityConfig) -> f32 {
+        let short = per_second(self.short_tokens, config.short_half_life_ms);
+        let long = per_second(self.long_tokens, config.long_half_life_ms);
+        long + burst * short
     }
 }
 
+/// Rate of a constant stream that leads to `tokens` in a counter.
+fn per_second(tokens: f32, half_life_ms: u64) -> f32 {
+    tokens * std::f32::consts::LN_2 * 1_000.0 / half_life_ms.max(1) as f32
+}
+
 fn decay(elapsed_ms: u64, half_life_ms: u64) -> f32 {
     let half_lives = elapsed_ms as f64 / half_life_ms.max(1) as f64;
     (-half_lives).exp2() as f32
@@ -82,6 +90,8 @@
 pub struct PopularitySummary {
     /// Decayed tokens of all adapters.
     pub total: Decayed,
+    /// Part of uses that is followed by another use soon, beyond what the long counters explain.
+    pub burst: f32,
     /// The most popular adapters, most popular first.
     pub top: Vec<(AdapterRef, Decayed)>,
 }
@@ -91,26 +101,60 @@
 pub struct Popularity {
     config: PopularityConfig,
     total: (MonoMs, Decayed),
+    returns: Returns,
     adapters: HashMap<AdapterRef, (MonoMs, Decayed)>,
 }
 
+/// Weight of one use in the running means of [`Returns`].
+const RETURN_STEP: f32 = 0.005;
+
+/// How often adapters are used again soon, against what their long counters predict. With
+/// independent requests the two agree; in conversations the observed part is larger.
+#[derive(Clone, Copy, Debug, Default)]
+struct Returns {
+    observed: f32,
+    expected: f32,
+}
+
+impl Returns {
+    fn record(&mut self, returned: bool, expected: f32) {
+        let observed = if returned { 1.0 } else { 0.0 };
+        self.observed += RETURN_STEP * (observed - self.observed);
+        self.expected += RETURN_STEP * (expected - self.expected);
+    }
+
+    fn burst(self) -> f32 {
+        let unexplained = (1.0 - self.expected).max(f32::EPSILON);
+        ((self.observed - self.expected) / unexplained).clamp(0.0, 1.0)
+    }
+}
+
 impl Popularity {
     /// Counters that are all zero.
     pub fn new(config: PopularityConfig) -> Self {
         Self {
             config,
             total: (MonoMs::default(), Decayed::default()),
+            returns: Returns::default(),
             adapters: HashMap::new(),
         }
     }
 
     /// Counts `tokens` of admitted work.
     pub fn record(&mut self, adapter: &AdapterRef, tokens: Tokens, now: MonoMs) {
+        let tokens = tokens.max(1);
         add(&mut self.total, tokens, now, &self.config);
         if let Some(counter) = self.adapters.get_mut(adapter) {
+            let idle_ms = now.since(counter.0);
+            let long_tokens = counter.1.after(idle_ms, &self.config).long_tokens;
+            let uses_per_s = per_second(long_tokens, self.config.long_half_life_ms) / tokens as f32;
+            let expected = 1.0 - (-uses_per_s * self.config.return_ms as f32 / 1_000.0).exp();
+            self.returns
+                .record(idle_ms < self.config.return_ms, expected);
             add(counter, tokens, now, &self.config);
             return;
         }
+        self.returns.record(false, 0.0);
         if self.adapters.len() >= self.config.max_adapters {
             self.drop_least_popular(now);
         }
@@ -134,22 +178,27 @@
             .iter()
             .map(|(adapter, (at, counts))| (adapter, counts.after(now.since(*at), &self.config)))
             .collect();
+        let burst = self.returns.burst();
         let keep = self.config.summary_adapters;
         if top.len() > keep {
-            top.select_nth_unstable_by(keep, |a, b| by_score(&self.config, a, b));
+            top.select_nth_unstable_by(keep, |a, b| by_score(burst, &self.config, a, b));
             top.truncate(keep);
         }
-        top.sort_by(|a, b| by_score(&self.config, a, b));
+        top.sort_by(|a, b| by_score(burst, &self.config, a, b));
         PopularitySummary {
             total: self.total.1.after(now.since(self.total.0), &self.config),
+            burst,
             top: top.into_iter().map(|(a, c)| (a.clone(), c)).collect(),
         }
     }
 
     fn drop_least_popular(&mut self, now: MonoMs) {
         let config = self.config;
-        let score =
-            |entry: &(MonoMs, Decayed)| entry.1.after(now.since(entry.0), &config).score(&config);
+        let burst = self.returns.burst();
+        let score = |entry: &(MonoMs, Decayed)| {
+            let counts = entry.1.after(now.since(entry.0), &config);
+            counts.score(burst, &config)
+        };
         let mut scores: Vec<f32> = self.adapters.values().map(score).collect();
         let middle = scores.len() / 2;
         let (_, median, _) = scores.select_nth_unstable_by(middle, f32::total_cmp);
@@ -168,11 +217,12 @@
 }
 
 fn by_score(
+    burst: f32,
     config: &PopularityConfig,
     a: &(&AdapterRef, Decayed),
     b: &(&AdapterRef, Decayed),
 ) -> std::cmp::Ordering {
-    let (left, right) = (a.1.score(config), b.1.score(config));
+    let (left, right) = (a.1.score(burst, config), b.1.score(burst, config));
     right.total_cmp(&left).then_with(|| a.0.cmp(b.0))
 }
 
@@ -191,6 +241,8 @@
 pub struct FleetPopularity {
     config: PopularityConfig,
     data_centre: DataCentre,
+    /// Burst part of each VM's newest summary.
+    bursts: HashMap<VmName, f32>,
     adapters: HashMap<AdapterRef, Vec<Counted>>,
 }
 
@@ -200,6 +252,7 @@
         Self {
             config,
             data_centre,
+            bursts: HashMap::new(),
             adapters: HashMap::new(),
         }
     }
@@ -213,6 +266,7 @@
         now: MonoMs,
     ) {
         let local = *vm_data_centre == self.data_centre;
+        self.bursts.insert(vm.clone(), summary.burst);
         for (adapter, counts) in &summary.top {
             let entries = self.adapters.entry(adapter.clone()).or_default();
             entries.retain(|entry| entry.vm != *vm);
@@ -233,11 +287,11 @@
     /// Tokens per second that the VMs of the coordinator's data centre ask of `adapter`.
     pub fn local_tokens_per_s(&self, adapter: &AdapterRef, now: MonoMs) -> f32 {
         let counts = self.sum(adapter, now, |entry| entry.local);
-        let per_s = |tokens: f32, half_life_ms: u64| {
-            tokens * std::f32::consts::LN_2 * 1_000.0 / half_life_ms.max(1) as f32
-        };
-        let short = per_s(counts.short_tokens, self.config.short_half_life_ms);
-        short.max(per_s(counts.long_tokens, self.config.long_half_life_ms))
+        let short = per_second(counts.short_tokens, self.config.short_half_life_ms);
+        short.max(per_second(
+            counts.long_tokens,
+            self.config.long_half_life_ms,
+        ))
     }
 
     fn sum(&self, adapter: &AdapterRef, now: MonoMs, of: impl Fn(&Counted) -> bool) -> Decayed {
@@ -248,9 +302,11 @@
         })
     }
 
-    /// One comparable figure for `adapter`.
+    /// Expected tokens per second of `adapter` in the near future.
     pub fn score(&self, adapter: &AdapterRef, now: MonoMs) -> f32 {
-        self.get(adapter, now).score(&self.config)
+        let vms = self.bursts.len().max(1) as f32;
+        let burst = self.bursts.values().sum::<f32>() / vms;
+        self.get(adapter, now).score(burst, &self.config)
     }
 
     /// The `count` most popular adapters with their scores, most popular first.
