fix(scheduling): loads in flight are counted one by one

Further copies of a hot adapter follow the long counter only: one large request made the short one ask for several copies (found by the_least_valuable_idle_adapter_makes_room).

--- a/src/scheduling/placement/store.rs
+++ b/src/scheduling/placement/store.rs
@@ -1,7 +1,5 @@
 //! A data centre's part of the weight store's limits.
 
-use std::collections::HashMap;
-
 use crate::types::AdapterRef;
 use crate::types::MonoMs;
 use crate::types::ServerName;
@@ -23,7 +21,8 @@
     share: StoreShare,
     loads: f64,
     filled: MonoMs,
-    running: HashMap<(ServerName, AdapterRef), MonoMs>,
+    /// Loads in flight. An engine that restarts may be sent the same load twice.
+    running: Vec<(MonoMs, ServerName, AdapterRef)>,
 }
 
 impl StoreBudget {
@@ -33,7 +32,7 @@
             share,
             loads: 0.0,
             filled: now,
-            running: HashMap::new(),
+            running: Vec::new(),
         }
     }
 
@@ -60,26 +59,26 @@
             return false;
         }
         self.loads -= 1.0;
-        self.running.insert((server.clone(), adapter.clone()), now);
+        self.running.push((now, server.clone(), adapter.clone()));
         true
     }
 
-    /// Ends a load.
-    pub fn end(&mut self, server: &ServerName, adapter: &AdapterRef) -> bool {
-        self.running
-            .remove(&(server.clone(), adapter.clone()))
-            .is_some()
+    /// Ends the oldest load of `adapter` on `server`.
+    pub fn end(&mut self, server: &ServerName, adapter: &AdapterRef) {
+        let mut running = self.running.iter();
+        let at = running.position(|(_, on, of)| (on, of) == (server, adapter));
+        if let Some(at) = at {
+            self.running.remove(at);
+        }
     }
 
     /// Loads that have run for at least `timeout_ms`.
     pub fn overdue(&self, timeout_ms: u64, now: MonoMs) -> Vec<(ServerName, AdapterRef)> {
-        let overdue = self
-            .running
-            .iter()
-            .filter(|(_, at)| now.since(**at) >= timeout_ms);
-        let mut overdue: Vec<_> = overdue.map(|(key, _)| key.clone()).collect();
-        overdue.sort_unstable();
+        let running = self.running.iter();
+        let overdue = running.filter(|(started, _, _)| now.since(*started) >= timeout_ms);
         overdue
+            .map(|(_, server, adapter)| (server.clone(), adapter.clone()))
+            .collect()
     }
 
     /// Loads in flight.
--- a/src/scheduling/popularity.rs
+++ b/src/scheduling/popularity.rs
@@ -290,11 +290,7 @@
     /// Tokens per second that the VMs of the coordinator's data centre ask of `adapter`.
     pub fn local_tokens_per_s(&self, adapter: &AdapterRef, now: MonoMs) -> f32 {
         let counts = self.sum(adapter, now, |entry| entry.local);
-        let short = per_second(counts.short_tokens, self.config.short_half_life_ms);
-        short.max(per_second(
-            counts.long_tokens,
-            self.config.long_half_life_ms,
-        ))
+        per_second(counts.long_tokens, self.config.long_half_life_ms)
     }
 
     fn sum(&self, adapter: &AdapterRef, now: MonoMs, of: impl Fn(&Counted) -> bool) -> Decayed {
--- /dev/null
+++ b/src/scheduling/residency/engine.rs
@@ -0,0 +1,119 @@
+//! Adapters of one engine, as its coordinator keeps them.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use crate::scheduling::residency::EngineRow;
+use crate::scheduling::residency::Residency;
+use crate::types::AdapterRef;
+use crate::types::MonoMs;
+use crate::types::ServerName;
+
+/// An engine as its last announcement shows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineSeen {
+    /// The engine.
+    pub server: ServerName,
+    /// Incarnation; a higher one starts empty.
+    pub incarnation: u64,
+    /// Adapter slots.
+    pub slots: u32,
+    /// Requests that it runs at the same time.
+    pub positions: u32,
+    /// Adapters that the engine lists as resident.
+    pub resident: Vec<AdapterRef>,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) residency: Residency,
+    /// Time of the last change of `residency`.
+    pub(super) since: MonoMs,
+    pub(super) last_used: MonoMs,
+    /// Change number of the drain mark.
+    pub(super) mark: u64,
+    pub(super) evicting: bool,
+    /// An eviction got no answer and may still be carried out.
+    pub(super) uncertain: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Engine {
+    pub(super) incarnation: u64,
+    pub(super) slots: u32,
+    pub(super) positions: u32,
+    pub(super) changed: u64,
+    /// The engine has been removed. Its entries are kept, because orders may still be under way if
+    /// the same incarnation comes back.
+    pub(super) gone: bool,
+    pub(super) adapters: BTreeMap<AdapterRef, Entry>,
+    /// Adapters evicted recently; announcements on their way may still list them.
+    pub(super) evicted: HashMap<AdapterRef, MonoMs>,
+}
+
+/// An adapter in a slot, as placement sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Slot<'a> {
+    /// The adapter.
+    pub adapter: &'a AdapterRef,
+    /// Its state.
+    pub residency: Residency,
+    /// Time of the last change of state.
+    pub since: MonoMs,
+    /// Last time a VM reported it in use, or the time of its load.
+    pub last_used: MonoMs,
+    /// An eviction has been ordered.
+    pub evicting: bool,
+}
+
+impl Entry {
+    pub(super) fn new(residency: Residency, now: MonoMs) -> Self {
+        Self {
+            residency,
+            since: now,
+            last_used: now,
+            mark: 0,
+            evicting: false,
+            uncertain: false,
+        }
+    }
+}
+
+pub(super) fn row(server: &ServerName, engine: &Engine) -> EngineRow {
+    let adapters = engine.adapters.iter();
+    EngineRow {
+        server: server.clone(),
+        incarnation: engine.incarnation,
+        slots: engine.slots,
+        adapters: adapters
+            .map(|(a, entry)| (a.clone(), entry.residency))
+            .collect(),
+    }
+}
+
+/// Adds adapters that the engine lists and drops those that it has stopped listing. Differences
+/// younger than `lag_ms` are ignored, because announcements lag behind the results of orders.
+pub(super) fn merge_announcement(
+    engine: &mut Engine,
+    seen: &EngineSeen,
+    lag_ms: u64,
+    now: MonoMs,
+) -> bool {
+    let mut changed = engine.slots != seen.slots;
+    engine.slots = seen.slots;
+    engine.positions = seen.positions;
+    engine.evicted.retain(|_, at| now.since(*at) < lag_ms);
+    for adapter in &seen.resident {
+        if !engine.adapters.contains_key(adapter) && !engine.evicted.contains_key(adapter) {
+            let entry = Entry::new(Residency::Resident, now);
+            engine.adapters.insert(adapter.clone(), entry);
+            changed = true;
+        }
+    }
+    let before = engine.adapters.len();
+    engine.adapters.retain(|adapter, entry| {
+        let unsettled = entry.residency == Residency::Loading || now.since(entry.since) < lag_ms;
+        unsettled || entry.evicting || seen.resident.contains(adapter)
+    });
+    changed || engine.adapters.len() != before
+}
--- a/src/scheduling/residency/mod.rs
+++ b/src/scheduling/residency/mod.rs
@@ -3,11 +3,14 @@
 //! A coordinator owns a [`ResidencyTable`]. VMs pull it, hold it in a [`ResidencyView`] until a
 //! deadline and report what they have in use.
 
+mod engine;
 mod holders;
 mod messages;
 mod table;
 mod view;
 
+pub use engine::EngineSeen;
+pub use engine::Slot;
 pub use messages::EngineRow;
 pub use messages::FORMAT;
 pub use messages::InUse;
@@ -16,10 +19,8 @@
 pub use messages::TablePull;
 pub use messages::TableVersion;
 pub use messages::WaitingAdapter;
-pub use table::EngineSeen;
 pub use table::PullError;
 pub use table::ResidencyTable;
-pub use table::Slot;
 pub use view::ResidencyView;
 pub use view::Use;
 
--- a/src/scheduling/residency/table.rs
+++ b/src/scheduling/residency/table.rs
@@ -6,13 +6,18 @@
 
 use snafu::Snafu;
 
-use crate::scheduling::residency::EngineRow;
+use crate::scheduling::residency::EngineSeen;
 use crate::scheduling::residency::FORMAT;
 use crate::scheduling::residency::Residency;
 use crate::scheduling::residency::ResidencyConfig;
+use crate::scheduling::residency::Slot;
 use crate::scheduling::residency::Table;
 use crate::scheduling::residency::TablePull;
 use crate::scheduling::residency::TableVersion;
+use crate::scheduling::residency::engine::Engine;
+use crate::scheduling::residency::engine::Entry;
+use crate::scheduling::residency::engine::merge_announcement;
+use crate::scheduling::residency::engine::row;
 use crate::scheduling::residency::holders::Holders;
 use crate::types::AdapterRef;
 use crate::types::DataCentre;
@@ -20,21 +25,6 @@
 use crate::types::ServerName;
 use crate::types::VmName;
 
-/// An engine as its last announcement shows it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct EngineSeen {
-    /// The engine.
-    pub server: ServerName,
-    /// Incarnation; a higher one starts empty.
-    pub incarnation: u64,
-    /// Adapter slots.
-    pub slots: u32,
-    /// Requests that it runs at the same time.
-    pub positions: u32,
-    /// Adapters that the engine lists as resident.
-    pub resident: Vec<AdapterRef>,
-}
-
 /// Why a pull got no table.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum PullError {
@@ -54,48 +44,6 @@
     },
 }
 
-#[derive(Clone, Debug)]
-struct Entry {
-    residency: Residency,
-    /// Time of the last change of `residency`.
-    since: MonoMs,
-    last_used: MonoMs,
-    /// Change number of the drain mark.
-    mark: u64,
-    evicting: bool,
-    /// An eviction got no answer and may still be carried out.
-    uncertain: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Engine {
-    incarnation: u64,
-    slots: u32,
-    positions: u32,
-    changed: u64,
-    /// The engine has been removed. Its entries are kept, because orders may still be under way if
-    /// the same incarnation comes back.
-    gone: bool,
-    adapters: BTreeMap<AdapterRef, Entry>,
-    /// Adapters evicted recently; announcements on their way may still list them.
-    evicted: HashMap<AdapterRef, MonoMs>,
-}
-
-/// An adapter in a slot, as placement sees it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Slot<'a> {
-    /// The adapter.
-    pub adapter: &'a AdapterRef,
-    /// Its state.
-    pub residency: Residency,
-    /// Time of the last change of state.
-    pub since: MonoMs,
-    /// Last time a VM reported it in use, or the time of its load.
-    pub last_used: MonoMs,
-    /// An eviction has been ordered.
-    pub evicting: bool,
-}
-
 /// Residency of all engines of a data centre.
 #[derive(Clone, Debug)]
 pub struct ResidencyTable {
@@ -461,50 +409,3 @@
         }
     }
 }
-
-impl Entry {
-    fn new(residency: Residency, now: MonoMs) -> Self {
-        Self {
-            residency,
-            since: now,
-            last_used: now,
-            mark: 0,
-            evicting: false,
-            uncertain: false,
-        }
-    }
-}
-
-fn row(server: &ServerName, engine: &Engine) -> EngineRow {
-    let adapters = engine.adapters.iter();
-    EngineRow {
-        server: server.clone(),
-        incarnation: engine.incarnation,
-        slots: engine.slots,
-        adapters: adapters
-            .map(|(a, entry)| (a.clone(), entry.residency))
-            .collect(),
-    }
-}
-
-/// Adds adapters that the engine lists and drops those that it has stopped listing. Differences
-/// younger than `lag_ms` are ignored, because announcements lag behind the results of orders.
-fn merge_announcement(engine: &mut Engine, seen: &EngineSeen, lag_ms: u64, now: MonoMs) -> bool {
-    let mut changed = engine.slots != seen.slots;
-    engine.slots = seen.slots;
-    engine.positions = seen.positions;
-    engine.evicted.retain(|_, at| now.since(*at) < lag_ms);
-    for adapter in &seen.resident {
-        if !engine.adapters.contains_key(adapter) && !engine.evicted.contains_key(adapter) {
-            let entry = Entry::new(Residency::Resident, now);
-            engine.adapters.insert(adapter.clone(), entry);
-            changed = true;
-        }
-    }
-    let before = engine.adapters.len();
-    engine.adapters.retain(|adapter, entry| {
-        let unsettled = entry.residency == Residency::Loading || now.since(entry.since) < lag_ms;
-        unsettled || entry.evicting || seen.resident.contains(adapter)
-    });
-    changed || engine.adapters.len() != before
-}
--- a/tests/load/fair_queue.rs
+++ b/tests/load/fair_queue.rs
@@ -123,11 +123,12 @@
         let mut queue = FairQueue::new(CONFIG);
         let weights = [1_u32, 1, 2, 4];
         let mut served = [0.0_f64; 4];
-        for _ in 0..4_000 {
+        for round in 0..4_000 {
             for (index, weight) in weights.iter().enumerate() {
                 // Account 0 floods with large items; the others keep a short backlog.
                 let (pushes, tokens) = if index == 0 { (5, 500) } else { (1, 50) };
-                for _ in 0..rng.random_range(0..=pushes * 2) {
+                let first = if round == 0 { 20 } else { 0 };
+                for _ in 0..first + rng.random_range(0..=pushes * 2) {
                     let on = format!("a{}", rng.random_range(0..9));
                     let mut pushed = item(&format!("{index}"), Patience::Urgent, &on, u64::MAX, 0);
                     pushed.weight = *weight;
@@ -140,10 +141,8 @@
             served[index] += popped.tokens as f64 / f64::from(weights[index]);
             let lag = served.iter().fold(0.0_f64, |most, s| most.max(*s))
                 - served.iter().fold(f64::INFINITY, |least, s| least.min(*s));
-            assert!(
-                lag <= 1_100.0,
-                "seed {seed}: an account lags by {lag} tokens"
-            );
+            // Start-time fair queueing bounds the lag by one item of each of the two accounts.
+            assert!(lag <= 550.0, "seed {seed}: an account lags by {lag} tokens");
         }
     }
 }
