--- a/src/scheduling/placement/mod.rs
+++ b/src/scheduling/placement/mod.rs
@@ -38,17 +38,23 @@
     /// Time for which an urgent request must wait for a full engine before another copy is loaded,
     /// in milliseconds.
     pub busy_wait_ms: u64,
+    /// Patient requests per copy that must wait for full engines before another copy is loaded on
+    /// an engine with free batch positions.
+    pub copy_patient_items: u32,
+    /// Expected tokens per second below which a resident adapter gives way to another copy for
+    /// patient work.
+    pub idle_score: f32,
     /// Time for which a loaded adapter is not evicted, in milliseconds.
     pub min_resident_ms: u64,
-    /// Factor by which an adapter must be more popular than the one it replaces without being
-    /// waited for.
+    /// Factor by which an adapter must be worth more than the one it replaces when no urgent
+    /// request waits for it.
     pub hysteresis: f32,
     /// Part of the value of a resident adapter that remains when another copy serves instead, in
     /// percent.
     pub copy_value_percent: f32,
     /// Loads kept in the store's budget for urgent work when patient work or prefetch wants one.
     pub reserved_loads: f64,
-    /// Score from which an adapter is prefetched.
+    /// Expected tokens per second from which an adapter is prefetched.
     pub prefetch_score: f32,
     /// Adapters that are considered for prefetch.
     pub prefetch_candidates: usize,
@@ -70,11 +76,13 @@
             copy_tokens_per_s: 500.0,
             local_copy_percent: 50.0,
             busy_wait_ms: 200,
+            copy_patient_items: 16,
+            idle_score: 1.0,
             min_resident_ms: 2_000,
             hysteresis: 2.0,
             copy_value_percent: 10.0,
             reserved_loads: 1.0,
-            prefetch_score: 2_000.0,
+            prefetch_score: 4.0,
             prefetch_candidates: 256,
             spare_slots: 0,
             retry_ms: 1_000,
@@ -114,7 +122,10 @@
     pub done: bool,
 }
 
-/// Score of `tokens` waiting tokens, to compare waiting work with popularity.
+/// Time within which waiting work is expected to be served when its adapter is loaded, in seconds.
+const WAITING_HORIZON_S: f32 = 20.0;
+
+/// Tokens per second of waiting work, to compare it with popularity.
 fn waiting_score(tokens: Tokens) -> f32 {
-    tokens as f32
+    tokens as f32 / WAITING_HORIZON_S
 }
--- a/src/scheduling/placement/planner.rs
+++ b/src/scheduling/placement/planner.rs
@@ -15,6 +15,8 @@
 use crate::scheduling::placement::needs::Need;
 use crate::scheduling::placement::needs::Reason;
 use crate::scheduling::placement::victims::Keeping;
+use crate::scheduling::placement::victims::Victim;
+use crate::scheduling::placement::victims::count_copies;
 use crate::scheduling::placement::victims::has_copy;
 use crate::scheduling::popularity::FleetPopularity;
 use crate::scheduling::residency::EngineSeen;
@@ -35,6 +37,8 @@
 const POPULARITY_FLOOR_TOKENS: f32 = 1.0;
 /// Time between two rounds of forgetting, in milliseconds.
 const PRUNE_MS: u64 = 10_000;
+/// Time between two rankings of all adapters by popularity, in milliseconds.
+const RANK_MS: u64 = 1_000;
 /// Time after which an urgent request may claim a slot whose adapter is in use, in milliseconds.
 const CLAIM_IN_USE_MS: u64 = 500;
 
@@ -50,6 +54,10 @@
     pub(super) failures: Failures,
     evict_again: HashMap<(ServerName, AdapterRef), MonoMs>,
     pruned: MonoMs,
+    /// The most popular adapters, as of `ranked`.
+    top: Vec<(AdapterRef, f32)>,
+    ranked: MonoMs,
+    started: BTreeMap<Reason, u64>,
 }
 
 impl Planner {
@@ -75,6 +83,9 @@
             failures: Failures::default(),
             evict_again: HashMap::new(),
             pruned: now,
+            top: Vec::new(),
+            ranked: now,
+            started: BTreeMap::new(),
         }
     }
 
@@ -83,6 +94,13 @@
         &self.table
     }
 
+    /// Loads started since the start, by reason. Baseline policies do not count.
+    pub fn loads_started(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        self.started
+            .iter()
+            .map(|(reason, loads)| (reason.as_str(), *loads))
+    }
+
     /// Changes the data centre's part of the store's limits.
     pub fn set_share(&mut self, share: StoreShare, now: MonoMs) {
         self.store.set_share(share, now);
@@ -174,6 +192,10 @@
             self.load_failed(&server, &adapter, now);
         }
         self.demand.expire(self.config.residency.valid_ms, now);
+        if now.since(self.ranked) >= RANK_MS {
+            self.ranked = now;
+            self.top = self.popularity.top(self.config.prefetch_candidates, now);
+        }
         if now.since(self.pruned) >= PRUNE_MS {
             self.pruned = now;
             self.popularity.prune(POPULARITY_FLOOR_TOKENS, now);
@@ -252,6 +274,8 @@
             popularity: &self.popularity,
             waiting,
             elsewhere,
+            copies: count_copies(&self.table),
+            top: &self.top,
             now,
         }
     }
@@ -260,13 +284,15 @@
     fn load(&mut self, need: &Need, now: MonoMs) -> Option<EngineOrder> {
         let reserved = match need.reason {
             Reason::Stalled | Reason::Busy => 0.0,
-            Reason::Patient | Reason::Hot | Reason::Prefetch => self.config.reserved_loads,
+            _ => self.config.reserved_loads,
         };
         if self.store.available(reserved, now) == 0 || !self.failures.may_load(&need.adapter, now) {
             return None;
         }
-        let server = self.free_engine(&need.adapter, now)?;
-        self.start_load(&server, &need.adapter, now)
+        let server = self.free_engine(need, now)?;
+        let order = self.start_load(&server, &need.adapter, now)?;
+        *self.started.entry(need.reason).or_default() += 1;
+        Some(order)
     }
 
     pub(super) fn start_load(
@@ -288,24 +314,22 @@
         })
     }
 
-    /// The engine with the fewest requests in flight among those with a free slot.
-    fn free_engine(&self, adapter: &AdapterRef, now: MonoMs) -> Option<ServerName> {
+    /// The engine with the most free batch positions among those with a free slot.
+    fn free_engine(&self, need: &Need, now: MonoMs) -> Option<ServerName> {
         let usable = self.table.servers().filter(|server| {
             self.table.free_slots(server) > 0
-                && self.table.state(server, adapter).is_none()
-                && self.failures.may_load_on(server, adapter, now)
+                && self.table.state(server, &need.adapter).is_none()
+                && self.failures.may_load_on(server, &need.adapter, now)
         });
-        let in_flight = |server: &ServerName| -> u32 {
-            let slots = self.table.slots(server);
-            slots
-                .map(|slot| self.table.in_use(server, slot.adapter))
-                .sum()
+        let free = |server: &&ServerName| {
+            (
+                self.table.free_positions(server),
+                self.table.free_slots(server),
+            )
         };
-        let least = usable.min_by_key(|server| {
-            let free = self.table.free_slots(server);
-            (in_flight(server), u32::MAX - free)
-        });
-        least.cloned()
+        let best = usable.max_by_key(free)?;
+        let helps = need.reason != Reason::BusyPatient || self.table.free_positions(best) > 0;
+        helps.then(|| best.clone())
     }
 
     /// Drains the least valuable adapters to make room for needs that found no free slot.
@@ -319,32 +343,23 @@
         let free: u32 = self.table.servers().map(|s| self.table.free_slots(s)).sum();
         let mut coming = free as usize + self.draining().len();
         let most = self.store.available(0.0, now).max(1) as usize;
-        let victims = self.keeping(waiting, elsewhere, now).victims();
-        let mut victims = victims.into_iter();
+        let mut victims = self.keeping(waiting, elsewhere, now).victims();
         let mut chosen = Vec::new();
-        let mut made = 0;
+        let mut claimed = 0;
         for need in unmet.iter().take(most) {
-            if coming > made {
-                made += 1;
-                continue;
-            }
-            let Some(victim) = victims.next() else { break };
-            let urgent = need.reason <= Reason::Busy;
-            let idle = victim.in_use == 0;
-            let allowed = if urgent {
-                idle || need.waited_ms >= CLAIM_IN_USE_MS
-            } else {
-                idle && victim.value * self.config.hysteresis < need.score
-            };
-            if !allowed || has_copy(&self.table, &victim.server, &need.adapter) {
-                break;
+            if coming == claimed {
+                let at = victims
+                    .iter()
+                    .position(|victim| self.may_replace(victim, need));
+                let Some(at) = at else { continue };
+                chosen.push(victims.remove(at));
+                coming += 1;
             }
-            chosen.push(victim);
-            coming += 1;
-            made += 1;
+            claimed += 1;
         }
+        let mut victims = victims.into_iter();
         let spare = self.config.spare_slots as usize;
-        while coming < made + spare {
+        while coming < claimed + spare {
             match victims.next() {
                 Some(victim) if victim.in_use == 0 => chosen.push(victim),
                 _ => break,
@@ -355,4 +370,21 @@
             self.table.drain(&victim.server, &victim.adapter, now);
         }
     }
+
+    fn may_replace(&self, victim: &Victim, need: &Need) -> bool {
+        if has_copy(&self.table, &victim.server, &need.adapter) {
+            return false;
+        }
+        let idle = victim.in_use == 0;
+        let has_room = self.table.free_positions(&victim.server) > 0;
+        match need.reason {
+            Reason::Stalled | Reason::Busy => idle || need.waited_ms >= CLAIM_IN_USE_MS,
+            Reason::Patient | Reason::Hot => {
+                idle && has_room && victim.value * self.config.hysteresis < need.score
+            }
+            Reason::BusyPatient => idle && has_room && victim.value < self.config.idle_score,
+            // A prefetch that evicts was loaded back too often to pay for its load.
+            Reason::Prefetch => false,
+        }
+    }
 }
