fix(standin): tell the finish reason with the last token

The engine published its last token and the end of the request in two steps, so a reader could see a stream close without a finish reason and resume it again and again. The relay now also gives up after three resumes without a token.

--- a/src/http/calls.rs
+++ b/src/http/calls.rs
@@ -48,11 +48,16 @@
     let now = cx.pipeline.clock.unix();
     let classified = classify(caller, headers, format, &body, now).map_err(draft)?;
     let id = classified.request_id.as_str().to_owned();
+    log::debug!("caller: request {id} was accepted");
     let answer = if classified.completion.stream {
         streamed(&cx.pipeline, classified).await
     } else {
         whole(&cx.pipeline, classified).await
     };
+    match &answer {
+        Ok(_) => log::debug!("caller: request {id} is answered"),
+        Err(refusal) => log::debug!("caller: request {id} is refused: {}", refusal.message),
+    }
     answer.map_err(|refusal| (id, refusal))
 }
 
--- a/src/node/member_feed.rs
+++ b/src/node/member_feed.rs
@@ -194,6 +194,7 @@
             server: server.clone(),
             incarnation: view.incarnation,
             slots: view.payload.adapter_slots,
+            positions: view.payload.batch_positions,
             resident: view.payload.resident_adapters.clone(),
         },
         address: view.payload.address.parse().ok()?,
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
+use log::debug;
 use log::info;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -100,6 +101,10 @@
     loop {
         attempt += 1;
         check_before_dispatch(cx, &request, run)?;
+        debug!(
+            "dispatch: request {} is queued",
+            request.request_id.as_str()
+        );
         let failure = match try_dispatch(cx, &request, tokens, accepted, attempt).await? {
             Ok(running) => return Ok(running),
             Err(failure) => failure,
@@ -147,6 +152,11 @@
         return Ok(Err(Failure { error, tokens }));
     };
     record_wait(cx, request, assignment.wait_ms(), assignment.load_stalled());
+    debug!(
+        "dispatch: request {} goes to {} as attempt {attempt}",
+        request.request_id.as_str(),
+        assignment.server()
+    );
     let call = engine_call(request, attempt);
     let identity = StreamIdentity::of_call(&call);
     let ends_by = ends_by(cx, request);
--- a/src/pipeline/relay.rs
+++ b/src/pipeline/relay.rs
@@ -4,6 +4,7 @@
 
 use futures::StreamExt;
 use futures::stream;
+use log::debug;
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 
@@ -26,6 +27,8 @@
 /// Result of this stage.
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
 
+/// Resumes of a stream that bring no token, before its rest counts as lost.
+const MAX_RESUMES: u32 = 3;
 /// Tries to resume a stream after the loss of the engine's link.
 const RESUME_TRIES: u32 = 3;
 /// Wait between two tries.
@@ -40,6 +43,8 @@
     in_flight: Option<InFlight>,
     rest: Option<TokenStream>,
     next_index: u64,
+    /// Resumes since the last token.
+    resumes: u32,
     accepted: MonoMs,
     key_checked: MonoMs,
     keep_when_dropped: bool,
@@ -56,6 +61,7 @@
             in_flight: Some(running.in_flight),
             rest: Some(running.rest),
             next_index: running.first.index + 1,
+            resumes: 0,
             accepted: running.accepted,
             keep_when_dropped,
         };
@@ -75,6 +81,7 @@
             match self.read().await {
                 Ok(Some(frame)) => {
                     self.next_index = frame.index + 1;
+                    self.resumes = 0;
                     return Some(Ok(frame));
                 }
                 Ok(None) => return None,
@@ -116,9 +123,17 @@
 
     /// Reopens the stream at the next token. A server that no longer knows the request has crashed.
     async fn resume(&mut self, error: BackendError) -> Result<()> {
-        if matches!(error, BackendError::Mismatch { .. }) {
+        self.resumes += 1;
+        if matches!(error, BackendError::Mismatch { .. }) || self.resumes > MAX_RESUMES {
             return Err(lost(&error));
         }
+        if let Some(in_flight) = &self.in_flight {
+            debug!(
+                "relay: stream from {} is resumed at token {}: {error}",
+                in_flight.server(),
+                self.next_index
+            );
+        }
         for _ in 0..RESUME_TRIES {
             let Some(in_flight) = &self.in_flight else {
                 return Err(lost(&error));
--- a/src/standin/callers_run.rs
+++ b/src/standin/callers_run.rs
@@ -116,6 +116,16 @@
     };
     let limit = Duration::from_millis(give_up_ms);
     let ending = tokio::time::timeout(limit, attempt.run()).await;
+    if ending.is_err() {
+        log::warn!(
+            "callers: {} request {} for {} got no final answer within {give_up_ms} ms; last VM {}, {} resends",
+            attempt.planned.class.as_str(),
+            attempt.planned.index,
+            attempt.planned.model,
+            attempt.vm(),
+            attempt.resends
+        );
+    }
     Outcome {
         ending: ending.unwrap_or(Ending::Lost),
         first_token_ms: attempt.first_token_ms,
--- a/src/standin/engine_state.rs
+++ b/src/standin/engine_state.rs
@@ -397,9 +397,16 @@
             }
             running.prefill_left_us = 0;
             self.counts.output_tokens += 1;
+            let max_tokens = running.sequence.max_tokens;
             let progress = &running.sequence.progress;
-            progress.send_modify(|progress| progress.tokens += 1);
-            if progress.borrow().tokens >= running.sequence.max_tokens {
+            // One change, so that no reader sees the last token without its finish reason.
+            progress.send_modify(|progress| {
+                progress.tokens += 1;
+                if progress.tokens >= max_tokens {
+                    progress.end = Some(End::Finished);
+                }
+            });
+            if progress.borrow().end.is_some() {
                 finished.push(running.sequence.clone());
             }
         }
