--- /dev/null
+++ b/src/pipeline/dispatch_state.rs
@@ -0,0 +1,173 @@
+//! Queue, servers and residency behind the dispatcher's lock.
+
+use tokio::sync::oneshot;
+
+use super::assignment::Assignment;
+use super::dispatcher::RETRY_AFTER_MS;
+use super::dispatcher::Result;
+use super::dispatcher::Work;
+use crate::scheduling::fair_queue::FairQueue;
+use crate::scheduling::fair_queue::Verdict;
+use crate::scheduling::popularity::Popularity;
+use crate::scheduling::residency::ResidencyView;
+use crate::scheduling::residency::WaitingAdapter;
+use crate::scheduling::routing::Choice;
+use crate::scheduling::routing::Fleet;
+use crate::scheduling::routing::Policy;
+use crate::scheduling::routing::PrefixIndex;
+use crate::scheduling::routing::RouteConfig;
+use crate::scheduling::routing::RouteRequest;
+use crate::scheduling::routing::RouteTarget;
+use crate::scheduling::routing::RouteView;
+use crate::scheduling::routing::choose;
+use crate::types::AdapterRef;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::Patience;
+use crate::types::Refusal;
+use crate::types::RefusalCode;
+use crate::types::ServerName;
+
+/// What the queue holds for one piece of waiting work.
+pub(super) struct Ticket {
+    pub(super) work: Work,
+    pub(super) nonce: u64,
+    pub(super) queued: MonoMs,
+    pub(super) load_wait: bool,
+    pub(super) reply: oneshot::Sender<Result<Assignment>>,
+}
+
+/// Coordinator that is asked for an adapter.
+pub(super) struct Asked {
+    pub(super) data_centre: DataCentre,
+    /// Engine that the policy prefers.
+    pub(super) server: Option<ServerName>,
+    /// No engine may serve the adapter now.
+    pub(super) load: bool,
+}
+
+pub(super) struct Inner {
+    pub(super) queue: FairQueue<Ticket>,
+    pub(super) fleet: Fleet,
+    pub(super) residency: ResidencyView,
+    pub(super) prefixes: PrefixIndex,
+    pub(super) popularity: Popularity,
+    pub(super) route: RouteConfig,
+    pub(super) policy: Policy,
+    pub(super) next_nonce: u64,
+}
+
+impl Inner {
+    pub(super) fn take_nonce(&mut self) -> u64 {
+        self.next_nonce = self.next_nonce.wrapping_add(1);
+        self.next_nonce
+    }
+
+    pub(super) fn view(&self, now: MonoMs) -> RouteView<'_> {
+        RouteView {
+            fleet: &self.fleet,
+            residency: &self.residency,
+            prefixes: &self.prefixes,
+            config: &self.route,
+            now,
+        }
+    }
+
+    /// Takes the next work that can be dispatched or must be refused, with the routing decision.
+    pub(super) fn pop(&mut self, now: MonoMs) -> Option<(Ticket, Choice)> {
+        let Self {
+            queue,
+            fleet,
+            residency,
+            prefixes,
+            route,
+            policy,
+            ..
+        } = self;
+        let view = RouteView {
+            fleet,
+            residency,
+            prefixes,
+            config: route,
+            now,
+        };
+        let mut taken = None;
+        let item = queue.pop(now, |item| {
+            let choice = choose(&route_request(&item.payload), &view, *policy);
+            match choice {
+                Choice::Dispatch { .. } | Choice::Nowhere => {
+                    taken = Some(choice);
+                    Verdict::Take
+                }
+                Choice::WaitForLoad { .. } | Choice::Busy { .. } => Verdict::SkipAdapter,
+            }
+        })?;
+        Some((item.payload, taken?))
+    }
+
+    /// Waiting adapters that the coordinator of `data_centre` is asked for.
+    pub(super) fn waiting_for(&self, data_centre: &DataCentre, now: MonoMs) -> Vec<WaitingAdapter> {
+        let view = self.view(now);
+        let waiting = self.queue.waiting(now).into_iter();
+        waiting
+            .filter_map(|mut entry| {
+                let asked = self.asked(&entry.adapter, &view)?;
+                entry.preferred = asked.server;
+                (asked.data_centre == *data_centre).then_some(entry)
+            })
+            .collect()
+    }
+
+    /// Whom work for `adapter` asks for a load or another copy; `None` if it can be dispatched.
+    pub(super) fn asked(&self, adapter: &AdapterRef, view: &RouteView<'_>) -> Option<Asked> {
+        let request = RouteRequest {
+            target: RouteTarget::Adapter(adapter),
+            class: Patience::Urgent,
+            prompt_tokens: 0,
+            prefix: &[],
+            suspect: false,
+            assigned: None,
+            nonce: 0,
+        };
+        match choose(&request, view, self.policy) {
+            Choice::WaitForLoad {
+                data_centre,
+                server,
+            } => Some(Asked {
+                data_centre,
+                server,
+                load: true,
+            }),
+            Choice::Busy { data_centre } => Some(Asked {
+                data_centre,
+                server: None,
+                load: false,
+            }),
+            Choice::Dispatch { .. } | Choice::Nowhere => None,
+        }
+    }
+}
+
+fn route_request(ticket: &Ticket) -> RouteRequest<'_> {
+    RouteRequest {
+        target: RouteTarget::Adapter(&ticket.work.adapter),
+        class: ticket.work.patience,
+        prompt_tokens: ticket.work.prompt_tokens,
+        prefix: &ticket.work.prefix,
+        suspect: ticket.work.suspect,
+        assigned: None,
+        nonce: ticket.nonce,
+    }
+}
+
+pub(super) fn expired() -> Refusal {
+    Refusal::not_run(
+        RefusalCode::DeadlineUnreachable,
+        "the request can no longer meet its deadline",
+    )
+}
+
+pub(super) fn no_backend(what: &str) -> Refusal {
+    let message = format!("no backend server for {what} is known");
+    Refusal::not_run(RefusalCode::NoBackend, message).with_retry_after_ms(RETRY_AFTER_MS)
+}
--- a/src/pipeline/dispatcher.rs
+++ b/src/pipeline/dispatcher.rs
@@ -12,17 +12,19 @@
 
 use super::assignment::Assignment;
 use super::assignment::Grant;
+use super::dispatch_state::Inner;
+use super::dispatch_state::Ticket;
+use super::dispatch_state::expired;
+use super::dispatch_state::no_backend;
 use crate::scheduling::fair_queue::FairQueue;
 use crate::scheduling::fair_queue::FairQueueConfig;
 use crate::scheduling::fair_queue::ItemId;
 use crate::scheduling::fair_queue::QueueItem;
-use crate::scheduling::fair_queue::Verdict;
 use crate::scheduling::popularity::Popularity;
 use crate::scheduling::popularity::PopularityConfig;
 use crate::scheduling::residency::ResidencyView;
 use crate::scheduling::residency::Table;
 use crate::scheduling::residency::TablePull;
-use crate::scheduling::residency::WaitingAdapter;
 use crate::scheduling::routing::Choice;
 use crate::scheduling::routing::Fleet;
 use crate::scheduling::routing::LoadReport;
@@ -31,7 +33,6 @@
 use crate::scheduling::routing::RouteConfig;
 use crate::scheduling::routing::RouteRequest;
 use crate::scheduling::routing::RouteTarget;
-use crate::scheduling::routing::RouteView;
 use crate::scheduling::routing::ServerInfo;
 use crate::scheduling::routing::choose;
 use crate::types::AccountName;
@@ -55,7 +56,7 @@
 /// Interval at which a call of a plain service looks for a provider with room.
 const SERVICE_RETRY_MS: u64 = 10;
 /// Time after which a caller may try again when no server is known or the queue is full.
-const RETRY_AFTER_MS: u64 = 1_000;
+pub(super) const RETRY_AFTER_MS: u64 = 1_000;
 
 /// Work that needs an engine.
 #[derive(Clone, Debug)]
@@ -80,35 +81,6 @@
     pub suspect: bool,
 }
 
-/// What the queue holds for one piece of waiting work.
-struct Ticket {
-    work: Work,
-    nonce: u64,
-    queued: MonoMs,
-    load_wait: bool,
-    reply: oneshot::Sender<Result<Assignment>>,
-}
-
-/// Coordinator that is asked for an adapter.
-struct Asked {
-    data_centre: DataCentre,
-    /// Engine that the policy prefers.
-    server: Option<ServerName>,
-    /// No engine may serve the adapter now.
-    load: bool,
-}
-
-struct Inner {
-    queue: FairQueue<Ticket>,
-    fleet: Fleet,
-    residency: ResidencyView,
-    prefixes: PrefixIndex,
-    popularity: Popularity,
-    route: RouteConfig,
-    policy: Policy,
-    next_nonce: u64,
-}
-
 /// Gives waiting work a backend server. Shared by all requests of a VM.
 pub struct Dispatcher {
     clock: Clock,
@@ -410,121 +382,6 @@
     }
 }
 
-impl Inner {
-    fn take_nonce(&mut self) -> u64 {
-        self.next_nonce = self.next_nonce.wrapping_add(1);
-        self.next_nonce
-    }
-
-    fn view(&self, now: MonoMs) -> RouteView<'_> {
-        RouteView {
-            fleet: &self.fleet,
-            residency: &self.residency,
-            prefixes: &self.prefixes,
-            config: &self.route,
-            now,
-        }
-    }
-
-    /// Takes the next work that can be dispatched or must be refused, with the routing decision.
-    fn pop(&mut self, now: MonoMs) -> Option<(Ticket, Choice)> {
-        let Self {
-            queue,
-            fleet,
-            residency,
-            prefixes,
-            route,
-            policy,
-            ..
-        } = self;
-        let view = RouteView {
-            fleet,
-            residency,
-            prefixes,
-            config: route,
-            now,
-        };
-        let mut taken = None;
-        let item = queue.pop(now, |item| {
-            let choice = choose(&route_request(&item.payload), &view, *policy);
-            match choice {
-                Choice::Dispatch { .. } | Choice::Nowhere => {
-                    taken = Some(choice);
-                    Verdict::Take
-                }
-                Choice::WaitForLoad { .. } | Choice::Busy { .. } => Verdict::SkipAdapter,
-            }
-        })?;
-        Some((item.payload, taken?))
-    }
-
-    /// Waiting adapters that the coordinator of `data_centre` is asked for.
-    fn waiting_for(&self, data_centre: &DataCentre, now: MonoMs) -> Vec<WaitingAdapter> {
-        let view = self.view(now);
-        let waiting = self.queue.waiting(now).into_iter();
-        waiting
-            .filter_map(|mut entry| {
-                let asked = self.asked(&entry.adapter, &view)?;
-                entry.preferred = asked.server;
-                (asked.data_centre == *data_centre).then_some(entry)
-            })
-            .collect()
-    }
-
-    /// Whom work for `adapter` asks for a load or another copy; `None` if it can be dispatched.
-    fn asked(&self, adapter: &AdapterRef, view: &RouteView<'_>) -> Option<Asked> {
-        let request = RouteRequest {
-            target: RouteTarget::Adapter(adapter),
-            class: Patience::Urgent,
-            prompt_tokens: 0,
-            prefix: &[],
-            suspect: false,
-            assigned: None,
-            nonce: 0,
-        };
-        match choose(&request, view, self.policy) {
-            Choice::WaitForLoad {
-                data_centre,
-                server,
-            } => Some(Asked {
-                data_centre,
-                server,
-                load: true,
-            }),
-            Choice::Busy { data_centre } => Some(Asked {
-                data_centre,
-                server: None,
-                load: false,
-            }),
-            Choice::Dispatch { .. } | Choice::Nowhere => None,
-        }
-    }
-}
-
-fn route_request(ticket: &Ticket) -> RouteRequest<'_> {
-    RouteRequest {
-        target: RouteTarget::Adapter(&ticket.work.adapter),
-        class: ticket.work.patience,
-        prompt_tokens: ticket.work.prompt_tokens,
-        prefix: &ticket.work.prefix,
-        suspect: ticket.work.suspect,
-        assigned: None,
-        nonce: ticket.nonce,
-    }
-}
-
-fn expired() -> Refusal {
-    Refusal::not_run(
-        RefusalCode::DeadlineUnreachable,
-        "the request can no longer meet its deadline",
-    )
-}
-
-fn no_backend(what: &str) -> Refusal {
-    let message = format!("no backend server for {what} is known");
-    Refusal::not_run(RefusalCode::NoBackend, message).with_retry_after_ms(RETRY_AFTER_MS)
-}
-
 struct QueuedGuard {
     dispatcher: Arc<Dispatcher>,
     id: ItemId,
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -7,6 +7,7 @@
 mod classify;
 mod context;
 mod dispatch;
+mod dispatch_state;
 mod dispatcher;
 mod in_flight;
 mod job;
