fix(consensus): age of the quorum contact of a fresh follower

A follower whose clock had run for less time than the age that its source reported took the contact for none at all, and reported the largest age until the next reply.

--- a/src/consensus/driver/follower.rs
+++ b/src/consensus/driver/follower.rs
@@ -197,7 +197,9 @@
     /// Updates the view. The reply may have been on its way for any time, so its age is counted from
     /// the earliest moment at which it can have been sent.
     fn note(&self, reply: &FollowReply, sent_ms: u64) {
-        let contact_ms = (sent_ms + reply.waited_ms).checked_sub(reply.quorum_contact_age_ms);
+        let age_ms = i64::try_from(reply.quorum_contact_age_ms).ok();
+        let earliest_ms = (sent_ms + reply.waited_ms).cast_signed();
+        let contact_ms = age_ms.map(|age_ms| earliest_ms - age_ms);
         let mut view = self.shared.view();
         view.cluster_id = reply.cluster_id;
         if reply.term >= view.term {
--- a/src/consensus/driver/shared.rs
+++ b/src/consensus/driver/shared.rs
@@ -21,7 +21,8 @@
     pub(super) commit_index: u64,
     pub(super) configuration: Configuration,
     pub(super) is_leader: bool,
-    pub(super) quorum_contact_ms: Option<u64>,
+    /// Negative if the contact was before this process started, as known from a source.
+    pub(super) quorum_contact_ms: Option<i64>,
 }
 
 /// State shared between threads and tasks.
@@ -57,7 +58,10 @@
 
     pub(super) fn quorum_contact_age_ms(&self) -> u64 {
         let contact_ms = self.view().quorum_contact_ms;
-        contact_ms.map_or(u64::MAX, |at| self.now_ms().saturating_sub(at))
+        let now_ms = self.now_ms().cast_signed();
+        contact_ms.map_or(u64::MAX, |at| {
+            now_ms.saturating_sub(at).max(0).unsigned_abs()
+        })
     }
 
     pub(super) fn status(&self) -> Status {
--- a/src/consensus/driver/voter.rs
+++ b/src/consensus/driver/voter.rs
@@ -204,7 +204,7 @@
             commit_index: status.commit_index,
             configuration: status.configuration,
             is_leader: status.is_leader,
-            quorum_contact_ms: status.quorum_contact_ms,
+            quorum_contact_ms: status.quorum_contact_ms.map(u64::cast_signed),
         };
     }
 }
