--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -61,7 +61,7 @@
     Settle(u64, Reservation, usize, Tokens),
     Apply(usize),
     Settled(usize, u64),
-    Arrival,
+    Arrival(u64),
 }
 
 /// Borrowing in progress at one VM, or upkeep if there is no borrowing.
@@ -118,6 +118,7 @@
     allowed: Vec<Allowed>,
     pub uses: Vec<Use>,
     pub traffic: Option<Traffic>,
+    traffic_round: u64,
     pub refused: u64,
     pub served: u64,
     pub last_shortage: Option<Shortage>,
@@ -164,6 +165,7 @@
             allowed: Vec::new(),
             uses: Vec::new(),
             traffic: None,
+            traffic_round: 0,
             refused: 0,
             served: 0,
             last_shortage: None,
@@ -218,9 +220,9 @@
         {
             self.queue.pop();
             let (vm, event) = &self.events[&id];
-            if matches!(event, Event::Arrival) {
+            if let Event::Arrival(round) = *event {
                 self.events.remove(&id);
-                self.arrive();
+                self.arrive(round);
                 continue;
             }
             let vm = *vm;
@@ -249,7 +251,9 @@
 
     pub fn start_traffic(&mut self, traffic: Traffic) {
         self.traffic = Some(traffic);
-        self.after(1, 0, Event::Arrival);
+        self.traffic_round += 1;
+        let round = self.traffic_round;
+        self.after(1, 0, Event::Arrival(round));
     }
 
     fn tick(&mut self, index: usize) {
@@ -347,8 +351,9 @@
         vm.elector.set_applied(Some(vm.applied as u64));
     }
 
-    fn arrive(&mut self) {
-        let Some(traffic) = self.traffic.clone() else {
+    fn arrive(&mut self, round: u64) {
+        let current = self.traffic.clone().filter(|_| round == self.traffic_round);
+        let Some(traffic) = current else {
             return;
         };
         let gap = 1_000_000 / traffic.per_s;
@@ -356,7 +361,7 @@
         let micros = gap - gap / 10 + jitter;
         let delay = micros / 1_000 + u64::from(self.rng.random_range(0..1_000) < micros % 1_000);
         let vm = traffic.vms[self.rng.random_range(0..traffic.vms.len())];
-        self.after(delay, 0, Event::Arrival);
+        self.after(delay, 0, Event::Arrival(round));
         if self.vms[vm].alive && self.vms[vm].frozen_until <= self.now {
             let tokens = self.rng.random_range(traffic.tokens);
             self.request(vm, tokens);
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -2,12 +2,28 @@
 
 mod fleet;
 
+use std::collections::BTreeMap;
+
 use fleet::Fleet;
 use fleet::Traffic;
 use fleet::VMS;
+use fleet::account;
+use fleet::centre;
 use fleet::limits;
+use medlarlift::limits::Ask;
+use medlarlift::limits::BORROW_FORMAT;
+use medlarlift::limits::BorrowReply;
+use medlarlift::limits::BorrowRequest;
+use medlarlift::limits::Dispenser;
+use medlarlift::limits::GrantId;
+use medlarlift::limits::LimitVersion;
+use medlarlift::limits::Return;
 use medlarlift::limits::Shortage;
+use medlarlift::types::MonoMs;
+use medlarlift::types::VmName;
 use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 const EQUAL: [u32; 3] = [333_333, 333_333, 333_333];
 
@@ -28,26 +44,36 @@
     [first, second, 1_000_000 - first - second]
 }
 
-/// Runs an overloaded account through faults and changes of its limits.
+/// Runs an account that floods and rests in turn through faults and changes of its limits. Some
+/// seeds have no faults or use all they reserve, since every lapsed token hides an excess.
 fn run_with_faults(seed: u64, rates: &[u64]) -> Fleet {
-    let burst_s = [1, 4, 20][seed as usize % 3];
-    let mut fleet = Fleet::new(seed, limits(rates[0], rates[0] * burst_s, EQUAL));
-    fleet.lossy = true;
-    fleet.start_traffic(Traffic {
-        tokens: 1..rates[0] / 10,
-        used_percent: 0..101,
-        runs_ms: 1..4_000,
-        ..traffic(60, 1)
-    });
-    while fleet.now < 30_000 {
+    let burst_ms = [300, 1_000, 4_000][seed as usize % 3];
+    let version = |rate: u64, shares| limits(rate, rate * burst_ms / 1_000, shares);
+    let mut fleet = Fleet::new(seed, version(rates[0], EQUAL));
+    fleet.lossy = !seed.is_multiple_of(4);
+    let mut resting = true;
+    while fleet.now < 24_000 {
+        if fleet.rng.random_ratio(1, 3_000) || fleet.now == 4_000 {
+            resting = !resting;
+            fleet.traffic = None;
+            if !resting {
+                let frugal = !seed.is_multiple_of(2);
+                fleet.start_traffic(Traffic {
+                    tokens: 1..rates[0] / 20,
+                    used_percent: if frugal { 0..101 } else { 100..101 },
+                    runs_ms: 1..4_000,
+                    ..traffic(200, 1)
+                });
+            }
+        }
         fleet.step();
-        if fleet.rng.random_ratio(1, 600) {
+        if fleet.lossy && fleet.rng.random_ratio(1, 1_000) {
             fleet.inject_fault();
         }
-        if fleet.rng.random_ratio(1, 2_500) {
+        if fleet.rng.random_ratio(1, 1_500) {
             let shares = random_shares(&mut fleet);
             let rate = rates[fleet.rng.random_range(0..rates.len())];
-            fleet.commit(limits(rate, rate * burst_s, shares));
+            fleet.commit(version(rate, shares));
         }
     }
     fleet
@@ -86,6 +112,147 @@
     }
 }
 
+/// Tokens that a hoarder holds.
+struct Hoard {
+    dc: usize,
+    grant: GrantId,
+    tokens: u64,
+    due: u64,
+    usable: bool,
+}
+
+/// A VM that takes all it can get and uses it at the last moment, gives it back, or both.
+struct Hoarder {
+    rng: SmallRng,
+    now: u64,
+    dispensers: Vec<Dispenser>,
+    term: u64,
+    held: Vec<Hoard>,
+    sequence: u64,
+    used_at: BTreeMap<u64, u64>,
+    frugal: bool,
+    late: bool,
+}
+
+impl Hoarder {
+    fn ask(&mut self, dc: usize, need_tokens: u64, ahead_tokens: u64) {
+        let ask = Ask {
+            account: account(),
+            need_tokens,
+            ahead_tokens,
+        };
+        let reply = self.send(dc, vec![ask], Vec::new());
+        let granted = &reply.grants[0];
+        self.held.push(Hoard {
+            dc,
+            grant: granted.grant,
+            tokens: granted.tokens,
+            due: self.now + granted.lifetime_ms.saturating_sub(1),
+            usable: granted.lifetime_ms > 0,
+        });
+    }
+
+    fn send(&mut self, dc: usize, asks: Vec<Ask>, returns: Vec<Return>) -> BorrowReply {
+        self.sequence += 1;
+        let request = BorrowRequest {
+            format: BORROW_FORMAT,
+            vm: VmName::from("hoarder"),
+            incarnation: 1,
+            asks,
+            return_sequence: self.sequence,
+            returns,
+        };
+        let now = MonoMs(self.now);
+        let again = self.rng.random_ratio(1, 4);
+        let reply = self.dispensers[dc].receive(now, &request);
+        if again && request.asks.is_empty() {
+            self.dispensers[dc].receive(now, &request);
+        }
+        reply
+    }
+
+    /// Uses a part of each grant that is about to lapse and gives the rest back, maybe much later.
+    fn use_or_return(&mut self) {
+        let due: Vec<Hoard> = self
+            .held
+            .extract_if(.., |lot| lot.due <= self.now)
+            .collect();
+        for mut lot in due {
+            let returns_now = !self.late || !lot.usable || self.rng.random_ratio(1, 2);
+            if std::mem::take(&mut lot.usable) {
+                let least = if self.frugal { 0 } else { lot.tokens };
+                let used = self.rng.random_range(least..=lot.tokens);
+                *self.used_at.entry(self.now).or_default() += used;
+                lot.tokens -= used;
+            }
+            if !returns_now {
+                lot.due = self.now + self.rng.random_range(1..3_000);
+                self.held.push(lot);
+            } else if lot.tokens > 0 {
+                let back = Return {
+                    account: account(),
+                    grant: lot.grant,
+                    tokens: lot.tokens,
+                };
+                self.send(lot.dc, Vec::new(), vec![back]);
+            }
+        }
+    }
+
+    /// A new coordinator takes over at `dc`.
+    fn change_coordinator(&mut self, dc: usize, version: &LimitVersion) {
+        self.term += 1;
+        let mut dispenser = Dispenser::new(self.term);
+        dispenser.set_share(MonoMs(self.now), &account(), version.share(&centre(dc)));
+        self.dispensers[dc] = dispenser;
+    }
+}
+
+/// Guards against an excess by tokens that are used as late as possible, returned as late as
+/// possible, returned twice, or returned to a later coordinator.
+#[test]
+fn hoarded_and_returned_tokens_stay_within_rate_and_burst() {
+    for seed in 0..60 {
+        let burst = [250, 1_000, 5_000][seed as usize % 3];
+        let version = limits(1_000, burst, [200_000, 300_000, 500_000]);
+        let mut hoarder = Hoarder {
+            rng: SmallRng::seed_from_u64(seed),
+            now: 0,
+            dispensers: (0..3).map(|_| Dispenser::new(0)).collect(),
+            term: 0,
+            held: Vec::new(),
+            sequence: 0,
+            used_at: BTreeMap::new(),
+            frugal: !seed.is_multiple_of(2),
+            late: seed % 4 > 1,
+        };
+        (0..3).for_each(|dc| hoarder.change_coordinator(dc, &version));
+        let mut greedy = false;
+        while hoarder.now < 30_000 {
+            hoarder.now += 1;
+            hoarder.use_or_return();
+            greedy ^= hoarder.rng.random_ratio(1, 1_500);
+            let dc = hoarder.rng.random_range(0..3);
+            if greedy && hoarder.rng.random_ratio(1, 3) {
+                hoarder.ask(dc, burst / 10, burst / 20);
+            }
+            if seed % 4 > 1 && hoarder.rng.random_ratio(1, 6_000) {
+                hoarder.change_coordinator(dc, &version);
+            }
+        }
+        let mut backlog = 0;
+        for time in 0..=hoarder.now {
+            backlog = i64::max(0, backlog - 1_000);
+            backlog += hoarder.used_at.get(&time).copied().unwrap_or(0) as i64 * 1_000;
+            let excess = backlog - burst as i64 * 1_000;
+            assert!(
+                excess <= 0,
+                "seed {seed} at {time}: {excess} thousandths of a token over"
+            );
+        }
+    }
+}
+
 /// Guards against refusals of an account that stays within its rate, spread over all VMs or at one.
 #[test]
 fn steady_state_within_the_rate_is_never_refused() {
