fix(limits): a new history drops settled versions before it binds

A desk that got a whole history bound the bucket by versions that were settled long ago, and tokens above their share were lost at each change of the limits.

--- a/src/limits/dispenser.rs
+++ b/src/limits/dispenser.rs
@@ -120,6 +120,7 @@
     data_centre: DataCentre,
     histories: BTreeMap<AccountName, History>,
     applied_index: u64,
+    settled_index: u64,
     possession: Option<(MonoMs, Dispenser)>,
 }
 
@@ -130,12 +131,14 @@
             data_centre,
             histories: BTreeMap::new(),
             applied_index: 0,
+            settled_index: 0,
             possession: None,
         }
     }
 
     /// Sets the versions of an account's limits that may be in use somewhere.
-    pub fn set_history(&mut self, now: MonoMs, account: AccountName, history: History) {
+    pub fn set_history(&mut self, now: MonoMs, account: AccountName, mut history: History) {
+        history.settle(self.settled_index);
         if let Some((_, dispenser)) = &mut self.possession {
             dispenser.set_share(now, &account, history.share(&self.data_centre));
         }
@@ -157,6 +160,10 @@
 
     /// Tells up to which control index no data centre uses older limits any more.
     pub fn settle(&mut self, now: MonoMs, settled_index: u64) {
+        if settled_index <= self.settled_index {
+            return;
+        }
+        self.settled_index = settled_index;
         for (account, history) in &mut self.histories {
             history.settle(settled_index);
             if let Some((_, dispenser)) = &mut self.possession {
