--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -404,6 +404,11 @@
     let mut holder = holder.expect("two grants are a majority");
     assert_eq!(holder.deadline(&roster, &timing), MonoMs(2_980));
     assert_eq!(holder.required_index(), 9);
+    assert_eq!(
+        holder.settled_index(&roster),
+        4,
+        "only one grantor has applied 9"
+    );
     holder.renewed(&name(1), MonoMs(1_800), 7, 5, &roster);
     assert_eq!(holder.deadline(&roster, &timing), MonoMs(2_980));
     holder.renewed(&name(2), MonoMs(1_500), 7, 5, &roster);
