--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::fmt::Debug;
 use std::sync::Arc;
@@ -60,6 +61,8 @@
 pub struct Directory<N, P: Member> {
     slots: BTreeMap<N, Slot<P>>,
     names: HashMap<u32, Vec<N>>,
+    /// Members whose changed entries are still to be sent.
+    changed: BTreeSet<N>,
     tombstones: BTreeMap<N, (u64, u64, MonoMs)>,
 }
 
@@ -69,6 +72,7 @@
         Self {
             slots: BTreeMap::new(),
             names: HashMap::new(),
+            changed: BTreeSet::new(),
             tombstones: BTreeMap::new(),
         }
     }
@@ -99,6 +103,9 @@
             slot.payload = Arc::new(entry.payload);
             slot.hash = stable_hash(&(&entry.name, entry.incarnation, entry.version));
             slot.entry_sends = sends;
+            if relay {
+                self.changed.insert(entry.name);
+            }
         }
         if newer_beat {
             slot.beat = entry.beat;
@@ -173,9 +180,14 @@
         self.slots.values().map(|slot| slot.payload.data_centre())
     }
 
+    /// Number of changed entries that are still to be sent.
+    pub fn news_count(&self) -> usize {
+        self.changed.len()
+    }
+
     /// True if some changed entry is still to be sent.
     pub fn has_news(&self) -> bool {
-        self.slots.values().any(|slot| slot.entry_sends > 0)
+        !self.changed.is_empty()
     }
 
     /// Hashes of the names and of the entries that are not dead.
@@ -195,18 +207,25 @@
         to: &DataCentre,
         bytes: &mut usize,
     ) -> Vec<Entry<N, P>> {
-        let slots = self.slots.iter_mut();
-        let mut changed: Vec<(&N, &mut Slot<P>)> = slots
-            .filter(|(_, slot)| slot.entry_sends > 0 && slot.lives(now, pace))
-            .collect();
-        changed.sort_by_key(|(_, slot)| Reverse(slot.entry_sends));
+        let sends = |name: &N| self.slots.get(name).map_or(0, |slot| slot.entry_sends);
+        let mut names: Vec<N> = self.changed.iter().cloned().collect();
+        names.sort_by_key(|name| Reverse(sends(name)));
         let mut picked = Vec::new();
-        for (name, slot) in changed {
+        for name in names {
             if *bytes == 0 {
                 break;
             }
+            let slot = self.slots.get_mut(&name);
+            let Some(slot) = slot.filter(|slot| slot.entry_sends > 0 && slot.lives(now, pace))
+            else {
+                self.changed.remove(&name);
+                continue;
+            };
             slot.entry_sends -= 1;
-            let entry = slot.entry(name, to);
+            if slot.entry_sends == 0 {
+                self.changed.remove(&name);
+            }
+            let entry = slot.entry(&name, to);
             *bytes = bytes.saturating_sub(encoded_len(&entry));
             picked.push(entry);
         }
@@ -300,6 +319,9 @@
             .or_default()
             .push(entry.name.clone());
         self.tombstones.remove(&entry.name);
+        if entry_sends > 0 {
+            self.changed.insert(entry.name.clone());
+        }
         self.slots.insert(entry.name, slot);
     }
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod facts;
 mod hash;
+mod marks;
 mod message;
 mod pace;
 mod quarantine;
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -19,6 +19,7 @@
 use super::entry::VmPayload;
 use super::entry::VmStatus;
 use super::facts::Facts;
+use super::marks::part_of;
 use super::message::Delta;
 use super::message::Digest;
 use super::message::Entry;
@@ -28,6 +29,7 @@
 use super::message::News;
 use super::pace::Budget;
 use super::pace::Pace;
+use super::pace::ROUND_MS;
 use super::quarantine::Quarantine;
 use crate::types::DataCentre;
 use crate::types::MonoMs;
@@ -35,15 +37,14 @@
 use crate::types::UnixMs;
 use crate::types::VmName;
 
-/// Number of parts of the table that are hashed separately.
-const PARTS: u8 = 64;
-
-/// Parts whose hashes travel with one message.
-const PARTS_PER_MESSAGE: u8 = 8;
-
 /// Aim for the length of the entries, and of the heartbeats, in one message.
 const MESSAGE_BYTES: usize = 1_200;
 
+/// Aim for the length of one changed entry's share of a message while many have changed, as after a
+/// start of the whole fleet, and largest aim for such a message.
+const BACKLOG_ENTRY_BYTES: usize = 100;
+const BACKLOG_BYTES: usize = 32_000;
+
 /// Aim for the length of the reply to a VM that joins.
 const JOIN_BYTES: usize = 1_000_000;
 
@@ -114,6 +115,7 @@
     status: VmStatus,
     beat: u64,
     beat_at: MonoMs,
+    next_expiry: MonoMs,
     vms: Directory<VmName, VmPayload>,
     servers: Directory<ServerName, ServerPayload>,
     vm_pace: Pace,
@@ -139,6 +141,7 @@
             status: VmStatus::default(),
             beat: 0,
             beat_at: now,
+            next_expiry: now,
             vms: Directory::new(),
             servers: Directory::new(),
             facts: Facts::default(),
@@ -208,6 +211,10 @@
     /// Sends the own heartbeat if it is due and drops what has expired. Returns true if something
     /// changed.
     pub fn tick(&mut self, now: MonoMs, unix: UnixMs) -> bool {
+        if now < self.next_expiry {
+            return self.beat_if_due(now);
+        }
+        self.next_expiry = now.plus(ROUND_MS);
         let expired_facts = self.facts.expire(unix);
         if expired_facts {
             self.renew_fact_views();
@@ -217,11 +224,16 @@
         if dropped_vms || dropped_servers {
             self.set_pace(Change::Payload);
         }
+        let beat = self.beat_if_due(now);
+        beat || expired_facts || dropped_vms || dropped_servers
+    }
+
+    fn beat_if_due(&mut self, now: MonoMs) -> bool {
         let due = now.since(self.beat_at) >= self.vm_pace.beat_ms(&self.home);
         if due {
             self.renew_self(now, false);
         }
-        due || expired_facts || dropped_vms || dropped_servers
+        due
     }
 
     /// True if there is news that should not wait for the next round.
@@ -248,7 +260,7 @@
     /// The message to a VM of data centre `to`.
     pub fn digest(&mut self, now: MonoMs, to: &DataCentre) -> Digest {
         let first = self.next_part;
-        self.next_part = (first + PARTS_PER_MESSAGE) % PARTS;
+        self.next_part = Marks::next_first(first);
         Digest {
             format: GOSSIP_FORMAT,
             from: self.config.me.clone(),
@@ -268,7 +280,7 @@
         let marks = self.marks(now, digest.marks.first);
         let to = &digest.data_centre;
         let news = self.pick_news(now, to);
-        let differing = differing_parts(&digest.marks, &marks);
+        let differing = digest.marks.differing(&marks);
         let wanted = |hash: u32| digest.joining || differing.contains(&part_of(hash));
         let mut bytes = if digest.joining {
             JOIN_BYTES
@@ -387,7 +399,8 @@
 
     fn pick_news(&mut self, now: MonoMs, to: &DataCentre) -> News {
         let (vm_pace, server_pace) = (&self.vm_pace, &self.server_pace);
-        let mut bytes = MESSAGE_BYTES;
+        let backlog = self.vms.news_count() + self.servers.news_count();
+        let mut bytes = (backlog * BACKLOG_ENTRY_BYTES).clamp(MESSAGE_BYTES, BACKLOG_BYTES);
         let vms = self.vms.pick_changed(now, vm_pace, to, &mut bytes);
         let servers = self.servers.pick_changed(now, server_pace, to, &mut bytes);
         let mut bytes = MESSAGE_BYTES;
@@ -425,17 +438,10 @@
     }
 
     fn marks(&self, now: MonoMs, first: u8) -> Marks {
-        let mut hashes = vec![0; usize::from(PARTS_PER_MESSAGE)];
         let vms = self.vms.hashes(now, &self.vm_pace);
         let servers = self.servers.hashes(now, &self.server_pace);
         let facts = self.facts.hashed().map(|(hash, _)| (hash, hash));
-        for (name_hash, hash) in vms.chain(servers).chain(facts) {
-            let index = part_of(name_hash).wrapping_sub(first) % PARTS;
-            if let Some(part) = hashes.get_mut(usize::from(index)) {
-                *part ^= hash;
-            }
-        }
-        Marks { first, hashes }
+        Marks::new(first, vms.chain(servers).chain(facts))
     }
 
     fn absorb(&mut self, now: MonoMs, unix: UnixMs, from: &DataCentre, news: &News, relay: bool) {
@@ -476,17 +482,3 @@
         }
     }
 }
-
-fn part_of(hash: u32) -> u8 {
-    u8::try_from(hash % u32::from(PARTS)).unwrap_or(0)
-}
-
-/// Parts whose hashes differ.
-fn differing_parts(theirs: &Marks, ours: &Marks) -> BTreeSet<u8> {
-    let pairs = theirs.hashes.iter().zip(&ours.hashes);
-    let offsets = (0..PARTS).zip(pairs);
-    offsets
-        .filter(|(_, (their, our))| their != our)
-        .map(|(offset, _)| theirs.first.wrapping_add(offset) % PARTS)
-        .collect()
-}
