--- a/src/scheduling/routing/estimate.rs
+++ b/src/scheduling/routing/estimate.rs
@@ -10,6 +10,8 @@
 pub(super) struct Candidate<'a> {
     pub(super) server: &'a Server,
     pub(super) cost_ms: f32,
+    /// Estimated requests per batch position.
+    pub(super) fill: f32,
     pub(super) has_room: bool,
 }
 
@@ -35,6 +37,7 @@
     Candidate {
         server,
         cost_ms,
+        fill: server.fill(peers, config),
         has_room: server.has_room(request.class, peers, config),
     }
 }
@@ -54,8 +57,8 @@
     view.config.cold_ms * left_ms as f32 / view.config.warm_up_ms.max(1) as f32
 }
 
-/// Picks two of the candidates that cost about as little as the cheapest one, and takes the
-/// cheaper. The numbers differ between VMs, so VMs that saw the same reports spread.
+/// Picks two of the candidates that cost about as little as the cheapest one, and takes the one
+/// with fewer requests. The numbers differ between VMs, so VMs that saw the same reports spread.
 pub(super) fn pick<'a>(
     candidates: &[Candidate<'a>],
     request: &RouteRequest<'_>,
@@ -75,10 +78,10 @@
     let others = near.len() - 1;
     let step = 1 + (random >> 32) as usize % others;
     let second = near[(random as usize % near.len() + step) % near.len()];
-    let cheaper = if second.cost_ms < first.cost_ms {
+    let emptier = if second.fill < first.fill {
         second
     } else {
         first
     };
-    Some(cheaper.server)
+    Some(emptier.server)
 }
--- a/src/scheduling/routing/fleet.rs
+++ b/src/scheduling/routing/fleet.rs
@@ -218,7 +218,7 @@
     /// Estimated requests on a server: those that run and those that wait there.
     pub fn outstanding(&self, server: &ServerName, config: &RouteConfig) -> f32 {
         let server = self.servers.get(server);
-        server.map_or(0.0, |server| server.outstanding(self.peers, config))
+        server.map_or(0.0, |server| server.outstanding(self.peers, config).total())
     }
 
     pub(super) fn seed(&self) -> u64 {
@@ -295,6 +295,20 @@
     }
 }
 
+/// Estimated requests on a server.
+struct Outstanding {
+    /// From the report and this VM's own dispatches.
+    known: f32,
+    /// Sent by other VMs since the report.
+    echo: f32,
+}
+
+impl Outstanding {
+    fn total(&self) -> f32 {
+        self.known + self.echo
+    }
+}
+
 impl Server {
     fn remember(&mut self, now: MonoMs, change: i8) {
         while let Some((at, _)) = self.history.front() {
@@ -308,7 +322,7 @@
 
     /// Requests on the server: the report without this VM's part at that time, plus what this VM
     /// has there now, plus what other VMs are expected to have sent since.
-    pub(super) fn outstanding(&self, peers: u32, config: &RouteConfig) -> f32 {
+    fn outstanding(&self, peers: u32, config: &RouteConfig) -> Outstanding {
         let mut net_since = 0_i64;
         let mut sent_since = 0_u32;
         let recent = self.history.iter().rev();
@@ -320,14 +334,23 @@
         let reported =
             self.report.running + self.report.waiting_urgent + self.report.waiting_patient;
         let others = (reported as f32 - own_then).max(0.0);
-        let echo = sent_since as f32 * peers as f32 * config.echo_percent as f32 / 100.0;
-        others + self.own_in_flight as f32 + echo
+        Outstanding {
+            known: others + self.own_in_flight as f32,
+            echo: self.echo(sent_since, peers, config),
+        }
+    }
+
+    /// Requests that other VMs are expected to have sent since the report. They are too uncertain
+    /// to outweigh half of the batch positions, however many VMs there are.
+    fn echo(&self, sent_since: u32, peers: u32, config: &RouteConfig) -> f32 {
+        let expected = sent_since as f32 * peers as f32 * config.echo_percent as f32 / 100.0;
+        expected.min(self.info.batch_slots as f32 / 2.0)
     }
 
     /// Time until a new request gets a batch position, in milliseconds. Urgent requests overtake
     /// waiting patient ones.
     pub(super) fn wait_ms(&self, class: Patience, peers: u32, config: &RouteConfig) -> f32 {
-        let mut outstanding = self.outstanding(peers, config);
+        let mut outstanding = self.outstanding(peers, config).total();
         if class == Patience::Urgent {
             outstanding -= self.report.waiting_patient as f32;
         }
@@ -336,6 +359,11 @@
         ahead * self.report.service_ms as f32 / slots
     }
 
+    /// Estimated requests per batch position.
+    pub(super) fn fill(&self, peers: u32, config: &RouteConfig) -> f32 {
+        self.outstanding(peers, config).total() / self.info.batch_slots.max(1) as f32
+    }
+
     /// Whether one more request of `class` is within the fill limit.
     pub(super) fn has_room(&self, class: Patience, peers: u32, config: &RouteConfig) -> bool {
         let percent = match class {
@@ -343,7 +371,7 @@
             Patience::Patient => config.patient_fill_percent,
         };
         let limit = self.info.batch_slots as f32 * percent as f32 / 100.0;
-        self.outstanding(peers, config) + 1.0 <= limit
+        self.outstanding(peers, config).known + 1.0 <= limit
     }
 
     /// Whether a suspect of the crash quarantine is on the server.
--- a/src/scheduling/routing/mod.rs
+++ b/src/scheduling/routing/mod.rs
@@ -81,7 +81,7 @@
             cold_ms: 200.0,
             urgent_fill_percent: 125,
             patient_fill_percent: 100,
-            echo_percent: 25,
+            echo_percent: 100,
             max_candidates: 32,
             spill_loads: 2,
         }
--- a/src/scheduling/routing/policies.rs
+++ b/src/scheduling/routing/policies.rs
@@ -16,14 +16,13 @@
 use crate::scheduling::routing::hash_ring::mix;
 use crate::types::AdapterRef;
 use crate::types::DataCentre;
-use crate::types::ServerName;
 
 /// Chooses a server for `request`.
 pub fn choose(request: &RouteRequest<'_>, view: &RouteView<'_>, policy: Policy) -> Choice {
     match request.target {
         RouteTarget::Service(service) => {
-            let providers = view.fleet.providers(service).iter();
-            let servers = sample(providers, view.config.max_candidates, request, view);
+            let providers = view.fleet.providers(service);
+            let servers = sample(providers, request, view, |name| view.fleet.server(name));
             among(servers, request, view).unwrap_or(Choice::Nowhere)
         }
         RouteTarget::Adapter(adapter) => match policy {
@@ -35,11 +34,11 @@
 }
 
 fn by_estimate(adapter: &AdapterRef, request: &RouteRequest<'_>, view: &RouteView<'_>) -> Choice {
-    let residents = view.residency.residents(adapter).iter();
-    let usable = residents
-        .filter(|(_, data_centre)| view.residency.is_current(data_centre, view.now))
-        .map(|(server, _)| server);
-    let servers = sample(usable, view.config.max_candidates, request, view);
+    let residents = view.residency.residents(adapter);
+    let servers = sample(residents, request, view, |(name, data_centre)| {
+        let current = view.residency.is_current(data_centre, view.now);
+        view.fleet.server(name).filter(|_| current)
+    });
     if let Some(choice) = among(servers, request, view) {
         return choice;
     }
@@ -52,25 +51,26 @@
     }
 }
 
-/// At most `limit` of `names`, from a position that differs between requests.
-fn sample<'a>(
-    names: impl Iterator<Item = &'a ServerName> + Clone,
-    limit: usize,
+/// The usable servers among `entries`, at most as many as are compared for one request. They are
+/// taken in turn from a position that differs between requests, so that the time does not grow with
+/// the number of copies.
+fn sample<'a, T>(
+    entries: &'a [T],
     request: &RouteRequest<'_>,
     view: &RouteView<'a>,
+    usable: impl Fn(&'a T) -> Option<&'a Server>,
 ) -> Vec<&'a Server> {
-    let total = names.clone().count();
-    let skip = if total > limit {
-        mix(request.nonce ^ view.fleet.seed()) as usize % total
-    } else {
-        0
+    let skip = match entries.len() {
+        0 => 0,
+        total => mix(request.nonce ^ view.fleet.seed()) as usize % total,
     };
-    names
-        .cycle()
-        .skip(skip)
-        .take(total.min(limit))
-        .filter_map(|name| view.fleet.server(name))
+    let (last, first) = entries.split_at(skip);
+    first
+        .iter()
+        .chain(last)
+        .filter_map(usable)
         .filter(|server| !server.info.leaving)
+        .take(view.config.max_candidates)
         .collect()
 }
 
@@ -155,11 +155,7 @@
             let has_base = matches!(&server.info.kind, ServerKind::Engine { base } if **base == *adapter.base());
             has_base && !server.info.leaving
         });
-        let load = |server: &Server| {
-            let peers = view.fleet.peers();
-            let slots = server.info.batch_slots.max(1) as f32;
-            server.outstanding(peers, view.config) / slots
-        };
+        let load = |server: &Server| server.fill(view.fleet.peers(), view.config);
         engines.min_by(|a, b| load(a).total_cmp(&load(b)))
     };
     match assigned.or_else(least) {
