feat(residency): a restarted VM blocks only the evictions it could be in the way of

A young VM blocked every eviction until the longest request (60 s) had passed since its start, because requests of an earlier incarnation might still run. A coordinator knows the incarnations that pulled in its term, so the wait now covers earlier terms only; and an adapter that no table served to a VM lists cannot be in use by it. Removed engines are remembered for as long as a silent VM may use them. Engines that leave an order unanswered get no loads until they announce themselves again.

--- a/src/scheduling/placement/planner.rs
+++ b/src/scheduling/placement/planner.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use crate::scheduling::placement::Demand;
 use crate::scheduling::placement::EngineOrder;
@@ -52,6 +53,8 @@
     pub(super) store: StoreBudget,
     pub(super) failures: Failures,
     evict_again: HashMap<(ServerName, AdapterRef), MonoMs>,
+    /// Engines that left an order unanswered and have not announced themselves since.
+    unanswered: HashSet<ServerName>,
     pruned: MonoMs,
     /// The most popular adapters, as of `ranked`.
     top: Vec<(AdapterRef, f32)>,
@@ -81,6 +84,7 @@
             store: StoreBudget::new(share, now),
             failures: Failures::default(),
             evict_again: HashMap::new(),
+            unanswered: HashSet::new(),
             pruned: now,
             top: Vec::new(),
             ranked: now,
@@ -118,16 +122,23 @@
 
     /// Merges an engine's announcement.
     pub fn on_engine(&mut self, seen: &EngineSeen, now: MonoMs) {
+        self.unanswered.remove(&seen.server);
         self.table.observe(seen, now);
     }
 
     /// Forgets an engine that is dead or has left.
-    pub fn remove_engine(&mut self, server: &ServerName) {
-        self.table.remove_engine(server);
+    pub fn remove_engine(&mut self, server: &ServerName, now: MonoMs) {
+        self.unanswered.remove(server);
+        self.table.remove_engine(server, now);
     }
 
     /// Records the result of an order.
     pub fn on_result(&mut self, result: &OrderResult, now: MonoMs) {
+        if result.incarnation.is_none() {
+            let (EngineOrder::Load { server, .. } | EngineOrder::Evict { server, .. }) =
+                &result.order;
+            self.unanswered.insert(server.clone());
+        }
         match &result.order {
             EngineOrder::Load { server, adapter } => {
                 self.store.end(server, adapter);
@@ -307,6 +318,7 @@
     fn free_engine(&self, need: &Need, now: MonoMs) -> Option<ServerName> {
         let usable = self.table.servers().filter(|server| {
             self.table.free_slots(server) > 0
+                && !self.unanswered.contains(*server)
                 && self.table.state(server, &need.adapter).is_none()
                 && self.failures.may_load_on(server, &need.adapter, now)
         });
@@ -361,7 +373,8 @@
     }
 
     fn may_replace(&self, victim: &Victim, need: &Need) -> bool {
-        if has_copy(&self.table, &victim.server, &need.adapter) {
+        let silent = self.unanswered.contains(&victim.server);
+        if silent || has_copy(&self.table, &victim.server, &need.adapter) {
             return false;
         }
         let idle = victim.in_use == 0;
--- a/src/scheduling/residency/engine.rs
+++ b/src/scheduling/residency/engine.rs
@@ -30,6 +30,8 @@
     /// Time of the last change of `residency`.
     pub(super) since: MonoMs,
     pub(super) last_used: MonoMs,
+    /// Change number with which the adapter became resident.
+    pub(super) listed: u64,
     /// Change number of the drain mark.
     pub(super) mark: u64,
     pub(super) evicting: bool,
@@ -43,9 +45,9 @@
     pub(super) slots: u32,
     pub(super) positions: u32,
     pub(super) changed: u64,
-    /// The engine has been removed. Its entries are kept, because orders may still be under way if
+    /// When the engine was removed. Its entries are kept, because orders may still be under way if
     /// the same incarnation comes back.
-    pub(super) gone: bool,
+    pub(super) gone: Option<MonoMs>,
     pub(super) adapters: BTreeMap<AdapterRef, Entry>,
     /// Adapters evicted recently; announcements on their way may still list them.
     pub(super) evicted: HashMap<AdapterRef, MonoMs>,
@@ -67,11 +69,12 @@
 }
 
 impl Entry {
-    pub(super) fn new(residency: Residency, now: MonoMs) -> Self {
+    pub(super) fn new(residency: Residency, listed: u64, now: MonoMs) -> Self {
         Self {
             residency,
             since: now,
             last_used: now,
+            listed,
             mark: 0,
             evicting: false,
             uncertain: false,
@@ -93,10 +96,12 @@
 
 /// Adds adapters that the engine lists and drops those that it has stopped listing. Differences
 /// younger than `lag_ms` are ignored, because announcements lag behind the results of orders.
+/// `change` is the number of the change that lists the additions.
 pub(super) fn merge_announcement(
     engine: &mut Engine,
     seen: &EngineSeen,
     lag_ms: u64,
+    change: u64,
     now: MonoMs,
 ) -> bool {
     let mut changed = engine.slots != seen.slots;
@@ -105,7 +110,7 @@
     engine.evicted.retain(|_, at| now.since(*at) < lag_ms);
     for adapter in &seen.resident {
         if !engine.adapters.contains_key(adapter) && !engine.evicted.contains_key(adapter) {
-            let entry = Entry::new(Residency::Resident, now);
+            let entry = Entry::new(Residency::Resident, change, now);
             engine.adapters.insert(adapter.clone(), entry);
             changed = true;
         }
--- a/src/scheduling/residency/holders.rs
+++ b/src/scheduling/residency/holders.rs
@@ -16,6 +16,8 @@
     /// Change number of the first table that the VM got in this term; 0 if it may hold a table of
     /// an earlier term.
     first_served: u64,
+    /// Change number of the last table that the VM got.
+    last_served: u64,
     /// Highest change number that a pull acknowledged.
     acknowledged: u64,
     /// Requests in flight as of the pull with the highest acknowledgement.
@@ -31,17 +33,30 @@
     /// VMs of the roster that have not pulled in this term, with the end of the wait for them.
     unseen: BTreeMap<VmName, MonoMs>,
     seen: BTreeMap<(VmName, u64), Holder>,
-    /// Time by which requests of earlier incarnations have ended.
+    /// Time by which all tables of earlier terms have lapsed and all requests on them have ended.
+    earlier_terms_until: MonoMs,
+    /// Time by which the requests that earlier incarnations dispatched in earlier terms have ended.
     ghosts_until: MonoMs,
 }
 
+/// An adapter of an engine, with what decides about the safety of its eviction.
+pub(super) struct Drain<'a> {
+    pub(super) server: &'a ServerName,
+    pub(super) adapter: &'a AdapterRef,
+    /// Change number of the drain mark.
+    pub(super) mark: u64,
+    /// Change number with which the adapter became resident.
+    pub(super) listed: u64,
+}
+
 impl Holders {
     pub(super) fn new(config: ResidencyConfig, roster: &[VmName], now: MonoMs) -> Self {
-        let silent_until = silent_until(&config, now);
+        let silent_until = now.plus(config.silent_ms());
         Self {
             config,
             unseen: roster.iter().map(|vm| (vm.clone(), silent_until)).collect(),
             seen: BTreeMap::new(),
+            earlier_terms_until: silent_until,
             ghosts_until: MonoMs::default(),
         }
     }
@@ -50,6 +65,9 @@
     pub(super) fn record(&mut self, pull: &TablePull, term: u64, change: u64, now: MonoMs) {
         self.unseen.remove(&pull.vm);
         let key = (pull.vm.clone(), pull.incarnation);
+        if !self.seen.contains_key(&key) {
+            self.shorten_waits_for_earlier_incarnations(pull, now);
+        }
         if pull.leaving && pull.in_use.is_empty() {
             self.seen.remove(&key);
             return;
@@ -58,17 +76,16 @@
             Some(known) if known.term == term => known.change,
             _ => 0,
         };
-        let silent_until = silent_until(&self.config, now);
-        if !self.seen.contains_key(&key) {
-            self.wait_for_earlier_incarnation(pull, now);
-        }
+        let silent_until = now.plus(self.config.silent_ms());
         let holder = self.seen.entry(key).or_insert_with(|| Holder {
             first_served: if pull.known.is_some() { 0 } else { change },
+            last_served: change,
             acknowledged,
             in_use: HashMap::new(),
             silent_until,
         });
         holder.silent_until = silent_until;
+        holder.last_served = change;
         // A pull that arrives late must not replace what a newer one has reported.
         if acknowledged >= holder.acknowledged {
             holder.acknowledged = acknowledged;
@@ -77,13 +94,17 @@
     }
 
     /// A request of an earlier incarnation was dispatched before this one started, so it has ended
-    /// one longest request after that.
-    fn wait_for_earlier_incarnation(&mut self, pull: &TablePull, now: MonoMs) {
+    /// one longest request after that. This term knows earlier incarnations that pulled from it;
+    /// others can only have used tables of earlier terms.
+    fn shorten_waits_for_earlier_incarnations(&mut self, pull: &TablePull, now: MonoMs) {
         let wait_ms = self.config.longest_request_ms + self.config.drift_ms;
-        let left_ms = wait_ms.saturating_sub(pull.up_ms);
-        if left_ms > 0 {
-            self.ghosts_until = self.ghosts_until.max(now.plus(left_ms));
+        let ended = now.plus(wait_ms.saturating_sub(pull.up_ms));
+        for ((vm, incarnation), holder) in &mut self.seen {
+            if *vm == pull.vm && *incarnation < pull.incarnation {
+                holder.silent_until = holder.silent_until.min(ended);
+            }
         }
+        self.ghosts_until = self.ghosts_until.max(ended.min(self.earlier_terms_until));
     }
 
     /// Forgets VMs that have been waited out.
@@ -92,22 +113,21 @@
         self.seen.retain(|_, holder| now < holder.silent_until);
     }
 
-    /// Whether no VM can have `adapter` of `server` in use after the drain mark of change `mark`.
-    pub(super) fn all_clear(
-        &self,
-        server: &ServerName,
-        adapter: &AdapterRef,
-        mark: u64,
-        now: MonoMs,
-    ) -> bool {
+    /// Whether no VM can have the adapter in use after its drain mark.
+    pub(super) fn all_clear(&self, drain: &Drain<'_>, now: MonoMs) -> bool {
         if now < self.ghosts_until || self.unseen.values().any(|until| now < *until) {
             return false;
         }
-        let key = (server.clone(), adapter.clone());
+        let key = (drain.server.clone(), drain.adapter.clone());
         self.seen.values().all(|holder| {
-            let acknowledged = holder.acknowledged >= mark && !holder.in_use.contains_key(&key);
-            let never_listed = holder.first_served >= mark;
-            acknowledged || never_listed || now >= holder.silent_until
+            let unused = !holder.in_use.contains_key(&key);
+            let acknowledged = holder.acknowledged >= drain.mark && unused;
+            let never_listed = holder.first_served >= drain.mark;
+            // A VM that has replaced its table of an earlier term cannot have used an adapter that
+            // no table served to it lists.
+            let of_this_term = holder.first_served > 0 || holder.acknowledged > 0;
+            let not_listed_yet = holder.last_served < drain.listed && of_this_term && unused;
+            acknowledged || never_listed || not_listed_yet || now >= holder.silent_until
         })
     }
 
@@ -127,7 +147,3 @@
     })
     .collect()
 }
-
-fn silent_until(config: &ResidencyConfig, served: MonoMs) -> MonoMs {
-    served.plus(config.valid_ms + config.longest_request_ms + config.drift_ms)
-}
--- a/src/scheduling/residency/mod.rs
+++ b/src/scheduling/residency/mod.rs
@@ -51,3 +51,10 @@
         }
     }
 }
+
+impl ResidencyConfig {
+    /// Time after a table was served by which its VM has no request in flight, if it stays silent.
+    pub fn silent_ms(&self) -> u64 {
+        self.valid_ms + self.longest_request_ms + self.drift_ms
+    }
+}
--- a/src/scheduling/residency/table.rs
+++ b/src/scheduling/residency/table.rs
@@ -18,6 +18,7 @@
 use crate::scheduling::residency::engine::Entry;
 use crate::scheduling::residency::engine::merge_announcement;
 use crate::scheduling::residency::engine::row;
+use crate::scheduling::residency::holders::Drain;
 use crate::scheduling::residency::holders::Holders;
 use crate::types::AdapterRef;
 use crate::types::DataCentre;
@@ -127,10 +128,9 @@
             known.term == self.term && known.change >= self.forgotten && known.change <= self.change
         });
         let after = since.map_or(0, |since| since.change);
-        let rows = self
-            .engines
-            .iter()
-            .filter(|(_, engine)| !engine.gone && (since.is_none() || engine.changed > after));
+        let rows = self.engines.iter().filter(|(_, engine)| {
+            engine.gone.is_none() && (since.is_none() || engine.changed > after)
+        });
         let removed = self.removed.iter().filter(|(change, server)| {
             since.is_some() && *change > after && self.present(server).is_none()
         });
@@ -159,17 +159,18 @@
                 slots: seen.slots,
                 positions: seen.positions,
                 changed: 0,
-                gone: false,
+                gone: None,
                 adapters: BTreeMap::new(),
                 evicted: HashMap::new(),
             };
             self.engines.insert(seen.server.clone(), engine);
         }
         let lag_ms = self.config.announcement_lag_ms;
+        let change = self.change + 1;
         let changed = match self.engines.get_mut(&seen.server) {
             Some(engine) => {
-                let returned = std::mem::take(&mut engine.gone);
-                merge_announcement(engine, seen, lag_ms, now) || returned
+                let returned = engine.gone.take().is_some();
+                merge_announcement(engine, seen, lag_ms, change, now) || returned
             }
             None => false,
         };
@@ -180,20 +181,24 @@
     }
 
     /// Forgets an engine that is dead or has left.
-    pub fn remove_engine(&mut self, server: &ServerName) {
-        let Some(engine) = self.engines.get_mut(server).filter(|engine| !engine.gone) else {
+    pub fn remove_engine(&mut self, server: &ServerName, now: MonoMs) {
+        let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
-        engine.gone = true;
+        if engine.gone.is_some() {
+            return;
+        }
+        engine.gone = Some(now);
         self.change += 1;
         self.removed.push_back((self.change, server.clone()));
         while self.removed.len() > self.config.removed_engines {
-            if let Some((change, server)) = self.removed.pop_front() {
+            if let Some((change, _)) = self.removed.pop_front() {
                 self.forgotten = change;
-                self.engines
-                    .retain(|name, engine| *name != server || !engine.gone);
             }
         }
+        let keep_ms = self.config.silent_ms();
+        self.engines
+            .retain(|_, engine| engine.gone.is_none_or(|gone| now.since(gone) < keep_ms));
     }
 
     /// Notes that a load has been ordered. Returns false if no slot is free or the adapter has one.
@@ -207,7 +212,7 @@
         if engine.adapters.contains_key(adapter) {
             return false;
         }
-        let entry = Entry::new(Residency::Loading, now);
+        let entry = Entry::new(Residency::Loading, 0, now);
         engine.adapters.insert(adapter.clone(), entry);
         self.mark_changed(server);
         true
@@ -221,13 +226,14 @@
         adapter: &AdapterRef,
         now: MonoMs,
     ) {
+        let listed = self.change + 1;
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
         if engine.incarnation != incarnation {
             return;
         }
-        let entry = Entry::new(Residency::Resident, now);
+        let entry = Entry::new(Residency::Resident, listed, now);
         engine.adapters.insert(adapter.clone(), entry);
         self.mark_changed(server);
     }
@@ -276,7 +282,7 @@
         for (server, engine) in &self.engines {
             for (adapter, entry) in &engine.adapters {
                 let draining = entry.residency == Residency::Draining && !entry.evicting;
-                if draining && self.holders.all_clear(server, adapter, entry.mark, now) {
+                if draining && self.is_clear(server, adapter, entry, now) {
                     clear.push((server.clone(), adapter.clone()));
                 }
             }
@@ -291,16 +297,34 @@
         adapter: &AdapterRef,
         now: MonoMs,
     ) -> bool {
-        let Some(mark) = self.entry_mut(server, adapter).map(|entry| entry.mark) else {
-            return false;
-        };
-        let clear = self.holders.all_clear(server, adapter, mark, now);
-        let Some(entry) = self.entry_mut(server, adapter) else {
-            return false;
+        let entry = self
+            .engines
+            .get(server)
+            .and_then(|engine| engine.adapters.get(adapter));
+        let may_evict = entry.is_some_and(|entry| {
+            let draining = entry.residency == Residency::Draining && !entry.evicting;
+            draining && self.is_clear(server, adapter, entry, now)
+        });
+        if let Some(entry) = self.entry_mut(server, adapter) {
+            entry.evicting |= may_evict;
+        }
+        may_evict
+    }
+
+    fn is_clear(
+        &self,
+        server: &ServerName,
+        adapter: &AdapterRef,
+        entry: &Entry,
+        now: MonoMs,
+    ) -> bool {
+        let drain = Drain {
+            server,
+            adapter,
+            mark: entry.mark,
+            listed: entry.listed,
         };
-        let draining = entry.residency == Residency::Draining && !entry.evicting;
-        entry.evicting |= draining && clear;
-        draining && clear
+        self.holders.all_clear(&drain, now)
     }
 
     /// Notes that an eviction has succeeded; the slot is free.
@@ -329,7 +353,10 @@
 
     /// Engines in the order of their names.
     pub fn servers(&self) -> impl Iterator<Item = &ServerName> {
-        let present = self.engines.iter().filter(|(_, engine)| !engine.gone);
+        let present = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| engine.gone.is_none());
         present.map(|(server, _)| server)
     }
 
@@ -380,7 +407,9 @@
     }
 
     fn present(&self, server: &ServerName) -> Option<&Engine> {
-        self.engines.get(server).filter(|engine| !engine.gone)
+        self.engines
+            .get(server)
+            .filter(|engine| engine.gone.is_none())
     }
 
     fn entry_mut(&mut self, server: &ServerName, adapter: &AdapterRef) -> Option<&mut Entry> {
