--- a/tests/load/residency.rs
+++ b/tests/load/residency.rs
@@ -16,6 +16,7 @@
 use medlarlift::scheduling::residency::ResidencyView;
 use medlarlift::scheduling::residency::Table;
 use medlarlift::scheduling::residency::TablePull;
+use medlarlift::scheduling::residency::TableVersion;
 use medlarlift::scheduling::residency::Use;
 use medlarlift::types::AdapterRef;
 use medlarlift::types::DataCentre;
@@ -465,7 +466,7 @@
 fn pulls_of_a_later_term_or_another_format_are_refused() {
     let (mut table, view, centre) = table_with(&[]);
     let mut pull = view.pull(&centre, Vec::new(), None, MonoMs(0));
-    pull.known = Some(medlarlift::scheduling::residency::TableVersion { term: 2, change: 0 });
+    pull.known = Some(TableVersion { term: 2, change: 0 });
     let error = table.pull(&pull, MonoMs(0)).expect_err("a later term");
     assert_matches!(error, PullError::Deposed { known: 2, term: 1 });
     pull.format = 9;
@@ -546,3 +547,50 @@
         vec![(server.clone(), new), (server, old)]
     );
 }
+
+/// The tables of two successive coordinators, of which the second has not heard of `x` on `e` yet,
+/// and a VM that holds the first one.
+fn successor_without_x() -> (ResidencyTable, ResidencyView, MonoMs) {
+    let (mut old, mut view, centre) = table_with(&["x"]);
+    let now = MonoMs(60_000);
+    exchange(&mut old, &mut view, now);
+    let mut table = ResidencyTable::new(CONFIG, centre, 2, &[VmName::from("vm")], now);
+    let mut other = engine_with(&[]);
+    other.server = ServerName::from("other");
+    table.observe(&other, now);
+    (table, view, now)
+}
+
+/// Guards against a new coordinator that learns late of an adapter and takes it for one that no VM
+/// can use, although a VM dispatches on the table of the predecessor.
+#[test]
+fn an_adapter_announced_late_may_be_dispatched_to() {
+    let (mut table, mut view, now) = successor_without_x();
+    let (server, x) = (ServerName::from("e"), adapter("x"));
+    let pull = view.pull(&DataCentre::from("dc"), Vec::new(), None, now);
+    table.pull(&pull, now).expect("a reply, which is lost");
+    let used = view
+        .begin(&server, &x, now)
+        .expect("listed by the predecessor");
+    table.observe(&engine_with(&["x"]), now);
+    table.drain(&server, &x, now);
+    assert_eq!(table.evictable(now), Vec::new());
+    view.finish(used);
+}
+
+/// Guards against the same mistake when the VM has taken over the new table and still has a request
+/// in flight that it dispatched before.
+#[test]
+fn an_adapter_announced_late_may_be_in_use() {
+    let (mut table, mut view, now) = successor_without_x();
+    let (server, x) = (ServerName::from("e"), adapter("x"));
+    let used = view
+        .begin(&server, &x, now)
+        .expect("listed by the predecessor");
+    exchange(&mut table, &mut view, now);
+    exchange(&mut table, &mut view, now);
+    table.observe(&engine_with(&["x"]), now);
+    table.drain(&server, &x, now);
+    assert_eq!(table.evictable(now), Vec::new());
+    view.finish(used);
+}
