--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -13,7 +13,6 @@
 use super::tables::TablePuller;
 use super::topology::Topology;
 use crate::configs::vm::VmSettings;
-use crate::lease;
 
 /// Background tasks; they end when this is dropped.
 #[derive(Default)]
@@ -68,6 +67,7 @@
         coordinator: parts.coordinator.clone(),
         book: parts.book.clone(),
         store: settings.store.clone(),
+        dispenser: parts.dispenser.clone(),
     };
     tasks.spawn(members.run());
     let duties = Duties {
@@ -76,7 +76,6 @@
         log: parts.log.clone(),
         proposer: parts.proposer.clone(),
         members: parts.members.clone(),
-        lease_ms: lease::Timing::default().lease_ms,
     };
     tasks.spawn(duties.run());
     let puller = TablePuller {
--- a/src/scheduling/residency/holders.rs
+++ b/src/scheduling/residency/holders.rs
@@ -17,6 +17,8 @@
     /// Change number of the first table that the VM got in this term; 0 if it may hold a table of
     /// an earlier term.
     first_served: u64,
+    /// Change number of the last table that the VM got.
+    last_served: u64,
     /// Highest change number that a pull acknowledged.
     acknowledged: u64,
     /// Requests in flight as of the pull with the highest acknowledgement.
@@ -41,27 +43,40 @@
     config: ResidencyConfig,
     /// VMs of the roster that have not pulled in this term, with the end of the wait for them.
     unseen: BTreeMap<VmName, MonoMs>,
+    seen: BTreeMap<(VmName, u64), Holder>,
+    /// Time by which all tables of earlier terms have lapsed and all requests on them have ended.
+    earlier_terms_until: MonoMs,
     /// Time from which the tables of earlier terms have lapsed.
     earlier_terms_lapsed: MonoMs,
-    seen: BTreeMap<(VmName, u64), Holder>,
-    /// Time of the first pull of the youngest incarnation.
-    restart_seen: MonoMs,
-    /// Time by which requests of earlier incarnations have ended.
-    restart_until: MonoMs,
+    /// Time by which the requests that earlier incarnations dispatched in earlier terms have ended.
+    ghosts_until: MonoMs,
+    /// Time from which no earlier incarnation that is waited for dispatches anything.
+    ghosts_lapsed: MonoMs,
     /// What engines told about their use. Ends waits for VMs that can no longer dispatch.
     engine_use: HashMap<ServerName, EngineUse>,
 }
 
+/// An adapter of an engine, with what decides about the safety of its eviction.
+pub(super) struct Drain<'a> {
+    pub(super) server: &'a ServerName,
+    pub(super) adapter: &'a AdapterRef,
+    /// Change number of the drain mark.
+    pub(super) mark: u64,
+    /// Change number with which the adapter became resident.
+    pub(super) listed: u64,
+}
+
 impl Holders {
     pub(super) fn new(config: ResidencyConfig, roster: &[VmName], now: MonoMs) -> Self {
-        let silent_until = silent_until(&config, now);
+        let silent_until = now.plus(config.silent_ms());
         Self {
             config,
             unseen: roster.iter().map(|vm| (vm.clone(), silent_until)).collect(),
-            earlier_terms_lapsed: lapsed_from(&config, now),
             seen: BTreeMap::new(),
-            restart_seen: MonoMs::default(),
-            restart_until: MonoMs::default(),
+            earlier_terms_until: silent_until,
+            earlier_terms_lapsed: now.plus(config.valid_ms + config.drift_ms),
+            ghosts_until: MonoMs::default(),
+            ghosts_lapsed: MonoMs::default(),
             engine_use: HashMap::new(),
         }
     }
@@ -82,16 +97,19 @@
         self.engine_use.remove(server);
     }
 
-    /// Whether the engine told, at `after` or later, that it has no request for `adapter`.
-    fn told_idle(&self, server: &ServerName, adapter: &AdapterRef, after: MonoMs) -> bool {
-        let told = self.engine_use.get(server);
-        told.is_some_and(|told| told.sampled >= after && !told.adapters.contains(adapter))
+    /// Whether the engine told, at `after` or later, that it has no request for the adapter.
+    fn told_idle(&self, drain: &Drain<'_>, after: MonoMs) -> bool {
+        let told = self.engine_use.get(drain.server);
+        told.is_some_and(|told| told.sampled >= after && !told.adapters.contains(drain.adapter))
     }
 
     /// Records what `pull` proves. `term` and `change` name the table that is served in reply.
     pub(super) fn record(&mut self, pull: &TablePull, term: u64, change: u64, now: MonoMs) {
         self.unseen.remove(&pull.vm);
         let key = (pull.vm.clone(), pull.incarnation);
+        if !self.seen.contains_key(&key) {
+            self.shorten_waits_for_earlier_incarnations(pull, now);
+        }
         if pull.leaving && pull.in_use.is_empty() {
             self.seen.remove(&key);
             return;
@@ -100,13 +118,11 @@
             Some(known) if known.term == term => known.change,
             _ => 0,
         };
-        let silent_until = silent_until(&self.config, now);
-        let lapsed_from = lapsed_from(&self.config, now);
-        if !self.seen.contains_key(&key) {
-            self.wait_for_earlier_incarnation(pull, now);
-        }
+        let silent_until = now.plus(self.config.silent_ms());
+        let lapsed_from = now.plus(self.config.valid_ms + self.config.drift_ms);
         let holder = self.seen.entry(key).or_insert_with(|| Holder {
             first_served: if pull.known.is_some() { 0 } else { change },
+            last_served: change,
             acknowledged,
             in_use: HashMap::new(),
             lapsed_from,
@@ -114,6 +130,7 @@
         });
         holder.lapsed_from = lapsed_from;
         holder.silent_until = silent_until;
+        holder.last_served = change;
         // A pull that arrives late must not replace what a newer one has reported.
         if acknowledged >= holder.acknowledged {
             holder.acknowledged = acknowledged;
@@ -122,14 +139,20 @@
     }
 
     /// A request of an earlier incarnation was dispatched before this one started, so it has ended
-    /// one longest request after that.
-    fn wait_for_earlier_incarnation(&mut self, pull: &TablePull, now: MonoMs) {
+    /// one longest request after that. This term knows earlier incarnations that pulled from it;
+    /// others can only have used tables of earlier terms.
+    fn shorten_waits_for_earlier_incarnations(&mut self, pull: &TablePull, now: MonoMs) {
         let wait_ms = self.config.longest_request_ms + self.config.drift_ms;
-        let left_ms = wait_ms.saturating_sub(pull.up_ms);
-        if left_ms > 0 {
-            self.restart_seen = now.plus(self.config.drift_ms);
-            self.restart_until = self.restart_until.max(now.plus(left_ms));
+        let ended = now.plus(wait_ms.saturating_sub(pull.up_ms));
+        let lapsed = now.plus(self.config.drift_ms);
+        for ((vm, incarnation), holder) in &mut self.seen {
+            if *vm == pull.vm && *incarnation < pull.incarnation {
+                holder.silent_until = holder.silent_until.min(ended);
+                holder.lapsed_from = holder.lapsed_from.min(lapsed);
+            }
         }
+        self.ghosts_until = self.ghosts_until.max(ended.min(self.earlier_terms_until));
+        self.ghosts_lapsed = lapsed;
     }
 
     /// Forgets VMs that have been waited out.
@@ -138,28 +161,27 @@
         self.seen.retain(|_, holder| now < holder.silent_until);
     }
 
-    /// Whether no VM can have `adapter` of `server` in use after the drain mark of change `mark`.
-    pub(super) fn all_clear(
-        &self,
-        server: &ServerName,
-        adapter: &AdapterRef,
-        mark: u64,
-        now: MonoMs,
-    ) -> bool {
-        let idle_since = |after: MonoMs| self.told_idle(server, adapter, after);
-        if now < self.restart_until && !idle_since(self.restart_seen) {
+    /// Whether no VM can have the adapter in use after its drain mark.
+    pub(super) fn all_clear(&self, drain: &Drain<'_>, now: MonoMs) -> bool {
+        let idle_since = |after: MonoMs| self.told_idle(drain, after);
+        if now < self.ghosts_until && !idle_since(self.ghosts_lapsed) {
             return false;
         }
         let unseen = self.unseen.values().any(|until| now < *until);
         if unseen && !idle_since(self.earlier_terms_lapsed) {
             return false;
         }
-        let key = (server.clone(), adapter.clone());
+        let key = (drain.server.clone(), drain.adapter.clone());
         self.seen.values().all(|holder| {
-            let acknowledged = holder.acknowledged >= mark && !holder.in_use.contains_key(&key);
-            let never_listed = holder.first_served >= mark;
+            let unused = !holder.in_use.contains_key(&key);
+            let acknowledged = holder.acknowledged >= drain.mark && unused;
+            let never_listed = holder.first_served >= drain.mark;
+            // A VM that has replaced its table of an earlier term cannot have used an adapter that
+            // no table served to it lists.
+            let of_this_term = holder.first_served > 0 || holder.acknowledged > 0;
+            let not_listed_yet = holder.last_served < drain.listed && of_this_term && unused;
             let silent = now >= holder.silent_until || idle_since(holder.lapsed_from);
-            acknowledged || never_listed || silent
+            acknowledged || never_listed || not_listed_yet || silent
         })
     }
 
@@ -179,11 +201,3 @@
     })
     .collect()
 }
-
-fn lapsed_from(config: &ResidencyConfig, served: MonoMs) -> MonoMs {
-    served.plus(config.valid_ms + config.drift_ms)
-}
-
-fn silent_until(config: &ResidencyConfig, served: MonoMs) -> MonoMs {
-    served.plus(config.valid_ms + config.longest_request_ms + config.drift_ms)
-}
--- a/tests/load/residency.rs
+++ b/tests/load/residency.rs
@@ -16,6 +16,7 @@
 use medlarlift::scheduling::residency::ResidencyView;
 use medlarlift::scheduling::residency::Table;
 use medlarlift::scheduling::residency::TablePull;
+use medlarlift::scheduling::residency::TableVersion;
 use medlarlift::scheduling::residency::Use;
 use medlarlift::types::AdapterRef;
 use medlarlift::types::DataCentre;
@@ -338,7 +339,7 @@
             }
             3 => {
                 let server = self.some_engine();
-                self.table.remove_engine(&server);
+                self.table.remove_engine(&server, MonoMs(self.now));
             }
             _ => {}
         }
@@ -455,7 +456,7 @@
     table.drain(&server, &x, MonoMs(300));
     exchange(&mut table, &mut view, MonoMs(500));
     assert_matches!(view.state(&server, &x), Some(Residency::Draining));
-    table.remove_engine(&server);
+    table.remove_engine(&server, MonoMs(700));
     exchange(&mut table, &mut view, MonoMs(750));
     assert_eq!(view.state(&server, &x), None);
 }
@@ -465,7 +466,7 @@
 fn pulls_of_a_later_term_or_another_format_are_refused() {
     let (mut table, view, centre) = table_with(&[]);
     let mut pull = view.pull(&centre, Vec::new(), None, MonoMs(0));
-    pull.known = Some(medlarlift::scheduling::residency::TableVersion { term: 2, change: 0 });
+    pull.known = Some(TableVersion { term: 2, change: 0 });
     let error = table.pull(&pull, MonoMs(0)).expect_err("a later term");
     assert_matches!(error, PullError::Deposed { known: 2, term: 1 });
     pull.format = 9;
@@ -511,8 +512,85 @@
     assert!(table.begin_eviction(&server, &x, now));
     table.eviction_failed(&server, &x, false, now);
     assert!(!table.cancel_drain(&server, &x, now));
-    table.remove_engine(&server);
+    table.remove_engine(&server, now);
     table.observe(&engine_with(&["x"]), now);
     assert_matches!(table.state(&server, &x), Some(Residency::Draining));
     assert_eq!(table.evictable(now), vec![(server, x)]);
 }
+
+/// Guards against a restart of one VM that holds up every eviction for the longest request: what
+/// became resident after the last table of the old incarnation cannot be in use by it.
+#[test]
+fn a_crashed_vm_blocks_only_what_it_could_use() {
+    let (mut table, mut view, _) = table_with(&["old"]);
+    let (server, old, new) = (ServerName::from("e"), adapter("old"), adapter("new"));
+    let now = MonoMs(60_000);
+    exchange(&mut table, &mut view, now);
+    exchange(&mut table, &mut view, now);
+    let crashed = now.plus(100);
+    let mut view = ResidencyView::new(VmName::from("vm"), DataCentre::from("dc"), 2, crashed);
+    assert!(table.begin_load(&server, &new, crashed));
+    table.loaded(&server, 1, &new, crashed);
+    exchange(&mut table, &mut view, crashed);
+    table.drain(&server, &old, crashed);
+    table.drain(&server, &new, crashed);
+    exchange(&mut table, &mut view, crashed);
+    exchange(&mut table, &mut view, crashed);
+    assert_eq!(
+        table.evictable(crashed),
+        vec![(server.clone(), new.clone())]
+    );
+    let ended = crashed.plus(CONFIG.longest_request_ms + CONFIG.drift_ms);
+    exchange(&mut table, &mut view, ended);
+    assert_eq!(
+        table.evictable(ended),
+        vec![(server.clone(), new), (server, old)]
+    );
+}
+
+/// The tables of two successive coordinators, of which the second has not heard of `x` on `e` yet,
+/// and a VM that holds the first one.
+fn successor_without_x() -> (ResidencyTable, ResidencyView, MonoMs) {
+    let (mut old, mut view, centre) = table_with(&["x"]);
+    let now = MonoMs(60_000);
+    exchange(&mut old, &mut view, now);
+    let mut table = ResidencyTable::new(CONFIG, centre, 2, &[VmName::from("vm")], now);
+    let mut other = engine_with(&[]);
+    other.server = ServerName::from("other");
+    table.observe(&other, now);
+    (table, view, now)
+}
+
+/// Guards against a new coordinator that learns late of an adapter and takes it for one that no VM
+/// can use, although a VM dispatches on the table of the predecessor.
+#[test]
+fn an_adapter_announced_late_may_be_dispatched_to() {
+    let (mut table, mut view, now) = successor_without_x();
+    let (server, x) = (ServerName::from("e"), adapter("x"));
+    let pull = view.pull(&DataCentre::from("dc"), Vec::new(), None, now);
+    table.pull(&pull, now).expect("a reply, which is lost");
+    let used = view
+        .begin(&server, &x, now)
+        .expect("listed by the predecessor");
+    table.observe(&engine_with(&["x"]), now);
+    table.drain(&server, &x, now);
+    assert_eq!(table.evictable(now), Vec::new());
+    view.finish(used);
+}
+
+/// Guards against the same mistake when the VM has taken over the new table and still has a request
+/// in flight that it dispatched before.
+#[test]
+fn an_adapter_announced_late_may_be_in_use() {
+    let (mut table, mut view, now) = successor_without_x();
+    let (server, x) = (ServerName::from("e"), adapter("x"));
+    let used = view
+        .begin(&server, &x, now)
+        .expect("listed by the predecessor");
+    exchange(&mut table, &mut view, now);
+    exchange(&mut table, &mut view, now);
+    table.observe(&engine_with(&["x"]), now);
+    table.drain(&server, &x, now);
+    assert_eq!(table.evictable(now), Vec::new());
+    view.finish(used);
+}
