--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -20,7 +20,7 @@
 
 /// Times a VM repeats a changed entry to random peers. The few VMs that are missed find the change
 /// by comparing hashes.
-const ENTRY_SENDS: u32 = 5;
+const ENTRY_SENDS: u32 = 8;
 
 /// Time after an entry's death until it is dropped.
 const DROP_AFTER_MS: u64 = 60_000;
@@ -232,25 +232,30 @@
         picked
     }
 
-    /// Live entries of which `wanted` accepts the hash of the name, up to about `bytes`.
+    /// Live entries of which `wanted` accepts the hash of the name, up to about `bytes`. `salt`
+    /// decides which come first, so that no entry is left out each time.
     pub fn pick_entries(
         &self,
         now: MonoMs,
         pace: &Pace,
         to: &DataCentre,
         bytes: &mut usize,
+        salt: u32,
         wanted: impl Fn(u32) -> bool,
     ) -> Vec<Entry<N, P>> {
+        let slots = self.slots.iter();
+        let mut candidates: Vec<(&N, &Slot<P>)> = slots
+            .filter(|(_, slot)| wanted(slot.name_hash) && slot.lives(now, pace))
+            .collect();
+        candidates.sort_by_key(|(_, slot)| slot.name_hash ^ salt);
         let mut picked = Vec::new();
-        for (name, slot) in &self.slots {
+        for (name, slot) in candidates {
             if *bytes == 0 {
                 break;
             }
-            if wanted(slot.name_hash) && slot.lives(now, pace) {
-                let entry = slot.entry(name, to);
-                *bytes = bytes.saturating_sub(encoded_len(&entry));
-                picked.push(entry);
-            }
+            let entry = slot.entry(name, to);
+            *bytes = bytes.saturating_sub(encoded_len(&entry));
+            picked.push(entry);
         }
         picked
     }
