--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -30,7 +30,7 @@
 STOP_S = 8
 
 # Offsets of each kind of port above the base port, so that all ports lie in one range.
-CALLER, ADMIN, PEER, ENGINE, SERVICE_PORT, STORE = 0, 20, 40, 60, 80, 99
+CALLER, ADMIN, PEER, ENGINE, SERVICE_PORT, STORE = 0, 40, 80, 120, 140, 159
 
 
 def build():
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -47,7 +47,13 @@
             return ExitCode::FAILURE;
         }
     };
-    stopped().await;
+    tokio::select! {
+        () = stopped() => {}
+        () = vm.failed() => {
+            log::error!("vm: the replicated log failed; stopping");
+            return ExitCode::FAILURE;
+        }
+    }
     tokio::select! {
         finished = async { vm.drain().await.close().await } => {
             if finished { ExitCode::SUCCESS } else { ExitCode::FAILURE }
--- a/src/node/vm.rs
+++ b/src/node/vm.rs
@@ -51,6 +51,8 @@
 
 /// Name under which the operators' token appears in the history.
 const OPERATOR: &str = "operator";
+/// Interval at which the replicated log is checked.
+const FAILURE_POLL_MS: u64 = 200;
 /// Interval at which a shutdown looks for work that is still running.
 const DRAIN_POLL_MS: u64 = 50;
 
@@ -159,6 +161,13 @@
         self.servers.peer.local_address()
     }
 
+    /// Waits until the replicated log has stopped because its disk or state machine failed.
+    pub async fn failed(&self) {
+        while self.log.is_running() {
+            sleep(Duration::from_millis(FAILURE_POLL_MS)).await;
+        }
+    }
+
     /// Fails readiness, waits for the load balancer to notice, and refuses new work after that.
     pub async fn drain(self) -> Vm<Draining> {
         info!("vm: shutting down; readiness fails from now on");
