feat(standin): orders sent together and given up before their answer

The load tool only resent orders after an answer. It now can send one order in four through several VMs at the same moment, and close the connection of one in four before the answer (order_together_vms, order_abandon_ms, both off by default). The report counts connections that broke off before the whole answer, gives figures per class over all accounts, and lists the ids of orders that were answered or ended as not run, to compare with the services' counts.

--- a/src/configs/standin_callers.rs
+++ b/src/configs/standin_callers.rs
@@ -46,6 +46,11 @@
     pub order_path: String,
     /// Path of lookups, below the VM address.
     pub lookup_path: String,
+    /// VMs through which one order in four is sent at the same moment; 1 for one after the other.
+    pub order_together_vms: u64,
+    /// Time after which one order in four has its connection closed before it is resent to another
+    /// VM, in milliseconds.
+    pub order_abandon_ms: Option<u64>,
 }
 
 /// One client account of the load tool.
@@ -114,6 +119,8 @@
             give_up_ms: 20_000,
             order_path: "/services/records/orders".to_owned(),
             lookup_path: "/services/records/lookup".to_owned(),
+            order_together_vms: 1,
+            order_abandon_ms: None,
         }
     }
 }
@@ -135,6 +142,8 @@
             shift_at_ms: reader.optional_u64("shift_at_ms", 0..=MAX_TIME_MS),
             order_path: reader.text("order_path", &default.order_path),
             lookup_path: reader.text("lookup_path", &default.lookup_path),
+            order_together_vms: reader.u64("order_together_vms", 1, 1..=16),
+            order_abandon_ms: reader.optional_u64("order_abandon_ms", 1..=MAX_TIME_MS),
             ..default
         };
         let settings = settings.read_sizes(reader);
--- a/src/standin/callers_report.rs
+++ b/src/standin/callers_report.rs
@@ -46,6 +46,8 @@
     pub load_stalls: u64,
     /// Attempts beyond the first.
     pub resends: u64,
+    /// Connections that broke off before the whole answer had arrived.
+    pub cut: u64,
     /// Deliberate resends of answered orders that were refused.
     pub resend_refusals: u64,
     /// Median time to the first token in milliseconds.
@@ -135,6 +137,12 @@
     pub duration_ms: u64,
     /// All accounts and classes together.
     pub totals: ClassReport,
+    /// All accounts together by class.
+    pub classes: IndexMap<Class, ClassReport>,
+    /// Ids of orders whose last answer says that they did not run.
+    pub orders_not_run: Vec<String>,
+    /// Ids of orders that were answered.
+    pub orders_answered: Vec<String>,
     /// The account that got the smallest part of what it was entitled to.
     pub worst_served: Option<WorstServed>,
     /// Counts by account.
@@ -159,6 +167,9 @@
             seed: settings.seed,
             duration_ms: settings.duration_ms,
             totals: ClassReport::default(),
+            classes: IndexMap::new(),
+            orders_not_run: Vec::new(),
+            orders_answered: Vec::new(),
             worst_served: None,
             accounts: settings.accounts.iter().map(account).collect(),
         };
@@ -183,11 +194,21 @@
         let late = is_late(settings, planned.class, outcome);
         let class = account.classes.entry(planned.class).or_default();
         class.add(planned.class, outcome, within_rate, late);
+        let class = self.classes.entry(planned.class).or_default();
+        class.add(planned.class, outcome, within_rate, late);
         self.totals.add(planned.class, outcome, within_rate, late);
+        let ids = match outcome.ending {
+            Ending::Answered => &mut self.orders_answered,
+            Ending::Refused { .. } => &mut self.orders_not_run,
+            _ => return,
+        };
+        ids.extend(outcome.order_id.clone());
     }
 
     fn finish(&mut self, settings: &CallerSettings) {
         self.totals.finish();
+        self.classes.sort_unstable_keys();
+        self.classes.values_mut().for_each(ClassReport::finish);
         for (account, report) in settings.accounts.iter().zip(self.accounts.values_mut()) {
             let rate_tokens = account.rate_tokens_per_s * settings.duration_ms / 1_000;
             let allowed = rate_tokens + account.burst_tokens;
@@ -261,6 +282,7 @@
     fn add(&mut self, class: Class, outcome: &Outcome, within_rate: bool, late: bool) {
         self.sent += 1;
         self.resends += outcome.resends;
+        self.cut += outcome.cuts;
         self.resend_refusals += u64::from(outcome.resend_refused);
         self.late += u64::from(late);
         let urgent = matches!(class, Class::Live | Class::Streamed);
--- a/src/standin/callers_run.rs
+++ b/src/standin/callers_run.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use serde_json::Value;
-use serde_json::json;
 
 use crate::configs::standin_callers::CallerSettings;
 use crate::types::Clock;
@@ -29,9 +28,6 @@
 /// Time between looks at a job.
 const JOB_POLL: Duration = Duration::from_millis(200);
 
-/// Share of orders that are resent to another VM after their answer: one in this many.
-const RESEND_ONE_IN: u64 = 4;
-
 /// How a request ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Ending {
@@ -71,6 +67,10 @@
     pub resends: u64,
     /// Whether the deliberate resend of an answered order was refused.
     pub resend_refused: bool,
+    /// Connections that broke off before the whole answer had arrived.
+    pub cuts: u64,
+    /// The id under which the services count an order.
+    pub order_id: Option<String>,
 }
 
 /// What all callers share.
@@ -87,15 +87,17 @@
 }
 
 /// One request on its way.
-struct Attempt {
-    shared: Arc<Shared>,
-    planned: Planned,
+#[derive(Clone)]
+pub(super) struct Attempt {
+    pub(super) shared: Arc<Shared>,
+    pub(super) planned: Planned,
     start: Instant,
     sent_unix_ms: u64,
-    first_token_ms: Option<u64>,
+    pub(super) first_token_ms: Option<u64>,
     stalled: bool,
-    resends: u64,
-    resend_refused: bool,
+    pub(super) resends: u64,
+    pub(super) resend_refused: bool,
+    pub(super) cuts: u64,
 }
 
 /// Sends `planned` and follows it to its end.
@@ -113,6 +115,7 @@
         stalled: false,
         resends: 0,
         resend_refused: false,
+        cuts: 0,
     };
     let limit = Duration::from_millis(give_up_ms);
     let ending = tokio::time::timeout(limit, attempt.run()).await;
@@ -133,16 +136,18 @@
         stalled: attempt.stalled,
         resends: attempt.resends,
         resend_refused: attempt.resend_refused,
+        cuts: attempt.cuts,
+        order_id: (attempt.planned.class == Class::Order).then(|| attempt.order_id()),
     }
 }
 
-fn mismatched(reason: impl ToString) -> Ending {
+pub(super) fn mismatched(reason: impl ToString) -> Ending {
     Ending::Mismatched {
         reason: reason.to_string(),
     }
 }
 
-fn failed(error: ApiError) -> Ending {
+pub(super) fn failed(error: ApiError) -> Ending {
     if error.run == "not_run" {
         Ending::Refused { code: error.code }
     } else {
@@ -159,7 +164,7 @@
 }
 
 impl Attempt {
-    fn elapsed_ms(&self) -> u64 {
+    pub(super) fn elapsed_ms(&self) -> u64 {
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
@@ -174,13 +179,13 @@
     }
 
     /// The VM of the current attempt; each resend goes to the next one.
-    fn vm(&self) -> SocketAddr {
+    pub(super) fn vm(&self) -> SocketAddr {
         let vms = &self.shared.settings.vms;
         let resends = usize::try_from(self.resends).unwrap_or(0);
         vms[(self.planned.vm + resends) % vms.len()]
     }
 
-    fn key(&self) -> &str {
+    pub(super) fn key(&self) -> &str {
         &self.shared.settings.accounts[self.planned.account].key
     }
 
@@ -199,12 +204,12 @@
         format!("c{seed}-{}-{}", self.planned.index, self.resends)
     }
 
-    fn idempotency_key(&self) -> String {
+    pub(super) fn idempotency_key(&self) -> String {
         format!("i{}-{}", self.shared.run_id, self.planned.index)
     }
 
     /// Turns to the next VM, with a pause after each round.
-    async fn next_vm(&mut self) {
+    pub(super) async fn next_vm(&mut self) {
         self.resends += 1;
         let vms = self.shared.settings.vms.len() as u64;
         if self.resends.is_multiple_of(vms) {
@@ -216,9 +221,13 @@
     async fn send(&mut self, build: impl Fn(&Self) -> Call) -> Result<Reply, Ending> {
         loop {
             let sent = self.shared.client.send(build(self)).await;
-            let Ok(reply) = sent else {
-                self.next_vm().await;
-                continue;
+            let reply = match sent {
+                Ok(reply) => reply,
+                Err(error) => {
+                    self.cuts += u64::from(!error.is_connect());
+                    self.next_vm().await;
+                    continue;
+                }
             };
             match caller_api::error_of(&reply) {
                 None => return Ok(reply),
@@ -294,6 +303,7 @@
                 .read_stream(EventReader::new(response.into_body()), &mut received)
                 .await;
             if ending.is_none() && !received.done {
+                self.cuts += 1;
                 self.next_vm().await;
                 ending = self.resume(&request_id, &mut received).await;
             }
@@ -384,63 +394,7 @@
         }
     }
 
-    /// Sends an order, and some of them once more to another VM, which must not run it again.
-    async fn order(&mut self) -> Ending {
-        let first = match self.send_order().await {
-            Ok(reply) => reply,
-            Err(ending) => return ending,
-        };
-        self.first_token_ms = Some(self.elapsed_ms());
-        let ending = self.check_order(&first.value());
-        if ending != Ending::Answered || !self.planned.index.is_multiple_of(RESEND_ONE_IN) {
-            return ending;
-        }
-        self.next_vm().await;
-        match self.send_order().await {
-            Ok(second) if second.value() == first.value() => Ending::Answered,
-            Ok(second) => mismatched(format!("second answer {}", second.value())),
-            // The resend may be over the account's rate; the first answer stands.
-            Err(Ending::Refused { .. }) => {
-                self.resend_refused = true;
-                Ending::Answered
-            }
-            Err(ending) => mismatched(format!("second answer {ending:?}")),
-        }
-    }
-
-    fn order_body(&self) -> Value {
-        json!({ "order": self.idempotency_key(), "text": self.planned.prompt })
-    }
-
-    /// Sends an order until its outcome is known or the VM says that it stays unknown.
-    async fn send_order(&mut self) -> Result<Reply, Ending> {
-        let (key, body) = (self.idempotency_key(), self.order_body());
-        let path = self.shared.settings.order_path.clone();
-        let build = |this: &Self| caller_api::order(this.vm(), this.key(), &path, &key, &body);
-        loop {
-            let reply = self.shared.client.send(build(self)).await;
-            let Ok(reply) = reply else {
-                self.next_vm().await;
-                continue;
-            };
-            match caller_api::error_of(&reply) {
-                None => return Ok(reply),
-                Some(error) if error.is_local_to_vm() => self.next_vm().await,
-                Some(error) if error.run == "unknown" && error.retry_after_ms.is_some() => {
-                    let pause_ms = error.retry_after_ms.unwrap_or_default();
-                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-                }
-                Some(error) => return Err(failed(error)),
-            }
-        }
-    }
-
-    fn check_order(&self, body: &Value) -> Ending {
-        let digest = answer::digest_bytes(self.order_body().to_string().as_bytes());
-        self.check_digest(body, &digest)
-    }
-
-    fn check_digest(&self, body: &Value, digest: &str) -> Ending {
+    pub(super) fn check_digest(&self, body: &Value, digest: &str) -> Ending {
         if body["body_digest"] == digest {
             Ending::Answered
         } else {
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod caller_api;
 pub mod callers;
+mod callers_orders;
 pub mod callers_plan;
 pub mod callers_report;
 pub mod callers_run;
