feat(node): tick when a queued job is past its deadline

Ticks came every 10 s, so a queued job got its final state up to 10 s after its deadline. The leader now also ticks, at most once a second, while the first queued job is past its deadline. A tick each second while any job is open was ruled out: it writes entries for overnight jobs that change nothing. Orders in progress do not depend on time and cause no ticks. The leader also logs when it gains and loses the log.

--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use log::info;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -26,6 +27,9 @@
 
 /// Interval between two looks.
 const ROUND_MS: u64 = 200;
+/// Shortest time between two ticks. Without a queued job that is past its deadline, ticks are
+/// `TICK_INTERVAL_MS` apart.
+const EXPIRY_TICK_MS: u64 = 1_000;
 /// Longest wait for a proposal.
 const PROPOSE_MS: u64 = 2_000;
 /// Time without news after which the process of a VM counts as ended. Longer than the detector's
@@ -63,13 +67,18 @@
         loop {
             sleep(Duration::from_millis(ROUND_MS)).await;
             if !self.log.status().is_leader {
-                leading = None;
+                if leading.take().is_some() {
+                    info!("control: this VM no longer leads the log");
+                }
                 continue;
             }
-            let leading = leading.get_or_insert_with(|| Leading {
-                settlement: Settlement::new(self.lease_ms),
-                ticked: None,
-                seen: BTreeMap::new(),
+            let leading = leading.get_or_insert_with(|| {
+                info!("control: this VM leads the log");
+                Leading {
+                    settlement: Settlement::new(self.lease_ms),
+                    ticked: None,
+                    seen: BTreeMap::new(),
+                }
             });
             for command in self.due(leading) {
                 let deadline = Instant::now() + Duration::from_millis(PROPOSE_MS);
@@ -92,9 +101,11 @@
     }
 
     fn tick(&self, leading: &mut Leading, now: MonoMs) -> Option<Command> {
-        let due = leading
-            .ticked
-            .is_none_or(|at| now.since(at) >= TICK_INTERVAL_MS);
+        let due = match leading.ticked.map(|at| now.since(at)) {
+            None | Some(TICK_INTERVAL_MS..) => true,
+            Some(EXPIRY_TICK_MS..) => self.has_overdue_job(),
+            Some(_) => false,
+        };
         if !due {
             return None;
         }
@@ -104,6 +115,15 @@
         })
     }
 
+    /// Whether a tick would give a queued job its final state. An order needs no such tick: while it
+    /// is in progress its record does not depend on time.
+    fn has_overdue_job(&self) -> bool {
+        let now = self.clock.unix();
+        let machine = lock(&self.state);
+        let first = machine.state().jobs().queued().next();
+        first.is_some_and(|job| job.accept.deadline_unix_ms <= now)
+    }
+
     /// VMs that are silent for long, and earlier processes of VMs that have restarted.
     fn lost_owners(&self, leading: &mut Leading, snapshot: &Snapshot, now: MonoMs) -> Vec<Command> {
         let mut lost = Vec::new();
