feat(scripts): measure faults restarts, kills and freezes processes

Replaces the killed VM and engine of the faults workload by a rolling restart of all VMs under load, kills of the log leader and of a VM that holds orders and a job, a frozen VM, an engine that is killed and comes back empty, orders sent together and given up, and a request that crashes engines.

--- /dev/null
+++ b/scripts/faults.py
@@ -0,0 +1,299 @@
+"""Failures that `scripts/measure faults` injects into a running deployment, and what they cost.
+
+Loads run while VMs are restarted, killed and frozen and an engine is killed; orders and jobs are
+also sent one by one around a kill. Sums of runs come from the services' own counters.
+"""
+
+import concurrent.futures
+import hashlib
+import http.client
+import json
+import time
+import zlib
+
+import fleet as fleets
+
+CRASH_MARKER = "#crash#"
+# Long enough that a VM can be killed between the dispatch of an order and its answer.
+SERVICE_DELAY_MS = 40
+TOGETHER_VMS = 3
+ABANDON_MS = 20
+# Longer than the time after which a silent process counts as ended, so that the thawed VM finds
+# its leases lapsed and its orders given up.
+FREEZE_S = 11.0
+DRAIN_MS = 10_000
+STOP_S = 15
+ORDER_TRIES = 3
+RESEND_S = 6.0
+JOB_DEADLINE_S = 25.0
+GIVE_UP_MS = 12_000
+PATIENT_DEADLINE_MS = 20_000
+QUIET_S = 6
+RESTART_LOAD_S = 32
+FAULT_LOAD_S = 15
+
+
+class Reply:
+    """A response, or the lack of one."""
+
+    def __init__(self, status=None, body=None):
+        self.status = status
+        self.body = body if isinstance(body, dict) else {}
+
+    @property
+    def run(self):
+        return self.body.get("error", {}).get("run")
+
+
+def call(fleet, vm, method, path, key, body=None, headers=None, timeout_s=8.0):
+    """One request to one VM without retries."""
+    connection = http.client.HTTPConnection(fleets.HOST, fleet.port(fleets.CALLER, vm), timeout_s)
+    try:
+        connection.request(method, path, None if body is None else json.dumps(body),
+                           {"authorization": f"Bearer {key}", "content-type": "application/json",
+                            **(headers or {})})
+        response = connection.getresponse()
+        data = response.read()
+        return Reply(response.status, json.loads(data) if data else {})
+    except (OSError, ValueError, http.client.HTTPException):
+        return Reply()
+    finally:
+        connection.close()
+
+
+def send_order(fleet, vm, key, name):
+    path = f"/services/{fleets.SERVICE}/orders"
+    return call(fleet, vm, "POST", path, key, {"order": name}, {"idempotency-key": name})
+
+
+def order_id(account, idempotency_key):
+    key_hash = hashlib.sha256(idempotency_key.encode()).hexdigest()
+    return hashlib.sha256(f"{account}\0{key_hash}".encode()).hexdigest()
+
+
+def order_runs(counts):
+    """Runs of each order id over all services."""
+    runs = {}
+    for name, entries in counts.items():
+        if name.startswith("service"):
+            for entry in entries:
+                for order, number in entry.get("runs_by_order", {}).items():
+                    runs[order] = runs.get(order, 0) + number
+    return runs
+
+
+def restart_vm(fleet, index):
+    fleet.terminate(fleet.vms[index]["vm"], STOP_S)
+    fleet.start_vm(index)
+    fleet.wait_ready()
+
+
+def rolling_restart(fleet, callers):
+    """Restarts all VMs one after the other; returns how many restarts ended under load."""
+    under_load = 0
+    for index in range(len(fleet.vms)):
+        restart_vm(fleet, index)
+        under_load += callers.process.poll() is None
+    return under_load
+
+
+def kill_during_orders(fleet, account, key, vm):
+    """Kills `vm` while it holds orders and resends them to other VMs.
+
+    Returns for each order its id and its last reply.
+    """
+    names = [f"kill-{vm}-{number}" for number in range(ORDER_TRIES)]
+    with concurrent.futures.ThreadPoolExecutor(ORDER_TRIES) as pool:
+        sending = [pool.submit(send_order, fleet, vm, key, name) for name in names]
+        # The intent is committed in a few milliseconds and the service takes longer than that.
+        time.sleep(SERVICE_DELAY_MS / 2_000)
+        fleet.kill(fleet.vms[vm]["vm"])
+        lost = sum(future.result().status is None for future in sending)
+    last = []
+    for number, name in enumerate(names):
+        deadline = time.monotonic() + RESEND_S
+        target = (vm + 1 + number) % len(fleet.vms)
+        while True:
+            reply = send_order(fleet, target, key, name)
+            # Whether the first send ran is only decided once the VM counts as ended.
+            if reply.status == 200 or time.monotonic() > deadline:
+                break
+            time.sleep(0.5)
+        last.append((order_id(account, name), reply))
+    return lost, last
+
+
+def submit_job(fleet, vm, key, name, deadline_s):
+    body = {"model": f"{fleets.BASE}:a00001@1", "prompt": f"job {name}", "max_tokens": 400}
+    headers = {"idempotency-key": name,
+               "x-deadline-unix-ms": str(int((time.time() + deadline_s) * 1_000))}
+    reply = call(fleet, vm, "POST", "/v1/jobs", key, body, headers)
+    return reply.body.get("id")
+
+
+def job_status(fleet, vm, key, job):
+    return call(fleet, vm, "GET", f"/v1/jobs/{job}", key).body.get("status")
+
+
+def job_name_run_by(fleet, account, vm, prefix):
+    """An idempotency key whose job id hashes to `vm`, which then claims the job first."""
+    names = sorted(entry["vm"] for entry in fleet.vms)
+    number = 0
+    while True:
+        name = f"{prefix}-{number}"
+        job = "job-" + hashlib.sha256(f"{account}\0{name}".encode()).hexdigest()[:32]
+        if names[zlib.crc32(job.encode()) % len(names)] == fleet.vms[vm]["vm"]:
+            return name
+        number += 1
+
+
+def follow_job(fleet, vm, key, job, limit_s):
+    """Waits for the final state of a job; returns it and the time of the first look that saw it."""
+    deadline = time.monotonic() + limit_s
+    status = None
+    while time.monotonic() < deadline:
+        status = job_status(fleet, vm, key, job)
+        if status not in (None, "queued", "running"):
+            return status, time.time()
+        time.sleep(0.1)
+    return status, time.time()
+
+
+def check_killed_jobs(fleet, key, vm, long, short):
+    """Follows the jobs of a killed VM from another VM until both have ended."""
+    other = (vm + 1) % len(fleet.vms)
+    status, _ = follow_job(fleet, other, key, long, JOB_DEADLINE_S + 5)
+    result = call(fleet, (vm + 3) % len(fleet.vms), "GET", f"/v1/jobs/{long}/result", key)
+    short_status, short_at = follow_job(fleet, other, key, short["id"], 25)
+    return {
+        "killed_job_status": status, "killed_job_result_status": result.status,
+        "short_job_status": short_status,
+        "short_job_final_after_deadline_ms": round((short_at - short["deadline"]) * 1_000),
+    }
+
+
+def cancelled_job(fleet, key):
+    """Submits a job to one VM, cancels it through a second and reads its state from a third."""
+    job = submit_job(fleet, 0, key, "cancel-me", JOB_DEADLINE_S)
+    call(fleet, 4, "DELETE", f"/v1/jobs/{job}", key)
+    return follow_job(fleet, 8, key, job, 3)[0]
+
+
+def marker_request(fleet, vm, key, text):
+    body = {"model": f"{fleets.BASE}:a00002@1", "prompt": f"{text} {CRASH_MARKER}",
+            "max_tokens": 8}
+    headers = {"x-deadline-unix-ms": str(int((time.time() + 6) * 1_000))}
+    return call(fleet, vm, "POST", "/v1/completions", key, body, headers)
+
+
+def crashes(fleet):
+    return fleets.total(fleet.all_counts(), "engine", "crashes")
+
+
+def crash_by_marker(fleet, key):
+    """Engines crashed by one request resent from VM to VM, and by another sent to three at once."""
+    before = crashes(fleet)
+    for vm in (0, 3, 6, 1):
+        marker_request(fleet, vm, key, "resent")
+    resent = crashes(fleet) - before
+    with concurrent.futures.ThreadPoolExecutor(TOGETHER_VMS) as pool:
+        list(pool.map(lambda vm: marker_request(fleet, vm, key, "together"), (0, 3, 6)))
+    marker_request(fleet, 2, key, "together")
+    return resent, crashes(fleet) - before - resent
+
+
+def inject(fleet, account, key):
+    """Kills the log's leader, freezes a VM, kills an engine and the VM that holds orders and jobs."""
+    leader = fleet.leader()
+    frozen = next(vm for vm in (1, 4) if vm != leader)
+    victim = 5
+    long_name = job_name_run_by(fleet, account, victim, "long")
+    short_name = job_name_run_by(fleet, account, victim, "short")
+    fleet.freeze(fleet.vms[frozen]["vm"])
+    thaw_at = time.monotonic() + FREEZE_S
+    try:
+        long = submit_job(fleet, 8, key, long_name, JOB_DEADLINE_S)
+        short = {"deadline": time.time() + 3, "id": submit_job(fleet, 8, key, short_name, 3)}
+        time.sleep(1.0)
+        lost, orders = kill_during_orders(fleet, account, key, victim)
+        fleet.kill("engine8")
+        lost_to_leader, more = kill_during_orders(fleet, account, key, leader)
+        time.sleep(max(0.0, thaw_at - time.monotonic()))
+    finally:
+        fleet.thaw(fleet.vms[frozen]["vm"])
+    jobs = check_killed_jobs(fleet, key, victim, long, short)
+    # A restarted engine is empty.
+    fleet.start_engine(7)
+    fleet.start_vm(victim)
+    fleet.start_vm(leader)
+    fleet.wait_ready()
+    return jobs, lost + lost_to_leader, orders + more
+
+
+def latency(report):
+    return {
+        kind: {"p50_ms": entry["first_token_p50_ms"], "p99_ms": entry["first_token_p99_ms"],
+               "answered": entry["answered"]}
+        for kind, entry in report["classes"].items() if kind in ("order", "lookup")
+    }
+
+
+def false_not_run(runs, reports, sent):
+    """Orders whose last answer was `not_run` although a service ran them."""
+    refused = [order for report in reports for order in report["orders_not_run"]]
+    refused += [order for order, reply in sent if reply.run == "not_run"]
+    return sum(runs.get(order, 0) > 0 for order in refused)
+
+
+def run(fleet, settings, account, key):
+    """Injects all failures and returns the measured figures."""
+    quiet = fleets.Callers(fleet, {
+        **settings, "duration_ms": QUIET_S * 1_000, "requests_per_s": 60,
+        "order_together_vms": 1,
+        "mix": {"live": 0, "streamed": 0, "patient": 0, "order": 1, "lookup": 1}})
+    _, quiet_report = quiet.wait(QUIET_S + GIVE_UP_MS / 1_000 + 5)
+    load = fleets.Callers(fleet, {**settings, "duration_ms": RESTART_LOAD_S * 1_000})
+    under_load = rolling_restart(fleet, load)
+    limit_s = (GIVE_UP_MS + PATIENT_DEADLINE_MS) / 1_000 + 10
+    _, restart_report = load.wait(RESTART_LOAD_S + limit_s)
+    load = fleets.Callers(fleet, {
+        **settings, "duration_ms": FAULT_LOAD_S * 1_000, "seed": settings["seed"] + 1,
+        "order_abandon_ms": ABANDON_MS})
+    jobs, orders_lost, sent = inject(fleet, account, key)
+    _, fault_report = load.wait(FAULT_LOAD_S + limit_s)
+    cancelled = cancelled_job(fleet, key)
+    resent, together = crash_by_marker(fleet, key)
+    counts = fleet.all_counts()
+    reports = [quiet_report, restart_report, fault_report]
+    runs = order_runs(counts)
+    answered_without_run = sum(
+        runs.get(order, 0) != 1 for report in reports for order in report["orders_answered"])
+    lost_jobs = sum(report["classes"].get("patient", {}).get(field, 0)
+                    for report in reports for field in ("lost", "unknown"))
+    lost_jobs += jobs["killed_job_status"] not in ("done", "finished")
+    return {
+        "orders_run_twice": fleets.doubled_orders(counts),
+        "orders_answered_but_not_run_once": answered_without_run,
+        "answers_mismatched": sum(report["totals"]["mismatched"] for report in reports),
+        "streams_cut_by_drain": restart_report["classes"]["streamed"]["cut"],
+        "calls_cut_by_drain": restart_report["totals"]["cut"]
+        - restart_report["classes"]["streamed"]["cut"],
+        "false_not_run": false_not_run(runs, reports, sent),
+        "jobs_lost": lost_jobs,
+        "engines_crashed_by_marker": resent,
+        "engines_crashed_by_marker_sent_together": together,
+        "latency_quiet": latency(quiet_report),
+        "latency_rolling_restart": latency(restart_report),
+        "latency_faults": latency(fault_report),
+        "restarts_under_load": under_load,
+        "orders_cut_by_kill": orders_lost,
+        "orders_resent_after_kill": [
+            {"status": reply.status, "run": reply.run, "runs_at_services": runs.get(order, 0)}
+            for order, reply in sent],
+        "jobs": {**jobs, "cancelled_job_status": cancelled},
+        "totals": {
+            name: {field: report["totals"][field] for field in (
+                "sent", "answered", "refused", "wrongfully_refused", "late", "unknown", "lost",
+                "mismatched", "cut", "codes", "mismatch_reasons")}
+            for name, report in zip(("quiet", "rolling_restart", "faults"), reports)},
+    }
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -70,12 +70,15 @@
 class Fleet:
     """One deployment in a fresh temporary folder."""
 
-    def __init__(self, binary, base_port, policy="estimate", loads_per_s=3.0, engine=None):
+    def __init__(self, binary, base_port, policy="estimate", loads_per_s=3.0, engine=None,
+                 service=None, drain_ms=3_000):
         self.binary = binary
         self.base_port = base_port
         self.policy = policy
         self.loads_per_s = loads_per_s
         self.engine_settings = engine or {}
+        self.service_settings = service or {}
+        self.drain_ms = drain_ms
         self.temporary = tempfile.TemporaryDirectory(prefix="medlarlift-")
         self.folder = self.temporary.name
         self.processes = {}
@@ -152,6 +155,7 @@
             "name": f"{SERVICE}{index + 1}", "address": self.address(SERVICE_PORT, index),
             "data_centre": data_centre, "services": [SERVICE],
             "vms": self.caller_addresses(data_centre), "seed": index + 1,
+            **self.service_settings,
         }
         path = self.write(f"service{index + 1}.yaml", settings)
         self.spawn(f"service{index + 1}", ["standin", "service", "--settings", path])
@@ -172,7 +176,7 @@
             "operator_token_sha256": OPERATOR_TOKEN_SHA256,
             "policy": self.policy,
             "store": {"loads_per_s": self.loads_per_s, "loads_in_flight": 8},
-            "log_level": "info", "drain_ms": 3000,
+            "log_level": "info", "drain_ms": self.drain_ms,
         }
         if vm["vm"] in self.founders:
             settings["data_folder"] = os.path.join(self.folder, f"{vm['vm']}-data")
@@ -220,6 +224,34 @@
         process.kill()
         process.wait()
 
+    def terminate(self, name, timeout_s):
+        """Asks one process to shut down and waits for its end; returns its exit status."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        try:
+            return process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+            raise RuntimeError(f"{name} did not stop within {timeout_s} s") from None
+
+    def freeze(self, name):
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name):
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def leader(self):
+        """Index of the VM that leads the log, read from the logs of the voters."""
+        for vm in self.vms:
+            if vm["vm"] not in self.founders or vm["vm"] not in self.processes:
+                continue
+            lines = [line for line in self.log_tail(vm["vm"], 10_000).splitlines()
+                     if "leads the log" in line or "is open in" in line]
+            if lines and "this VM leads the log" in lines[-1]:
+                return vm["index"]
+        raise RuntimeError("no VM leads the log")
+
     def stop(self):
         """Stops every process of this fleet."""
         for process in self.processes.values():
