--- a/src/commands/admin/args.rs
+++ b/src/commands/admin/args.rs
@@ -67,7 +67,11 @@
         .subcommand(history())
         .subcommand(diff())
         .subcommand(jobs())
-        .subcommand(Command::new("quarantine").about("Lists quarantined and suspected requests"))
+        .subcommand(quarantine())
+        .subcommand(verb(
+            "metrics",
+            "Shows the histograms of a VM per client account and class",
+        ))
         .subcommand(Command::new("status").about("Shows the state of a VM and of all VMs"))
 }
 
@@ -283,6 +287,19 @@
         .subcommand(change(remove))
 }
 
+fn quarantine() -> Command {
+    let lift = verb(
+        "lift",
+        "Ends the quarantine of a request on all reachable VMs",
+    );
+    group(
+        "quarantine",
+        "Requests that were running on backend servers that crashed",
+    )
+    .subcommand(verb("list", "Lists quarantined requests"))
+    .subcommand(named(lift, "FINGERPRINT"))
+}
+
 fn share() -> Command {
     let shares = Arg::new(SHARES)
         .value_name("DATA_CENTRE=PPM")
--- a/src/commands/admin/render.rs
+++ b/src/commands/admin/render.rs
@@ -3,7 +3,7 @@
 use serde_json::Value;
 
 /// Lists that answers may hold, and the columns to show.
-const TABLES: [(&str, &[&str]); 12] = [
+const TABLES: [(&str, &[&str]); 13] = [
     (
         "templates",
         &[
@@ -53,6 +53,12 @@
         &["job", "account", "status", "attempt", "deadline_unix_ms"],
     ),
     ("entries", &["fingerprint", "crashes", "until_unix_ms"]),
+    (
+        "timings",
+        &[
+            "account", "class", "timing", "count", "p50_ms", "p95_ms", "p99_ms",
+        ],
+    ),
     ("parameters", &[]),
     ("overrides", &[]),
 ];
--- a/src/commands/admin/requests.rs
+++ b/src/commands/admin/requests.rs
@@ -43,7 +43,12 @@
         ("history", _) => client.get(&page("/v1/history", matches, args::AFTER)).await,
         ("diff", _) => client.get(&diff_path(matches)).await,
         ("jobs", _) => client.get(&jobs_path(matches)).await,
+        ("quarantine", "lift") => {
+            let path = path("/v1/quarantine/", inner, "")?;
+            client.send(Method::DELETE, &path, None).await
+        }
         ("quarantine", _) => client.get("/v1/quarantine").await,
+        ("metrics", _) => client.get("/v1/metrics").await,
         _ => client.get("/v1/status").await,
     }
 }
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod convert;
 mod error;
+mod live;
 mod operators;
 mod port;
 mod progress;
@@ -38,6 +39,8 @@
 pub use bodies::TemplateBody;
 pub use bodies::VmRemovalBody;
 pub use bodies::WithdrawalBody;
+pub use live::MetricsView;
+pub use live::TimingView;
 pub use operators::Operator;
 pub use port::ControlPort;
 pub use port::ProposeError;
@@ -159,6 +162,7 @@
 fn api() -> ApiDescription<Context> {
     let mut api = ApiDescription::new();
     reads::register(&mut api).expect("paths and methods of the reading endpoints are distinct");
+    live::register(&mut api).expect("paths and methods of the live endpoints are distinct");
     changes::register(&mut api).expect("paths and methods of the changing endpoints are distinct");
     api
 }
--- a/src/http/admin/port.rs
+++ b/src/http/admin/port.rs
@@ -7,6 +7,7 @@
 use crate::control::KeyHash;
 use crate::control::Outcome;
 use crate::control::State;
+use crate::metrics::TimingRow;
 use crate::types::DataCentre;
 use crate::types::VmName;
 
@@ -63,6 +64,16 @@
     fn quarantine(&self) -> BoxFuture<'_, Vec<QuarantineEntry>> {
         Box::pin(async { Vec::new() })
     }
+
+    /// Ends a quarantine on this VM and on all VMs that gossip reaches.
+    fn lift_quarantine(&self, fingerprint: [u8; 32]) {
+        let _ = fingerprint;
+    }
+
+    /// Histograms of this VM.
+    fn timings(&self) -> Vec<TimingRow> {
+        Vec::new()
+    }
 }
 
 /// Reads a value from the state of `port`.
--- a/src/http/admin/reads.rs
+++ b/src/http/admin/reads.rs
@@ -26,8 +26,6 @@
 use crate::http::admin::JobsView;
 use crate::http::admin::KeyView;
 use crate::http::admin::KeysView;
-use crate::http::admin::QuarantineEntryView;
-use crate::http::admin::QuarantineView;
 use crate::http::admin::RosterPendingView;
 use crate::http::admin::RosterView;
 use crate::http::admin::RosterVmView;
@@ -97,7 +95,6 @@
     api.register(show_history)?;
     api.register(show_diff)?;
     api.register(list_jobs)?;
-    api.register(list_quarantine)?;
     api.register(show_status)
 }
 
@@ -315,21 +312,6 @@
     }
 }
 
-/// Lists quarantined and suspected requests.
-#[endpoint { method = GET, path = "/v1/quarantine" }]
-async fn list_quarantine(request: Request) -> Reply<QuarantineView> {
-    authorize(&request)?;
-    let entries = request.context().port.quarantine().await;
-    let entries = entries.into_iter().map(|entry| QuarantineEntryView {
-        fingerprint: entry.fingerprint,
-        crashes: entry.crashes,
-        until_unix_ms: entry.until_unix_ms,
-    });
-    Ok(HttpResponseOk(QuarantineView {
-        entries: entries.collect(),
-    }))
-}
-
 /// Shows the state of this VM and the progress of all VMs.
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn show_status(request: Request) -> Reply<StatusView> {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -43,7 +43,8 @@
 }
 
 impl Timing {
-    fn as_str(self) -> &'static str {
+    /// Name of the metric.
+    pub fn as_str(self) -> &'static str {
         match self {
             Self::FirstToken => "first_token_ms",
             Self::LoadStall => "load_stall_ms",
--- a/src/node/admin_port.rs
+++ b/src/node/admin_port.rs
@@ -21,7 +21,10 @@
 use crate::http::admin::QuarantineEntry;
 use crate::http::admin::VmReach;
 use crate::membership;
+use crate::membership::Fingerprint;
 use crate::membership::Liveness;
+use crate::metrics::Metrics;
+use crate::metrics::TimingRow;
 use crate::types::Clock;
 
 /// Longest wait for an operator's change to be committed.
@@ -37,6 +40,8 @@
     pub members: membership::Handle,
     /// Maps log indexes to revisions.
     pub revisions: Arc<RevisionIndex>,
+    /// Measurements.
+    pub metrics: Arc<Metrics>,
     /// Time.
     pub clock: Clock,
 }
@@ -89,6 +94,14 @@
         async {}.boxed()
     }
 
+    fn lift_quarantine(&self, fingerprint: [u8; 32]) {
+        self.members.lift_quarantine(Fingerprint(fingerprint));
+    }
+
+    fn timings(&self) -> Vec<TimingRow> {
+        self.metrics.timings()
+    }
+
     fn quarantine(&self) -> BoxFuture<'_, Vec<QuarantineEntry>> {
         let snapshot = self.members.snapshot();
         let quarantined = snapshot.quarantine.quarantined(self.clock.unix());
--- a/src/node/vm.rs
+++ b/src/node/vm.rs
@@ -295,6 +295,7 @@
         state: parts.state.clone(),
         members: parts.members.clone(),
         revisions: revisions.clone(),
+        metrics: pipeline.metrics.clone(),
         clock: parts.clock,
     };
     let admin = AdminSettings {
