--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -329,7 +329,7 @@
         ("history --limit 1", "tester"),
         ("diff 7 9", "account/acme"),
         ("jobs --after x-1 --limit 5", "total: 0"),
-        ("quarantine", "f00d"),
+        ("quarantine list", "f00d"),
         ("status", "in_force"),
     ] {
         let output = fleet.ok(line).await;
@@ -600,7 +600,9 @@
         "key grant acme",
         "key list acme",
         "key withdraw --key-id k",
-        "quarantine",
+        "quarantine list",
+        "quarantine lift 00",
+        "metrics",
         "roster list",
         "roster remove a1",
         "route list",
