--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -3,6 +3,8 @@
 mod fleet;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 use fleet::Fleet;
 use fleet::Traffic;
@@ -10,18 +12,26 @@
 use fleet::account;
 use fleet::centre;
 use fleet::limits;
+use futures::future::BoxFuture;
 use medlarlift::lease::Held;
 use medlarlift::limits::Ask;
 use medlarlift::limits::BORROW_FORMAT;
+use medlarlift::limits::BorrowPeers;
 use medlarlift::limits::BorrowReply;
 use medlarlift::limits::BorrowRequest;
+use medlarlift::limits::Client;
+use medlarlift::limits::ClientConfig;
 use medlarlift::limits::Desk;
 use medlarlift::limits::Dispenser;
 use medlarlift::limits::GrantId;
 use medlarlift::limits::History;
 use medlarlift::limits::LimitVersion;
+use medlarlift::limits::NoCoordinator;
 use medlarlift::limits::Return;
+use medlarlift::limits::Server;
 use medlarlift::limits::Shortage;
+use medlarlift::types::Clock;
+use medlarlift::types::DataCentre;
 use medlarlift::types::MonoMs;
 use medlarlift::types::VmName;
 use rand::RngExt;
@@ -511,3 +521,75 @@
         assert!(permanent, "seed {seed}: {:?}", fleet.last_shortage);
     }
 }
+
+/// Sends borrow requests straight to the servers of the data centres.
+struct DirectPeers {
+    servers: BTreeMap<DataCentre, Server>,
+}
+
+impl BorrowPeers for DirectPeers {
+    fn borrow(
+        &self,
+        data_centre: DataCentre,
+        request: BorrowRequest,
+    ) -> BoxFuture<'static, Result<BorrowReply, NoCoordinator>> {
+        let server = self.servers.get(&data_centre).cloned();
+        Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            let reason = "not running".to_owned();
+            let server = server.ok_or(NoCoordinator {
+                data_centre,
+                reason,
+            })?;
+            Ok(server.receive(&request))
+        })
+    }
+}
+
+/// Guards against drivers that do not borrow from other data centres, do not return the tokens of
+/// callers that stopped waiting, or give a retry hint for an unknown account.
+#[tokio::test]
+async fn drivers_borrow_settle_and_return() {
+    let clock = Clock::start();
+    let version = limits(1_000, 600, EQUAL);
+    let held = Held {
+        term: 1,
+        since: MonoMs(0),
+        deadline: MonoMs(u64::MAX),
+        required_index: 1,
+        settled_index: 1,
+    };
+    let start = |dc: usize| {
+        let server = Server::spawn(centre(dc), clock, Arc::new(move || Some(held)));
+        server.set_history(account(), History::new(version.clone()));
+        server.set_applied(1);
+        (centre(dc), server)
+    };
+    let servers = (0..2).map(start).collect();
+    let config = ClientConfig {
+        vm: VmName::from("vm"),
+        incarnation: 1,
+        data_centre: centre(0),
+        clock,
+    };
+    let client = Client::spawn(config, Arc::new(DirectPeers { servers }));
+    let unknown = client.reserve(&account(), 1).await;
+    assert_eq!(unknown.expect_err("no limits"), Shortage::UnknownAccount);
+    client.set_limits(account(), version);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let name = account();
+    let abandoned = client.reserve(&name, 250);
+    let waited = tokio::time::timeout(Duration::from_millis(1), abandoned).await;
+    assert!(waited.is_err(), "a reply takes 2 ms");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reservation = client.reserve(&account(), 250).await;
+    let reservation = reservation.expect("two data centres hold 150 tokens each");
+    assert_eq!(reservation.tokens(), 250);
+    assert!(clock.mono() < reservation.dispatch_before());
+    client.settle(reservation, 250);
+    let refused = client.reserve(&account(), 290).await;
+    assert!(
+        matches!(refused, Err(Shortage::Later { .. })),
+        "{refused:?}"
+    );
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -2,24 +2,39 @@
 
 mod gossip;
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use futures::future::BoxFuture;
 use gossip::Gossip;
 use gossip::centre;
 use gossip::payload;
 use gossip::vm_name;
+use medlarlift::membership::Config;
+use medlarlift::membership::Contact;
 use medlarlift::membership::CrashReport;
+use medlarlift::membership::Delta;
+use medlarlift::membership::Digest;
 use medlarlift::membership::FIRST_QUARANTINE_MS;
 use medlarlift::membership::Fact;
 use medlarlift::membership::Fingerprint;
+use medlarlift::membership::GossipPeers;
+use medlarlift::membership::Handle;
 use medlarlift::membership::Lift;
 use medlarlift::membership::Liveness;
+use medlarlift::membership::NoGossip;
 use medlarlift::membership::Quarantine;
 use medlarlift::membership::REPORT_LIFETIME_MS;
+use medlarlift::membership::TableConfig;
 use medlarlift::membership::Verdict;
 use medlarlift::membership::VmStatus;
 use medlarlift::membership::Withdrawal;
+use medlarlift::types::Clock;
 use medlarlift::types::MonoMs;
 use medlarlift::types::ServerName;
 use medlarlift::types::UnixMs;
+use medlarlift::types::VmName;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -239,3 +254,70 @@
     let forgotten = until.plus(REPORT_LIFETIME_MS);
     assert_eq!(quarantine.verdict(&PRINT, forgotten), Verdict::Clear);
 }
+
+/// Hands gossip straight to the handles of other VMs.
+#[derive(Default)]
+struct DirectPeers {
+    handles: Mutex<BTreeMap<VmName, Handle>>,
+}
+
+impl GossipPeers for DirectPeers {
+    fn gossip(
+        &self,
+        to: VmName,
+        _address: String,
+        digest: Digest,
+    ) -> BoxFuture<'static, Result<Delta, NoGossip>> {
+        let handle = self.handles.lock().expect("not poisoned").get(&to).cloned();
+        Box::pin(async move {
+            let reply = handle.and_then(|handle| handle.receive(&digest));
+            let reason = "not running".to_owned();
+            reply.ok_or(NoGossip { vm: to, reason })
+        })
+    }
+}
+
+/// Guards against a driver that does not gossip, or whose readers do not see what it learnt.
+#[tokio::test]
+async fn driver_spreads_announcements_and_withdrawals() {
+    let peers = Arc::new(DirectPeers::default());
+    let mut handles = Vec::new();
+    for index in 0..3 {
+        let table = TableConfig {
+            me: vm_name(index),
+            incarnation: 1,
+            payload: payload(index, 3),
+            seed: 1,
+        };
+        let contacts = vec![Contact {
+            vm: vm_name(0),
+            data_centre: centre(0),
+            address: "10.0.0.1:7400".to_owned(),
+        }];
+        let config = Config {
+            table,
+            contacts,
+            clock: Clock::start(),
+        };
+        let shared = Arc::clone(&peers) as Arc<dyn GossipPeers>;
+        let handle = medlarlift::membership::spawn(config, shared);
+        peers
+            .handles
+            .lock()
+            .expect("not poisoned")
+            .insert(vm_name(index), handle.clone());
+        handles.push(handle);
+    }
+    let mut snapshots = handles[2].subscribe();
+    let announcement = Gossip::new(1, 3, 1, 3).servers[0].announcement.clone();
+    handles[0].announce(announcement);
+    handles[1].withdraw_key([3; 32]);
+    let learnt = snapshots.wait_for(|seen| {
+        seen.vms.len() == 3 && seen.servers.len() == 1 && seen.withdrawn.contains(&[3; 32])
+    });
+    let limit = std::time::Duration::from_secs(4);
+    assert!(
+        tokio::time::timeout(limit, learnt).await.is_ok(),
+        "not learnt in time"
+    );
+}
