--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -39,6 +39,7 @@
     heard: MonoMs,
     name_hash: u32,
     hash: u32,
+    changed_at: MonoMs,
     entry_sends: u32,
     beat_sends: u32,
     beat_renewed: MonoMs,
@@ -102,6 +103,7 @@
             slot.version = entry.version;
             slot.payload = Arc::new(entry.payload);
             slot.hash = stable_hash(&(&entry.name, entry.incarnation, entry.version));
+            slot.changed_at = now;
             slot.entry_sends = sends;
             if relay {
                 self.changed.insert(entry.name);
@@ -232,8 +234,9 @@
         picked
     }
 
-    /// Live entries of which `wanted` accepts the hash of the name, up to about `bytes`. `salt`
-    /// decides which come first, so that no entry is left out each time.
+    /// Live entries of which `wanted` accepts the hash of the name, up to about `bytes`. An even
+    /// `salt` puts the latest changes first, since those are the likeliest to be missing; an odd
+    /// one decides the order, so that no entry is left out each time.
     pub fn pick_entries(
         &self,
         now: MonoMs,
@@ -247,7 +250,11 @@
         let mut candidates: Vec<(&N, &Slot<P>)> = slots
             .filter(|(_, slot)| wanted(slot.name_hash) && slot.lives(now, pace))
             .collect();
-        candidates.sort_by_key(|(_, slot)| slot.name_hash ^ salt);
+        if salt.is_multiple_of(2) {
+            candidates.sort_by_key(|(_, slot)| Reverse(slot.changed_at));
+        } else {
+            candidates.sort_by_key(|(_, slot)| slot.name_hash ^ salt);
+        }
         let mut picked = Vec::new();
         for (name, slot) in candidates {
             if *bytes == 0 {
@@ -314,6 +321,7 @@
             heard: now,
             name_hash,
             hash: stable_hash(&(&entry.name, entry.incarnation, entry.version)),
+            changed_at: now,
             entry_sends,
             beat_sends: 0,
             beat_renewed: now,
