--- a/benches/policies/main.rs
+++ b/benches/policies/main.rs
@@ -71,9 +71,11 @@
         let slots = run::ENGINES * config.engine_slots as usize;
         let optimum = optimum::loads(&arrivals, slots);
         println!(
-            "{}: {} requests, optimum {optimum} loads",
+            "{}: {} requests, optimum {} loads, {} of them for urgent requests",
             config.name,
-            arrivals.len()
+            arrivals.len(),
+            optimum.loads,
+            optimum.urgent,
         );
         for policy in [Policy::Estimate, Policy::LeastLoaded, Policy::HashAffinity] {
             let name = format!("{policy:?}");
--- a/benches/policies/optimum.rs
+++ b/benches/policies/optimum.rs
@@ -3,33 +3,44 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use medlarlift::types::Patience;
+
 use crate::trace::Arrival;
 
+/// Loads of the optimum.
+pub struct Optimum {
+    /// All loads.
+    pub loads: usize,
+    /// Loads that an urgent request waits for.
+    pub urgent: usize,
+}
+
 /// Loads that the optimal offline replacement (Belady) needs when all slots of all engines form
 /// one cache and each urgent request and each patient batch is one access at its arrival. A lower
 /// bound for any policy that serves the trace in that order: it needs no copies, loses nothing
 /// when an engine restarts, and loads and evicts in no time.
-pub fn loads(arrivals: &[Arrival], slots: usize) -> usize {
-    let accesses: Vec<u32> = arrivals
-        .iter()
-        .filter(|a| a.first)
-        .map(|a| a.adapter)
-        .collect();
+pub fn loads(arrivals: &[Arrival], slots: usize) -> Optimum {
+    let accesses: Vec<&Arrival> = arrivals.iter().filter(|a| a.first).collect();
     let mut next_use = vec![usize::MAX; accesses.len()];
     let mut seen: HashMap<u32, usize> = HashMap::new();
-    for (at, adapter) in accesses.iter().enumerate().rev() {
-        if let Some(next) = seen.insert(*adapter, at) {
+    for (at, access) in accesses.iter().enumerate().rev() {
+        if let Some(next) = seen.insert(access.adapter, at) {
             next_use[at] = next;
         }
     }
     let mut held: HashMap<u32, usize> = HashMap::new();
     let mut by_next: BTreeSet<(usize, u32)> = BTreeSet::new();
-    let mut loads = 0;
-    for (at, adapter) in accesses.iter().enumerate() {
+    let mut optimum = Optimum {
+        loads: 0,
+        urgent: 0,
+    };
+    for (at, access) in accesses.iter().enumerate() {
+        let adapter = &access.adapter;
         if let Some(next) = held.remove(adapter) {
             by_next.remove(&(next, *adapter));
         } else {
-            loads += 1;
+            optimum.loads += 1;
+            optimum.urgent += usize::from(access.class == Patience::Urgent);
             if held.len() == slots
                 && let Some((_, farthest)) = by_next.pop_last()
             {
@@ -39,5 +50,5 @@
         held.insert(*adapter, next_use[at]);
         by_next.insert((next_use[at], *adapter));
     }
-    loads
+    optimum
 }
