fix(fair_queue): the tiers have virtual times of their own

One tag per account was charged for urgent and patient work alike. Patient work from spare capacity moved the virtual time, so an account whose urgent work was blocked by loads collected credit, and its excess overtook new urgent work of others: in a test the adapter of another account came 51st of 51. Ruled out: the order of loads in the planner, which follows the queue. Each tier now has its own tags; settle names the class; the credit is 20,000 tokens of the account instead of 100,000 per unit of weight.

--- a/src/scheduling/fair_queue/account.rs
+++ b/src/scheduling/fair_queue/account.rs
@@ -9,6 +9,11 @@
 /// Order of items: the one that must start first, then the one queued first.
 pub(super) type Key = (MonoMs, u64);
 
+/// Urgent work and patient work with little slack.
+pub(super) const FIRST: usize = 0;
+/// Other patient work.
+pub(super) const SECOND: usize = 1;
+
 /// Work of one class, indexed by adapter so that work for one blocked adapter is skipped at once.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Lane {
@@ -68,8 +73,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Account {
     pub(super) weight: u32,
-    /// Virtual start tag of the next item, in tokens per unit of weight.
-    pub(super) start: f64,
+    /// Virtual start tag of the next item of each tier, in tokens per unit of weight.
+    pub(super) start: [f64; 2],
     pub(super) urgent: Lane,
     pub(super) patient: Lane,
     /// Adapter of the last patient items and how many were served in a row.
@@ -77,7 +82,7 @@
 }
 
 impl Account {
-    pub(super) fn new(weight: u32, start: f64) -> Self {
+    pub(super) fn new(weight: u32, start: [f64; 2]) -> Self {
         Self {
             weight,
             start,
--- a/src/scheduling/fair_queue/mod.rs
+++ b/src/scheduling/fair_queue/mod.rs
@@ -31,8 +31,8 @@
     pub service_base_ms: u64,
     /// Service time per token, in microseconds.
     pub service_us_per_token: u64,
-    /// Tokens (per unit of weight) that an account may lag behind and catch up later, for example
-    /// while its adapters are being loaded.
+    /// Tokens that an account may lag behind and catch up later, for example while its adapters are
+    /// being loaded.
     pub catch_up_tokens: Tokens,
     /// Patient items of one adapter that are served in a row before another adapter's turn.
     pub group_items: usize,
@@ -47,7 +47,7 @@
             promote_slack_ms: 60_000,
             service_base_ms: 50,
             service_us_per_token: 0,
-            catch_up_tokens: 100_000,
+            catch_up_tokens: 20_000,
             group_items: 16,
         }
     }
--- a/src/scheduling/fair_queue/queue.rs
+++ b/src/scheduling/fair_queue/queue.rs
@@ -12,8 +12,10 @@
 use crate::scheduling::fair_queue::Rejected;
 use crate::scheduling::fair_queue::Verdict;
 use crate::scheduling::fair_queue::account::Account;
+use crate::scheduling::fair_queue::account::FIRST;
 use crate::scheduling::fair_queue::account::Key;
 use crate::scheduling::fair_queue::account::Lane;
+use crate::scheduling::fair_queue::account::SECOND;
 use crate::scheduling::residency::WaitingAdapter;
 use crate::types::AccountName;
 use crate::types::AdapterRef;
@@ -40,8 +42,10 @@
     by_start: BTreeSet<Key>,
     patient_len: usize,
     next_id: u64,
-    /// Start tag of the last item served, in tokens per unit of weight.
-    virtual_time: f64,
+    /// Start tag of the last item served of each tier, in tokens per unit of weight. The tiers have
+    /// tags of their own, so that patient work from spare capacity does not delay an account's
+    /// urgent work later.
+    virtual_time: [f64; 2],
 }
 
 impl<T> FairQueue<T> {
@@ -54,7 +58,7 @@
             by_start: BTreeSet::new(),
             patient_len: 0,
             next_id: 0,
-            virtual_time: 0.0,
+            virtual_time: [0.0; 2],
         }
     }
 
@@ -82,8 +86,9 @@
             .entry(item.account.clone())
             .or_insert_with(|| Account::new(1, self.virtual_time));
         account.weight = item.weight.max(1);
-        if account.is_empty() {
-            account.start = account.start.max(self.virtual_time);
+        let tier = tier_of(item.class);
+        if lane_mut(account, item.class).len() == 0 {
+            account.start[tier] = account.start[tier].max(self.virtual_time[tier]);
         }
         lane_mut(account, item.class).insert((start_by, id), &item.adapter);
         self.patient_len += usize::from(item.class == Patience::Patient);
@@ -142,23 +147,21 @@
         mut dispatch: impl FnMut(&QueueItem<T>) -> Verdict,
     ) -> Option<QueueItem<T>> {
         let mut blocked = HashSet::new();
-        let (id, grouped) = self.select(now, &mut blocked, &mut dispatch)?;
+        let (id, tier) = self.select(now, &mut blocked, &mut dispatch)?;
         let stored = self.detach(id)?;
-        self.charge(&stored.item, grouped);
+        self.charge(&stored.item, tier);
         Some(stored.item)
     }
 
-    /// Finds the item to serve; the flag tells whether it is of the second tier.
+    /// Finds the item to serve and its tier.
     fn select(
         &self,
         now: MonoMs,
         blocked: &mut HashSet<(AdapterRef, Patience)>,
         dispatch: &mut impl FnMut(&QueueItem<T>) -> Verdict,
-    ) -> Option<(u64, bool)> {
-        let mut order: Vec<&Account> = self.accounts.values().filter(|a| !a.is_empty()).collect();
-        order.sort_by(|a, b| a.start.total_cmp(&b.start));
+    ) -> Option<(u64, usize)> {
         let promote_until = now.plus(self.config.promote_slack_ms);
-        for account in &order {
+        for account in self.accounts_by_start(FIRST) {
             for (key, adapter) in account.first_tier(promote_until) {
                 let lane = if self.is_urgent(key) {
                     &account.urgent
@@ -166,16 +169,16 @@
                     &account.patient
                 };
                 match self.offer(lane, adapter, blocked, dispatch) {
-                    Offer::Taken(id) => return Some((id, false)),
+                    Offer::Taken(id) => return Some((id, FIRST)),
                     Offer::Skipped => {}
                     Offer::Stopped => return None,
                 }
             }
         }
-        for account in &order {
+        for account in self.accounts_by_start(SECOND) {
             for (_, adapter) in account.second_tier(self.config.group_items) {
                 match self.offer(&account.patient, adapter, blocked, dispatch) {
-                    Offer::Taken(id) => return Some((id, true)),
+                    Offer::Taken(id) => return Some((id, SECOND)),
                     Offer::Skipped => {}
                     Offer::Stopped => return None,
                 }
@@ -184,6 +187,13 @@
         None
     }
 
+    /// Accounts with queued work in the order in which a tier serves them.
+    fn accounts_by_start(&self, tier: usize) -> Vec<&Account> {
+        let mut order: Vec<&Account> = self.accounts.values().filter(|a| !a.is_empty()).collect();
+        order.sort_by(|a, b| a.start[tier].total_cmp(&b.start[tier]));
+        order
+    }
+
     fn is_urgent(&self, key: Key) -> bool {
         let stored = self.items.get(&key.1);
         stored.is_some_and(|stored| stored.item.class == Patience::Urgent)
@@ -216,25 +226,32 @@
         Offer::Skipped
     }
 
-    fn charge(&mut self, item: &QueueItem<T>, grouped: bool) {
+    fn charge(&mut self, item: &QueueItem<T>, tier: usize) {
         let Some(account) = self.accounts.get_mut(&item.account) else {
             return;
         };
-        let oldest = self.virtual_time - self.config.catch_up_tokens as f64;
-        let start = account.start.max(oldest);
-        self.virtual_time = self.virtual_time.max(start);
-        account.start = start + item.tokens as f64 / f64::from(account.weight);
-        if grouped {
+        let weight = f64::from(account.weight);
+        let oldest = self.virtual_time[tier] - self.config.catch_up_tokens as f64 / weight;
+        let start = account.start[tier].max(oldest);
+        self.virtual_time[tier] = self.virtual_time[tier].max(start);
+        account.start[tier] = start + item.tokens as f64 / weight;
+        if tier == SECOND {
             account.extend_group(&item.adapter);
         }
     }
 
     /// Gives back the part of a reservation that was not used, so that fairness follows the tokens
-    /// that were really spent.
-    pub fn settle(&mut self, account: &AccountName, reserved: Tokens, used: Tokens) {
+    /// that were really spent. `class` is the item's class.
+    pub fn settle(
+        &mut self,
+        account: &AccountName,
+        class: Patience,
+        reserved: Tokens,
+        used: Tokens,
+    ) {
         if let Some(account) = self.accounts.get_mut(account) {
             let unused = reserved.saturating_sub(used);
-            account.start -= unused as f64 / f64::from(account.weight);
+            account.start[tier_of(class)] -= unused as f64 / f64::from(account.weight);
         }
     }
 
@@ -265,13 +282,14 @@
     pub fn waiting(&self, now: MonoMs) -> Vec<WaitingAdapter> {
         let promote_until = now.plus(self.config.promote_slack_ms);
         let mut waiting: HashMap<&AdapterRef, (bool, f64, WaitingAdapter)> = HashMap::new();
-        let mut starts: HashMap<&AccountName, f64> = HashMap::new();
+        let mut starts: HashMap<&AccountName, [f64; 2]> = HashMap::new();
         for (start_by, id) in &self.by_start {
             let stored = &self.items[id];
             let item = &stored.item;
             let account = &self.accounts[&item.account];
-            let start = starts.entry(&item.account).or_insert(account.start);
             let patient = item.class == Patience::Patient && *start_by > promote_until;
+            let starts = starts.entry(&item.account).or_insert(account.start);
+            let start = &mut starts[if patient { SECOND } else { FIRST }];
             let (first_patient, first_start, entry) = waiting
                 .entry(&item.adapter)
                 .or_insert_with(|| (patient, *start, waiting_for(&item.adapter)));
@@ -310,8 +328,14 @@
             return;
         }
         let virtual_time = self.virtual_time;
-        self.accounts
-            .retain(|_, account| !account.is_empty() || account.start > virtual_time);
+        self.accounts.retain(|_, account| {
+            let ahead = account
+                .start
+                .iter()
+                .zip(virtual_time)
+                .any(|(start, at)| *start > at);
+            !account.is_empty() || ahead
+        });
     }
 }
 
@@ -321,6 +345,13 @@
     Stopped,
 }
 
+fn tier_of(class: Patience) -> usize {
+    match class {
+        Patience::Urgent => FIRST,
+        Patience::Patient => SECOND,
+    }
+}
+
 fn lane_mut(account: &mut Account, class: Patience) -> &mut Lane {
     match class {
         Patience::Urgent => &mut account.urgent,
--- a/tests/load/fair_queue.rs
+++ b/tests/load/fair_queue.rs
@@ -193,6 +193,35 @@
     }
 }
 
+/// Guards against an account whose work is blocked by loads and that collects credit while patient
+/// work of others is served, so that its excess overtakes the urgent work of others.
+#[test]
+fn patient_service_gives_no_credit_to_blocked_urgent_work() {
+    let mut queue = FairQueue::new(CONFIG);
+    for id in 0..50 {
+        let pushed = item("flood", Patience::Urgent, &format!("cold{id}"), 9_000, id);
+        queue.push(pushed, MonoMs(0)).expect("room");
+        let pushed = item("batch", Patience::Patient, "warm", u64::MAX, id);
+        queue.push(pushed, MonoMs(0)).expect("room");
+    }
+    let is_warm = |candidate: &QueueItem<u64>| match candidate.adapter == adapter("warm") {
+        true => Verdict::Take,
+        false => Verdict::SkipAdapter,
+    };
+    while queue.pop(MonoMs(0), is_warm).is_some() {}
+    let pushed = item("other", Patience::Urgent, "needed", 9_000, 99);
+    queue.push(pushed, MonoMs(0)).expect("room");
+    let waiting = queue.waiting(MonoMs(0));
+    let rank = waiting
+        .iter()
+        .position(|entry| entry.adapter == adapter("needed"));
+    assert!(
+        rank < Some(2),
+        "the other account's adapter is number {rank:?} of {}",
+        waiting.len()
+    );
+}
+
 /// Guards against fairness that follows reservations when most of them are not used.
 #[test]
 fn settled_tokens_are_given_back() {
@@ -208,7 +237,7 @@
         let popped = queue.pop(MonoMs(0), |_| Verdict::Take).expect("an item");
         order.push_str(popped.account.as_str());
         if popped.account.as_str() == "a" {
-            queue.settle(&popped.account, 100, 10);
+            queue.settle(&popped.account, popped.class, 100, 10);
         }
     }
     assert_eq!(
