--- a/benches/policies/run.rs
+++ b/benches/policies/run.rs
@@ -241,11 +241,15 @@
             self.queued_urgent.remove(&expired.payload);
         }
         self.dispatch(now_ms);
-        let hurry = self
+        let urgent_waits = self
             .queued_urgent
             .iter()
             .any(|request| self.progress[*request].stalled);
-        let interval_ms = if hurry { URGENT_PULL_MS } else { PULL_MS };
+        let interval_ms = if urgent_waits {
+            URGENT_PULL_MS
+        } else {
+            PULL_MS
+        };
         if now_ms >= self.pulled_ms + interval_ms || now_ms == 0 {
             self.pull(now_ms);
         }
--- a/src/scheduling/placement/needs.rs
+++ b/src/scheduling/placement/needs.rs
@@ -11,7 +11,7 @@
 
 /// Time after a load in which waiting work is expected to leave, in milliseconds. VMs learn of the
 /// load with their next pull.
-const NEWS_MS: u64 = 500;
+const TABLE_SPREAD_MS: u64 = 500;
 
 /// Why an adapter should be loaded. Earlier reasons come first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -97,7 +97,7 @@
             self.busy_reason(load, copies, waited_ms)?
         } else {
             // The work was addressed here before the other data centre's load was known.
-            if self.is_elsewhere(&load.adapter) && waited_ms < NEWS_MS {
+            if self.is_elsewhere(&load.adapter) && waited_ms < TABLE_SPREAD_MS {
                 return None;
             }
             if load.urgent > 0 {
@@ -116,8 +116,8 @@
 
     /// Reason for another copy of a resident adapter whose engines are full.
     fn busy_reason(&self, load: &WaitingLoad, copies: Copies, waited_ms: u64) -> Option<Reason> {
-        let news_has_spread = self.now.since(copies.newest) >= NEWS_MS;
-        if !news_has_spread || waited_ms < self.config.busy_wait_ms {
+        let vms_know_copy = self.now.since(copies.newest) >= TABLE_SPREAD_MS;
+        if !vms_know_copy || waited_ms < self.config.busy_wait_ms {
             return None;
         }
         if load.urgent > 0 {
--- a/src/scheduling/residency/holders.rs
+++ b/src/scheduling/residency/holders.rs
@@ -36,7 +36,7 @@
     /// Time by which all tables of earlier terms have lapsed and all requests on them have ended.
     earlier_terms_until: MonoMs,
     /// Time by which the requests that earlier incarnations dispatched in earlier terms have ended.
-    ghosts_until: MonoMs,
+    earlier_requests_until: MonoMs,
 }
 
 /// An adapter of an engine, with what decides about the safety of its eviction.
@@ -57,7 +57,7 @@
             unseen: roster.iter().map(|vm| (vm.clone(), silent_until)).collect(),
             seen: BTreeMap::new(),
             earlier_terms_until: silent_until,
-            ghosts_until: MonoMs::default(),
+            earlier_requests_until: MonoMs::default(),
         }
     }
 
@@ -104,7 +104,9 @@
                 holder.silent_until = holder.silent_until.min(ended);
             }
         }
-        self.ghosts_until = self.ghosts_until.max(ended.min(self.earlier_terms_until));
+        self.earlier_requests_until = self
+            .earlier_requests_until
+            .max(ended.min(self.earlier_terms_until));
     }
 
     /// Forgets VMs that have been waited out.
@@ -115,7 +117,7 @@
 
     /// Whether no VM can have the adapter in use after its drain mark.
     pub(super) fn all_clear(&self, drain: &Drain<'_>, now: MonoMs) -> bool {
-        if now < self.ghosts_until || self.unseen.values().any(|until| now < *until) {
+        if now < self.earlier_requests_until || self.unseen.values().any(|until| now < *until) {
             return false;
         }
         let key = (drain.server.clone(), drain.adapter.clone());
--- a/src/scheduling/routing/fleet.rs
+++ b/src/scheduling/routing/fleet.rs
@@ -300,12 +300,12 @@
     /// From the report and this VM's own dispatches.
     known: f32,
     /// Sent by other VMs since the report.
-    echo: f32,
+    expected: f32,
 }
 
 impl Outstanding {
     fn total(&self) -> f32 {
-        self.known + self.echo
+        self.known + self.expected
     }
 }
 
@@ -336,14 +336,15 @@
         let others = (reported as f32 - own_then).max(0.0);
         Outstanding {
             known: others + self.own_in_flight as f32,
-            echo: self.echo(sent_since, peers, config),
+            expected: self.peer_dispatches(sent_since, peers, config),
         }
     }
 
     /// Requests that other VMs are expected to have sent since the report. They are too uncertain
     /// to outweigh half of the batch positions, however many VMs there are.
-    fn echo(&self, sent_since: u32, peers: u32, config: &RouteConfig) -> f32 {
-        let expected = sent_since as f32 * peers as f32 * config.echo_percent as f32 / 100.0;
+    fn peer_dispatches(&self, sent_since: u32, peers: u32, config: &RouteConfig) -> f32 {
+        let expected =
+            sent_since as f32 * peers as f32 * config.peer_dispatch_percent as f32 / 100.0;
         expected.min(self.info.batch_slots as f32 / 2.0)
     }
 
--- a/src/scheduling/routing/mod.rs
+++ b/src/scheduling/routing/mod.rs
@@ -61,7 +61,7 @@
     pub patient_fill_percent: u32,
     /// Part of its own dispatches since the last report that a VM expects of each other VM, in
     /// percent. Other VMs saw the same report and choose alike.
-    pub echo_percent: u32,
+    pub peer_dispatch_percent: u32,
     /// Engines that are compared for one request.
     pub max_candidates: usize,
     /// Loads by which another data centre's backlog must be shorter to be asked instead of the
@@ -81,7 +81,7 @@
             cold_ms: 200.0,
             urgent_fill_percent: 125,
             patient_fill_percent: 100,
-            echo_percent: 100,
+            peer_dispatch_percent: 100,
             max_candidates: 32,
             spill_loads: 2,
         }
--- a/tests/load/placement.rs
+++ b/tests/load/placement.rs
@@ -272,11 +272,11 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let mut site = Site::new(policy, &[&[], &[], &[]]);
         let mut incarnations = [1; 3];
-        let mut flying: Vec<(MonoMs, EngineOrder)> = Vec::new();
+        let mut in_flight: Vec<(MonoMs, EngineOrder)> = Vec::new();
         let mut starts: VecDeque<MonoMs> = VecDeque::new();
         for _ in 0..2_000 {
             site.now = site.now.plus(rng.random_range(1..200));
-            for (_, order) in flying.extract_if(.., |(end, _)| *end <= site.now) {
+            for (_, order) in in_flight.extract_if(.., |(end, _)| *end <= site.now) {
                 let done = rng.random_range(0..5) != 0;
                 let incarnation = rng.random_range(0..9) != 0;
                 let (EngineOrder::Load { server, .. } | EngineOrder::Evict { server, .. }) = &order;
@@ -306,9 +306,9 @@
                 if matches!(order, EngineOrder::Load { .. }) {
                     starts.push_back(site.now);
                 }
-                flying.push((site.now.plus(rng.random_range(5..600)), order));
+                in_flight.push((site.now.plus(rng.random_range(5..600)), order));
             }
-            let loads = flying
+            let loads = in_flight
                 .iter()
                 .filter(|(_, order)| matches!(order, EngineOrder::Load { .. }));
             assert!(loads.count() <= SHARE.in_flight as usize, "seed {seed}");
