perf(residency): requests in flight are summed when a pull arrives

Placement asked for the requests in flight of each slot and visited every VM for each answer: at the planned 370 VMs and 168 engines per data centre that is about 500,000 look-ups per plan. The sums are now kept per engine and adapter. Time of a plan at that size was not measured.

--- a/src/scheduling/residency/holders.rs
+++ b/src/scheduling/residency/holders.rs
@@ -21,7 +21,7 @@
     /// Highest change number that a pull acknowledged.
     acknowledged: u64,
     /// Requests in flight as of the pull with the highest acknowledgement.
-    in_use: HashMap<(ServerName, AdapterRef), u32>,
+    in_use: Uses,
     /// Time by which the VM has no request in flight, if it stays silent.
     silent_until: MonoMs,
 }
@@ -33,6 +33,8 @@
     /// VMs of the roster that have not pulled in this term, with the end of the wait for them.
     unseen: BTreeMap<VmName, MonoMs>,
     seen: BTreeMap<(VmName, u64), Holder>,
+    /// Sum of `in_use` of all holders, so that placement does not visit every VM for every slot.
+    totals: Totals,
     /// Time by which all tables of earlier terms have lapsed and all requests on them have ended.
     earlier_terms_until: MonoMs,
     /// Time by which the requests that earlier incarnations dispatched in earlier terms have ended.
@@ -56,6 +58,7 @@
             config,
             unseen: roster.iter().map(|vm| (vm.clone(), silent_until)).collect(),
             seen: BTreeMap::new(),
+            totals: HashMap::new(),
             earlier_terms_until: silent_until,
             earlier_requests_until: MonoMs::default(),
         }
@@ -69,7 +72,9 @@
             self.shorten_waits_for_earlier_incarnations(pull, now);
         }
         if pull.leaving && pull.in_use.is_empty() {
-            self.seen.remove(&key);
+            if let Some(left) = self.seen.remove(&key) {
+                subtract(&mut self.totals, &left.in_use);
+            }
             return;
         }
         let acknowledged = match pull.known {
@@ -89,7 +94,9 @@
         // A pull that arrives late must not replace what a newer one has reported.
         if acknowledged >= holder.acknowledged {
             holder.acknowledged = acknowledged;
-            holder.in_use = reported(pull);
+            let before = std::mem::replace(&mut holder.in_use, reported(pull));
+            add(&mut self.totals, &holder.in_use);
+            subtract(&mut self.totals, &before);
         }
     }
 
@@ -112,7 +119,14 @@
     /// Forgets VMs that have been waited out.
     pub(super) fn expire(&mut self, now: MonoMs) {
         self.unseen.retain(|_, until| now < *until);
-        self.seen.retain(|_, holder| now < holder.silent_until);
+        let totals = &mut self.totals;
+        self.seen.retain(|_, holder| {
+            let waits = now < holder.silent_until;
+            if !waits {
+                subtract(totals, &holder.in_use);
+            }
+            waits
+        });
     }
 
     /// Whether no VM can have the adapter in use after its drain mark.
@@ -135,13 +149,46 @@
 
     /// Requests in flight on `adapter` of `server` as of the last pulls.
     pub(super) fn in_use(&self, server: &ServerName, adapter: &AdapterRef) -> u32 {
-        let key = (server.clone(), adapter.clone());
-        let uses = self.seen.values().filter_map(|h| h.in_use.get(&key));
-        uses.sum()
+        let on_server = self.totals.get(server);
+        let requests = on_server.and_then(|adapters| adapters.get(adapter));
+        requests.copied().unwrap_or(0)
+    }
+
+    /// Requests in flight on `server` as of the last pulls.
+    pub(super) fn running_on(&self, server: &ServerName) -> u32 {
+        let on_server = self.totals.get(server);
+        on_server.map_or(0, |adapters| adapters.values().sum())
+    }
+}
+
+type Totals = HashMap<ServerName, HashMap<AdapterRef, u32>>;
+type Uses = HashMap<(ServerName, AdapterRef), u32>;
+
+fn add(totals: &mut Totals, uses: &Uses) {
+    for ((server, adapter), requests) in uses {
+        let adapters = totals.entry(server.clone()).or_default();
+        *adapters.entry(adapter.clone()).or_default() += requests;
+    }
+}
+
+fn subtract(totals: &mut Totals, uses: &Uses) {
+    for ((server, adapter), requests) in uses {
+        let Some(adapters) = totals.get_mut(server) else {
+            continue;
+        };
+        if let Some(total) = adapters.get_mut(adapter) {
+            *total -= requests;
+            if *total == 0 {
+                adapters.remove(adapter);
+            }
+        }
+        if adapters.is_empty() {
+            totals.remove(server);
+        }
     }
 }
 
-fn reported(pull: &TablePull) -> HashMap<(ServerName, AdapterRef), u32> {
+fn reported(pull: &TablePull) -> Uses {
     let uses = pull.in_use.iter().filter(|entry| entry.requests > 0);
     uses.map(|entry| {
         let key = (entry.server.clone(), entry.adapter.clone());
--- a/src/scheduling/residency/table.rs
+++ b/src/scheduling/residency/table.rs
@@ -376,8 +376,7 @@
     /// Batch positions of an engine without a request, as of the last pulls of all VMs.
     pub fn free_positions(&self, server: &ServerName) -> u32 {
         self.engines.get(server).map_or(0, |engine| {
-            let adapters = engine.adapters.keys();
-            let running: u32 = adapters.map(|adapter| self.in_use(server, adapter)).sum();
+            let running = self.holders.running_on(server);
             engine.positions.saturating_sub(running)
         })
     }
