--- a/src/pipeline/dispatcher.rs
+++ b/src/pipeline/dispatcher.rs
@@ -319,7 +319,9 @@
                 .fleet
                 .finished(server, incarnation, grant.suspect, now);
             if let Some(used) = used_tokens {
-                inner.queue.settle(&grant.account, grant.tokens, used);
+                inner
+                    .queue
+                    .settle(&grant.account, grant.patience, grant.tokens, used);
             }
             inner.residency.finish(grant.lease);
         }
@@ -370,6 +372,7 @@
             lease,
             suspect: work.suspect,
             account: work.account.clone(),
+            patience: work.patience,
             tokens: work.tokens,
         };
         let wait_ms = now.since(ticket.queued);
