fix(pipeline): let a crash report spread before the caller is told

A request that crashes engines was resent by its caller to another VM within milliseconds, before the report reached that VM by gossip (rounds of 50 ms), and crashed a third engine. The failure is now told 500 ms after the report; retries on the same VM are not delayed.

--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -39,6 +39,8 @@
 const MAX_ATTEMPTS: u32 = 8;
 /// Wait before a request whose adapter was not resident is queued again.
 const NOT_RESIDENT_WAIT_MS: u64 = 20;
+/// Time for a crash report to reach the other VMs: about ten rounds of urgent gossip.
+const REPORT_SPREAD_MS: u64 = 500;
 /// Engine priority of urgent requests; lower runs first.
 const URGENT_PRIORITY: u8 = 0;
 /// Engine priority of patient requests.
@@ -79,6 +81,14 @@
 struct Failure {
     error: BackendError,
     tokens: ReservedTokens,
+    /// The server crashed with the request on it.
+    crashed: bool,
+}
+
+/// Gives the report of a crash time to reach the other VMs. A caller that is told of the failure
+/// earlier may resend to a VM that does not know of the crash, which costs another engine.
+pub(super) async fn let_report_spread() {
+    sleep(Duration::from_millis(REPORT_SPREAD_MS)).await;
 }
 
 /// Runs `admitted` until its first token, on another engine if one fails. `attempt` is the number of
@@ -88,10 +98,25 @@
 /// A refusal as soon as the request can no longer succeed; `unknown` once an engine may have run
 /// it, otherwise `not_run`.
 pub async fn dispatch(
+    cx: &Context,
+    admitted: Admitted,
+    accepted: MonoMs,
+    attempt: u32,
+) -> Result<Running> {
+    let mut crashed = false;
+    let started = try_engines(cx, admitted, accepted, attempt, &mut crashed).await;
+    if crashed && started.is_err() {
+        let_report_spread().await;
+    }
+    started
+}
+
+async fn try_engines(
     cx: &Context,
     admitted: Admitted,
     accepted: MonoMs,
     mut attempt: u32,
+    crashed: &mut bool,
 ) -> Result<Running> {
     let Admitted {
         request,
@@ -110,6 +135,7 @@
             Err(failure) => failure,
         };
         tokens = failure.tokens;
+        *crashed |= failure.crashed;
         if !failure.error.is_not_run() {
             run = RunState::Unknown;
         }
@@ -149,7 +175,7 @@
     let Some((address, _)) = cx.servers.locate(assignment.server()) else {
         let message = "the server left before the dispatch".to_owned();
         let error = BackendError::NotStarted { message };
-        return Ok(Err(Failure { error, tokens }));
+        return Ok(Err(not_started(error, tokens)));
     };
     record_wait(cx, request, assignment.wait_ms(), assignment.load_stalled());
     debug!(
@@ -211,8 +237,7 @@
     error: BackendError,
 ) -> Failure {
     if error.is_not_run() {
-        let tokens = in_flight.not_run();
-        return Failure { error, tokens };
+        return not_started(error, in_flight.not_run());
     }
     let probe = cx
         .engine
@@ -221,14 +246,26 @@
         "dispatch: request on {} was lost: {error}",
         in_flight.server()
     );
-    let tokens = match probe.await {
-        Err(probe_error) if probe_error.is_not_run() => {
-            report_crash(cx, request, &in_flight);
-            in_flight.not_run()
-        }
-        _ => in_flight.lost(),
+    let crashed = probe.await.is_err_and(|error| error.is_not_run());
+    let tokens = if crashed {
+        report_crash(cx, request, &in_flight);
+        in_flight.not_run()
+    } else {
+        in_flight.lost()
     };
-    Failure { error, tokens }
+    Failure {
+        error,
+        tokens,
+        crashed,
+    }
+}
+
+fn not_started(error: BackendError, tokens: ReservedTokens) -> Failure {
+    Failure {
+        error,
+        tokens,
+        crashed: false,
+    }
 }
 
 /// Reports that the server lost a running request: it is gone or has forgotten the request.
--- a/src/pipeline/relay.rs
+++ b/src/pipeline/relay.rs
@@ -12,6 +12,7 @@
 use super::classify::Classified;
 use super::context::Context;
 use super::dispatch::Running;
+use super::dispatch::let_report_spread;
 use super::dispatch::report_crash;
 use super::in_flight::InFlight;
 use crate::backend::BackendError;
@@ -150,6 +151,7 @@
                 }
                 Err(failure) if failure.is_not_run() => {
                     report_crash(&self.cx, &self.request, in_flight);
+                    let_report_spread().await;
                     return Err(lost(&failure));
                 }
                 Err(_) => sleep(Duration::from_millis(RESUME_WAIT_MS)).await,
