fix(pipeline): reserve 24 bytes per token for a job's result

A result longer than its reservation is recorded without a body, and the caller gets 413. At 16 bytes per token this hit the stand-in engine, whose tokens take up to 22 bytes.

--- a/src/pipeline/job.rs
+++ b/src/pipeline/job.rs
@@ -30,6 +30,7 @@
 use crate::control::JobPhase;
 use crate::control::JobReply;
 use crate::control::JobStatus;
+use crate::control::MAX_JOB_RESULT_BYTES;
 use crate::control::Outcome;
 use crate::control::RecordedResult;
 use crate::control::Sha256Hash;
@@ -45,8 +46,8 @@
 const COMMIT_MS: u64 = 3_000;
 /// Time for which a result can be fetched after the job's deadline.
 const KEEP_MS: u64 = 24 * 60 * 60 * 1_000;
-/// Bytes reserved for the result per output token.
-const RESULT_BYTES_PER_TOKEN: u64 = 16;
+/// Bytes reserved for the result per output token. A result that is longer is not recorded.
+const RESULT_BYTES_PER_TOKEN: u64 = 24;
 /// Bytes reserved for the rest of the result.
 const RESULT_BASE_BYTES: u64 = 1_024;
 /// Bytes of a job id.
@@ -181,7 +182,8 @@
         job: id,
         account: request.caller.account().clone(),
         request: request_bytes.into(),
-        result_bytes: u32::try_from(result_bytes).unwrap_or(u32::MAX),
+        result_bytes: u32::try_from(result_bytes.min(MAX_JOB_RESULT_BYTES as u64))
+            .unwrap_or(u32::MAX),
         repeatable: true,
         at: now,
         deadline_unix_ms: request.deadline,
