--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -29,7 +29,7 @@
 GIVE_UP_MS = 12_000
 PATIENT_DEADLINE_MS = 20_000
 QUIET_S = 5
-RESTART_LOAD_S = 32
+RESTART_LOAD_S = 24
 FAULT_LOAD_S = 15
 
 
@@ -107,8 +107,8 @@
         time.sleep(0.3)
 
 
-def kill_during_orders(fleet, account, key, vm):
-    """Kills `vm` while it holds orders and resends them to other VMs.
+def kill_during_orders(fleet, account, key, vm, frozen):
+    """Kills `vm` while it holds orders and resends them to other VMs, but not to the frozen one.
 
     Returns for each order its id and its last reply.
     """
@@ -119,7 +119,9 @@
         time.sleep(SERVICE_DELAY_MS / 2_000)
         fleet.kill(fleet.vms[vm]["vm"])
         lost = sum(future.result().status is None for future in sending)
-    targets = [(vm + 1 + number) % len(fleet.vms) for number in range(ORDER_TRIES)]
+    others = [other for other in range(len(fleet.vms)) if other not in (vm, frozen)
+              and fleet.vms[other]["vm"] in fleet.processes]
+    targets = others[:ORDER_TRIES]
     with concurrent.futures.ThreadPoolExecutor(ORDER_TRIES) as pool:
         replies = pool.map(lambda target, name: resend_order(fleet, target, key, name),
                            targets, names)
@@ -163,12 +165,11 @@
     return status, time.time()
 
 
-def check_killed_jobs(fleet, key, vm, long, short):
-    """Follows the jobs of a killed VM from another VM until both have ended."""
-    other = (vm + 1) % len(fleet.vms)
-    status, _ = follow_job(fleet, other, key, long, JOB_DEADLINE_S + 5)
-    result = call(fleet, (vm + 3) % len(fleet.vms), "GET", f"/v1/jobs/{long}/result", key)
-    short_status, short_at = follow_job(fleet, other, key, short["id"], 25)
+def check_killed_jobs(fleet, key, long, short):
+    """Follows the jobs of a killed VM from VMs that no failure hits until both have ended."""
+    status, _ = follow_job(fleet, 7, key, long, JOB_DEADLINE_S + 5)
+    result = call(fleet, 8, "GET", f"/v1/jobs/{long}/result", key)
+    short_status, short_at = follow_job(fleet, 7, key, short["id"], 25)
     return {
         "killed_job_status": status, "killed_job_result_status": result.status,
         "short_job_status": short_status,
@@ -176,6 +177,17 @@
     }
 
 
+def overdue_job(fleet, account, key, frozen):
+    """Time from the deadline to the final state of a job that waits for a frozen VM."""
+    name = job_name_run_by(fleet, account, frozen, "queued")
+    # Other VMs leave a new job to its preferred VM for one second.
+    deadline = time.time() + 0.8
+    job = submit_job(fleet, 8, key, name, 0.8)
+    status, at = follow_job(fleet, 7, key, job, 12)
+    return {"queued_job_status": status,
+            "queued_job_final_after_deadline_ms": round((at - deadline) * 1_000)}
+
+
 def cancelled_job(fleet, key):
     """Submits a job to one VM, cancels it through a second and reads its state from a third."""
     job = submit_job(fleet, 0, key, "cancel-me", JOB_DEADLINE_S)
@@ -216,22 +228,23 @@
     fleet.freeze(fleet.vms[frozen]["vm"])
     thaw_at = time.monotonic() + FREEZE_S
     try:
+        overdue = overdue_job(fleet, account, key, frozen)
         long = submit_job(fleet, 8, key, long_name, JOB_DEADLINE_S)
         short = {"deadline": time.time() + 3, "id": submit_job(fleet, 8, key, short_name, 3)}
-        time.sleep(1.0)
-        lost, orders = kill_during_orders(fleet, account, key, victim)
+        time.sleep(0.6)
+        lost, orders = kill_during_orders(fleet, account, key, victim, frozen)
         fleet.kill("engine8")
-        lost_to_leader, more = kill_during_orders(fleet, account, key, leader)
+        lost_to_leader, more = kill_during_orders(fleet, account, key, leader, frozen)
         time.sleep(max(0.0, thaw_at - time.monotonic()))
     finally:
         fleet.thaw(fleet.vms[frozen]["vm"])
-    jobs = check_killed_jobs(fleet, key, victim, long, short)
+    jobs = check_killed_jobs(fleet, key, long, short)
     # A restarted engine is empty.
     fleet.start_engine(7)
     fleet.start_vm(victim)
     fleet.start_vm(leader)
     fleet.wait_ready()
-    return jobs, lost + lost_to_leader, orders + more
+    return {**overdue, **jobs}, lost + lost_to_leader, orders + more
 
 
 class Phases:
@@ -295,6 +308,10 @@
     lost_jobs = sum(report["classes"].get("patient", {}).get(field, 0)
                     for report in reports for field in ("lost", "unknown"))
     lost_jobs += jobs["killed_job_status"] not in ("done", "finished")
+    codes = {
+        name: {kind: entry["codes"] for kind, entry in report["classes"].items()
+               if entry["codes"]}
+        for name, report in zip(("quiet", "rolling_restart", "faults"), reports)}
     return {
         "orders_run_twice": fleets.doubled_orders(counts),
         "orders_answered_but_not_run_once": answered_without_run,
@@ -316,9 +333,10 @@
             {"status": reply.status, "run": reply.run, "runs_at_services": runs.get(order, 0)}
             for order, reply in sent],
         "jobs": {**jobs, "cancelled_job_status": cancelled},
+        "codes": codes,
         "totals": {
             name: {field: report["totals"][field] for field in (
                 "sent", "answered", "refused", "wrongfully_refused", "late", "unknown", "lost",
-                "mismatched", "cut", "codes", "mismatch_reasons")}
+                "mismatched", "cut", "mismatch_reasons")}
             for name, report in zip(("quiet", "rolling_restart", "faults"), reports)},
     }
