--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -50,6 +50,14 @@
     vms.chain(servers).filter(|seen| *seen == liveness).count()
 }
 
+/// Resident adapters that a VM sees on the servers of its own data centre.
+fn resident_at_home(gossip: &Gossip, viewer: usize) -> usize {
+    let snapshot = gossip.nodes[viewer].table.snapshot();
+    let servers = snapshot.servers.values();
+    let local = servers.filter(|view| view.payload.data_centre == centre(viewer % 3));
+    local.map(|view| view.payload.resident_adapters.len()).sum()
+}
+
 /// Runs `check` on the snapshots of all live VMs.
 fn all(gossip: &Gossip, check: impl Fn(&medlarlift::membership::Snapshot) -> bool) -> bool {
     let live = gossip.nodes.iter().filter(|node| node.alive && !node.cut);
@@ -85,16 +93,7 @@
                 assert_eq!(dead, 0, "seed {seed}: VM {viewer} calls live members dead");
             }
         }
-        let at_home = |gossip: &Gossip, viewer: usize| {
-            let snapshot = gossip.nodes[viewer].table.snapshot();
-            let home = centre(viewer % 3);
-            let servers = snapshot.servers.values();
-            let local = servers.filter(|view| view.payload.data_centre == home);
-            local
-                .map(|view| view.payload.resident_adapters.len())
-                .sum::<usize>()
-        };
-        (0..9).for_each(|viewer| assert_eq!(at_home(&gossip, viewer), 4 * 16));
+        (0..9).for_each(|viewer| assert_eq!(resident_at_home(&gossip, viewer), 4 * 16));
     }
 }
 
@@ -131,6 +130,7 @@
             });
             back && (0..9).all(|v| count(gossip, v, Liveness::Dead) == 0)
         });
+        gossip.run_until(3_000, |gossip| resident_at_home(gossip, 4) == 4 * 16);
     }
 }
 
