fix(pipeline): baselines keep their engine, popularity counts urgent work

The least-loaded baseline asked another engine at each look while its adapter was loading. Patient work earned adapters slots although it waits anyway. Tables are pulled every 50 ms while a VM waits for a load.

--- a/src/node/tables.rs
+++ b/src/node/tables.rs
@@ -15,6 +15,8 @@
 
 /// Interval between pulls of one table without waiting work.
 const PULL_MS: u64 = 250;
+/// Interval between pulls of one table while this VM waits for a load of that data centre.
+const WAITING_PULL_MS: u64 = 50;
 /// Least interval between pulls of one table.
 const LEAST_PULL_MS: u64 = 20;
 /// Pulls between two popularity summaries.
@@ -44,19 +46,22 @@
         let mut load_wanted = self.dispatcher.subscribe_load_wanted();
         loop {
             let with_popularity = pulls.is_multiple_of(PULLS_PER_SUMMARY);
-            self.pull(&data_centre, with_popularity).await;
+            let waits = self.pull(&data_centre, with_popularity).await;
             pulls += 1;
             tokio::time::sleep(Duration::from_millis(LEAST_PULL_MS)).await;
-            let idle = Duration::from_millis(PULL_MS - LEAST_PULL_MS);
+            let interval_ms = if waits { WAITING_PULL_MS } else { PULL_MS };
+            let idle = Duration::from_millis(interval_ms - LEAST_PULL_MS);
             let _ = timeout(idle, load_wanted.changed()).await;
         }
     }
 
-    async fn pull(&self, data_centre: &DataCentre, with_popularity: bool) {
+    /// Pulls once and returns whether this VM waits for a load of that data centre.
+    async fn pull(&self, data_centre: &DataCentre, with_popularity: bool) -> bool {
         let Some(coordinator) = self.lease.coordinator_of(data_centre) else {
-            return;
+            return false;
         };
         let pull = self.dispatcher.pull(data_centre, with_popularity);
+        let waits = !pull.waiting.is_empty();
         let sent = self.clock.mono();
         let table = if coordinator == self.vm {
             self.coordinator.pull(&pull)
@@ -67,5 +72,6 @@
         if let Some(table) = table {
             self.dispatcher.apply(table, sent);
         }
+        waits
     }
 }
--- a/src/pipeline/dispatch_state.rs
+++ b/src/pipeline/dispatch_state.rs
@@ -1,5 +1,7 @@
 //! Queue, servers and residency behind the dispatcher's lock.
 
+use std::collections::HashMap;
+
 use tokio::sync::oneshot;
 
 use super::assignment::Assignment;
@@ -55,6 +57,9 @@
     pub(super) route: RouteConfig,
     pub(super) policy: Policy,
     pub(super) next_nonce: u64,
+    /// Engines that the least-loaded baseline chose for adapters that are waited for. Without them
+    /// it would ask another engine for the same adapter at each look.
+    pub(super) assigned: HashMap<AdapterRef, ServerName>,
 }
 
 impl Inner {
@@ -82,6 +87,7 @@
             prefixes,
             route,
             policy,
+            assigned,
             ..
         } = self;
         let view = RouteView {
@@ -93,7 +99,8 @@
         };
         let mut taken = None;
         let item = queue.pop(now, |item| {
-            let choice = choose(&route_request(&item.payload), &view, *policy);
+            let chosen = assigned.get(&item.adapter);
+            let choice = choose(&route_request(&item.payload, chosen), &view, *policy);
             match choice {
                 Choice::Dispatch { .. } | Choice::Nowhere => {
                     taken = Some(choice);
@@ -102,20 +109,32 @@
                 Choice::WaitForLoad { .. } | Choice::Busy { .. } => Verdict::SkipAdapter,
             }
         })?;
+        assigned.remove(&item.adapter);
         Some((item.payload, taken?))
     }
 
     /// Waiting adapters that the coordinator of `data_centre` is asked for.
-    pub(super) fn waiting_for(&self, data_centre: &DataCentre, now: MonoMs) -> Vec<WaitingAdapter> {
-        let view = self.view(now);
-        let waiting = self.queue.waiting(now).into_iter();
+    pub(super) fn waiting_for(
+        &mut self,
+        data_centre: &DataCentre,
+        now: MonoMs,
+    ) -> Vec<WaitingAdapter> {
+        let mut waiting = Vec::new();
+        for mut entry in self.queue.waiting(now) {
+            let Some(asked) = self.asked(&entry.adapter, &self.view(now)) else {
+                continue;
+            };
+            if self.policy == Policy::LeastLoaded
+                && let Some(server) = &asked.server
+            {
+                self.assigned.insert(entry.adapter.clone(), server.clone());
+            }
+            entry.preferred = asked.server;
+            if asked.data_centre == *data_centre {
+                waiting.push(entry);
+            }
+        }
         waiting
-            .filter_map(|mut entry| {
-                let asked = self.asked(&entry.adapter, &view)?;
-                entry.preferred = asked.server;
-                (asked.data_centre == *data_centre).then_some(entry)
-            })
-            .collect()
     }
 
     /// Whom work for `adapter` asks for a load or another copy; `None` if it can be dispatched.
@@ -126,7 +145,7 @@
             prompt_tokens: 0,
             prefix: &[],
             suspect: false,
-            assigned: None,
+            assigned: self.assigned.get(adapter),
             nonce: 0,
         };
         match choose(&request, view, self.policy) {
@@ -148,14 +167,14 @@
     }
 }
 
-fn route_request(ticket: &Ticket) -> RouteRequest<'_> {
+fn route_request<'a>(ticket: &'a Ticket, assigned: Option<&'a ServerName>) -> RouteRequest<'a> {
     RouteRequest {
         target: RouteTarget::Adapter(&ticket.work.adapter),
         class: ticket.work.patience,
         prompt_tokens: ticket.work.prompt_tokens,
         prefix: &ticket.work.prefix,
         suspect: ticket.work.suspect,
-        assigned: None,
+        assigned,
         nonce: ticket.nonce,
     }
 }
--- a/src/pipeline/dispatcher.rs
+++ b/src/pipeline/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Queue, routing and residency of one VM: gives waiting work a backend server.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -126,6 +127,7 @@
             route: RouteConfig::default(),
             policy: config.policy,
             next_nonce: seed,
+            assigned: HashMap::new(),
         };
         let dispatcher = Arc::new(Self {
             clock,
@@ -164,7 +166,10 @@
         let now = self.clock.mono();
         let mut inner = self.lock();
         let nonce = inner.take_nonce();
-        inner.popularity.record(&work.adapter, work.tokens, now);
+        // Patient work waits for its adapter anyway, so only urgent work earns an adapter its slot.
+        if work.patience == Patience::Urgent {
+            inner.popularity.record(&work.adapter, work.tokens, now);
+        }
         let load_wait = inner
             .asked(&work.adapter, &inner.view(now))
             .is_some_and(|a| a.load);
@@ -278,7 +283,7 @@
     /// The pull for the coordinator of `data_centre`.
     pub fn pull(&self, data_centre: &DataCentre, with_popularity: bool) -> TablePull {
         let now = self.clock.mono();
-        let inner = self.lock();
+        let mut inner = self.lock();
         let waiting = inner.waiting_for(data_centre, now);
         let popularity = with_popularity.then(|| inner.popularity.summary(now));
         inner.residency.pull(data_centre, waiting, popularity, now)
