--- a/tests/load/residency.rs
+++ b/tests/load/residency.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 
 use assert_matches::assert_matches;
 use rand::RngExt;
@@ -70,6 +71,8 @@
     Pull(usize, u64, MonoMs, TablePull),
     Reply(usize, u64, MonoMs, Table),
     Evict(ServerName, u64, AdapterRef),
+    /// An engine's list of adapters in use, with the term and time of the question.
+    Told(u64, MonoMs, ServerName, u64, BTreeSet<AdapterRef>),
 }
 
 /// Several VMs, engines and one coordinator at a time, with messages that are delayed, lost and
@@ -126,7 +129,8 @@
             60..70 => self.load(),
             70..80 => self.drain(),
             80..92 => self.evict(),
-            92..97 => self.announce(),
+            92..95 => self.announce(),
+            95..97 => self.ask_engine(),
             97 => self.silence(),
             _ => self.restart_something(),
         }
@@ -180,6 +184,13 @@
                 Message::Evict(server, incarnation, adapter) => {
                     self.carry_out(&server, incarnation, &adapter);
                 }
+                Message::Told(term, asked, server, incarnation, adapters) => {
+                    let known = self.table.incarnation(&server) == Some(incarnation);
+                    if term == self.term && known {
+                        let adapters = adapters.into_iter().collect();
+                        self.table.record_engine_use(&server, adapters, asked);
+                    }
+                }
                 Message::Reply(vm, incarnation, sent, table) => {
                     if self.vms[vm].incarnation == incarnation {
                         self.vms[vm].view.apply(table, sent);
@@ -300,6 +311,26 @@
         }
     }
 
+    /// The coordinator asks an engine which adapters are in use; the answer may come late.
+    fn ask_engine(&mut self) {
+        let server = self.some_engine();
+        let incarnation = self.engines[&server].incarnation;
+        let on_engine = self
+            .running
+            .iter()
+            .filter(|(_, on, of, _)| (on, *of) == (&server, incarnation));
+        let adapters = on_engine.map(|(_, _, _, adapter)| adapter.clone());
+        let adapters = adapters.collect();
+        let asked = MonoMs(self.now);
+        self.post(Message::Told(
+            self.term,
+            asked,
+            server,
+            incarnation,
+            adapters,
+        ));
+    }
+
     fn silence(&mut self) {
         let index = self.some_vm();
         self.vms[index].silent_until = self.now + self.rng.random_range(1..9_000);
@@ -415,6 +446,24 @@
     assert_eq!(table.evictable(MonoMs(lapsed)), vec![(server, x)]);
 }
 
+/// Guards against a wait for the longest request although the engine tells that the adapter is idle,
+/// and against trust in a list from before the silent VM stopped dispatching.
+#[test]
+fn an_engine_that_tells_its_use_ends_the_wait_for_a_silent_vm() {
+    let (mut table, mut view, _) = table_with(&["x"]);
+    let (server, x) = (ServerName::from("e"), adapter("x"));
+    exchange(&mut table, &mut view, MonoMs(6_000));
+    assert!(table.drain(&server, &x, MonoMs(6_100)));
+    let lapsed = MonoMs(6_000 + CONFIG.valid_ms + CONFIG.drift_ms);
+    let now = lapsed.plus(10);
+    table.record_engine_use(&server, HashSet::new(), MonoMs(lapsed.0 - 1));
+    assert_eq!(table.evictable(now), Vec::new());
+    table.record_engine_use(&server, HashSet::from([x.clone()]), lapsed);
+    assert_eq!(table.evictable(now), Vec::new());
+    table.record_engine_use(&server, HashSet::new(), lapsed);
+    assert_eq!(table.evictable(now), vec![(server, x)]);
+}
+
 /// Guards against a drain mark that is cleared by an acknowledgement of an earlier mark.
 #[test]
 fn a_second_drain_needs_a_second_acknowledgement() {
