fix(http): bodies far over the limit are refused with 413

Cause: the HTTP server applies its own limit, 64 KiB above the one of the settings, to each piece it reads before the handler sees the piece. A body of 400 KiB arrives in pieces larger than that margin and got 400 without the limit instead of 413. Change: the margin exceeds the largest piece; the handler stops at the limit of the settings. Before: 400 for 400,000 bytes at a limit of 65,536; after: 413 (tests/path, wrong requests).

--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -41,8 +41,9 @@
 type HandlerResult = Result<Response<Body>, HttpError>;
 
 /// Bytes by which the server's own limit exceeds the one of the settings, so that a body over the
-/// limit of the settings gets an answer that says so.
-const BODY_MARGIN_BYTES: usize = 64 * 1024;
+/// limit of the settings gets an answer that says so. More than the server reads at a time, since
+/// its own limit is applied first to each piece.
+const BODY_MARGIN_BYTES: usize = 1024 * 1024;
 
 /// What all handlers share.
 pub struct CallerContext {
