fix(pipeline): room for results of jobs with long tokens

Cause: a job reserved 16 bytes per output token for its result. A result beyond the reservation is not kept, so a job of 400 tokens of about 21 bytes ran and its result was lost. Change: 32 bytes per token. Before: GET /v1/jobs/{id}/result gave 413 with run unknown; after: the whole result (tests/path, shutdown).

--- a/src/pipeline/job.rs
+++ b/src/pipeline/job.rs
@@ -45,8 +45,9 @@
 const COMMIT_MS: u64 = 3_000;
 /// Time for which a result can be fetched after the job's deadline.
 const KEEP_MS: u64 = 24 * 60 * 60 * 1_000;
-/// Bytes reserved for the result per output token.
-const RESULT_BYTES_PER_TOKEN: u64 = 16;
+/// Bytes reserved for the result per output token. A longer result is lost, and tokens of names,
+/// numbers and escaped text exceed 16 bytes.
+const RESULT_BYTES_PER_TOKEN: u64 = 32;
 /// Bytes reserved for the rest of the result.
 const RESULT_BASE_BYTES: u64 = 1_024;
 /// Bytes of a job id.
