fix(http): a stream resumed after its last token ends as complete

Cause: a caller that had the last token but not the closing event resumed the stream, the engine closed it at once, and the VM took the missing finish reason for a broken answer. Change: a resumed stream that is closed before any token is complete for its reader. Before: an error event with run unknown after Last-Event-ID 99 of 100 tokens; after: [DONE] (tests/path, answers).

--- a/src/backend/engine_http.rs
+++ b/src/backend/engine_http.rs
@@ -216,6 +216,8 @@
     events: SseStream<Incoming>,
     identity: StreamIdentity,
     next_index: u64,
+    /// The reader has all tokens before the first one of this stream.
+    resumed: bool,
     finished: bool,
     ended: bool,
 }
@@ -225,6 +227,7 @@
         events: SseStream::new(response.into_body()),
         identity,
         next_index: from,
+        resumed: from > 0,
         finished: false,
         ended: false,
     };
@@ -241,6 +244,7 @@
             Ok(Event::Done) => return None,
             Ok(Event::Token(frame)) => {
                 reading.next_index += 1;
+                reading.resumed = false;
                 reading.finished = frame.finish_reason.is_some();
                 return Some((Ok(frame), reading));
             }
@@ -269,7 +273,8 @@
         }
     };
     match read_event(&sse, &reading.identity, reading.next_index)? {
-        Event::Done if !reading.finished => Err(BackendError::Lost {
+        // The reader of a resumed stream may have had the last token already.
+        Event::Done if !reading.finished && !reading.resumed => Err(BackendError::Lost {
             message: "the stream was closed without a finish reason".to_owned(),
         }),
         event => Ok(event),
--- a/src/http/calls.rs
+++ b/src/http/calls.rs
@@ -106,7 +106,7 @@
         format: running.format,
         created_s: created_s(cx),
     };
-    Ok(stream_answer(id, resumed_body(head, tokens)))
+    Ok(stream_answer(id, resumed_body(head, tokens, from)))
 }
 
 /// The token after the one that the caller received last.
--- a/src/http/stream.rs
+++ b/src/http/stream.rs
@@ -30,10 +30,10 @@
     body
 }
 
-/// Streams the rest of an answer that the caller resumes.
-pub fn resumed_body(head: AnswerHead, tokens: TokenStream) -> Body {
+/// Streams the rest of an answer that the caller resumes at token `from`.
+pub fn resumed_body(head: AnswerHead, tokens: TokenStream, from: u64) -> Body {
     let (events, body) = channel_body();
-    tokio::spawn(send_resumed(head, tokens, events));
+    tokio::spawn(send_resumed(head, tokens, from, events));
     body
 }
 
@@ -71,7 +71,13 @@
     }
 }
 
-async fn send_resumed(head: AnswerHead, mut tokens: TokenStream, events: mpsc::Sender<Bytes>) {
+async fn send_resumed(
+    head: AnswerHead,
+    mut tokens: TokenStream,
+    from: u64,
+    events: mpsc::Sender<Bytes>,
+) {
+    let mut next = from;
     loop {
         let frame = match tokens.next().await {
             Some(Ok(frame)) => frame,
@@ -80,8 +86,14 @@
                 let refusal = Refusal::unknown(RefusalCode::BackendFailed, message);
                 return end_with(&events, &refusal).await;
             }
+            // The engine closed the stream because the caller has the last token already.
+            None if next == from && from > 0 => {
+                let _ = events.send(done_event()).await;
+                return;
+            }
             None => return end_with(&events, &cut()).await,
         };
+        next = frame.index + 1;
         let finished = frame.finish_reason.is_some();
         if events.send(token_event(&head, &frame)).await.is_err() {
             return;
