fix(pipeline): requests that lose an engine go to another one

Cause: an engine whose connections fail looked idle, so all eight dispatches of a request went to the crashed engine within milliseconds. While a crashed engine closed its new connections, the question what became of the request got no answer, so the crash was not reported, and a request that crashes engines was not a suspect. When such a request arrived at three VMs together, each ran it again before the reports of the others arrived. Change: a server whose connection failed gets no new work from this VM until a sample taken after the failure arrives, or a new incarnation; work that only it can do waits. The server is asked about a lost request for up to 1,500 ms. Wrong or late answers are no crashes and are not reported as such. Ruled out: excluding servers per request in the routing decision, which changes another module.

--- a/src/backend/engine_http.rs
+++ b/src/backend/engine_http.rs
@@ -172,7 +172,7 @@
 fn call_error(error: hyper_util::client::legacy::Error) -> BackendError {
     let message = error.to_string();
     if error.is_connect() {
-        BackendError::NotStarted { message }
+        BackendError::Unreachable { message }
     } else {
         BackendError::Lost { message }
     }
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -44,6 +44,12 @@
         /// What the server or the connection reported.
         message: String,
     },
+    /// No connection to the server was made, so the work did not start.
+    #[snafu(display("the server cannot be reached: {message}"))]
+    Unreachable {
+        /// What the connection reported.
+        message: String,
+    },
     /// The adapter is not resident on the engine, so the work did not start.
     #[snafu(display("the adapter is not resident on the engine"))]
     NotResident,
@@ -53,6 +59,9 @@
         /// What the connection reported.
         message: String,
     },
+    /// No answer arrived before the deadline; the work may have run.
+    #[snafu(display("no token arrived in time"))]
+    Late,
     /// The answer belongs to another request, model or position.
     #[snafu(display("the answer does not match the request: {message}"))]
     Mismatch {
@@ -64,7 +73,15 @@
 impl BackendError {
     /// Whether the work provably did not start.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotStarted { .. } | Self::NotResident)
+        matches!(
+            self,
+            Self::NotStarted { .. } | Self::Unreachable { .. } | Self::NotResident
+        )
+    }
+
+    /// Whether the connection to the server failed, as it does when the server has crashed.
+    pub fn is_connection(&self) -> bool {
+        matches!(self, Self::Unreachable { .. } | Self::Lost { .. })
     }
 }
 
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -39,6 +39,14 @@
 const MAX_ATTEMPTS: u32 = 8;
 /// Wait before a request whose adapter was not resident is queued again.
 const NOT_RESIDENT_WAIT_MS: u64 = 20;
+/// Interval at which a server that lost a request is asked what became of it.
+const PROBE_WAIT_MS: u64 = 50;
+/// Longest time for which it is asked. The request must not run elsewhere before a crash is on
+/// record, or it could crash one engine after the other.
+const PROBE_MS: u64 = 1_500;
+/// Wait before a request that crashed a server runs again, in which the reports of other VMs arrive:
+/// one gossip round.
+const REPORTS_WAIT_MS: u64 = 500;
 /// Engine priority of urgent requests; lower runs first.
 const URGENT_PRIORITY: u8 = 0;
 /// Engine priority of patient requests.
@@ -189,17 +197,15 @@
     started: impl Future<Output = crate::backend::Result<TokenStream>>,
     ends_by: Instant,
 ) -> crate::backend::Result<(TokenFrame, TokenStream)> {
-    let late = || BackendError::Lost {
-        message: "no token arrived in time".to_owned(),
-    };
-    let mut stream = timeout_at(ends_by, started).await.map_err(|_| late())??;
+    let started = timeout_at(ends_by, started).await;
+    let mut stream = started.map_err(|_| BackendError::Late)??;
     match timeout_at(ends_by, stream.next()).await {
         Ok(Some(Ok(frame))) => Ok((frame, stream)),
         Ok(Some(Err(error))) => Err(error),
         Ok(None) => Err(BackendError::Lost {
             message: "the stream was empty".to_owned(),
         }),
-        Err(_) => Err(late()),
+        Err(_) => Err(BackendError::Late),
     }
 }
 
@@ -210,27 +216,50 @@
     in_flight: InFlight,
     error: BackendError,
 ) -> Failure {
+    if error.is_connection() {
+        note_failed(cx, &in_flight);
+    }
     if error.is_not_run() {
         let tokens = in_flight.not_run();
         return Failure { error, tokens };
     }
-    let probe = cx
-        .engine
-        .resume(in_flight.address(), in_flight.identity().clone(), 0);
     info!(
         "dispatch: request on {} was lost: {error}",
         in_flight.server()
     );
-    let tokens = match probe.await {
-        Err(probe_error) if probe_error.is_not_run() => {
-            report_crash(cx, request, &in_flight);
-            in_flight.not_run()
-        }
-        _ => in_flight.lost(),
+    // A server that answers wrongly or late has not crashed.
+    let tokens = if error.is_connection() && has_forgotten(cx, &in_flight).await {
+        report_crash(cx, request, &in_flight);
+        sleep(Duration::from_millis(REPORTS_WAIT_MS)).await;
+        in_flight.not_run()
+    } else {
+        in_flight.lost()
     };
     Failure { error, tokens }
 }
 
+/// Asks a server that lost a request about it. True if the server is gone or does not know the
+/// request; a server that closes its connections is asked again.
+async fn has_forgotten(cx: &Context, in_flight: &InFlight) -> bool {
+    let until = after_ms(PROBE_MS).min(in_flight.ends_by());
+    loop {
+        let identity = in_flight.identity().clone();
+        let probe = cx.engine.resume(in_flight.address(), identity, 0);
+        match timeout_at(until, probe).await {
+            Ok(Err(error)) if error.is_not_run() => return true,
+            Ok(Err(_)) if Instant::now() < until => {}
+            _ => return false,
+        }
+        sleep(Duration::from_millis(PROBE_WAIT_MS)).await;
+    }
+}
+
+/// Keeps new work from a server whose connection failed.
+pub(super) fn note_failed(cx: &Context, in_flight: &InFlight) {
+    let incarnation = in_flight.assignment().incarnation();
+    cx.dispatcher.note_failed(in_flight.server(), incarnation);
+}
+
 /// Reports that the server lost a running request: it is gone or has forgotten the request.
 pub(super) fn report_crash(cx: &Context, request: &Classified, in_flight: &InFlight) {
     let fingerprint = Fingerprint(request.fingerprint);
--- a/src/pipeline/dispatch_state.rs
+++ b/src/pipeline/dispatch_state.rs
@@ -1,5 +1,7 @@
 //! Queue, servers and residency behind the dispatcher's lock.
 
+use std::collections::HashMap;
+
 use tokio::sync::oneshot;
 
 use super::assignment::Assignment;
@@ -13,12 +15,14 @@
 use crate::scheduling::residency::WaitingAdapter;
 use crate::scheduling::routing::Choice;
 use crate::scheduling::routing::Fleet;
+use crate::scheduling::routing::LoadReport;
 use crate::scheduling::routing::Policy;
 use crate::scheduling::routing::PrefixIndex;
 use crate::scheduling::routing::RouteConfig;
 use crate::scheduling::routing::RouteRequest;
 use crate::scheduling::routing::RouteTarget;
 use crate::scheduling::routing::RouteView;
+use crate::scheduling::routing::ServerInfo;
 use crate::scheduling::routing::choose;
 use crate::types::AdapterRef;
 use crate::types::DataCentre;
@@ -46,6 +50,13 @@
     pub(super) load: bool,
 }
 
+/// A server whose connection failed.
+pub(super) struct FailedServer {
+    incarnation: u64,
+    /// When the connection failed.
+    at: MonoMs,
+}
+
 pub(super) struct Inner {
     pub(super) queue: FairQueue<Ticket>,
     pub(super) fleet: Fleet,
@@ -55,6 +66,8 @@
     pub(super) route: RouteConfig,
     pub(super) policy: Policy,
     pub(super) next_nonce: u64,
+    /// Servers that get no new work until they report again.
+    pub(super) failed: HashMap<ServerName, FailedServer>,
 }
 
 impl Inner {
@@ -63,6 +76,32 @@
         self.next_nonce
     }
 
+    /// Merges an announcement. A server whose connection failed counts as leaving until a sample
+    /// taken after the failure arrives, or a new incarnation.
+    pub(super) fn observe(&mut self, mut info: ServerInfo, report: LoadReport, now: MonoMs) {
+        if let Some(failed) = self.failed.get(&info.name) {
+            if failed.incarnation == info.incarnation && report.sampled <= failed.at {
+                info.leaving = true;
+            } else {
+                self.failed.remove(&info.name);
+            }
+        }
+        self.fleet.observe(info, report, now);
+    }
+
+    /// Gives `incarnation` of a server no new work until it reports again.
+    pub(super) fn note_failed(&mut self, server: &ServerName, incarnation: u64, now: MonoMs) {
+        let info = self.fleet.info(server);
+        let Some(info) = info.filter(|info| info.incarnation == incarnation).cloned() else {
+            return;
+        };
+        let at = now;
+        let failed = FailedServer { incarnation, at };
+        self.failed.insert(server.clone(), failed);
+        // The default sample is older than any report and so replaces none.
+        self.observe(info, LoadReport::default(), now);
+    }
+
     pub(super) fn view(&self, now: MonoMs) -> RouteView<'_> {
         RouteView {
             fleet: &self.fleet,
@@ -82,6 +121,7 @@
             prefixes,
             route,
             policy,
+            failed,
             ..
         } = self;
         let view = RouteView {
@@ -95,6 +135,8 @@
         let item = queue.pop(now, |item| {
             let choice = choose(&route_request(&item.payload), &view, *policy);
             match choice {
+                // A failed server may be the only one, and reports again within a second or is dead.
+                Choice::Nowhere if !failed.is_empty() => Verdict::SkipAdapter,
                 Choice::Dispatch { .. } | Choice::Nowhere => {
                     taken = Some(choice);
                     Verdict::Take
--- a/src/pipeline/dispatcher.rs
+++ b/src/pipeline/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Queue, routing and residency of one VM: gives waiting work a backend server.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -126,6 +127,7 @@
             route: RouteConfig::default(),
             policy: config.policy,
             next_nonce: seed,
+            failed: HashMap::new(),
         };
         let dispatcher = Arc::new(Self {
             clock,
@@ -250,13 +252,21 @@
     /// Merges an announcement of a backend server.
     pub fn observe(&self, info: ServerInfo, report: LoadReport) {
         let now = self.clock.mono();
-        self.lock().fleet.observe(info, report, now);
+        self.lock().observe(info, report, now);
+    }
+
+    /// Gives `incarnation` of a server whose connection failed no new work until it reports again,
+    /// so that retries go to others.
+    pub fn note_failed(&self, server: &ServerName, incarnation: u64) {
+        let now = self.clock.mono();
+        self.lock().note_failed(server, incarnation, now);
     }
 
     /// Forgets a backend server that is dead.
     pub fn remove(&self, server: &ServerName) {
         let mut inner = self.lock();
         inner.fleet.remove(server);
+        inner.failed.remove(server);
         inner.prefixes.remove(server);
     }
 
--- a/src/pipeline/relay.rs
+++ b/src/pipeline/relay.rs
@@ -12,6 +12,7 @@
 use super::classify::Classified;
 use super::context::Context;
 use super::dispatch::Running;
+use super::dispatch::note_failed;
 use super::dispatch::report_crash;
 use super::in_flight::InFlight;
 use crate::backend::BackendError;
@@ -149,12 +150,16 @@
                     return Ok(());
                 }
                 Err(failure) if failure.is_not_run() => {
+                    note_failed(&self.cx, in_flight);
                     report_crash(&self.cx, &self.request, in_flight);
                     return Err(lost(&failure));
                 }
                 Err(_) => sleep(Duration::from_millis(RESUME_WAIT_MS)).await,
             }
         }
+        if let Some(in_flight) = &self.in_flight {
+            note_failed(&self.cx, in_flight);
+        }
         Err(lost(&error))
     }
 
