fix(node): the own data centre's coordinator is also learnt by gossip

Cause: a VM knew the coordinator of its own data centre only from its grant. The holder needs a majority only, and in some starts of three VMs the third one had no grant in force: it refused every request as rate_limited for at least 30 s. Why it does not grant is still open (src/lease). Change: the coordinator that gossip names is the fallback for the own data centre too.

--- a/src/node/member_feed.rs
+++ b/src/node/member_feed.rs
@@ -98,10 +98,10 @@
                 coordinators.insert(view.payload.data_centre.clone(), coordinator);
             }
         }
+        // Also for the own data centre: a VM that the holder does not need for its majority may have
+        // granted it nothing, and then learns of it only here.
         for (data_centre, (_, vm)) in coordinators {
-            if data_centre != self.data_centre {
-                self.lease.note_coordinator(data_centre, Some(vm));
-            }
+            self.lease.note_coordinator(data_centre, Some(vm));
         }
         self.dispatcher.set_peers(peers);
     }
