test(path): the request path of a whole deployment in one process

VMs, stand-ins and a fake engine that answers wrongly run in one process on loopback; accounts are made through the administration API.

--- /dev/null
+++ b/tests/path/crashes.rs
@@ -0,0 +1,96 @@
+//! Requests that crash the engines that run them.
+
+use http::StatusCode;
+use medlarlift::standin::answer;
+use medlarlift::standin::caller_api;
+use medlarlift::standin::client::Reply;
+
+use crate::deployment::Builder;
+use crate::deployment::Deployment;
+use crate::deployment::NORTH;
+use crate::deployment::SOUTH;
+use crate::deployment::assert_refused;
+use crate::deployment::completion;
+use crate::deployment::model;
+
+/// Text that crashes an engine.
+const MARKER: &str = "poison";
+/// Requests that run beside one that crashes engines.
+const NEIGHBOURS: usize = 24;
+/// Output tokens of a neighbour; it takes about 400 ms.
+const NEIGHBOUR_TOKENS: u64 = 200;
+
+fn builder() -> Builder {
+    Builder::new(3).engines(4, |engine| engine.crash_marker = Some(MARKER.to_owned()))
+}
+
+async fn check_neighbour(deployment: &Deployment, number: usize) {
+    let prompt = format!("neighbour {number}");
+    let model = model(1 + number % 4);
+    let body = completion(&model, &prompt, NEIGHBOUR_TOKENS);
+    let reply = deployment.complete(number % 3, SOUTH, &body).await;
+    assert_eq!(reply.status, StatusCode::OK, "{prompt}: {reply:?}");
+    let value = reply.value();
+    let text = caller_api::completion_text(&value).unwrap_or_default();
+    let checked = answer::check(text, &model, &prompt, NEIGHBOUR_TOKENS);
+    assert_eq!(checked, Ok(()));
+}
+
+async fn send_poison(deployment: &Deployment, vm: usize) -> Reply {
+    let body = completion(&model(1), MARKER, 5);
+    deployment.complete(vm, NORTH, &body).await
+}
+
+/// Guards against requests that fail, or are quarantined, because they ran beside one that crashes
+/// engines.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn neighbours_of_a_crashing_request_are_answered() {
+    let deployment = builder().start().await;
+    let neighbours = (0..NEIGHBOURS).map(|number| check_neighbour(&deployment, number));
+    let neighbours = futures::future::join_all(neighbours);
+    tokio::join!(send_poison(&deployment, 0), neighbours);
+}
+
+/// Guards against a request that brings down one engine after the other, through retries or when
+/// its caller sends it again through other VMs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_crashing_request_brings_down_at_most_two_engines() {
+    let deployment = builder().start().await;
+    let reply = send_poison(&deployment, 0).await;
+    let error = reply.value()["error"].clone();
+    assert_eq!(error["code"], "quarantined", "{error}");
+    assert_eq!(error["run"], "unknown", "{error}");
+    assert!(
+        deployment.crashes() <= 2,
+        "{} crashes",
+        deployment.crashes()
+    );
+    for vm in [1, 2, 0] {
+        let reply = send_poison(&deployment, vm).await;
+        let quarantined = StatusCode::UNPROCESSABLE_ENTITY;
+        assert_refused(&reply, quarantined, "quarantined", "not_run");
+        assert!(reply.headers.contains_key("retry-after"));
+    }
+    assert!(
+        deployment.crashes() <= 2,
+        "{} crashes",
+        deployment.crashes()
+    );
+    check_neighbour(&deployment, NEIGHBOURS).await;
+}
+
+/// Guards against a request that brings down an engine per VM when it arrives at all of them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_crashing_request_at_all_vms_brings_down_at_most_three_engines() {
+    let deployment = builder().start().await;
+    let poison = (0..3).map(|vm| send_poison(&deployment, vm));
+    for reply in futures::future::join_all(poison).await {
+        assert_ne!(reply.status, StatusCode::OK, "{reply:?}");
+    }
+    assert!(
+        deployment.crashes() <= 3,
+        "{} crashes",
+        deployment.crashes()
+    );
+    check_neighbour(&deployment, 0).await;
+}
