--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -271,6 +271,25 @@
         }
     }
 
+    /// Messages that bring `fact` to every live VM at once. Gossip takes several rounds, in which a
+    /// caller may resend a request that crashes engines to a VM that does not know of it yet.
+    pub fn alerts(&self, now: MonoMs, fact: &Fact) -> Vec<(Contact, Digest)> {
+        let (live, _) = self.known_contacts(now);
+        let digest = Digest {
+            format: GOSSIP_FORMAT,
+            from: self.config.me.clone(),
+            data_centre: self.home.clone(),
+            joining: false,
+            marks: Marks::default(),
+            news: News {
+                facts: vec![fact.clone()],
+                ..News::default()
+            },
+        };
+        let addressed = |contact| (contact, digest.clone());
+        live.into_iter().map(addressed).collect()
+    }
+
     /// Takes the news of a digest and answers it.
     pub fn answer(&mut self, now: MonoMs, unix: UnixMs, digest: &Digest) -> Option<Delta> {
         if digest.format != GOSSIP_FORMAT {
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -39,8 +39,14 @@
 const MAX_ATTEMPTS: u32 = 8;
 /// Wait before a request whose adapter was not resident is queued again.
 const NOT_RESIDENT_WAIT_MS: u64 = 20;
-/// Time for a crash report to reach the other VMs: about ten rounds of urgent gossip.
-const REPORT_SPREAD_MS: u64 = 500;
+/// Interval at which a server that lost a request is asked what became of it.
+const PROBE_WAIT_MS: u64 = 50;
+/// Longest time for which it is asked. The request must not run elsewhere before a crash is on
+/// record, or it could crash one engine after the other.
+const PROBE_MS: u64 = 1_500;
+/// Wait before a request that crashed a server runs again, in which the reports of other VMs arrive:
+/// one gossip round.
+const REPORTS_WAIT_MS: u64 = 500;
 /// Engine priority of urgent requests; lower runs first.
 const URGENT_PRIORITY: u8 = 0;
 /// Engine priority of patient requests.
@@ -85,12 +91,6 @@
     crashed: bool,
 }
 
-/// Gives the report of a crash time to reach the other VMs. A caller that is told of the failure
-/// earlier may resend to a VM that does not know of the crash, which costs another engine.
-pub(super) async fn let_report_spread() {
-    sleep(Duration::from_millis(REPORT_SPREAD_MS)).await;
-}
-
 /// Runs `admitted` until its first token, on another engine if one fails. `attempt` is the number of
 /// dispatches before.
 ///
@@ -98,25 +98,10 @@
 /// A refusal as soon as the request can no longer succeed; `unknown` once an engine may have run
 /// it, otherwise `not_run`.
 pub async fn dispatch(
-    cx: &Context,
-    admitted: Admitted,
-    accepted: MonoMs,
-    attempt: u32,
-) -> Result<Running> {
-    let mut crashed = false;
-    let started = try_engines(cx, admitted, accepted, attempt, &mut crashed).await;
-    if crashed && started.is_err() {
-        let_report_spread().await;
-    }
-    started
-}
-
-async fn try_engines(
     cx: &Context,
     admitted: Admitted,
     accepted: MonoMs,
     mut attempt: u32,
-    crashed: &mut bool,
 ) -> Result<Running> {
     let Admitted {
         request,
@@ -135,7 +120,6 @@
             Err(failure) => failure,
         };
         tokens = failure.tokens;
-        *crashed |= failure.crashed;
         if !failure.error.is_not_run() {
             run = RunState::Unknown;
         }
@@ -143,6 +127,9 @@
         if !may_retry || cx.clock.unix() >= request.deadline {
             return Err(backend_failed(&failure.error, run));
         }
+        if failure.crashed {
+            sleep(Duration::from_millis(REPORTS_WAIT_MS)).await;
+        }
         if failure.error == BackendError::NotResident {
             sleep(Duration::from_millis(NOT_RESIDENT_WAIT_MS)).await;
         }
@@ -215,17 +202,15 @@
     started: impl Future<Output = crate::backend::Result<TokenStream>>,
     ends_by: Instant,
 ) -> crate::backend::Result<(TokenFrame, TokenStream)> {
-    let late = || BackendError::Lost {
-        message: "no token arrived in time".to_owned(),
-    };
-    let mut stream = timeout_at(ends_by, started).await.map_err(|_| late())??;
+    let started = timeout_at(ends_by, started).await;
+    let mut stream = started.map_err(|_| BackendError::Late)??;
     match timeout_at(ends_by, stream.next()).await {
         Ok(Some(Ok(frame))) => Ok((frame, stream)),
         Ok(Some(Err(error))) => Err(error),
         Ok(None) => Err(BackendError::Lost {
             message: "the stream was empty".to_owned(),
         }),
-        Err(_) => Err(late()),
+        Err(_) => Err(BackendError::Late),
     }
 }
 
@@ -236,17 +221,18 @@
     in_flight: InFlight,
     error: BackendError,
 ) -> Failure {
+    if error.is_connection() {
+        note_failed(cx, &in_flight);
+    }
     if error.is_not_run() {
         return not_started(error, in_flight.not_run());
     }
-    let probe = cx
-        .engine
-        .resume(in_flight.address(), in_flight.identity().clone(), 0);
     info!(
         "dispatch: request on {} was lost: {error}",
         in_flight.server()
     );
-    let crashed = probe.await.is_err_and(|error| error.is_not_run());
+    // A server that answers wrongly or late has not crashed.
+    let crashed = error.is_connection() && has_forgotten(cx, &in_flight).await;
     let tokens = if crashed {
         report_crash(cx, request, &in_flight);
         in_flight.not_run()
@@ -268,6 +254,28 @@
     }
 }
 
+/// Asks a server that lost a request about it. True if the server is gone or does not know the
+/// request; a server that closes its connections is asked again.
+async fn has_forgotten(cx: &Context, in_flight: &InFlight) -> bool {
+    let until = after_ms(PROBE_MS).min(in_flight.ends_by());
+    loop {
+        let identity = in_flight.identity().clone();
+        let probe = cx.engine.resume(in_flight.address(), identity, 0);
+        match timeout_at(until, probe).await {
+            Ok(Err(error)) if error.is_not_run() => return true,
+            Ok(Err(_)) if Instant::now() < until => {}
+            _ => return false,
+        }
+        sleep(Duration::from_millis(PROBE_WAIT_MS)).await;
+    }
+}
+
+/// Keeps new work from a server whose connection failed.
+pub(super) fn note_failed(cx: &Context, in_flight: &InFlight) {
+    let incarnation = in_flight.assignment().incarnation();
+    cx.dispatcher.note_failed(in_flight.server(), incarnation);
+}
+
 /// Reports that the server lost a running request: it is gone or has forgotten the request.
 pub(super) fn report_crash(cx: &Context, request: &Classified, in_flight: &InFlight) {
     let fingerprint = Fingerprint(request.fingerprint);
