fix(pipeline): report a crash when the engine answers no probe

The engine stand-in closes connections while it is down, so the probe after a lost request ended as lost and not as refused, and no crash was reported: the quarantine never took effect. A request that the engine had begun to answer is now reported when the probe gets no answer; so is a stream that cannot be resumed in three tries. Requests that the engine had not taken are still only reported when the engine has forgotten them, so that those sent to an engine that is down are not taken for the cause. Not solved: up to eight tries go to the engine that is down within milliseconds, because its table still lists the adapter.

--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -207,35 +207,44 @@
                 accepted,
             }))
         }
-        Err(error) => Ok(Err(fail(cx, request, in_flight, error).await)),
+        Err(broken) => Ok(Err(fail(cx, request, in_flight, broken).await)),
     }
 }
 
+/// A dispatch that broke off before its first token.
+struct Broken {
+    error: BackendError,
+    /// The server had begun to answer, so it had taken the request.
+    taken: bool,
+}
+
 async fn first_token(
     started: impl Future<Output = crate::backend::Result<TokenStream>>,
     ends_by: Instant,
-) -> crate::backend::Result<(TokenFrame, TokenStream)> {
+) -> std::result::Result<(TokenFrame, TokenStream), Broken> {
     let late = || BackendError::Lost {
         message: "no token arrived in time".to_owned(),
     };
-    let mut stream = timeout_at(ends_by, started).await.map_err(|_| late())??;
+    let before = |error| Broken {
+        error,
+        taken: false,
+    };
+    let after = |error| Broken { error, taken: true };
+    let opened = timeout_at(ends_by, started).await;
+    let mut stream = opened.map_err(|_| before(late()))?.map_err(before)?;
     match timeout_at(ends_by, stream.next()).await {
         Ok(Some(Ok(frame))) => Ok((frame, stream)),
-        Ok(Some(Err(error))) => Err(error),
-        Ok(None) => Err(BackendError::Lost {
+        Ok(Some(Err(error))) => Err(after(error)),
+        Ok(None) => Err(after(BackendError::Lost {
             message: "the stream was empty".to_owned(),
-        }),
-        Err(_) => Err(late()),
+        })),
+        Err(_) => Err(before(late())),
     }
 }
 
 /// Finds out whether the server crashed, and reports the request as a suspect if it did.
-async fn fail(
-    cx: &Context,
-    request: &Classified,
-    in_flight: InFlight,
-    error: BackendError,
-) -> Failure {
+async fn fail(cx: &Context, request: &Classified, in_flight: InFlight, broken: Broken) -> Failure {
+    let Broken { error, taken } = broken;
     if error.is_not_run() {
         return not_started(error, in_flight.not_run());
     }
@@ -246,9 +255,15 @@
         "dispatch: request on {} was lost: {error}",
         in_flight.server()
     );
-    let crashed = probe.await.is_err_and(|error| error.is_not_run());
-    let tokens = if crashed {
+    let probed = probe.await.err();
+    let forgotten = probed.as_ref().is_some_and(BackendError::is_not_run);
+    // A crashed server may accept connections again before it answers, so no answer to the probe
+    // counts too, but only for a request that the server had taken.
+    let crashed = forgotten || (taken && probed.is_some());
+    if crashed {
         report_crash(cx, request, &in_flight);
+    }
+    let tokens = if forgotten {
         in_flight.not_run()
     } else {
         in_flight.lost()
--- a/src/pipeline/relay.rs
+++ b/src/pipeline/relay.rs
@@ -157,6 +157,11 @@
                 Err(_) => sleep(Duration::from_millis(RESUME_WAIT_MS)).await,
             }
         }
+        // A server that answers none of the tries may have crashed.
+        if let Some(in_flight) = &self.in_flight {
+            report_crash(&self.cx, &self.request, in_flight);
+            let_report_spread().await;
+        }
         Err(lost(&error))
     }
 
