--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -14,6 +14,8 @@
 import fleet as fleets
 
 CRASH_MARKER = "#crash#"
+# Longer than `restart_ms` of the engine stand-in.
+ENGINE_RESTART_S = 1.5
 # Long enough that a VM can be killed between the dispatch of an order and its answer.
 SERVICE_DELAY_MS = 40
 TOGETHER_VMS = 3
@@ -203,6 +205,8 @@
 
 
 def crashes(fleet):
+    """Crashes of all engines; waits until crashed ones are back, since others do not answer."""
+    time.sleep(ENGINE_RESTART_S)
     return fleets.total(fleet.all_counts(), "engine", "crashes")
 
 
@@ -211,11 +215,11 @@
     before = crashes(fleet)
     for vm in (0, 3, 6, 1):
         marker_request(fleet, vm, key, "resent")
-    resent = crashes(fleet) - before
+    between = crashes(fleet)
     with concurrent.futures.ThreadPoolExecutor(TOGETHER_VMS) as pool:
         list(pool.map(lambda vm: marker_request(fleet, vm, key, "together"), (0, 3, 6)))
     marker_request(fleet, 2, key, "together")
-    return resent, crashes(fleet) - before - resent
+    return between - before, crashes(fleet) - between
 
 
 def inject(fleet, account, key):
