--- a/src/pipeline/relay.rs
+++ b/src/pipeline/relay.rs
@@ -157,8 +157,10 @@
                 Err(_) => sleep(Duration::from_millis(RESUME_WAIT_MS)).await,
             }
         }
+        // A server that answers none of the tries may have crashed.
         if let Some(in_flight) = &self.in_flight {
             note_failed(&self.cx, in_flight);
+            report_crash(&self.cx, &self.request, in_flight);
         }
         Err(lost(&error))
     }
