--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -44,9 +44,8 @@
 /// Longest time for which it is asked. The request must not run elsewhere before a crash is on
 /// record, or it could crash one engine after the other.
 const PROBE_MS: u64 = 1_500;
-/// Wait before a request that crashed a server runs again, in which the reports of other VMs arrive:
-/// one gossip round.
-const REPORTS_WAIT_MS: u64 = 500;
+/// Time for a crash report to reach the other VMs: about ten rounds of urgent gossip.
+const REPORT_SPREAD_MS: u64 = 500;
 /// Engine priority of urgent requests; lower runs first.
 const URGENT_PRIORITY: u8 = 0;
 /// Engine priority of patient requests.
@@ -87,6 +86,14 @@
 struct Failure {
     error: BackendError,
     tokens: ReservedTokens,
+    /// The server crashed with the request on it.
+    crashed: bool,
+}
+
+/// Gives the report of a crash time to reach the other VMs. A caller that is told of the failure
+/// earlier may resend to a VM that does not know of the crash, which costs another engine.
+pub(super) async fn let_report_spread() {
+    sleep(Duration::from_millis(REPORT_SPREAD_MS)).await;
 }
 
 /// Runs `admitted` until its first token, on another engine if one fails. `attempt` is the number of
@@ -96,10 +103,25 @@
 /// A refusal as soon as the request can no longer succeed; `unknown` once an engine may have run
 /// it, otherwise `not_run`.
 pub async fn dispatch(
+    cx: &Context,
+    admitted: Admitted,
+    accepted: MonoMs,
+    attempt: u32,
+) -> Result<Running> {
+    let mut crashed = false;
+    let started = try_engines(cx, admitted, accepted, attempt, &mut crashed).await;
+    if crashed && started.is_err() {
+        let_report_spread().await;
+    }
+    started
+}
+
+async fn try_engines(
     cx: &Context,
     admitted: Admitted,
     accepted: MonoMs,
     mut attempt: u32,
+    crashed: &mut bool,
 ) -> Result<Running> {
     let Admitted {
         request,
@@ -118,6 +140,7 @@
             Err(failure) => failure,
         };
         tokens = failure.tokens;
+        *crashed |= failure.crashed;
         if !failure.error.is_not_run() {
             run = RunState::Unknown;
         }
@@ -157,7 +180,7 @@
     let Some((address, _)) = cx.servers.locate(assignment.server()) else {
         let message = "the server left before the dispatch".to_owned();
         let error = BackendError::NotStarted { message };
-        return Ok(Err(Failure { error, tokens }));
+        return Ok(Err(not_started(error, tokens)));
     };
     record_wait(cx, request, assignment.wait_ms(), assignment.load_stalled());
     debug!(
@@ -220,22 +243,33 @@
         note_failed(cx, &in_flight);
     }
     if error.is_not_run() {
-        let tokens = in_flight.not_run();
-        return Failure { error, tokens };
+        return not_started(error, in_flight.not_run());
     }
     info!(
         "dispatch: request on {} was lost: {error}",
         in_flight.server()
     );
     // A server that answers wrongly or late has not crashed.
-    let tokens = if error.is_connection() && has_forgotten(cx, &in_flight).await {
+    let crashed = error.is_connection() && has_forgotten(cx, &in_flight).await;
+    let tokens = if crashed {
         report_crash(cx, request, &in_flight);
-        sleep(Duration::from_millis(REPORTS_WAIT_MS)).await;
         in_flight.not_run()
     } else {
         in_flight.lost()
     };
-    Failure { error, tokens }
+    Failure {
+        error,
+        tokens,
+        crashed,
+    }
+}
+
+fn not_started(error: BackendError, tokens: ReservedTokens) -> Failure {
+    Failure {
+        error,
+        tokens,
+        crashed: false,
+    }
 }
 
 /// Asks a server that lost a request about it. True if the server is gone or does not know the
--- a/src/pipeline/dispatcher.rs
+++ b/src/pipeline/dispatcher.rs
@@ -128,6 +128,7 @@
             policy: config.policy,
             next_nonce: seed,
             failed: HashMap::new(),
+            assigned: HashMap::new(),
         };
         let dispatcher = Arc::new(Self {
             clock,
@@ -166,7 +167,10 @@
         let now = self.clock.mono();
         let mut inner = self.lock();
         let nonce = inner.take_nonce();
-        inner.popularity.record(&work.adapter, work.tokens, now);
+        // Patient work waits for its adapter anyway, so only urgent work earns an adapter its slot.
+        if work.patience == Patience::Urgent {
+            inner.popularity.record(&work.adapter, work.tokens, now);
+        }
         let load_wait = inner
             .asked(&work.adapter, &inner.view(now))
             .is_some_and(|a| a.load);
@@ -288,7 +292,7 @@
     /// The pull for the coordinator of `data_centre`.
     pub fn pull(&self, data_centre: &DataCentre, with_popularity: bool) -> TablePull {
         let now = self.clock.mono();
-        let inner = self.lock();
+        let mut inner = self.lock();
         let waiting = inner.waiting_for(data_centre, now);
         let popularity = with_popularity.then(|| inner.popularity.summary(now));
         inner.residency.pull(data_centre, waiting, popularity, now)
@@ -329,7 +333,9 @@
                 .fleet
                 .finished(server, incarnation, grant.suspect, now);
             if let Some(used) = used_tokens {
-                inner.queue.settle(&grant.account, grant.tokens, used);
+                inner
+                    .queue
+                    .settle(&grant.account, grant.patience, grant.tokens, used);
             }
             inner.residency.finish(grant.lease);
         }
@@ -380,6 +386,7 @@
             lease,
             suspect: work.suspect,
             account: work.account.clone(),
+            patience: work.patience,
             tokens: work.tokens,
         };
         let wait_ms = now.since(ticket.queued);
--- a/src/scheduling/residency/holders.rs
+++ b/src/scheduling/residency/holders.rs
@@ -22,7 +22,7 @@
     /// Highest change number that a pull acknowledged.
     acknowledged: u64,
     /// Requests in flight as of the pull with the highest acknowledgement.
-    in_use: HashMap<(ServerName, AdapterRef), u32>,
+    in_use: Uses,
     /// Time from which the VM dispatches nothing more, if it stays silent.
     lapsed_from: MonoMs,
     /// Time by which the VM has no request in flight, if it stays silent.
@@ -44,14 +44,16 @@
     /// VMs of the roster that have not pulled in this term, with the end of the wait for them.
     unseen: BTreeMap<VmName, MonoMs>,
     seen: BTreeMap<(VmName, u64), Holder>,
+    /// Sum of `in_use` of all holders, so that placement does not visit every VM for every slot.
+    totals: Totals,
     /// Time by which all tables of earlier terms have lapsed and all requests on them have ended.
     earlier_terms_until: MonoMs,
     /// Time from which the tables of earlier terms have lapsed.
     earlier_terms_lapsed: MonoMs,
     /// Time by which the requests that earlier incarnations dispatched in earlier terms have ended.
-    ghosts_until: MonoMs,
+    earlier_requests_until: MonoMs,
     /// Time from which no earlier incarnation that is waited for dispatches anything.
-    ghosts_lapsed: MonoMs,
+    earlier_requests_lapsed: MonoMs,
     /// What engines told about their use. Ends waits for VMs that can no longer dispatch.
     engine_use: HashMap<ServerName, EngineUse>,
 }
@@ -73,10 +75,11 @@
             config,
             unseen: roster.iter().map(|vm| (vm.clone(), silent_until)).collect(),
             seen: BTreeMap::new(),
+            totals: HashMap::new(),
             earlier_terms_until: silent_until,
             earlier_terms_lapsed: now.plus(config.valid_ms + config.drift_ms),
-            ghosts_until: MonoMs::default(),
-            ghosts_lapsed: MonoMs::default(),
+            earlier_requests_until: MonoMs::default(),
+            earlier_requests_lapsed: MonoMs::default(),
             engine_use: HashMap::new(),
         }
     }
@@ -111,7 +114,9 @@
             self.shorten_waits_for_earlier_incarnations(pull, now);
         }
         if pull.leaving && pull.in_use.is_empty() {
-            self.seen.remove(&key);
+            if let Some(left) = self.seen.remove(&key) {
+                subtract(&mut self.totals, &left.in_use);
+            }
             return;
         }
         let acknowledged = match pull.known {
@@ -134,7 +139,9 @@
         // A pull that arrives late must not replace what a newer one has reported.
         if acknowledged >= holder.acknowledged {
             holder.acknowledged = acknowledged;
-            holder.in_use = reported(pull);
+            let before = std::mem::replace(&mut holder.in_use, reported(pull));
+            add(&mut self.totals, &holder.in_use);
+            subtract(&mut self.totals, &before);
         }
     }
 
@@ -151,20 +158,29 @@
                 holder.lapsed_from = holder.lapsed_from.min(lapsed);
             }
         }
-        self.ghosts_until = self.ghosts_until.max(ended.min(self.earlier_terms_until));
-        self.ghosts_lapsed = lapsed;
+        self.earlier_requests_until = self
+            .earlier_requests_until
+            .max(ended.min(self.earlier_terms_until));
+        self.earlier_requests_lapsed = lapsed;
     }
 
     /// Forgets VMs that have been waited out.
     pub(super) fn expire(&mut self, now: MonoMs) {
         self.unseen.retain(|_, until| now < *until);
-        self.seen.retain(|_, holder| now < holder.silent_until);
+        let totals = &mut self.totals;
+        self.seen.retain(|_, holder| {
+            let waits = now < holder.silent_until;
+            if !waits {
+                subtract(totals, &holder.in_use);
+            }
+            waits
+        });
     }
 
     /// Whether no VM can have the adapter in use after its drain mark.
     pub(super) fn all_clear(&self, drain: &Drain<'_>, now: MonoMs) -> bool {
         let idle_since = |after: MonoMs| self.told_idle(drain, after);
-        if now < self.ghosts_until && !idle_since(self.ghosts_lapsed) {
+        if now < self.earlier_requests_until && !idle_since(self.earlier_requests_lapsed) {
             return false;
         }
         let unseen = self.unseen.values().any(|until| now < *until);
@@ -187,13 +203,46 @@
 
     /// Requests in flight on `adapter` of `server` as of the last pulls.
     pub(super) fn in_use(&self, server: &ServerName, adapter: &AdapterRef) -> u32 {
-        let key = (server.clone(), adapter.clone());
-        let uses = self.seen.values().filter_map(|h| h.in_use.get(&key));
-        uses.sum()
+        let on_server = self.totals.get(server);
+        let requests = on_server.and_then(|adapters| adapters.get(adapter));
+        requests.copied().unwrap_or(0)
+    }
+
+    /// Requests in flight on `server` as of the last pulls.
+    pub(super) fn running_on(&self, server: &ServerName) -> u32 {
+        let on_server = self.totals.get(server);
+        on_server.map_or(0, |adapters| adapters.values().sum())
+    }
+}
+
+type Totals = HashMap<ServerName, HashMap<AdapterRef, u32>>;
+type Uses = HashMap<(ServerName, AdapterRef), u32>;
+
+fn add(totals: &mut Totals, uses: &Uses) {
+    for ((server, adapter), requests) in uses {
+        let adapters = totals.entry(server.clone()).or_default();
+        *adapters.entry(adapter.clone()).or_default() += requests;
+    }
+}
+
+fn subtract(totals: &mut Totals, uses: &Uses) {
+    for ((server, adapter), requests) in uses {
+        let Some(adapters) = totals.get_mut(server) else {
+            continue;
+        };
+        if let Some(total) = adapters.get_mut(adapter) {
+            *total -= requests;
+            if *total == 0 {
+                adapters.remove(adapter);
+            }
+        }
+        if adapters.is_empty() {
+            totals.remove(server);
+        }
     }
 }
 
-fn reported(pull: &TablePull) -> HashMap<(ServerName, AdapterRef), u32> {
+fn reported(pull: &TablePull) -> Uses {
     let uses = pull.in_use.iter().filter(|entry| entry.requests > 0);
     uses.map(|entry| {
         let key = (entry.server.clone(), entry.adapter.clone());
