fix(pipeline): retries on the same VM wait for crash reports of the others

Cause: only the failure told to the caller waited for the report to spread. A request that crashes engines and arrives at three VMs together was run again on each before the reports of the others arrived. Change: each crash is followed by the wait, whether a retry or the refusal comes next.

--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -103,25 +103,10 @@
 /// A refusal as soon as the request can no longer succeed; `unknown` once an engine may have run
 /// it, otherwise `not_run`.
 pub async fn dispatch(
-    cx: &Context,
-    admitted: Admitted,
-    accepted: MonoMs,
-    attempt: u32,
-) -> Result<Running> {
-    let mut crashed = false;
-    let started = try_engines(cx, admitted, accepted, attempt, &mut crashed).await;
-    if crashed && started.is_err() {
-        let_report_spread().await;
-    }
-    started
-}
-
-async fn try_engines(
     cx: &Context,
     admitted: Admitted,
     accepted: MonoMs,
     mut attempt: u32,
-    crashed: &mut bool,
 ) -> Result<Running> {
     let Admitted {
         request,
@@ -140,7 +125,10 @@
             Err(failure) => failure,
         };
         tokens = failure.tokens;
-        *crashed |= failure.crashed;
+        if failure.crashed {
+            // Before the request runs again here, or its caller sends it to another VM.
+            let_report_spread().await;
+        }
         if !failure.error.is_not_run() {
             run = RunState::Unknown;
         }
