--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -32,7 +32,6 @@
 pub struct VmHealth {
     phase: AtomicU8,
     caught_up: AtomicBool,
-    members_known: AtomicBool,
     log: consensus::Handle,
     lease: lease::Handle,
 }
@@ -43,7 +42,6 @@
         Self {
             phase: AtomicU8::new(Phase::Open as u8),
             caught_up: AtomicBool::new(false),
-            members_known: AtomicBool::new(false),
             log,
             lease,
         }
@@ -59,11 +57,6 @@
         self.caught_up.store(true, Ordering::SeqCst);
     }
 
-    /// Notes that the VM has heard of the other VMs and the backend servers.
-    pub fn set_members_known(&self) {
-        self.members_known.store(true, Ordering::SeqCst);
-    }
-
     /// Whether new work is refused.
     pub fn is_closed(&self) -> bool {
         self.phase.load(Ordering::SeqCst) >= Phase::Closed as u8
@@ -79,17 +72,12 @@
         self.is_cut_off() && self.lease.majority_contact_age_ms() > CUT_OFF_MS
     }
 
-    /// A VM that has not caught up would take live keys for unknown ones, and one that has not heard
-    /// of the backend servers would say that there are none.
+    /// A VM that has not caught up would take live keys for unknown ones.
     fn check_contact(&self) -> Result<(), Refusal> {
         if !self.caught_up.load(Ordering::SeqCst) {
             let message = "the VM has not caught up with the replicated log since its start";
             return Err(refuse(RefusalCode::Isolated, message));
         }
-        if !self.members_known.load(Ordering::SeqCst) {
-            let message = "the VM has not heard of the other VMs since its start";
-            return Err(refuse(RefusalCode::Isolated, message));
-        }
         if self.is_isolated() {
             let message = "the VM has lost contact with the other VMs";
             return Err(refuse(RefusalCode::Isolated, message));
--- a/src/node/self_entry.rs
+++ b/src/node/self_entry.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
-use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -20,8 +19,6 @@
 
 /// Interval at which the entry is renewed without a change.
 const RENEW_MS: u64 = 50;
-/// Longest wait for the first news of the other VMs and of the backend servers.
-const ALONE_MS: u64 = 2_000;
 /// Time for which the last entry spreads before the process ends.
 const LEAVE_MS: u64 = 300;
 
@@ -54,15 +51,7 @@
 
     /// Renews the entry until the task is dropped.
     pub async fn run(mut self, health: Arc<VmHealth>) {
-        let started = Instant::now();
-        let mut listed_before = false;
         loop {
-            // The dispatcher takes a new list over within one renewal.
-            let listed = self.knows_members(started);
-            if listed && listed_before {
-                health.set_members_known();
-            }
-            listed_before = listed;
             let ready = health.check_ready().is_ok();
             self.publish(ready);
             let changed = self.in_force.changed();
@@ -72,15 +61,6 @@
         }
     }
 
-    /// Whether the table lists backend servers and half of the other VMs, as it does after the first
-    /// answer to gossip, or no such answer has come for so long that there may be none to list.
-    fn knows_members(&self, started: Instant) -> bool {
-        let members = self.members.snapshot();
-        let listed = members.vms.len() > self.settings.peers.len() / 2;
-        let waited = started.elapsed() >= Duration::from_millis(ALONE_MS);
-        waited || (listed && !members.servers.is_empty())
-    }
-
     /// Announces that the VM shuts down.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::SeqCst);
