--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -18,6 +18,7 @@
 use crate::control::TICK_INTERVAL_MS;
 use crate::limits::Settlement;
 use crate::membership;
+use crate::membership::Liveness;
 use crate::membership::Snapshot;
 use crate::types::Clock;
 use crate::types::MonoMs;
@@ -30,9 +31,9 @@
 const EXPIRY_TICK_MS: u64 = 1_000;
 /// Longest wait for a proposal.
 const PROPOSE_MS: u64 = 2_000;
-/// Time without news after which the process of a VM counts as ended. Longer than the detector's
-/// own limit, because the orders of a VM that is wrongly declared lost end as unknown.
-const OWNER_LOST_MS: u64 = 10_000;
+/// Least time without news after which the process of a dead VM counts as ended. Longer than the
+/// detector's own limit, because the orders of a VM that is wrongly declared lost end as unknown.
+const OWNER_LOST_MS: u64 = 6_000;
 
 /// What the duties need.
 pub struct Duties {
@@ -125,7 +126,8 @@
         let mut lost = Vec::new();
         for (vm, view) in &snapshot.vms {
             let previous = leading.seen.insert(vm.clone(), view.incarnation);
-            let ended = if now.since(view.heard) >= OWNER_LOST_MS {
+            let dead = view.liveness(now) == Liveness::Dead;
+            let ended = if dead && now.since(view.heard) >= OWNER_LOST_MS {
                 Some(view.incarnation)
             } else if previous != Some(view.incarnation) {
                 view.incarnation.checked_sub(1)
--- a/src/pipeline/dispatch_state.rs
+++ b/src/pipeline/dispatch_state.rs
@@ -66,6 +66,8 @@
     pub(super) route: RouteConfig,
     pub(super) policy: Policy,
     pub(super) next_nonce: u64,
+    /// Time until which servers that are not known yet may still be learnt after a start.
+    pub(super) learning_until: MonoMs,
     /// Engines that the least-loaded baseline chose for adapters that are waited for. Without them
     /// it would ask another engine for the same adapter at each look.
     pub(super) assigned: HashMap<AdapterRef, ServerName>,
@@ -126,6 +128,7 @@
             policy,
             assigned,
             failed,
+            learning_until,
             ..
         } = self;
         let view = RouteView {
@@ -141,7 +144,9 @@
             let choice = choose(&route_request(&item.payload, chosen), &view, *policy);
             match choice {
                 // A failed server may be the only one, and reports again within a second or is dead.
-                Choice::Nowhere if !failed.is_empty() => Verdict::SkipAdapter,
+                Choice::Nowhere if !failed.is_empty() || now < *learning_until => {
+                    Verdict::SkipAdapter
+                }
                 Choice::Dispatch { .. } | Choice::Nowhere => {
                     taken = Some(choice);
                     Verdict::Take
--- a/src/pipeline/dispatcher.rs
+++ b/src/pipeline/dispatcher.rs
@@ -52,6 +52,9 @@
 /// Result of waiting for a backend server.
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
 
+/// Time after a start in which gossip brings the servers and pulls bring the tables. A request that
+/// finds no server waits that long instead of being refused.
+const LEARNING_MS: u64 = 5_000;
 /// Interval at which waiting work is looked at without another cause.
 const SWEEP_MS: u64 = 20;
 /// Interval at which a call of a plain service looks for a provider with room.
@@ -127,6 +130,7 @@
             route: RouteConfig::default(),
             policy: config.policy,
             next_nonce: seed,
+            learning_until: clock.mono().plus(LEARNING_MS),
             assigned: HashMap::new(),
             failed: HashMap::new(),
         };
