--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::fmt::Debug;
 use std::sync::Arc;
@@ -19,7 +20,7 @@
 
 /// Times a VM repeats a changed entry to random peers. The few VMs that are missed find the change
 /// by comparing hashes.
-const ENTRY_SENDS: u32 = 5;
+const ENTRY_SENDS: u32 = 8;
 
 /// Time after an entry's death until it is dropped.
 const DROP_AFTER_MS: u64 = 60_000;
@@ -38,6 +39,7 @@
     heard: MonoMs,
     name_hash: u32,
     hash: u32,
+    changed_at: MonoMs,
     entry_sends: u32,
     beat_sends: u32,
     beat_renewed: MonoMs,
@@ -60,6 +62,8 @@
 pub struct Directory<N, P: Member> {
     slots: BTreeMap<N, Slot<P>>,
     names: HashMap<u32, Vec<N>>,
+    /// Members whose changed entries are still to be sent.
+    changed: BTreeSet<N>,
     tombstones: BTreeMap<N, (u64, u64, MonoMs)>,
 }
 
@@ -69,6 +73,7 @@
         Self {
             slots: BTreeMap::new(),
             names: HashMap::new(),
+            changed: BTreeSet::new(),
             tombstones: BTreeMap::new(),
         }
     }
@@ -98,7 +103,11 @@
             slot.version = entry.version;
             slot.payload = Arc::new(entry.payload);
             slot.hash = stable_hash(&(&entry.name, entry.incarnation, entry.version));
+            slot.changed_at = now;
             slot.entry_sends = sends;
+            if relay {
+                self.changed.insert(entry.name);
+            }
         }
         if newer_beat {
             slot.beat = entry.beat;
@@ -173,9 +182,14 @@
         self.slots.values().map(|slot| slot.payload.data_centre())
     }
 
+    /// Number of changed entries that are still to be sent.
+    pub fn news_count(&self) -> usize {
+        self.changed.len()
+    }
+
     /// True if some changed entry is still to be sent.
     pub fn has_news(&self) -> bool {
-        self.slots.values().any(|slot| slot.entry_sends > 0)
+        !self.changed.is_empty()
     }
 
     /// Hashes of the names and of the entries that are not dead.
@@ -195,43 +209,60 @@
         to: &DataCentre,
         bytes: &mut usize,
     ) -> Vec<Entry<N, P>> {
-        let slots = self.slots.iter_mut();
-        let mut changed: Vec<(&N, &mut Slot<P>)> = slots
-            .filter(|(_, slot)| slot.entry_sends > 0 && slot.lives(now, pace))
-            .collect();
-        changed.sort_by_key(|(_, slot)| Reverse(slot.entry_sends));
+        let sends = |name: &N| self.slots.get(name).map_or(0, |slot| slot.entry_sends);
+        let mut names: Vec<N> = self.changed.iter().cloned().collect();
+        names.sort_by_key(|name| Reverse(sends(name)));
         let mut picked = Vec::new();
-        for (name, slot) in changed {
+        for name in names {
             if *bytes == 0 {
                 break;
             }
+            let slot = self.slots.get_mut(&name);
+            let Some(slot) = slot.filter(|slot| slot.entry_sends > 0 && slot.lives(now, pace))
+            else {
+                self.changed.remove(&name);
+                continue;
+            };
             slot.entry_sends -= 1;
-            let entry = slot.entry(name, to);
+            if slot.entry_sends == 0 {
+                self.changed.remove(&name);
+            }
+            let entry = slot.entry(&name, to);
             *bytes = bytes.saturating_sub(encoded_len(&entry));
             picked.push(entry);
         }
         picked
     }
 
-    /// Live entries of which `wanted` accepts the hash of the name, up to about `bytes`.
+    /// Live entries of which `wanted` accepts the hash of the name, up to about `bytes`. An even
+    /// `salt` puts the latest changes first, since those are the likeliest to be missing; an odd
+    /// one decides the order, so that no entry is left out each time.
     pub fn pick_entries(
         &self,
         now: MonoMs,
         pace: &Pace,
         to: &DataCentre,
         bytes: &mut usize,
+        salt: u32,
         wanted: impl Fn(u32) -> bool,
     ) -> Vec<Entry<N, P>> {
+        let slots = self.slots.iter();
+        let mut candidates: Vec<(&N, &Slot<P>)> = slots
+            .filter(|(_, slot)| wanted(slot.name_hash) && slot.lives(now, pace))
+            .collect();
+        if salt.is_multiple_of(2) {
+            candidates.sort_by_key(|(_, slot)| Reverse(slot.changed_at));
+        } else {
+            candidates.sort_by_key(|(_, slot)| slot.name_hash ^ salt);
+        }
         let mut picked = Vec::new();
-        for (name, slot) in &self.slots {
+        for (name, slot) in candidates {
             if *bytes == 0 {
                 break;
             }
-            if wanted(slot.name_hash) && slot.lives(now, pace) {
-                let entry = slot.entry(name, to);
-                *bytes = bytes.saturating_sub(encoded_len(&entry));
-                picked.push(entry);
-            }
+            let entry = slot.entry(name, to);
+            *bytes = bytes.saturating_sub(encoded_len(&entry));
+            picked.push(entry);
         }
         picked
     }
@@ -290,6 +321,7 @@
             heard: now,
             name_hash,
             hash: stable_hash(&(&entry.name, entry.incarnation, entry.version)),
+            changed_at: now,
             entry_sends,
             beat_sends: 0,
             beat_renewed: now,
@@ -300,6 +332,9 @@
             .or_default()
             .push(entry.name.clone());
         self.tombstones.remove(&entry.name);
+        if entry_sends > 0 {
+            self.changed.insert(entry.name.clone());
+        }
         self.slots.insert(entry.name, slot);
     }
 
--- a/src/membership/driver.rs
+++ b/src/membership/driver.rs
@@ -134,8 +134,18 @@
     }
 
     fn add_fact(&self, fact: Fact) {
-        self.table().add_fact(self.clock.unix(), fact);
+        let now = self.clock.mono();
+        let alerts = {
+            let mut table = self.table();
+            table.add_fact(self.clock.unix(), fact.clone());
+            table.alerts(now, &fact)
+        };
         self.publish();
+        for (contact, digest) in alerts {
+            // A VM that the alert does not reach learns the fact by gossip.
+            let sending = self.peers.gossip(contact.vm, contact.address, digest);
+            tokio::spawn(async move { drop(sending.await) });
+        }
     }
 }
 
@@ -144,7 +154,11 @@
     pub fn receive(&self, digest: &Digest) -> Option<Delta> {
         let now = self.shared.clock.mono();
         let unix = self.shared.clock.unix();
-        self.shared.table().answer(now, unix, digest)
+        let answer = self.shared.table().answer(now, unix, digest);
+        if !digest.news.facts.is_empty() {
+            self.shared.publish();
+        }
+        answer
     }
 
     /// Records a backend server's announcement, which readers see at once.
--- a/src/node/coordinator.rs
+++ b/src/node/coordinator.rs
@@ -308,7 +308,7 @@
     let known: Vec<ServerName> = planner.table().servers().cloned().collect();
     for server in known {
         if !surroundings.engines.contains_key(&server) {
-            planner.remove_engine(&server);
+            planner.remove_engine(&server, now);
         }
     }
     for engine in surroundings.engines.values() {
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -16,10 +16,8 @@
 use crate::control::Owner;
 use crate::control::Sha256Hash;
 use crate::control::TICK_INTERVAL_MS;
-use crate::lease;
 use crate::limits::Settlement;
 use crate::membership;
-use crate::membership::Liveness;
 use crate::membership::Snapshot;
 use crate::types::Clock;
 use crate::types::MonoMs;
@@ -48,8 +46,6 @@
     pub proposer: Proposer,
     /// The membership.
     pub members: membership::Handle,
-    /// Length of a coordinator lease.
-    pub lease_ms: u64,
 }
 
 /// What was seen while leading.
@@ -75,7 +71,7 @@
             let leading = leading.get_or_insert_with(|| {
                 info!("control: this VM leads the log");
                 Leading {
-                    settlement: Settlement::new(self.lease_ms),
+                    settlement: Settlement::default(),
                     ticked: None,
                     seen: BTreeMap::new(),
                 }
@@ -95,7 +91,7 @@
         let mut commands = Vec::new();
         commands.extend(self.tick(leading, now));
         commands.extend(self.lost_owners(leading, &snapshot, now));
-        commands.extend(self.settled(leading, &snapshot, now));
+        commands.extend(self.settled(leading, &snapshot));
         commands.extend(self.withdrawals(&snapshot));
         commands
     }
@@ -154,25 +150,18 @@
             .collect()
     }
 
-    fn settled(&self, leading: &mut Leading, snapshot: &Snapshot, now: MonoMs) -> Option<Command> {
+    fn settled(&self, leading: &mut Leading, snapshot: &Snapshot) -> Option<Command> {
         let machine = lock(&self.state);
         let state = machine.state();
-        let roster = state.roster();
-        for data_centre in roster.data_centres() {
-            let version = roster.version_of(data_centre.as_str());
-            let vms = roster.vms_of(data_centre.as_str()).cloned();
+        let data_centres = state.data_centres().into_iter().cloned();
+        leading.settlement.set_data_centres(data_centres);
+        for view in snapshot.vms.values() {
+            let data_centre = &view.payload.data_centre;
             leading
                 .settlement
-                .set_roster(data_centre.clone(), lease::Roster::new(version, vms));
+                .note(data_centre, view.status.settled_index);
         }
-        for (vm, view) in &snapshot.vms {
-            if view.liveness(now) != Liveness::Dead {
-                leading
-                    .settlement
-                    .note_applied(vm, view.status.applied_index);
-            }
-        }
-        let index = leading.settlement.settled_index(now);
+        let index = leading.settlement.settled_index();
         let oldest = state.oldest_unsettled_limit()?;
         (index >= oldest).then_some(Command::SettleLimits { index })
     }
--- a/src/node/member_feed.rs
+++ b/src/node/member_feed.rs
@@ -12,6 +12,8 @@
 use super::server_names::provider_name;
 use crate::configs::vm::StoreSettings;
 use crate::lease;
+use crate::limits;
+use crate::limits::Settlement;
 use crate::membership;
 use crate::membership::Liveness;
 use crate::membership::ServerKind as AnnouncedKind;
@@ -58,6 +60,8 @@
     pub book: AddressBook,
     /// Limits of the weight store.
     pub store: StoreSettings,
+    /// Told which limits are settled.
+    pub dispenser: limits::Server,
 }
 
 impl MemberFeed {
@@ -65,12 +69,14 @@
     pub async fn run(self) {
         let mut snapshots = self.members.subscribe();
         let mut routed = BTreeSet::new();
+        let mut settlement = Settlement::default();
         while snapshots.changed().await.is_ok() {
             let snapshot = snapshots.borrow_and_update().clone();
             let now = self.clock.mono();
             self.pass_vms(&snapshot, now);
             self.pass_servers(&snapshot, &mut routed, now);
             self.pass_surroundings(&snapshot, now);
+            self.pass_settled(&snapshot, &mut settlement);
         }
     }
 
@@ -92,10 +98,10 @@
                 coordinators.insert(view.payload.data_centre.clone(), coordinator);
             }
         }
+        // Also for the own data centre: a VM that the holder does not need for its majority may have
+        // granted it nothing, and then learns of it only here.
         for (data_centre, (_, vm)) in coordinators {
-            if data_centre != self.data_centre {
-                self.lease.note_coordinator(data_centre, Some(vm));
-            }
+            self.lease.note_coordinator(data_centre, Some(vm));
         }
         self.dispatcher.set_peers(peers);
     }
@@ -139,6 +145,23 @@
         });
     }
 
+    fn pass_settled(&self, snapshot: &Snapshot, settlement: &mut Settlement) {
+        let data_centres: Vec<DataCentre> = {
+            let machine = lock(&self.state);
+            machine
+                .state()
+                .data_centres()
+                .into_iter()
+                .cloned()
+                .collect()
+        };
+        settlement.set_data_centres(data_centres);
+        for view in snapshot.vms.values() {
+            settlement.note(&view.payload.data_centre, view.status.settled_index);
+        }
+        self.dispenser.settle(settlement.settled_index());
+    }
+
     fn takes_orders(&self, view: &View<ServerPayload>, now: MonoMs) -> bool {
         view.payload.kind == AnnouncedKind::Engine
             && view.payload.data_centre == self.data_centre
--- a/src/node/self_entry.rs
+++ b/src/node/self_entry.rs
@@ -74,9 +74,11 @@
 
     fn publish(&self, ready: bool) {
         let draining = self.draining.load(Ordering::SeqCst);
+        let held = self.lease.current();
         let status = VmStatus {
             applied_index: *self.in_force.borrow(),
-            coordinator_term: self.lease.current().map_or(0, |held| held.term),
+            coordinator_term: held.as_ref().map_or(0, |held| held.term),
+            settled_index: held.as_ref().map_or(0, |held| held.settled_index),
         };
         self.members
             .set_self(payload(&self.settings, ready, draining), status);
--- a/src/pipeline/assignment.rs
+++ b/src/pipeline/assignment.rs
@@ -5,6 +5,7 @@
 use super::dispatcher::Dispatcher;
 use crate::scheduling::residency::Use;
 use crate::types::AccountName;
+use crate::types::Patience;
 use crate::types::ServerName;
 use crate::types::Tokens;
 
@@ -14,6 +15,7 @@
     pub(super) lease: Use,
     pub(super) suspect: bool,
     pub(super) account: AccountName,
+    pub(super) patience: Patience,
     pub(super) tokens: Tokens,
 }
 
--- a/tests/load/residency.rs
+++ b/tests/load/residency.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 
 use assert_matches::assert_matches;
 use rand::RngExt;
@@ -16,6 +17,7 @@
 use medlarlift::scheduling::residency::ResidencyView;
 use medlarlift::scheduling::residency::Table;
 use medlarlift::scheduling::residency::TablePull;
+use medlarlift::scheduling::residency::TableVersion;
 use medlarlift::scheduling::residency::Use;
 use medlarlift::types::AdapterRef;
 use medlarlift::types::DataCentre;
@@ -69,6 +71,8 @@
     Pull(usize, u64, MonoMs, TablePull),
     Reply(usize, u64, MonoMs, Table),
     Evict(ServerName, u64, AdapterRef),
+    /// An engine's list of adapters in use, with the term and time of the question.
+    Told(u64, MonoMs, ServerName, u64, BTreeSet<AdapterRef>),
 }
 
 /// Several VMs, engines and one coordinator at a time, with messages that are delayed, lost and
@@ -125,7 +129,8 @@
             60..70 => self.load(),
             70..80 => self.drain(),
             80..92 => self.evict(),
-            92..97 => self.announce(),
+            92..95 => self.announce(),
+            95..97 => self.ask_engine(),
             97 => self.silence(),
             _ => self.restart_something(),
         }
@@ -179,6 +184,13 @@
                 Message::Evict(server, incarnation, adapter) => {
                     self.carry_out(&server, incarnation, &adapter);
                 }
+                Message::Told(term, asked, server, incarnation, adapters) => {
+                    let known = self.table.incarnation(&server) == Some(incarnation);
+                    if term == self.term && known {
+                        let adapters = adapters.into_iter().collect();
+                        self.table.record_engine_use(&server, adapters, asked);
+                    }
+                }
                 Message::Reply(vm, incarnation, sent, table) => {
                     if self.vms[vm].incarnation == incarnation {
                         self.vms[vm].view.apply(table, sent);
@@ -299,6 +311,26 @@
         }
     }
 
+    /// The coordinator asks an engine which adapters are in use; the answer may come late.
+    fn ask_engine(&mut self) {
+        let server = self.some_engine();
+        let incarnation = self.engines[&server].incarnation;
+        let on_engine = self
+            .running
+            .iter()
+            .filter(|(_, on, of, _)| (on, *of) == (&server, incarnation));
+        let adapters = on_engine.map(|(_, _, _, adapter)| adapter.clone());
+        let adapters = adapters.collect();
+        let asked = MonoMs(self.now);
+        self.post(Message::Told(
+            self.term,
+            asked,
+            server,
+            incarnation,
+            adapters,
+        ));
+    }
+
     fn silence(&mut self) {
         let index = self.some_vm();
         self.vms[index].silent_until = self.now + self.rng.random_range(1..9_000);
@@ -338,7 +370,7 @@
             }
             3 => {
                 let server = self.some_engine();
-                self.table.remove_engine(&server);
+                self.table.remove_engine(&server, MonoMs(self.now));
             }
             _ => {}
         }
@@ -414,6 +446,24 @@
     assert_eq!(table.evictable(MonoMs(lapsed)), vec![(server, x)]);
 }
 
+/// Guards against a wait for the longest request although the engine tells that the adapter is idle,
+/// and against trust in a list from before the silent VM stopped dispatching.
+#[test]
+fn an_engine_that_tells_its_use_ends_the_wait_for_a_silent_vm() {
+    let (mut table, mut view, _) = table_with(&["x"]);
+    let (server, x) = (ServerName::from("e"), adapter("x"));
+    exchange(&mut table, &mut view, MonoMs(6_000));
+    assert!(table.drain(&server, &x, MonoMs(6_100)));
+    let lapsed = MonoMs(6_000 + CONFIG.valid_ms + CONFIG.drift_ms);
+    let now = lapsed.plus(10);
+    table.record_engine_use(&server, HashSet::new(), MonoMs(lapsed.0 - 1));
+    assert_eq!(table.evictable(now), Vec::new());
+    table.record_engine_use(&server, HashSet::from([x.clone()]), lapsed);
+    assert_eq!(table.evictable(now), Vec::new());
+    table.record_engine_use(&server, HashSet::new(), lapsed);
+    assert_eq!(table.evictable(now), vec![(server, x)]);
+}
+
 /// Guards against a drain mark that is cleared by an acknowledgement of an earlier mark.
 #[test]
 fn a_second_drain_needs_a_second_acknowledgement() {
@@ -455,7 +505,7 @@
     table.drain(&server, &x, MonoMs(300));
     exchange(&mut table, &mut view, MonoMs(500));
     assert_matches!(view.state(&server, &x), Some(Residency::Draining));
-    table.remove_engine(&server);
+    table.remove_engine(&server, MonoMs(700));
     exchange(&mut table, &mut view, MonoMs(750));
     assert_eq!(view.state(&server, &x), None);
 }
@@ -465,7 +515,7 @@
 fn pulls_of_a_later_term_or_another_format_are_refused() {
     let (mut table, view, centre) = table_with(&[]);
     let mut pull = view.pull(&centre, Vec::new(), None, MonoMs(0));
-    pull.known = Some(medlarlift::scheduling::residency::TableVersion { term: 2, change: 0 });
+    pull.known = Some(TableVersion { term: 2, change: 0 });
     let error = table.pull(&pull, MonoMs(0)).expect_err("a later term");
     assert_matches!(error, PullError::Deposed { known: 2, term: 1 });
     pull.format = 9;
@@ -511,8 +561,85 @@
     assert!(table.begin_eviction(&server, &x, now));
     table.eviction_failed(&server, &x, false, now);
     assert!(!table.cancel_drain(&server, &x, now));
-    table.remove_engine(&server);
+    table.remove_engine(&server, now);
     table.observe(&engine_with(&["x"]), now);
     assert_matches!(table.state(&server, &x), Some(Residency::Draining));
     assert_eq!(table.evictable(now), vec![(server, x)]);
 }
+
+/// Guards against a restart of one VM that holds up every eviction for the longest request: what
+/// became resident after the last table of the old incarnation cannot be in use by it.
+#[test]
+fn a_crashed_vm_blocks_only_what_it_could_use() {
+    let (mut table, mut view, _) = table_with(&["old"]);
+    let (server, old, new) = (ServerName::from("e"), adapter("old"), adapter("new"));
+    let now = MonoMs(60_000);
+    exchange(&mut table, &mut view, now);
+    exchange(&mut table, &mut view, now);
+    let crashed = now.plus(100);
+    let mut view = ResidencyView::new(VmName::from("vm"), DataCentre::from("dc"), 2, crashed);
+    assert!(table.begin_load(&server, &new, crashed));
+    table.loaded(&server, 1, &new, crashed);
+    exchange(&mut table, &mut view, crashed);
+    table.drain(&server, &old, crashed);
+    table.drain(&server, &new, crashed);
+    exchange(&mut table, &mut view, crashed);
+    exchange(&mut table, &mut view, crashed);
+    assert_eq!(
+        table.evictable(crashed),
+        vec![(server.clone(), new.clone())]
+    );
+    let ended = crashed.plus(CONFIG.longest_request_ms + CONFIG.drift_ms);
+    exchange(&mut table, &mut view, ended);
+    assert_eq!(
+        table.evictable(ended),
+        vec![(server.clone(), new), (server, old)]
+    );
+}
+
+/// The tables of two successive coordinators, of which the second has not heard of `x` on `e` yet,
+/// and a VM that holds the first one.
+fn successor_without_x() -> (ResidencyTable, ResidencyView, MonoMs) {
+    let (mut old, mut view, centre) = table_with(&["x"]);
+    let now = MonoMs(60_000);
+    exchange(&mut old, &mut view, now);
+    let mut table = ResidencyTable::new(CONFIG, centre, 2, &[VmName::from("vm")], now);
+    let mut other = engine_with(&[]);
+    other.server = ServerName::from("other");
+    table.observe(&other, now);
+    (table, view, now)
+}
+
+/// Guards against a new coordinator that learns late of an adapter and takes it for one that no VM
+/// can use, although a VM dispatches on the table of the predecessor.
+#[test]
+fn an_adapter_announced_late_may_be_dispatched_to() {
+    let (mut table, mut view, now) = successor_without_x();
+    let (server, x) = (ServerName::from("e"), adapter("x"));
+    let pull = view.pull(&DataCentre::from("dc"), Vec::new(), None, now);
+    table.pull(&pull, now).expect("a reply, which is lost");
+    let used = view
+        .begin(&server, &x, now)
+        .expect("listed by the predecessor");
+    table.observe(&engine_with(&["x"]), now);
+    table.drain(&server, &x, now);
+    assert_eq!(table.evictable(now), Vec::new());
+    view.finish(used);
+}
+
+/// Guards against the same mistake when the VM has taken over the new table and still has a request
+/// in flight that it dispatched before.
+#[test]
+fn an_adapter_announced_late_may_be_in_use() {
+    let (mut table, mut view, now) = successor_without_x();
+    let (server, x) = (ServerName::from("e"), adapter("x"));
+    let used = view
+        .begin(&server, &x, now)
+        .expect("listed by the predecessor");
+    exchange(&mut table, &mut view, now);
+    exchange(&mut table, &mut view, now);
+    table.observe(&engine_with(&["x"]), now);
+    table.drain(&server, &x, now);
+    assert_eq!(table.evictable(now), Vec::new());
+    view.finish(used);
+}
