fix(http): serve callers with hyper and without Nagle's algorithm

dropshot accepts sockets with Nagle's algorithm on and offers no access to them. With the delayed acknowledgement of the caller, each small write of a stream waited about 40 ms.

--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -1,15 +1,18 @@
 //! HTTP answers of the caller API.
 
-use dropshot::Body;
+use bytes::Bytes;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
+use http_body_util::BodyExt;
+use http_body_util::Full;
 use serde::Serialize;
 use serde_json::json;
 
+use super::server::Body;
 use crate::control::RecordedResult;
 use crate::pipeline::status_of;
 use crate::types::Refusal;
@@ -24,7 +27,7 @@
 /// A JSON answer.
 pub fn json_answer(status: StatusCode, request_id: &str, body: &impl Serialize) -> Response<Body> {
     let text = serde_json::to_string(body).expect("answers are plain data");
-    with_body(status, request_id, JSON, Body::from(text))
+    with_body(status, request_id, JSON, full(text))
 }
 
 /// A streamed answer.
@@ -43,7 +46,7 @@
     };
     let media_type = result.content_type.as_deref().unwrap_or(JSON);
     let status = status_of(result);
-    with_body(status, request_id, media_type, Body::from(body.clone()))
+    with_body(status, request_id, media_type, full(body.clone()))
 }
 
 /// An error answer, with `Retry-After` where a retry makes sense.
@@ -60,6 +63,10 @@
     answer
 }
 
+fn full(content: impl Into<Bytes>) -> Body {
+    Full::new(content.into()).boxed_unsync()
+}
+
 fn with_body(status: StatusCode, request_id: &str, media_type: &str, body: Body) -> Response<Body> {
     let mut answer = Response::new(body);
     *answer.status_mut() = status;
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,12 +1,11 @@
 //! Reads request bodies with a limit in bytes and in time.
 
-use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use dropshot::StreamingBody;
-use futures::StreamExt;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::types::Refusal;
@@ -19,7 +18,7 @@
 ///
 /// # Errors
 /// `TooLarge` over `max_bytes`, `BadRequest` if the caller sends too slowly or stops.
-pub async fn read_body(body: StreamingBody, max_bytes: usize) -> Result<Bytes, Refusal> {
+pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
     let read = read_all(body, max_bytes);
     timeout(Duration::from_millis(BODY_TIMEOUT_MS), read)
         .await
@@ -29,14 +28,16 @@
         })
 }
 
-async fn read_all(body: StreamingBody, max_bytes: usize) -> Result<Bytes, Refusal> {
-    let mut chunks = pin!(body.into_stream());
+async fn read_all(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
     let mut whole = BytesMut::new();
-    while let Some(chunk) = chunks.next().await {
-        let chunk = chunk.map_err(|error| {
-            let message = format!("the body could not be read: {}", error.external_message);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            let message = format!("the body could not be read: {error}");
             Refusal::not_run(RefusalCode::BadRequest, message)
         })?;
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
         if whole.len() + chunk.len() > max_bytes {
             let message = format!("the body is larger than {max_bytes} bytes");
             return Err(Refusal::not_run(RefusalCode::TooLarge, message));
--- a/src/http/calls.rs
+++ b/src/http/calls.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use dropshot::Body;
-use dropshot::RequestContext;
-use dropshot::StreamingBody;
+use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
+use http::request::Parts;
+use hyper::body::Incoming;
 use serde_json::json;
 
 use super::answer::json_answer;
@@ -16,6 +16,7 @@
 use super::caller::CallerContext;
 use super::completion::AnswerHead;
 use super::completion::whole_answer;
+use super::server::Body;
 use super::stream::relay_body;
 use super::stream::resumed_body;
 use crate::backend::StreamIdentity;
@@ -35,13 +36,28 @@
 /// An answer, or a refusal with the id of the request.
 pub type CallOutcome = Result<Response<Body>, (String, Refusal)>;
 
-type Request = RequestContext<Arc<CallerContext>>;
+/// The head of a request.
+pub struct Request {
+    /// What all handlers share.
+    pub context: Arc<CallerContext>,
+    /// Method, address and headers.
+    pub parts: Parts,
+    /// Id of answers to requests whose own id is not known.
+    pub id: String,
+}
+
+impl Request {
+    /// The headers.
+    pub fn headers(&self) -> &HeaderMap {
+        &self.parts.headers
+    }
+}
 
 /// Runs a completion.
-pub async fn completion(request: &Request, format: Format, body: StreamingBody) -> CallOutcome {
-    let cx = request.context();
-    let draft = |refusal| (request.request_id.clone(), refusal);
-    let headers = request.request.headers();
+pub async fn completion(request: &Request, format: Format, body: Incoming) -> CallOutcome {
+    let cx = &request.context;
+    let draft = |refusal| (request.id.clone(), refusal);
+    let headers = request.headers();
     // The key is checked before the body is read, so that strangers cannot make the VM buffer it.
     let caller = identify(&cx.pipeline, headers).map_err(draft)?;
     let body = read_body(body, cx.max_body_bytes).await.map_err(draft)?;
@@ -85,8 +101,8 @@
 /// Continues a stream from the server that its id names, through whichever VM.
 pub async fn resume(request: &Request, id: &str) -> CallOutcome {
     let draft = |refusal| (id.to_owned(), refusal);
-    let cx = &request.context().pipeline;
-    let headers = request.request.headers();
+    let cx = &request.context.pipeline;
+    let headers = request.headers();
     let caller = identify(cx, headers).map_err(draft)?;
     let running = RequestId::parse_on_server(id).map_err(draft)?;
     let from = next_index(request).map_err(draft)?;
@@ -112,7 +128,7 @@
 /// The token after the one that the caller received last.
 fn next_index(request: &Request) -> Result<u64, Refusal> {
     let name = "last-event-id";
-    let Some(value) = request.request.headers().get(name) else {
+    let Some(value) = request.headers().get(name) else {
         return Ok(0);
     };
     let text = value.to_str().unwrap_or("(not text)");
@@ -125,8 +141,8 @@
 /// Cancels a running request of the caller.
 pub async fn cancel(request: &Request, id: &str) -> CallOutcome {
     let draft = |refusal| (id.to_owned(), refusal);
-    let cx = &request.context().pipeline;
-    let caller = identify(cx, request.request.headers()).map_err(draft)?;
+    let cx = &request.context.pipeline;
+    let caller = identify(cx, request.headers()).map_err(draft)?;
     let running = RequestId::parse_on_server(id).map_err(draft)?;
     let (address, _) = cx
         .servers
@@ -139,24 +155,19 @@
 }
 
 /// Calls a plain service.
-pub async fn service(
-    request: &Request,
-    service: String,
-    segments: &[String],
-    body: StreamingBody,
-) -> CallOutcome {
-    let cx = request.context();
-    let id = request.request_id.clone();
+pub async fn service(request: &Request, service: &str, path: &str, body: Incoming) -> CallOutcome {
+    let cx = &request.context;
+    let id = request.id.clone();
     let body = match read_body(body, cx.max_body_bytes).await {
         Ok(body) => body,
         Err(refusal) => return Err((id, refusal)),
     };
     let call = ServiceRequest {
-        service,
-        method: request.request.method().clone(),
-        path: format!("/{}", segments.join("/")),
-        query: request.request.uri().query().map(str::to_owned),
-        headers: request.request.headers().clone(),
+        service: service.to_owned(),
+        method: request.parts.method.clone(),
+        path: path.to_owned(),
+        query: request.parts.uri.query().map(str::to_owned),
+        headers: request.headers().clone(),
         body,
     };
     match run_service(&cx.pipeline, call).await {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 mod calls;
 mod completion;
+mod server;
 mod stream;
 
 pub use completion::AnswerHead;
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,127 @@
+//! Listens for callers with `hyper`. `dropshot` does not serve here because it leaves Nagle's
+//! algorithm on, which held back each small write of a stream for about 40 ms.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener as StdTcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::Request;
+use http::Response;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use log::debug;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// Longest time in which a caller must have sent the head of a request.
+const HEAD_TIMEOUT_MS: u64 = 10_000;
+/// Wait after a failed accept, such as one without a free file descriptor.
+const ACCEPT_RETRY_MS: u64 = 50;
+
+/// Body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request. Dropped if the caller closes the connection.
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>>;
+}
+
+/// A running HTTP server.
+pub struct HttpServer {
+    local_address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    accepting: JoinHandle<()>,
+}
+
+impl HttpServer {
+    /// Listens at `address`.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub fn bind(address: SocketAddr, handler: Arc<dyn Handler>) -> io::Result<Self> {
+        let listener = StdTcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
+        let local_address = listener.local_addr()?;
+        let (stop, stopped) = oneshot::channel();
+        let accepting = tokio::spawn(accept(listener, handler, stopped));
+        Ok(Self {
+            local_address,
+            stop: Some(stop),
+            accepting,
+        })
+    }
+
+    /// Address the server listens at.
+    pub fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+
+    /// Stops accepting connections and waits for the requests in progress.
+    pub async fn close(mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+        let _ = (&mut self.accepting).await;
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    mut stopped: oneshot::Receiver<()>,
+) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => serve(socket, handler.clone(), &graceful),
+                Err(error) => {
+                    debug!("caller: a connection could not be accepted: {error}");
+                    sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+                }
+            },
+            _ = &mut stopped => break,
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn serve(socket: TcpStream, handler: Arc<dyn Handler>, graceful: &GracefulShutdown) {
+    let _ = socket.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler.clone().handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(HEAD_TIMEOUT_MS))
+        .serve_connection(TokioIo::new(socket), service);
+    let watched = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = watched.await {
+            debug!("caller: a connection ended: {error}");
+        }
+    });
+}
--- a/src/http/stream.rs
+++ b/src/http/stream.rs
@@ -3,10 +3,10 @@
 use std::convert::Infallible;
 
 use bytes::Bytes;
-use dropshot::Body;
 use futures::StreamExt;
 use futures::stream;
 use http_body::Frame;
+use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use tokio::sync::mpsc;
 
@@ -14,6 +14,7 @@
 use super::completion::done_event;
 use super::completion::error_event;
 use super::completion::token_event;
+use super::server::Body;
 use crate::backend::TokenFrame;
 use crate::backend::TokenStream;
 use crate::pipeline::Relay;
@@ -43,7 +44,7 @@
         let event: Bytes = receiver.recv().await?;
         Some((Ok::<_, Infallible>(Frame::data(event)), receiver))
     });
-    (sender, Body::wrap(StreamBody::new(frames)))
+    (sender, StreamBody::new(frames).boxed_unsync())
 }
 
 async fn send_relay(
