feat(quarantine): at most one suspect per engine over all VMs

A neighbour of a request that crashes engines became a suspect on one VM and ran beside the culprit that another VM retried, so it was quarantined with it. The coordinator of the engine's data centre now holds an engine for one suspect, and the quarantine is looked at again after the queue, where crash reports arrive. Ruled out: suspects in load reports, which lag by half a second; a fixed engine per fingerprint, which collides with few engines.

--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -35,6 +35,23 @@
     pub news: News,
 }
 
+impl Digest {
+    /// A message that brings one fact and nothing else.
+    pub fn alert(from: VmName, data_centre: DataCentre, fact: Fact) -> Self {
+        Self {
+            format: GOSSIP_FORMAT,
+            from,
+            data_centre,
+            joining: false,
+            marks: Marks::default(),
+            news: News {
+                facts: vec![fact],
+                ..News::default()
+            },
+        }
+    }
+}
+
 /// The reply to a [`Digest`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Delta {
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -275,17 +275,7 @@
     /// caller may resend a request that crashes engines to a VM that does not know of it yet.
     pub fn alerts(&self, now: MonoMs, fact: &Fact) -> Vec<(Contact, Digest)> {
         let (live, _) = self.known_contacts(now);
-        let digest = Digest {
-            format: GOSSIP_FORMAT,
-            from: self.config.me.clone(),
-            data_centre: self.home.clone(),
-            joining: false,
-            marks: Marks::default(),
-            news: News {
-                facts: vec![fact.clone()],
-                ..News::default()
-            },
-        };
+        let digest = Digest::alert(self.config.me.clone(), self.home.clone(), fact.clone());
         let addressed = |contact| (contact, digest.clone());
         live.into_iter().map(addressed).collect()
     }
--- a/src/node/coordinator.rs
+++ b/src/node/coordinator.rs
@@ -29,6 +29,8 @@
 use crate::scheduling::residency::Table;
 use crate::scheduling::residency::TablePull;
 use crate::scheduling::routing::Policy;
+use crate::scheduling::suspects::SuspectEngines;
+use crate::scheduling::suspects::SuspectRequest;
 use crate::types::AdapterRef;
 use crate::types::Clock;
 use crate::types::DataCentre;
@@ -85,6 +87,7 @@
     /// Time from which orders may be given.
     orders_from: MonoMs,
     planner: Planner,
+    suspects: SuspectEngines,
 }
 
 /// The coordinator's part of a VM; idle while the VM does not hold the lease.
@@ -155,6 +158,15 @@
         Some(table)
     }
 
+    /// Decides on an engine for a suspect; `None` if this VM does not coordinate.
+    pub fn suspect(&self, request: &SuspectRequest) -> Option<bool> {
+        let held = self.lease.current()?;
+        let now = self.clock.mono();
+        let mut term = self.term();
+        let term = term.as_mut().filter(|term| term.number == held.term)?;
+        Some(term.suspects.decide(request, now))
+    }
+
     /// Plans once and returns the orders with the term that they belong to.
     fn plan(&self) -> Option<(u64, Vec<EngineOrder>)> {
         let held = self.lease.current();
@@ -206,6 +218,7 @@
             number,
             orders_from: now.plus(wait_ms),
             planner,
+            suspects: SuspectEngines::default(),
         }
     }
 
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -25,6 +25,7 @@
 use crate::peer::ProposeReply;
 use crate::peer::TableReply;
 use crate::scheduling::residency::TablePull;
+use crate::scheduling::suspects::SuspectRequest;
 
 /// The parts of a VM that answer other VMs.
 pub struct VmHandler {
@@ -70,6 +71,10 @@
     fn placement(&self, pull: TablePull) -> TableReply {
         self.coordinator.pull(&pull)
     }
+
+    fn suspect(&self, request: SuspectRequest) -> Option<bool> {
+        self.coordinator.suspect(&request)
+    }
 }
 
 async fn propose(log: &consensus::Handle, command: Vec<u8>) -> ProposeReply {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod proposer;
 mod self_entry;
 mod server_names;
+mod suspects;
 mod tables;
 mod tasks;
 mod topology;
--- /dev/null
+++ b/src/node/suspects.rs
@@ -0,0 +1,73 @@
+//! Asks the coordinator of an engine's data centre whether a suspect may run on the engine.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use rand::RngExt;
+
+use super::coordinator::Coordinator;
+use crate::lease;
+use crate::membership;
+use crate::peer::PeerClients;
+use crate::pipeline::SuspectHold;
+use crate::pipeline::Suspects;
+use crate::scheduling::suspects::SUSPECT_FORMAT;
+use crate::scheduling::suspects::SuspectRequest;
+use crate::types::ServerName;
+use crate::types::VmName;
+
+/// The coordinators as judges over suspects.
+#[derive(Clone)]
+pub struct CoordinatorSuspects {
+    /// This VM.
+    pub vm: VmName,
+    /// Knows the coordinators.
+    pub lease: lease::Handle,
+    /// Knows the engines' data centres.
+    pub members: membership::Handle,
+    /// This VM's coordinator part.
+    pub coordinator: Arc<Coordinator>,
+    /// Connections to other VMs.
+    pub peers: PeerClients,
+}
+
+impl CoordinatorSuspects {
+    /// The coordinator's decision; `None` if none can be reached.
+    async fn ask(&self, request: SuspectRequest) -> Option<bool> {
+        let snapshot = self.members.snapshot();
+        let engine = snapshot.servers.get(&request.server)?;
+        let coordinator = self.lease.coordinator_of(&engine.payload.data_centre)?;
+        if coordinator == self.vm {
+            return self.coordinator.suspect(&request);
+        }
+        self.peers.suspect(&coordinator, request).await.ok()?
+    }
+}
+
+impl Suspects for CoordinatorSuspects {
+    fn hold(&self, server: &ServerName) -> BoxFuture<'static, Option<SuspectHold>> {
+        let this = self.clone();
+        let request = SuspectRequest {
+            format: SUSPECT_FORMAT,
+            server: server.clone(),
+            vm: self.vm.clone(),
+            dispatch: rand::rng().random(),
+            release: false,
+        };
+        async move {
+            // Without a coordinator the VM's own rule has to do: one suspect per engine and VM.
+            let granted = this.ask(request.clone()).await.unwrap_or(true);
+            let release = SuspectRequest {
+                release: true,
+                ..request
+            };
+            granted.then(|| {
+                SuspectHold::new(move || {
+                    tokio::spawn(async move { this.ask(release).await });
+                })
+            })
+        }
+        .boxed()
+    }
+}
--- a/src/node/vm.rs
+++ b/src/node/vm.rs
@@ -22,6 +22,7 @@
 use super::parts::Parts;
 use super::parts::open_parts;
 use super::self_entry::SelfEntry;
+use super::suspects::CoordinatorSuspects;
 use super::tasks::Tasks;
 use super::tasks::spawn_tasks;
 use super::views::MemberQuarantine;
@@ -261,6 +262,13 @@
             members: parts.members.clone(),
             clock: parts.clock,
         }),
+        suspects: Arc::new(CoordinatorSuspects {
+            vm: settings.vm.clone(),
+            lease: parts.lease.clone(),
+            members: parts.members.clone(),
+            coordinator: parts.coordinator.clone(),
+            peers: parts.peers.clone(),
+        }),
         metrics,
         retries: Arc::new(RetryBudget::default()),
         longest_request_ms: settings.longest_request_ms,
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -31,6 +31,7 @@
 use crate::membership::Delta;
 use crate::membership::Digest;
 use crate::scheduling::residency::TablePull;
+use crate::scheduling::suspects::SuspectRequest;
 use crate::types::VmName;
 
 /// Longest time to open a connection.
@@ -135,6 +136,16 @@
         self.check(to, answer)
     }
 
+    /// Asks a coordinator for an engine for a suspect.
+    ///
+    /// # Errors
+    /// The VM is unknown, unreachable or silent.
+    pub async fn suspect(&self, to: &VmName, request: SuspectRequest) -> Result<Option<bool>> {
+        let client = self.client(to).await?;
+        let answer = client.suspect(deadline(CALL_TIMEOUT_MS), request).await;
+        self.check(to, answer)
+    }
+
     async fn client(&self, to: &VmName) -> Result<PeerClient> {
         let address = self
             .book
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -27,6 +27,7 @@
 use crate::membership::Delta;
 use crate::membership::Digest;
 use crate::scheduling::residency::TablePull;
+use crate::scheduling::suspects::SuspectRequest;
 
 /// Largest message; snapshots travel in chunks far below it.
 pub(super) const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
@@ -114,4 +115,8 @@
     async fn placement(self, _: Context, pull: TablePull) -> TableReply {
         self.handler.placement(pull)
     }
+
+    async fn suspect(self, _: Context, request: SuspectRequest) -> Option<bool> {
+        self.handler.suspect(request)
+    }
 }
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -15,6 +15,7 @@
 use crate::membership::Digest;
 use crate::scheduling::residency::Table;
 use crate::scheduling::residency::TablePull;
+use crate::scheduling::suspects::SuspectRequest;
 use crate::types::VmName;
 
 /// Answer to a proposal that another VM forwarded to the log leader.
@@ -63,6 +64,8 @@
     async fn borrow(request: BorrowRequest) -> BorrowReply;
     /// Reports use to the coordinator and gets its placement table.
     async fn placement(pull: TablePull) -> TableReply;
+    /// Asks the coordinator for an engine for a suspect; `None` if the VM does not coordinate.
+    async fn suspect(request: SuspectRequest) -> Option<bool>;
 }
 
 /// What a VM does with the calls of others.
@@ -81,4 +84,6 @@
     fn borrow(&self, request: BorrowRequest) -> BorrowReply;
     /// Serves the placement table if this VM coordinates.
     fn placement(&self, pull: TablePull) -> TableReply;
+    /// Decides on an engine for a suspect if this VM coordinates.
+    fn suspect(&self, request: SuspectRequest) -> Option<bool>;
 }
--- a/src/pipeline/assignment.rs
+++ b/src/pipeline/assignment.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::context::SuspectHold;
 use super::dispatcher::Dispatcher;
 use crate::scheduling::residency::Use;
 use crate::types::AccountName;
@@ -26,6 +27,7 @@
     wait_ms: u64,
     load_stalled: bool,
     used_tokens: Option<Tokens>,
+    suspect_hold: Option<SuspectHold>,
 }
 
 impl Assignment {
@@ -41,6 +43,7 @@
             wait_ms,
             load_stalled,
             used_tokens: None,
+            suspect_hold: None,
         }
     }
 
@@ -64,6 +67,11 @@
         self.load_stalled
     }
 
+    /// Keeps the server from running another suspect until this is dropped.
+    pub fn set_suspect_hold(&mut self, hold: SuspectHold) {
+        self.suspect_hold = Some(hold);
+    }
+
     /// Records the tokens that the request consumed, for fairness among accounts.
     pub fn set_used_tokens(&mut self, used_tokens: Tokens) {
         self.used_tokens = Some(used_tokens);
--- a/src/pipeline/context.rs
+++ b/src/pipeline/context.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use futures::future::BoxFuture;
+
 use super::authenticate::Keys;
 use super::dispatcher::Dispatcher;
 use super::ledger::Ledger;
@@ -48,6 +50,34 @@
     fn report(&self, fingerprint: Fingerprint, server: &ServerName, incarnation: u64);
 }
 
+/// Engines that run suspects of the crash quarantine.
+pub trait Suspects: Send + Sync {
+    /// Holds `server` for one suspect; `None` while another suspect runs there.
+    fn hold(&self, server: &ServerName) -> BoxFuture<'static, Option<SuspectHold>>;
+}
+
+/// An engine held for one suspect, given back when this is dropped.
+pub struct SuspectHold {
+    give_back: Option<Box<dyn FnOnce() + Send + Sync>>,
+}
+
+impl SuspectHold {
+    /// A hold that `give_back` ends.
+    pub fn new(give_back: impl FnOnce() + Send + Sync + 'static) -> Self {
+        Self {
+            give_back: Some(Box::new(give_back)),
+        }
+    }
+}
+
+impl Drop for SuspectHold {
+    fn drop(&mut self) {
+        if let Some(give_back) = self.give_back.take() {
+            give_back();
+        }
+    }
+}
+
 /// The shared parts of a VM that the stages use. Clones share them.
 #[derive(Clone)]
 pub struct Context {
@@ -73,6 +103,8 @@
     pub servers: Arc<dyn Servers>,
     /// Requests that crash engines.
     pub quarantine: Arc<dyn Quarantine>,
+    /// Engines that run suspects.
+    pub suspects: Arc<dyn Suspects>,
     /// Measurements.
     pub metrics: Arc<Metrics>,
     /// Retries that the VM may still make.
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -12,6 +12,7 @@
 
 use super::admit::Admitted;
 use super::admit::ReservedTokens;
+use super::assignment::Assignment;
 use super::authenticate::check_still_live;
 use super::classify::Classified;
 use super::context::Context;
@@ -47,6 +48,8 @@
 /// Wait before a request that crashed a server runs again, in which the reports of other VMs arrive:
 /// one gossip round.
 const REPORTS_WAIT_MS: u64 = 500;
+/// Wait before a suspect asks for an engine again.
+const SUSPECT_WAIT_MS: u64 = 100;
 /// Engine priority of urgent requests; lower runs first.
 const URGENT_PRIORITY: u8 = 0;
 /// Engine priority of patient requests.
@@ -115,7 +118,7 @@
             "dispatch: request {} is queued",
             request.request_id.as_str()
         );
-        let failure = match try_dispatch(cx, &request, tokens, accepted, attempt).await? {
+        let failure = match try_dispatch(cx, &request, tokens, accepted, attempt, run).await? {
             Ok(running) => return Ok(running),
             Err(failure) => failure,
         };
@@ -156,9 +159,9 @@
     tokens: ReservedTokens,
     accepted: MonoMs,
     attempt: u32,
+    run: RunState,
 ) -> Result<std::result::Result<Running, Failure>> {
-    let assignment = cx.dispatcher.assign(work(cx, request)).await?;
-    check_still_live(&*cx.keys, &request.caller)?;
+    let assignment = assign(cx, request, run).await?;
     let Some((address, _)) = cx.servers.locate(assignment.server()) else {
         let message = "the server left before the dispatch".to_owned();
         let error = BackendError::NotStarted { message };
@@ -198,6 +201,29 @@
     }
 }
 
+/// Waits for an engine. A suspect waits until the engine runs no other one. Crash reports may arrive
+/// while the request is queued, so the quarantine is looked at again afterwards.
+async fn assign(cx: &Context, request: &Classified, run: RunState) -> Result<Assignment> {
+    loop {
+        let work = work(cx, request);
+        let suspect = work.suspect;
+        let mut assignment = cx.dispatcher.assign(work).await?;
+        check_before_dispatch(cx, request, run)?;
+        let verdict = cx.quarantine.verdict(&Fingerprint(request.fingerprint));
+        match verdict {
+            Verdict::Clear => return Ok(assignment),
+            Verdict::Suspect if !suspect => continue,
+            Verdict::Suspect | Verdict::Quarantined { .. } => {}
+        }
+        if let Some(hold) = cx.suspects.hold(assignment.server()).await {
+            assignment.set_suspect_hold(hold);
+            return Ok(assignment);
+        }
+        drop(assignment);
+        sleep(Duration::from_millis(SUSPECT_WAIT_MS)).await;
+    }
+}
+
 async fn first_token(
     started: impl Future<Output = crate::backend::Result<TokenStream>>,
     ends_by: Instant,
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -37,6 +37,8 @@
 pub use context::Health;
 pub use context::Quarantine;
 pub use context::Servers;
+pub use context::SuspectHold;
+pub use context::Suspects;
 pub use dispatch::Running;
 pub use dispatch::dispatch;
 pub use dispatcher::Dispatcher;
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -7,3 +7,4 @@
 pub mod popularity;
 pub mod residency;
 pub mod routing;
+pub mod suspects;
--- /dev/null
+++ b/src/scheduling/suspects.rs
@@ -0,0 +1,75 @@
+//! At most one suspect of the crash quarantine on each engine, over all VMs.
+//!
+//! A crash then points at one suspect, and a request that only ran beside the one that crashes
+//! engines is not with it a second time. The coordinator of the engine's data centre decides.
+
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::types::MonoMs;
+use crate::types::ServerName;
+use crate::types::VmName;
+
+/// Format version of [`SuspectRequest`].
+pub const SUSPECT_FORMAT: u8 = 1;
+
+/// Longest time for which a suspect holds an engine, if its VM does not give it back.
+const HOLD_MS: u64 = 30_000;
+
+/// A VM asks for an engine for one suspect, or gives it back.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SuspectRequest {
+    /// [`SUSPECT_FORMAT`] of the sender.
+    pub format: u8,
+    /// The engine.
+    pub server: ServerName,
+    /// The VM that dispatches the suspect.
+    pub vm: VmName,
+    /// Number that the VM gives to this dispatch.
+    pub dispatch: u64,
+    /// Whether the engine is given back.
+    pub release: bool,
+}
+
+/// Who holds an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Holder {
+    vm: VmName,
+    dispatch: u64,
+    until: MonoMs,
+}
+
+/// Engines that run a suspect.
+#[derive(Clone, Debug, Default)]
+pub struct SuspectEngines {
+    holders: HashMap<ServerName, Holder>,
+}
+
+impl SuspectEngines {
+    /// Decides on `request`. True if the sender may dispatch its suspect.
+    pub fn decide(&mut self, request: &SuspectRequest, now: MonoMs) -> bool {
+        if request.format != SUSPECT_FORMAT {
+            return false;
+        }
+        self.holders.retain(|_, holder| now < holder.until);
+        let is_own =
+            |holder: &Holder| (&holder.vm, holder.dispatch) == (&request.vm, request.dispatch);
+        let held = self.holders.get(&request.server);
+        if held.is_some_and(|holder| !is_own(holder)) {
+            return false;
+        }
+        if request.release {
+            self.holders.remove(&request.server);
+            return false;
+        }
+        let holder = Holder {
+            vm: request.vm.clone(),
+            dispatch: request.dispatch,
+            until: now.plus(HOLD_MS),
+        };
+        self.holders.insert(request.server.clone(), holder);
+        true
+    }
+}
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -8,6 +8,8 @@
 mod residency;
 #[path = "load/routing.rs"]
 mod routing;
+#[path = "load/suspects.rs"]
+mod suspects;
 
 use medlarlift::types::AdapterRef;
 
--- /dev/null
+++ b/tests/load/suspects.rs
@@ -0,0 +1,49 @@
+//! Tests of the rule that an engine runs at most one suspect over all VMs.
+
+use medlarlift::scheduling::suspects::SUSPECT_FORMAT;
+use medlarlift::scheduling::suspects::SuspectEngines;
+use medlarlift::scheduling::suspects::SuspectRequest;
+use medlarlift::types::MonoMs;
+use medlarlift::types::ServerName;
+use medlarlift::types::VmName;
+
+fn request(vm: &str, dispatch: u64, release: bool) -> SuspectRequest {
+    SuspectRequest {
+        format: SUSPECT_FORMAT,
+        server: ServerName::from("engine"),
+        vm: VmName::from(vm),
+        dispatch,
+        release,
+    }
+}
+
+/// Guards against two suspects on one engine, of one VM or of two, and against an engine that a
+/// stranger or a late release gives back.
+#[test]
+fn an_engine_runs_one_suspect_until_its_vm_gives_it_back() {
+    let mut engines = SuspectEngines::default();
+    let now = MonoMs(1_000);
+    assert!(engines.decide(&request("vm1", 1, false), now));
+    assert!(engines.decide(&request("vm1", 1, false), now), "a resend");
+    assert!(!engines.decide(&request("vm2", 1, false), now));
+    assert!(!engines.decide(&request("vm1", 2, false), now));
+    engines.decide(&request("vm2", 1, true), now);
+    assert!(!engines.decide(&request("vm2", 1, false), now));
+    engines.decide(&request("vm1", 1, true), now);
+    assert!(engines.decide(&request("vm2", 1, false), now));
+    engines.decide(&request("vm1", 1, true), now);
+    assert!(!engines.decide(&request("vm1", 3, false), now));
+}
+
+/// Guards against an engine that a failed VM keeps from suspects for ever, and against a request of
+/// another format that is taken for a known one.
+#[test]
+fn a_failed_vm_loses_its_engine_and_other_formats_are_refused() {
+    let mut engines = SuspectEngines::default();
+    assert!(engines.decide(&request("vm1", 1, false), MonoMs(0)));
+    assert!(!engines.decide(&request("vm2", 1, false), MonoMs(29_999)));
+    assert!(engines.decide(&request("vm2", 1, false), MonoMs(30_000)));
+    let mut other = request("vm2", 1, false);
+    other.format += 1;
+    assert!(!engines.decide(&other, MonoMs(30_000)));
+}
--- a/tests/orders_path.rs
+++ b/tests/orders_path.rs
@@ -51,6 +51,8 @@
 use medlarlift::pipeline::RetryBudget;
 use medlarlift::pipeline::Servers;
 use medlarlift::pipeline::ServiceRequest;
+use medlarlift::pipeline::SuspectHold;
+use medlarlift::pipeline::Suspects;
 use medlarlift::pipeline::run_service;
 use medlarlift::scheduling::fair_queue::FairQueueConfig;
 use medlarlift::scheduling::routing::LoadReport;
@@ -246,6 +248,12 @@
     }
 }
 
+impl Suspects for Rest {
+    fn hold(&self, _: &ServerName) -> BoxFuture<'static, Option<SuspectHold>> {
+        async { None }.boxed()
+    }
+}
+
 impl Quarantine for Rest {
     fn verdict(&self, _: &Fingerprint) -> Verdict {
         Verdict::Clear
@@ -418,6 +426,7 @@
         engine: Arc::new(HttpEngine::new()),
         servers: Arc::new(OneServer(address.clone())),
         quarantine: Arc::new(Rest),
+        suspects: Arc::new(Rest),
         metrics: Arc::new(Metrics::open(None).expect("no socket is needed")),
         retries: Arc::new(RetryBudget::default()),
         longest_request_ms: 10_000,
