--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -8,8 +8,8 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::builder::PossibleValuesParser;
-use clap::value_parser;
 
+use super::settings_argument;
 use crate::configs::SettingsError;
 use crate::configs::read_file;
 use crate::configs::standin_callers::CallerSettings;
@@ -50,14 +50,7 @@
                 .value_parser(PossibleValuesParser::new(kinds))
                 .default_value("vm"),
         )
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .help("Settings file (YAML)")
-                .required(true)
-                .value_parser(value_parser!(PathBuf)),
-        )
+        .arg(settings_argument())
 }
 
 /// Checks the file; exits with 1 if it has mistakes.
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -5,3 +5,18 @@
 pub mod check;
 pub mod serve;
 pub mod standin;
+
+use std::path::PathBuf;
+
+use clap::Arg;
+use clap::value_parser;
+
+/// The option that names a settings file.
+fn settings_argument() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .help("Settings file (YAML)")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+}
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -3,27 +3,21 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
-use clap::value_parser;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use super::settings_argument;
 use crate::configs::read_file;
 use crate::configs::vm::VmSettings;
 use crate::node::Vm;
 
 /// The command with its arguments.
 pub fn command() -> Command {
-    Command::new("serve").about("Run one VM of the system").arg(
-        Arg::new("settings")
-            .long("settings")
-            .value_name("FILE")
-            .help("Settings file (YAML)")
-            .required(true)
-            .value_parser(value_parser!(PathBuf)),
-    )
+    Command::new("serve")
+        .about("Run one VM of the system")
+        .arg(settings_argument())
 }
 
 /// Runs the VM until a signal asks it to stop. The first SIGTERM or SIGINT drains it; the second
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -19,6 +19,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use super::settings_argument;
 use crate::configs::SettingsError;
 use crate::configs::read_file;
 use crate::configs::standin_callers::CallerSettings;
@@ -50,12 +51,7 @@
 
 /// The command with its arguments.
 pub fn command() -> Command {
-    let settings = Arg::new("settings")
-        .long("settings")
-        .value_name("FILE")
-        .help("Settings file (YAML)")
-        .required(true)
-        .value_parser(value_parser!(PathBuf));
+    let settings = settings_argument();
     let kind = |name: &'static str, about: &'static str| {
         Command::new(name).about(about).arg(settings.clone())
     };
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -41,7 +41,19 @@
     revisions: Arc<RevisionIndex>,
     in_force: watch::Sender<u64>,
 ) {
-    let control = ControlFeed {
+    tasks.spawn(control_feed(settings, parts, revisions, in_force).run());
+    tasks.spawn(member_feed(settings, parts).run());
+    tasks.spawn(duties(parts).run());
+    tasks.spawn(topology(settings, parts).run());
+}
+
+fn control_feed(
+    settings: &VmSettings,
+    parts: &Parts,
+    revisions: Arc<RevisionIndex>,
+    in_force: watch::Sender<u64>,
+) -> ControlFeed {
+    ControlFeed {
         vm: settings.vm.clone(),
         data_centre: settings.data_centre.clone(),
         clock: parts.clock,
@@ -54,9 +66,11 @@
         health: parts.health.clone(),
         revisions,
         in_force,
-    };
-    tasks.spawn(control.run());
-    let members = MemberFeed {
+    }
+}
+
+fn member_feed(settings: &VmSettings, parts: &Parts) -> MemberFeed {
+    MemberFeed {
         vm: settings.vm.clone(),
         data_centre: settings.data_centre.clone(),
         clock: parts.clock,
@@ -68,31 +82,33 @@
         book: parts.book.clone(),
         store: settings.store.clone(),
         dispenser: parts.dispenser.clone(),
-    };
-    tasks.spawn(members.run());
-    let duties = Duties {
+    }
+}
+
+fn duties(parts: &Parts) -> Duties {
+    Duties {
         clock: parts.clock,
         state: parts.state.clone(),
         log: parts.log.clone(),
         proposer: parts.proposer.clone(),
         members: parts.members.clone(),
-    };
-    tasks.spawn(duties.run());
-    let puller = TablePuller {
-        vm: settings.vm.clone(),
-        clock: parts.clock,
-        lease: parts.lease.clone(),
-        coordinator: parts.coordinator.clone(),
-        dispatcher: parts.dispatcher.clone(),
-        peers: parts.peers.clone(),
-    };
-    let topology = Topology {
+    }
+}
+
+fn topology(settings: &VmSettings, parts: &Parts) -> Topology {
+    Topology {
         settings: settings.clone(),
         state: parts.state.clone(),
         members: parts.members.clone(),
         log: parts.log.clone(),
         sources: parts.sources.clone(),
-        puller,
-    };
-    tasks.spawn(topology.run());
+        puller: TablePuller {
+            vm: settings.vm.clone(),
+            clock: parts.clock,
+            lease: parts.lease.clone(),
+            coordinator: parts.coordinator.clone(),
+            dispatcher: parts.dispatcher.clone(),
+            peers: parts.peers.clone(),
+        },
+    }
 }
