--- a/src/backend/engine_http.rs
+++ b/src/backend/engine_http.rs
@@ -43,6 +43,8 @@
 const IN_USE_TIMEOUT_MS: u64 = 1_000;
 /// Most bytes read of that list.
 const MAX_IN_USE_BYTES: usize = 1024 * 1024;
+/// Longest time for the end of a body after its last token.
+const BODY_END_TIMEOUT_MS: u64 = 1_000;
 /// Most bytes read of an error answer.
 const MAX_ERROR_BYTES: usize = 16 * 1024;
 
@@ -213,7 +215,8 @@
 
 /// Position and completion of a stream being read.
 struct Reading {
-    events: SseStream<Incoming>,
+    /// Taken when the reading ends.
+    events: Option<SseStream<Incoming>>,
     identity: StreamIdentity,
     next_index: u64,
     /// The reader has all tokens before the first one of this stream.
@@ -224,7 +227,7 @@
 
 fn token_stream(response: Response<Incoming>, identity: StreamIdentity, from: u64) -> TokenStream {
     let reading = Reading {
-        events: SseStream::new(response.into_body()),
+        events: Some(SseStream::new(response.into_body())),
         identity,
         next_index: from,
         resumed: from > 0,
@@ -256,9 +259,25 @@
     }
 }
 
+impl Drop for Reading {
+    /// Reads a finished answer to the end of its body, or its connection could not be used again and
+    /// each request would open a new one.
+    fn drop(&mut self) {
+        let Some(mut events) = self.events.take().filter(|_| self.finished) else {
+            return;
+        };
+        tokio::spawn(async move {
+            let rest = async { while events.next().await.is_some() {} };
+            let _ = timeout(Duration::from_millis(BODY_END_TIMEOUT_MS), rest).await;
+        });
+    }
+}
+
 /// Reads one event. A stream that closes without a finish reason was cut, not completed.
 async fn read_next(reading: &mut Reading) -> Result<Event> {
-    let sse = match reading.events.next().await {
+    let events = reading.events.as_mut();
+    let events = events.expect("events are taken only on drop");
+    let sse = match events.next().await {
         Some(Ok(sse)) => sse,
         Some(Err(error)) => {
             return Err(BackendError::Lost {
