fix(pipeline): a late retry does not hide that an earlier try may have run

A request whose first dispatch was lost waits in the queue for the next one. If its deadline passed there, the queue's refusal said not_run although the engine may have run it. The refusal now keeps what is known of the request as a whole. The new test answers not_run without the change and unknown with it.

--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -207,7 +207,9 @@
     loop {
         let work = work(cx, request);
         let suspect = work.suspect;
-        let mut assignment = cx.dispatcher.assign(work).await?;
+        let assigned = cx.dispatcher.assign(work).await;
+        // An earlier dispatch may have run, whatever the queue says of this one.
+        let mut assignment = assigned.map_err(|refusal| Refusal { run, ..refusal })?;
         check_before_dispatch(cx, request, run)?;
         let verdict = cx.quarantine.verdict(&Fingerprint(request.fingerprint));
         match verdict {
--- a/tests/path/fake_engine.rs
+++ b/tests/path/fake_engine.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Ends the announcements.
+    pub fn silence(&self) {
+        self.announcer.abort();
+    }
+
     /// Completion requests received.
     pub fn dispatches(&self) -> u64 {
         self.fake.dispatches.load(Ordering::SeqCst)
--- a/tests/path/outcomes.rs
+++ b/tests/path/outcomes.rs
@@ -5,6 +5,7 @@
 use http::StatusCode;
 use medlarlift::standin::answer;
 use medlarlift::standin::caller_api;
+use medlarlift::types::Clock;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -25,6 +26,8 @@
 const SAVED_RETRIES: u64 = 64;
 /// Requests that add one retry to the budget.
 const REQUESTS_PER_RETRY: u64 = 5;
+/// Time to the deadline of a request that is lost and then late.
+const LATE_MS: u64 = 2_500;
 /// Longest time for a refusal, on a busy machine.
 const AT_ONCE: Duration = Duration::from_secs(1);
 
@@ -93,6 +96,26 @@
     check_failures(&deployment, &fake).await;
 }
 
+/// Guards against a refusal of a late retry that hides that an earlier try may have run. The engine
+/// loses the request and is not heard of again, so the retry waits in the queue until the deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_request_that_gets_late_is_not_called_not_run() {
+    let deployment = Builder::new(1).engines(1, |_| {}).start().await;
+    let fake = FakeEngine::start(&deployment).await;
+    let good = completion(FAKE_MODEL, "good", 4);
+    deployment
+        .eventually(|| call(deployment.callers[0], NORTH, &good))
+        .await;
+    fake.silence();
+    let body = completion(FAKE_MODEL, "lose and stay silent", 4);
+    let deadline = Clock::start().unix().plus(LATE_MS).0.to_string();
+    let call = call(deployment.callers[0], NORTH, &body).header("x-deadline-unix-ms", &deadline);
+    let reply = deployment.client.send_within(call, 20_000).await;
+    let reply = reply.expect("a VM answers every request");
+    let late = StatusCode::GATEWAY_TIMEOUT;
+    assert_refused(&reply, late, "deadline_unreachable", "unknown");
+}
+
 /// Guards against a request that fails because the first engine crashes before its first token.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_moves_to_another_engine_after_a_crash() {
