--- a/src/node/suspects.rs
+++ b/src/node/suspects.rs
@@ -9,6 +9,7 @@
 use super::coordinator::Coordinator;
 use crate::lease;
 use crate::membership;
+use crate::membership::Fingerprint;
 use crate::peer::PeerClients;
 use crate::pipeline::SuspectHold;
 use crate::pipeline::Suspects;
@@ -46,11 +47,16 @@
 }
 
 impl Suspects for CoordinatorSuspects {
-    fn hold(&self, server: &ServerName) -> BoxFuture<'static, Option<SuspectHold>> {
+    fn hold(
+        &self,
+        server: &ServerName,
+        fingerprint: Fingerprint,
+    ) -> BoxFuture<'static, Option<SuspectHold>> {
         let this = self.clone();
         let request = SuspectRequest {
             format: SUSPECT_FORMAT,
             server: server.clone(),
+            fingerprint: fingerprint.0,
             vm: self.vm.clone(),
             dispatch: rand::rng().random(),
             release: false,
--- a/src/pipeline/context.rs
+++ b/src/pipeline/context.rs
@@ -52,8 +52,13 @@
 
 /// Engines that run suspects of the crash quarantine.
 pub trait Suspects: Send + Sync {
-    /// Holds `server` for one suspect; `None` while another suspect runs there.
-    fn hold(&self, server: &ServerName) -> BoxFuture<'static, Option<SuspectHold>>;
+    /// Holds `server` for one suspect; `None` while another suspect runs there, or the same suspect
+    /// elsewhere.
+    fn hold(
+        &self,
+        server: &ServerName,
+        fingerprint: Fingerprint,
+    ) -> BoxFuture<'static, Option<SuspectHold>>;
 }
 
 /// An engine held for one suspect, given back when this is dropped.
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -210,19 +210,21 @@
         let assigned = cx.dispatcher.assign(work).await;
         // An earlier dispatch may have run, whatever the queue says of this one.
         let mut assignment = assigned.map_err(|refusal| Refusal { run, ..refusal })?;
-        check_before_dispatch(cx, request, run)?;
-        let verdict = cx.quarantine.verdict(&Fingerprint(request.fingerprint));
-        match verdict {
-            Verdict::Clear => return Ok(assignment),
-            Verdict::Suspect if !suspect => continue,
-            Verdict::Suspect | Verdict::Quarantined { .. } => {}
+        let fingerprint = Fingerprint(request.fingerprint);
+        let verdict = cx.quarantine.verdict(&fingerprint);
+        if verdict == Verdict::Suspect && !suspect {
+            continue;
         }
-        if let Some(hold) = cx.suspects.hold(assignment.server()).await {
+        if suspect {
+            let Some(hold) = cx.suspects.hold(assignment.server(), fingerprint).await else {
+                drop(assignment);
+                sleep(Duration::from_millis(SUSPECT_WAIT_MS)).await;
+                continue;
+            };
             assignment.set_suspect_hold(hold);
-            return Ok(assignment);
         }
-        drop(assignment);
-        sleep(Duration::from_millis(SUSPECT_WAIT_MS)).await;
+        check_before_dispatch(cx, request, run)?;
+        return Ok(assignment);
     }
 }
 
--- a/src/scheduling/suspects.rs
+++ b/src/scheduling/suspects.rs
@@ -1,7 +1,9 @@
-//! At most one suspect of the crash quarantine on each engine, over all VMs.
+//! At most one suspect of the crash quarantine on each engine, and each suspect on one engine at a
+//! time, over all VMs.
 //!
 //! A crash then points at one suspect, and a request that only ran beside the one that crashes
-//! engines is not with it a second time. The coordinator of the engine's data centre decides.
+//! engines is not with it a second time. A request that arrived at several VMs crashes no engine for
+//! each of them. The coordinator of the engine's data centre decides.
 
 use std::collections::HashMap;
 
@@ -25,6 +27,8 @@
     pub format: u8,
     /// The engine.
     pub server: ServerName,
+    /// Digest that recognises the suspect.
+    pub fingerprint: [u8; 32],
     /// The VM that dispatches the suspect.
     pub vm: VmName,
     /// Number that the VM gives to this dispatch.
@@ -36,6 +40,7 @@
 /// Who holds an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Holder {
+    fingerprint: [u8; 32],
     vm: VmName,
     dispatch: u64,
     until: MonoMs,
@@ -56,8 +61,11 @@
         self.holders.retain(|_, holder| now < holder.until);
         let is_own =
             |holder: &Holder| (&holder.vm, holder.dispatch) == (&request.vm, request.dispatch);
-        let held = self.holders.get(&request.server);
-        if held.is_some_and(|holder| !is_own(holder)) {
+        let in_the_way = |(server, holder): (&ServerName, &Holder)| {
+            let same = *server == request.server || holder.fingerprint == request.fingerprint;
+            same && !is_own(holder)
+        };
+        if self.holders.iter().any(in_the_way) {
             return false;
         }
         if request.release {
@@ -65,6 +73,7 @@
             return false;
         }
         let holder = Holder {
+            fingerprint: request.fingerprint,
             vm: request.vm.clone(),
             dispatch: request.dispatch,
             until: now.plus(HOLD_MS),
--- a/tests/load/suspects.rs
+++ b/tests/load/suspects.rs
@@ -11,6 +11,7 @@
     SuspectRequest {
         format: SUSPECT_FORMAT,
         server: ServerName::from("engine"),
+        fingerprint: [1; 32],
         vm: VmName::from(vm),
         dispatch,
         release,
@@ -47,3 +48,21 @@
     other.format += 1;
     assert!(!engines.decide(&other, MonoMs(30_000)));
 }
+
+/// Guards against one suspect that several VMs run on several engines at the same time.
+#[test]
+fn a_suspect_runs_on_one_engine_at_a_time() {
+    let mut engines = SuspectEngines::default();
+    let now = MonoMs(1_000);
+    assert!(engines.decide(&request("vm1", 1, false), now));
+    let mut elsewhere = request("vm2", 1, false);
+    elsewhere.server = ServerName::from("another");
+    assert!(!engines.decide(&elsewhere, now));
+    let mut other = elsewhere.clone();
+    other.fingerprint = [2; 32];
+    assert!(engines.decide(&other, now));
+    other.release = true;
+    engines.decide(&other, now);
+    engines.decide(&request("vm1", 1, true), now);
+    assert!(engines.decide(&elsewhere, now));
+}
--- a/tests/orders_path.rs
+++ b/tests/orders_path.rs
@@ -249,7 +249,7 @@
 }
 
 impl Suspects for Rest {
-    fn hold(&self, _: &ServerName) -> BoxFuture<'static, Option<SuspectHold>> {
+    fn hold(&self, _: &ServerName, _: Fingerprint) -> BoxFuture<'static, Option<SuspectHold>> {
         async { None }.boxed()
     }
 }
