--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Histograms per client account and patience class, and counters of outcomes.
 //!
-//! Everything is sent to a statsd server if one is set, and kept in memory for the status report.
+//! Everything is sent to a statsd server if one is set; the histograms are also kept in memory for
+//! operators.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -79,12 +80,9 @@
     }
 }
 
-type Key = (AccountName, Patience);
-
 #[derive(Default)]
 struct Kept {
     timings: BTreeMap<(AccountName, Patience, Timing), Histogram<u64>>,
-    endings: BTreeMap<(AccountName, Patience, Ending), u64>,
 }
 
 /// Records measurements.
@@ -156,8 +154,6 @@
             .with_tag("account", account.as_str())
             .with_tag("class", patience.as_str())
             .try_send();
-        let key = (account.clone(), patience, ending);
-        *self.kept().endings.entry(key).or_default() += 1;
     }
 
     /// All histograms kept in memory.
@@ -176,12 +172,6 @@
         .collect()
     }
 
-    /// Number of requests of an account and class that ended in a way.
-    pub fn count(&self, key: &Key, ending: Ending) -> u64 {
-        let key = (key.0.clone(), key.1, ending);
-        self.kept().endings.get(&key).copied().unwrap_or(0)
-    }
-
     fn kept(&self) -> MutexGuard<'_, Kept> {
         self.kept.lock().expect("no holder panics")
     }
