refactor(pipeline): one check of the quarantine

Admission and dispatch built the same refusal. Its message is the one of admission in both places now; code, run and retry time are as before.

--- a/src/pipeline/admit.rs
+++ b/src/pipeline/admit.rs
@@ -103,7 +103,11 @@
     cx.health.check_open(policy == CutOffPolicy::Serve)
 }
 
-fn check_quarantine(cx: &Context, request: &Classified) -> Result<()> {
+/// Refuses a request that is quarantined.
+///
+/// # Errors
+/// `Quarantined` with the end of the quarantine.
+pub(super) fn check_quarantine(cx: &Context, request: &Classified) -> Result<()> {
     let verdict = cx.quarantine.verdict(&Fingerprint(request.fingerprint));
     let Verdict::Quarantined { until } = verdict else {
         return Ok(());
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -12,6 +12,7 @@
 
 use super::admit::Admitted;
 use super::admit::ReservedTokens;
+use super::admit::check_quarantine;
 use super::assignment::Assignment;
 use super::authenticate::check_still_live;
 use super::classify::Classified;
@@ -142,15 +143,7 @@
 fn check_before_dispatch(cx: &Context, request: &Classified, run: RunState) -> Result<()> {
     let with_run = |refusal: Refusal| Refusal { run, ..refusal };
     check_still_live(&*cx.keys, &request.caller).map_err(with_run)?;
-    match cx.quarantine.verdict(&Fingerprint(request.fingerprint)) {
-        Verdict::Quarantined { until } => {
-            let message = "the request was running on backend servers that crashed";
-            let refusal = Refusal::not_run(RefusalCode::Quarantined, message)
-                .with_retry_after_ms(until.since(cx.clock.unix()));
-            Err(with_run(refusal))
-        }
-        Verdict::Clear | Verdict::Suspect => Ok(()),
-    }
+    check_quarantine(cx, request).map_err(with_run)
 }
 
 async fn try_dispatch(
