refactor(standin): one try of a call, one set-up of the fake engine

The load tool's two sending loops counted cut connections and moved to the next VM in the same lines, and two tests started the same deployment.

--- a/src/standin/callers_orders.rs
+++ b/src/standin/callers_orders.rs
@@ -114,13 +114,8 @@
         let path = self.shared.settings.order_path.clone();
         let build = |this: &Self| caller_api::order(this.vm(), this.key(), &path, &key, &body);
         loop {
-            let reply = match self.shared.client.send(build(self)).await {
-                Ok(reply) => reply,
-                Err(error) => {
-                    self.cuts += u64::from(!error.is_connect());
-                    self.next_vm().await;
-                    continue;
-                }
+            let Some(reply) = self.send_once(build(self)).await else {
+                continue;
             };
             match caller_api::error_of(&reply) {
                 None => return Ok(reply),
--- a/src/standin/callers_run.rs
+++ b/src/standin/callers_run.rs
@@ -217,17 +217,23 @@
         }
     }
 
+    /// Sends one call. `None` if the connection failed; the next call goes to the next VM then.
+    pub(super) async fn send_once(&mut self, call: Call) -> Option<Reply> {
+        match self.shared.client.send(call).await {
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                self.cuts += u64::from(!error.is_connect());
+                self.next_vm().await;
+                None
+            }
+        }
+    }
+
     /// Sends calls made by `build` to one VM after the other until one gives a final reply.
     async fn send(&mut self, build: impl Fn(&Self) -> Call) -> Result<Reply, Ending> {
         loop {
-            let sent = self.shared.client.send(build(self)).await;
-            let reply = match sent {
-                Ok(reply) => reply,
-                Err(error) => {
-                    self.cuts += u64::from(!error.is_connect());
-                    self.next_vm().await;
-                    continue;
-                }
+            let Some(reply) = self.send_once(build(self)).await else {
+                continue;
             };
             match caller_api::error_of(&reply) {
                 None => return Ok(reply),
--- a/tests/path/outcomes.rs
+++ b/tests/path/outcomes.rs
@@ -31,6 +31,17 @@
 /// Longest time for a refusal, on a busy machine.
 const AT_ONCE: Duration = Duration::from_secs(1);
 
+/// One VM with a fake engine that it has learnt of.
+async fn start_with_fake() -> (Deployment, FakeEngine) {
+    let deployment = Builder::new(1).engines(1, |_| {}).start().await;
+    let fake = FakeEngine::start(&deployment).await;
+    let good = completion(FAKE_MODEL, "good", 4);
+    deployment
+        .eventually(|| call(deployment.callers[0], NORTH, &good))
+        .await;
+    (deployment, fake)
+}
+
 /// Sends requests that the engine refuses or loses, and checks outcomes and dispatches.
 async fn check_failures(deployment: &Deployment, fake: &FakeEngine) {
     let refused = completion(FAKE_MODEL, "refuse", 4);
@@ -86,12 +97,7 @@
 /// come late or name a time at which the account is still refused.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn failures_are_told_truly_and_retries_are_bounded() {
-    let deployment = Builder::new(1).engines(1, |_| {}).start().await;
-    let fake = FakeEngine::start(&deployment).await;
-    let good = completion(FAKE_MODEL, "good", 4);
-    deployment
-        .eventually(|| call(deployment.callers[0], NORTH, &good))
-        .await;
+    let (deployment, fake) = start_with_fake().await;
     check_rate(&deployment).await;
     check_failures(&deployment, &fake).await;
 }
@@ -100,12 +106,7 @@
 /// loses the request and is not heard of again, so the retry waits in the queue until the deadline.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_lost_request_that_gets_late_is_not_called_not_run() {
-    let deployment = Builder::new(1).engines(1, |_| {}).start().await;
-    let fake = FakeEngine::start(&deployment).await;
-    let good = completion(FAKE_MODEL, "good", 4);
-    deployment
-        .eventually(|| call(deployment.callers[0], NORTH, &good))
-        .await;
+    let (deployment, fake) = start_with_fake().await;
     fake.silence();
     let body = completion(FAKE_MODEL, "lose and stay silent", 4);
     let deadline = Clock::start().unix().plus(LATE_MS).0.to_string();
