--- a/src/consensus/core/founding.rs
+++ b/src/consensus/core/founding.rs
@@ -98,7 +98,8 @@
     /// all others that their logs are empty too.
     fn found_if_all_blank(&mut self) {
         let is_first = self.config.founders.iter().min() == Some(&self.config.id.vm);
-        if !is_first || !self.is_blank() || self.meta.cluster_id != 0 {
+        let may_found = is_first && self.config.may_found;
+        if !may_found || !self.is_blank() || self.meta.cluster_id != 0 {
             return;
         }
         let oldest_ms = self
--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -44,6 +44,8 @@
     pub id: VoterId,
     /// VMs that found the cluster.
     pub founders: Vec<VmName>,
+    /// Whether the founders may found a cluster.
+    pub may_found: bool,
     /// Periods of the protocol.
     pub timeouts: Timeouts,
     /// Seed of the random election timeouts.
--- a/src/consensus/driver/config.rs
+++ b/src/consensus/driver/config.rs
@@ -21,6 +21,8 @@
     pub data_folder: PathBuf,
     /// The VMs that found the cluster, and the contacts of a voter that joins later.
     pub founders: Vec<VmName>,
+    /// Whether the founders may found a cluster. False where one exists that this VM has to join.
+    pub may_found: bool,
     /// Periods of the protocol.
     pub timeouts: Timeouts,
     /// Applied entries after which a snapshot is taken and the log compacted. Each voter adds up to
@@ -37,6 +39,7 @@
             vm,
             data_folder: data_folder.into(),
             founders,
+            may_found: true,
             timeouts: Timeouts::default(),
             snapshot_every_entries: 8_192,
             propose_timeout_ms: 3_000,
--- a/src/consensus/driver/handle.rs
+++ b/src/consensus/driver/handle.rs
@@ -99,6 +99,7 @@
         let core_config = CoreConfig {
             id: VoterId::new(config.vm, loaded.meta.disk_id),
             founders: config.founders,
+            may_found: config.may_found,
             timeouts: config.timeouts,
             seed: rand::random(),
         };
--- a/src/control/apply.rs
+++ b/src/control/apply.rs
@@ -79,6 +79,9 @@
                 Outcome::Noted
             }
             Command::Tick { now } => self.tick(*now),
+            Command::Fleet(command) => {
+                Outcome::Fleet(self.fleet.apply(self.applied_index, command))
+            }
         }
     }
 
--- a/src/control/codec.rs
+++ b/src/control/codec.rs
@@ -9,7 +9,7 @@
 use crate::control::Outcome;
 
 /// Format of commands, outcomes and snapshots that this build writes and reads.
-pub const FORMAT_VERSION: u8 = 1;
+pub const FORMAT_VERSION: u8 = 2;
 
 /// Bytes that are not a value of this format.
 #[derive(Debug, Snafu)]
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -7,6 +7,8 @@
 use serde::Serialize;
 use snafu::Snafu;
 
+use crate::control::FleetCommand;
+use crate::control::FleetReply;
 use crate::control::JobCommand;
 use crate::control::JobReply;
 use crate::control::KeyHash;
@@ -75,6 +77,8 @@
         /// Wall clock of the proposer.
         now: UnixMs,
     },
+    /// A change of the fleet's shared state.
+    Fleet(FleetCommand),
 }
 
 /// An administrative change.
@@ -232,4 +236,6 @@
     Noted,
     /// The entry's index is not above the last one that was applied.
     AlreadyApplied,
+    /// Reply to a fleet command.
+    Fleet(FleetReply),
 }
--- /dev/null
+++ b/src/control/fleet.rs
@@ -0,0 +1,166 @@
+//! State that the controllers of a deployment share: the operator's configuration document, the
+//! adapter versions in force, the controllers, and who orders the engines of each data centre.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::types::DataCentre;
+use crate::types::ModelName;
+use crate::types::VmName;
+
+/// A whole configuration as the operator sent it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Document {
+    /// Rises with each configuration that takes effect.
+    pub version: u64,
+    /// The operator's bytes.
+    pub body: Arc<[u8]>,
+}
+
+/// A VM that keeps the replicated log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Controller {
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Log index of its first entry into this state.
+    pub joined_index: u64,
+}
+
+/// The VM that gives orders to the engines of one data centre.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OrderHolder {
+    /// The VM.
+    pub vm: VmName,
+    /// Fencing number of its orders: the log index of the assignment.
+    pub fence: u64,
+}
+
+/// A change of the fleet's state.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum FleetCommand {
+    /// Changes nothing; its commit proves that the proposer's state is current.
+    Barrier,
+    /// Stores a document if its version is above the stored one.
+    PutDocument(Document),
+    /// Names a version of an adapter; lower versions than the stored one change nothing.
+    SetAdapterVersion {
+        /// The adapter.
+        adapter: ModelName,
+        /// Its version.
+        version: u64,
+    },
+    /// A controller tells its data centre.
+    JoinController {
+        /// The controller.
+        vm: VmName,
+        /// Its data centre.
+        data_centre: DataCentre,
+    },
+    /// A controller is gone for good.
+    DropController {
+        /// The controller.
+        vm: VmName,
+    },
+    /// From now on `vm` gives the orders in `data_centre`.
+    AssignOrders {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// The new holder.
+        vm: VmName,
+    },
+}
+
+/// Reply to a fleet command.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum FleetReply {
+    /// The state holds what the command asked for.
+    Done,
+    /// The stored version is as high or higher; nothing changed.
+    Superseded {
+        /// The stored version.
+        version: u64,
+    },
+}
+
+/// The fleet's state.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Fleet {
+    document: Option<Document>,
+    adapter_versions: BTreeMap<ModelName, u64>,
+    controllers: BTreeMap<VmName, Controller>,
+    holders: BTreeMap<DataCentre, OrderHolder>,
+}
+
+impl Fleet {
+    /// The configuration in force.
+    pub fn document(&self) -> Option<&Document> {
+        self.document.as_ref()
+    }
+
+    /// Adapters of which a version was named, with the newest one.
+    pub fn adapter_versions(&self) -> &BTreeMap<ModelName, u64> {
+        &self.adapter_versions
+    }
+
+    /// All controllers.
+    pub fn controllers(&self) -> &BTreeMap<VmName, Controller> {
+        &self.controllers
+    }
+
+    /// Who gives the orders in each data centre.
+    pub fn holders(&self) -> &BTreeMap<DataCentre, OrderHolder> {
+        &self.holders
+    }
+
+    /// Applies the command of the log entry at `index`.
+    pub fn apply(&mut self, index: u64, command: &FleetCommand) -> FleetReply {
+        match command {
+            FleetCommand::Barrier => FleetReply::Done,
+            FleetCommand::PutDocument(document) => self.put_document(document),
+            FleetCommand::SetAdapterVersion { adapter, version } => {
+                self.set_adapter_version(adapter, *version)
+            }
+            FleetCommand::JoinController { vm, data_centre } => {
+                let controller = Controller {
+                    data_centre: data_centre.clone(),
+                    joined_index: index,
+                };
+                self.controllers.entry(vm.clone()).or_insert(controller);
+                FleetReply::Done
+            }
+            FleetCommand::DropController { vm } => {
+                self.controllers.remove(vm);
+                FleetReply::Done
+            }
+            FleetCommand::AssignOrders { data_centre, vm } => {
+                let holder = OrderHolder {
+                    vm: vm.clone(),
+                    fence: index,
+                };
+                self.holders.insert(data_centre.clone(), holder);
+                FleetReply::Done
+            }
+        }
+    }
+
+    fn put_document(&mut self, document: &Document) -> FleetReply {
+        let stored = self.document.as_ref().map(|stored| stored.version);
+        if let Some(version) = stored.filter(|stored| document.version <= *stored) {
+            return FleetReply::Superseded { version };
+        }
+        self.document = Some(document.clone());
+        FleetReply::Done
+    }
+
+    fn set_adapter_version(&mut self, adapter: &ModelName, version: u64) -> FleetReply {
+        let stored = self.adapter_versions.entry(adapter.clone()).or_insert(0);
+        if version <= *stored {
+            return FleetReply::Superseded { version: *stored };
+        }
+        *stored = version;
+        FleetReply::Done
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod apply;
 mod codec;
 mod command;
+mod fleet;
 mod job_records;
 mod jobs;
 mod keys;
@@ -38,6 +39,12 @@
 pub use command::Command;
 pub use command::FieldError;
 pub use command::Outcome;
+pub use fleet::Controller;
+pub use fleet::Document;
+pub use fleet::Fleet;
+pub use fleet::FleetCommand;
+pub use fleet::FleetReply;
+pub use fleet::OrderHolder;
 pub use job_records::Claimant;
 pub use job_records::Job;
 pub use job_records::JobAccept;
@@ -141,6 +148,7 @@
     lost: LostOwners,
     orders: Orders,
     jobs: Jobs,
+    fleet: Fleet,
 }
 
 /// What a snapshot holds: the state without its indexes.
@@ -158,6 +166,7 @@
     lost: LostOwners,
     orders: orders::OrderParts,
     jobs: BTreeMap<JobId, Job>,
+    fleet: Fleet,
 }
 
 impl State {
@@ -267,6 +276,11 @@
         &self.orders
     }
 
+    /// The configuration document and what the controllers share beside it.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
     /// Job records.
     pub fn jobs(&self) -> &Jobs {
         &self.jobs
@@ -290,6 +304,7 @@
             lost: self.lost.clone(),
             orders: self.orders.parts(),
             jobs: self.jobs.parts().clone(),
+            fleet: self.fleet.clone(),
         })
     }
 
@@ -309,6 +324,7 @@
             lost: snapshot.lost,
             orders: Orders::from_parts(snapshot.orders),
             jobs: Jobs::from_parts(snapshot.jobs),
+            fleet: snapshot.fleet,
         };
         for (name, record) in snapshot.accounts {
             state.put_account(name, record);
--- /dev/null
+++ b/src/fleet/control_links.rs
@@ -0,0 +1,178 @@
+//! Links of a controller: to other controllers and from entry VMs.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use tokio::sync::watch;
+
+use super::control_vm::Core;
+use super::log_line::LinkChange;
+use crate::consensus::Envelope;
+use crate::consensus::Transport;
+use crate::link::Frame;
+use crate::link::Handler;
+use crate::link::Role;
+use crate::link::Session;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::VmName;
+
+/// All open links of a controller.
+#[derive(Default)]
+pub(super) struct Links {
+    sessions: Mutex<IndexMap<u64, (Session, MonoMs)>>,
+    /// When each controller was last linked.
+    seen: Mutex<BTreeMap<VmName, (DataCentre, MonoMs)>>,
+    targets: watch::Sender<BTreeSet<SocketAddr>>,
+}
+
+impl Links {
+    /// Addresses to keep links to.
+    pub(super) fn targets(&self) -> watch::Receiver<BTreeSet<SocketAddr>> {
+        self.targets.subscribe()
+    }
+
+    /// Sets the addresses to keep links to.
+    pub(super) fn set_targets(&self, targets: BTreeSet<SocketAddr>) {
+        self.targets.send_if_modified(|current| {
+            let is_changed = *current != targets;
+            *current = targets;
+            is_changed
+        });
+    }
+
+    /// Sends an encoded frame on all links that `wanted` picks.
+    pub(super) fn broadcast(&self, frame: &Bytes, wanted: impl Fn(&Session) -> bool) {
+        for (session, _) in self.lock().values() {
+            if wanted(session) {
+                session.send_encoded(frame.clone());
+            }
+        }
+    }
+
+    /// Number of entry VMs that are linked.
+    pub(super) fn entry_vms(&self) -> u32 {
+        let sessions = self.lock();
+        let entries = sessions.values().map(|(session, _)| session.peer());
+        let names: BTreeSet<&VmName> = entries
+            .filter(|peer| peer.role == Role::Entry)
+            .map(|peer| &peer.vm)
+            .collect();
+        u32::try_from(names.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Controllers that are linked now or were until `since`, with their data centres and, if
+    /// linked, the time since when.
+    pub(super) fn controllers(
+        &self,
+        now: MonoMs,
+        since: MonoMs,
+    ) -> BTreeMap<VmName, (DataCentre, Option<MonoMs>)> {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut linked: BTreeMap<VmName, MonoMs> = BTreeMap::new();
+        for (session, opened) in self.lock().values() {
+            let peer = session.peer();
+            if peer.role == Role::Control {
+                let first = linked.entry(peer.vm.clone()).or_insert(*opened);
+                *first = (*first).min(*opened);
+                seen.insert(peer.vm.clone(), (peer.data_centre.clone(), now));
+            }
+        }
+        seen.retain(|_, (_, at)| *at >= since);
+        let found = seen.iter().map(|(vm, (data_centre, _))| {
+            let opened = linked.get(vm).copied();
+            (vm.clone(), (data_centre.clone(), opened))
+        });
+        found.collect()
+    }
+
+    fn to_controller(&self, vm: &VmName) -> Option<Session> {
+        let sessions = self.lock();
+        let fits = |session: &&Session| {
+            let peer = session.peer();
+            peer.role == Role::Control && peer.vm == *vm
+        };
+        let newest = sessions.values().rev().map(|(session, _)| session);
+        newest.into_iter().find(fits).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<u64, (Session, MonoMs)>> {
+        self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Carries messages of the replicated log.
+pub(super) struct LogTransport(pub(super) Arc<Links>);
+
+impl Transport for LogTransport {
+    fn send(&self, to: &VmName, envelope: Envelope) {
+        if let Some(session) = self.0.to_controller(to) {
+            session.send(&Frame::Raft(envelope));
+        }
+    }
+}
+
+/// Where the links of the controller called `vm` are listened for. Controllers are named by their
+/// IP addresses.
+pub(super) fn link_address(vm: &VmName, port: u16) -> Option<SocketAddr> {
+    let ip: IpAddr = vm.as_str().parse().ok()?;
+    Some(SocketAddr::new(ip, port))
+}
+
+/// Passes what comes in on the links to the controller.
+pub(super) struct ControlHandler {
+    pub(super) links: Arc<Links>,
+    pub(super) core: OnceLock<Arc<Core>>,
+}
+
+impl ControlHandler {
+    fn core(&self) -> Option<&Arc<Core>> {
+        self.core.get()
+    }
+}
+
+impl Handler for ControlHandler {
+    fn opened(&self, session: &Session) {
+        let Some(core) = self.core() else {
+            return;
+        };
+        let opened = core.now();
+        self.links
+            .lock()
+            .insert(session.id(), (session.clone(), opened));
+        core.greet(session);
+        core.events().emit(&LinkChange {
+            peer: session.peer().vm.clone(),
+            is_open: true,
+            reason: String::new(),
+        });
+    }
+
+    fn received(&self, session: &Session, frame: Frame) {
+        if let Some(core) = self.core() {
+            core.received(session, frame);
+        }
+    }
+
+    fn closed(&self, session: &Session, reason: &str) {
+        self.links.lock().shift_remove(&session.id());
+        let Some(core) = self.core() else {
+            return;
+        };
+        core.lost(session);
+        core.events().emit(&LinkChange {
+            peer: session.peer().vm.clone(),
+            is_open: false,
+            reason: reason.to_owned(),
+        });
+    }
+}
--- /dev/null
+++ b/src/fleet/duties.rs
@@ -0,0 +1,199 @@
+//! What the leader of the log does for the fleet: it notes the controllers, replaces those that are
+//! gone, and assigns the orders of each data centre.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::MissedTickBehavior;
+
+use super::control_vm::Core;
+use crate::consensus::Status;
+use crate::control::Fleet;
+use crate::control::FleetCommand;
+use crate::types::DataCentre;
+use crate::types::MonoMs;
+use crate::types::VmName;
+
+/// Interval of looks.
+const ROUND_MS: u64 = 250;
+/// Silence after which another VM gives the orders of a data centre.
+const HOLDER_SILENT_MS: u64 = 2_500;
+/// Time for which a controller has to be linked before it gets orders back.
+const SETTLED_MS: u64 = 5_000;
+/// Silence after which a voter is removed that has a successor in its data centre.
+const VOTER_SILENT_MS: u64 = 6_000;
+/// Time for which silent controllers are remembered.
+const REMEMBERED_MS: u64 = 60_000;
+
+/// Controllers as the leader sees them.
+type Seen = BTreeMap<VmName, (DataCentre, Option<MonoMs>)>;
+
+/// Does the duties whenever this VM leads the log.
+pub(super) async fn run(core: Arc<Core>) {
+    let mut ticks = tokio::time::interval(Duration::from_millis(ROUND_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut led_since: Option<MonoMs> = None;
+    let mut heard: BTreeMap<VmName, MonoMs> = BTreeMap::new();
+    loop {
+        ticks.tick().await;
+        let status = core.log.status();
+        if !status.is_leader {
+            led_since = None;
+            heard.clear();
+            continue;
+        }
+        let now = core.now();
+        let led_since = *led_since.get_or_insert(now);
+        let view = View::new(&core, &status, now, led_since, &mut heard);
+        if let Some(command) = view.next_command() {
+            // The next round tries again what is still due.
+            core.change(command).await;
+        } else if let Some(voter) = view.lost_voter() {
+            let removed = core.log.remove_voter(voter.clone()).await;
+            log::info!("fleet: voter {voter} is removed: {removed:?}");
+        }
+    }
+}
+
+/// State of the fleet at one look.
+struct View<'a> {
+    own: &'a VmName,
+    own_centre: &'a DataCentre,
+    fleet: Fleet,
+    seen: Seen,
+    voters: BTreeSet<VmName>,
+    engine_centres: BTreeSet<DataCentre>,
+    heard: &'a BTreeMap<VmName, MonoMs>,
+    now: MonoMs,
+    led_since: MonoMs,
+}
+
+impl<'a> View<'a> {
+    fn new(
+        core: &'a Core,
+        status: &Status,
+        now: MonoMs,
+        led_since: MonoMs,
+        heard: &'a mut BTreeMap<VmName, MonoMs>,
+    ) -> Self {
+        let since = MonoMs(now.0.saturating_sub(REMEMBERED_MS));
+        let seen = core.links.controllers(now, since);
+        for (vm, (_, opened)) in &seen {
+            if opened.is_some() {
+                heard.insert(vm.clone(), now);
+            }
+        }
+        let servers = core.merged();
+        let engines = servers.servers().map(|record| &record.announcement);
+        let engine_centres = engines
+            .filter(|server| !server.models.is_empty())
+            .map(|server| server.data_centre.clone())
+            .collect();
+        drop(servers);
+        Self {
+            own: &core.config.hello.vm,
+            own_centre: &core.config.hello.data_centre,
+            fleet: core.state().state().fleet().clone(),
+            seen,
+            voters: status.voters.iter().map(|id| id.vm.clone()).collect(),
+            engine_centres,
+            heard,
+            now,
+            led_since,
+        }
+    }
+
+    fn next_command(&self) -> Option<FleetCommand> {
+        self.unknown_controller()
+            .or_else(|| self.dropped_controller())
+            .or_else(|| self.assignment())
+    }
+
+    fn unknown_controller(&self) -> Option<FleetCommand> {
+        let own = (self.own, self.own_centre);
+        let linked = self.seen.iter().map(|(vm, (centre, _))| (vm, centre));
+        let mut known = std::iter::once(own).chain(linked);
+        let (vm, data_centre) = known.find(|(vm, _)| {
+            self.voters.contains(*vm) && !self.fleet.controllers().contains_key(*vm)
+        })?;
+        Some(FleetCommand::JoinController {
+            vm: vm.clone(),
+            data_centre: data_centre.clone(),
+        })
+    }
+
+    fn dropped_controller(&self) -> Option<FleetCommand> {
+        let mut controllers = self.fleet.controllers().keys();
+        let gone = controllers.find(|vm| {
+            !self.voters.contains(*vm) && *vm != self.own && !self.seen.contains_key(*vm)
+        })?;
+        Some(FleetCommand::DropController { vm: gone.clone() })
+    }
+
+    fn silence_ms(&self, vm: &VmName) -> u64 {
+        if vm == self.own {
+            return 0;
+        }
+        let heard = self.heard.get(vm).copied().unwrap_or(self.led_since);
+        self.now.since(heard)
+    }
+
+    fn is_settled(&self, vm: &VmName) -> bool {
+        if vm == self.own {
+            return self.now.since(self.led_since) >= SETTLED_MS;
+        }
+        let opened = self.seen.get(vm).and_then(|(_, opened)| *opened);
+        opened.is_some_and(|opened| self.now.since(opened) >= SETTLED_MS)
+    }
+
+    fn assignment(&self) -> Option<FleetCommand> {
+        let due = self.engine_centres.iter().find_map(|centre| {
+            let vm = self.better_holder(centre)?;
+            Some((centre, vm))
+        });
+        let (data_centre, vm) = due?;
+        Some(FleetCommand::AssignOrders {
+            data_centre: data_centre.clone(),
+            vm: vm.clone(),
+        })
+    }
+
+    /// The VM that should give the orders in `centre`, if another one does now.
+    fn better_holder(&self, centre: &DataCentre) -> Option<&VmName> {
+        let in_centre = |vm: &VmName| {
+            let controller = self.fleet.controllers().get(vm);
+            controller.is_some_and(|controller| controller.data_centre == *centre)
+        };
+        let alive = |vm: &&VmName| self.silence_ms(vm) < ROUND_MS * 2;
+        let local = self.voters.iter().filter(alive).find(|vm| in_centre(vm));
+        let Some(holder) = self.fleet.holders().get(centre) else {
+            return Some(local.unwrap_or(self.own));
+        };
+        let is_lost =
+            !self.voters.contains(&holder.vm) || self.silence_ms(&holder.vm) >= HOLDER_SILENT_MS;
+        if is_lost {
+            return Some(local.unwrap_or(self.own));
+        }
+        let returns = local.filter(|vm| **vm != holder.vm && self.is_settled(vm));
+        returns.filter(|_| !in_centre(&holder.vm))
+    }
+
+    /// A voter that has been silent for long and has a successor in its data centre.
+    fn lost_voter(&self) -> Option<&VmName> {
+        let controllers = self.fleet.controllers();
+        self.voters.iter().find(|vm| {
+            let Some(lost) = controllers.get(*vm) else {
+                return false;
+            };
+            let mut successors = controllers.iter().filter(|(other, controller)| {
+                controller.data_centre == lost.data_centre
+                    && controller.joined_index > lost.joined_index
+                    && self.voters.contains(*other)
+                    && self.silence_ms(other) < ROUND_MS * 2
+            });
+            self.silence_ms(vm) >= VOTER_SILENT_MS && successors.next().is_some()
+        })
+    }
+}
--- /dev/null
+++ b/src/fleet/log_line.rs
@@ -0,0 +1,115 @@
+//! Log lines of the two programs.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use crate::events::Event;
+use crate::events::Weight;
+use crate::types::DataCentre;
+use crate::types::ModelName;
+use crate::types::ServerName;
+use crate::types::VmName;
+
+/// A process starts, stops, or changes what it does.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Lifecycle {
+    pub(super) phase: &'static str,
+    pub(super) detail: Arc<str>,
+}
+
+impl Event for Lifecycle {
+    const KIND: &'static str = "lifecycle";
+
+    fn weight(&self) -> Weight {
+        Weight::Failure
+    }
+}
+
+/// A link opened or was lost.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct LinkChange {
+    pub(super) peer: VmName,
+    pub(super) is_open: bool,
+    pub(super) reason: String,
+}
+
+impl Event for LinkChange {
+    const KIND: &'static str = "link";
+
+    fn weight(&self) -> Weight {
+        Weight::Failure
+    }
+}
+
+/// A configuration came into force on this VM.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct DocumentChange {
+    pub(super) version: u64,
+    pub(super) from: VmName,
+    pub(super) error: Option<String>,
+}
+
+impl Event for DocumentChange {
+    const KIND: &'static str = "configuration";
+
+    fn weight(&self) -> Weight {
+        Weight::Failure
+    }
+}
+
+/// A backend server came, changed or left.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct ServerChange {
+    pub(super) server: ServerName,
+    pub(super) started_unix_ms: u64,
+    pub(super) what: &'static str,
+}
+
+impl Event for ServerChange {
+    const KIND: &'static str = "server";
+
+    fn weight(&self) -> Weight {
+        Weight::Failure
+    }
+}
+
+/// An engine answered an order.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct OrderDone {
+    pub(super) server: ServerName,
+    pub(super) model: ModelName,
+    pub(super) load: bool,
+    pub(super) version: u64,
+    pub(super) expected_sequence: u64,
+    pub(super) fence: u64,
+    pub(super) outcome: &'static str,
+    pub(super) took_ms: u64,
+}
+
+impl Event for OrderDone {
+    const KIND: &'static str = "order";
+
+    fn weight(&self) -> Weight {
+        match self.outcome {
+            "accepted" | "holds" => Weight::Routine,
+            _ => Weight::Failure,
+        }
+    }
+}
+
+/// This VM starts or stops ordering the engines of a data centre.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct HoldChange {
+    pub(super) data_centre: DataCentre,
+    pub(super) fence: u64,
+    pub(super) holds: bool,
+}
+
+impl Event for HoldChange {
+    const KIND: &'static str = "hold";
+
+    fn weight(&self) -> Weight {
+        Weight::Failure
+    }
+}
--- /dev/null
+++ b/src/fleet/order_desk.rs
@@ -0,0 +1,436 @@
+//! Carries out the orders to the engines of the data centres that this VM holds.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use tokio::time::timeout;
+
+use super::control_vm::ControlConfig;
+use super::control_vm::Core;
+use super::log_line::HoldChange;
+use super::log_line::OrderDone;
+use crate::control::OrderHolder;
+use crate::events::EventLog;
+use crate::gateway::EngineDialect;
+use crate::gateway::deployment::Deployment;
+use crate::gateway::pool;
+use crate::gateway::pool::Pool;
+use crate::link::AdapterUse;
+use crate::link::Frame;
+use crate::link::Residency;
+use crate::link::ResidencyNews;
+use crate::link::Role;
+use crate::link::Session;
+use crate::link::Want;
+use crate::registry::ServerState;
+use crate::registry::Table;
+use crate::scheduling::slots::EngineInfo;
+use crate::scheduling::slots::OrderOutcome;
+use crate::scheduling::slots::Planner;
+use crate::scheduling::slots::SlotAction;
+use crate::scheduling::slots::SlotOrder;
+use crate::scheduling::slots::SlotsConfig;
+use crate::scheduling::slots::Use;
+use crate::scheduling::slots::Wanted;
+use crate::types::DataCentre;
+use crate::types::ModelName;
+use crate::types::MonoMs;
+use crate::types::ServerName;
+use crate::types::VmName;
+
+/// Longest wait for the answer to an order or a question.
+const ANSWER_MS: u64 = 600;
+/// Longest time to open a connection to an engine.
+const CONNECT_MS: u64 = 300;
+
+/// One data centre that this VM holds.
+struct Held {
+    fence: u64,
+    /// Time from which orders may be given.
+    from: MonoMs,
+    planner: Planner,
+    addresses: HashMap<ServerName, SocketAddr>,
+}
+
+/// The data centres that this VM holds.
+pub(super) struct OrderDesk {
+    vm: VmName,
+    order_lease_ms: u64,
+    engines: Arc<dyn EngineDialect>,
+    events: EventLog,
+    state: Mutex<State>,
+    pool: Mutex<Pool>,
+}
+
+#[derive(Default)]
+struct State {
+    held: BTreeMap<DataCentre, Held>,
+    /// The last holder seen of each data centre.
+    holders: BTreeMap<DataCentre, OrderHolder>,
+    versions: Vec<(ModelName, u64)>,
+}
+
+impl OrderDesk {
+    pub(super) fn new(config: &ControlConfig) -> Self {
+        Self {
+            vm: config.hello.vm.clone(),
+            order_lease_ms: config.order_lease_ms,
+            engines: Arc::clone(&config.engines),
+            events: config.events.clone(),
+            state: Mutex::default(),
+            pool: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn pool(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the assignments and the engines as they are now.
+    pub(super) fn update(
+        &self,
+        holders: &BTreeMap<DataCentre, OrderHolder>,
+        is_fresh: bool,
+        deployment: Option<&Deployment>,
+        servers: &Table,
+        now: MonoMs,
+    ) {
+        let mut state = self.lock();
+        let mine = |centre: &DataCentre| {
+            let holder = holders.get(centre);
+            holder.filter(|holder| is_fresh && holder.vm == self.vm)
+        };
+        state.held.retain(|centre, held| {
+            let keeps = mine(centre).is_some_and(|holder| holder.fence == held.fence);
+            if !keeps {
+                self.log_hold(centre, held.fence, false);
+            }
+            keeps
+        });
+        for (centre, holder) in holders {
+            if mine(centre).is_some() && !state.held.contains_key(centre) {
+                let before = state.holders.get(centre);
+                let took_over = before.is_some_and(|before| before.vm != self.vm)
+                    || before.is_none() && now.0 < self.order_lease_ms && holder.fence > 0;
+                let held = self.begin(holder.fence, took_over, &state.versions, now);
+                state.held.insert(centre.clone(), held);
+                self.log_hold(centre, holder.fence, true);
+            }
+        }
+        state.holders = holders.clone();
+        for (centre, held) in &mut state.held {
+            held.set_engines(centre, deployment, servers);
+        }
+    }
+
+    fn begin(
+        &self,
+        fence: u64,
+        took_over: bool,
+        versions: &[(ModelName, u64)],
+        now: MonoMs,
+    ) -> Held {
+        let wait_ms = if took_over { self.order_lease_ms } else { 0 };
+        let mut planner = Planner::new(SlotsConfig::default());
+        let named = versions.iter().map(|(model, version)| (model, *version));
+        planner.set_versions(named, now);
+        Held {
+            fence,
+            from: now.plus(wait_ms),
+            planner,
+            addresses: HashMap::new(),
+        }
+    }
+
+    fn log_hold(&self, data_centre: &DataCentre, fence: u64, holds: bool) {
+        self.events.emit(&HoldChange {
+            data_centre: data_centre.clone(),
+            fence,
+            holds,
+        });
+    }
+
+    /// Sets the versions that were named; true if they changed.
+    pub(super) fn set_versions(&self, versions: &[(ModelName, u64)], now: MonoMs) -> bool {
+        let mut state = self.lock();
+        if state.versions == versions {
+            return false;
+        }
+        state.versions = versions.to_vec();
+        for held in state.held.values_mut() {
+            let named = versions.iter().map(|(model, version)| (model, *version));
+            held.planner.set_versions(named, now);
+        }
+        true
+    }
+
+    /// Notes what the requests of an entry VM wait for.
+    pub(super) fn wanted(&self, centre: &DataCentre, wants: &[Want], now: MonoMs) {
+        let mut state = self.lock();
+        let Some(held) = state.held.get_mut(centre) else {
+            return;
+        };
+        for want in wants {
+            let wanted = Wanted {
+                waiting: want.waiting,
+                priority: want.priority,
+                copy: want.copy,
+            };
+            held.planner.want(&want.model, wanted, now);
+        }
+    }
+
+    /// Notes what an entry VM uses.
+    pub(super) fn used(&self, vm: &VmName, uses: &[AdapterUse], now: MonoMs) {
+        let mut state = self.lock();
+        for held in state.held.values_mut() {
+            for used in uses {
+                let count = Use {
+                    in_flight: used.in_flight,
+                    sent: used.sent,
+                };
+                held.planner
+                    .note_use(&used.server, &used.model, vm, count, now);
+                if used.is_missing {
+                    held.planner.note_missing(&used.server, &used.model);
+                }
+            }
+        }
+    }
+
+    /// Forgets what a VM used.
+    pub(super) fn forget_vm(&self, vm: &VmName) {
+        for held in self.lock().held.values_mut() {
+            held.planner.forget_vm(vm);
+        }
+    }
+
+    /// Sends the whole residency on a new link.
+    pub(super) fn greet(&self, session: &Session, now: MonoMs) {
+        for (centre, held) in &self.lock().held {
+            let all = held.planner.residency();
+            session.send(&Frame::Residency(held.news(centre, all, true, now)));
+        }
+    }
+
+    /// Starts what is due and tells the entry VMs what has changed.
+    pub(super) fn work(&self, core: &Arc<Core>) {
+        let now = core.now();
+        let mut due = Vec::new();
+        let mut news = Vec::new();
+        for (centre, held) in &mut self.lock().held {
+            if held.from <= now {
+                let actions = held.planner.plan(now);
+                due.extend(actions.into_iter().filter_map(|action| {
+                    let address = held.address(&action)?;
+                    Some((centre.clone(), held.fence, address, action))
+                }));
+            }
+            let changes = held.planner.take_news();
+            if !changes.is_empty() {
+                news.push(held.news(centre, changes, false, now));
+            }
+        }
+        for item in news {
+            let frame = Frame::Residency(item).encode();
+            core.links
+                .broadcast(&frame, |session| session.peer().role == Role::Entry);
+        }
+        for (centre, fence, address, action) in due {
+            let core = Arc::clone(core);
+            tokio::spawn(async move {
+                match action {
+                    SlotAction::Order(order) => {
+                        core.desk.carry_out(&core, &centre, fence, address, order).await;
+                    }
+                    SlotAction::Report(server) => {
+                        core.desk.ask_report(&core, &centre, address, server).await;
+                    }
+                }
+                core.desk.work(&core);
+            });
+        }
+    }
+
+    async fn carry_out(
+        &self,
+        core: &Arc<Core>,
+        centre: &DataCentre,
+        fence: u64,
+        address: SocketAddr,
+        order: SlotOrder,
+    ) {
+        let began = core.now();
+        let request = self.engines.order(&order, &self.vm, fence);
+        let outcome = match self.call(address, request).await {
+            Some((status, _)) => self.engines.read_order(&order, status),
+            None => OrderOutcome::Unknown,
+        };
+        let now = core.now();
+        self.events.emit(&OrderDone {
+            server: order.server.clone(),
+            model: order.model.clone(),
+            load: order.load,
+            version: order.version,
+            expected_sequence: order.expected_sequence,
+            fence,
+            outcome: name(outcome),
+            took_ms: now.since(began),
+        });
+        if let Some(held) = self.lock().held.get_mut(centre)
+            && held.fence == fence
+        {
+            held.planner.on_order(&order, outcome, now);
+        }
+    }
+
+    async fn ask_report(
+        &self,
+        core: &Arc<Core>,
+        centre: &DataCentre,
+        address: SocketAddr,
+        server: ServerName,
+    ) {
+        let asked = core.now();
+        let answer = self.call(address, self.engines.report()).await;
+        let report = answer
+            .filter(|(status, _)| status.is_success())
+            .and_then(|(_, body)| self.engines.read_report(&body));
+        let Some(report) = report else {
+            return;
+        };
+        let now = core.now();
+        if let Some(held) = self.lock().held.get_mut(centre) {
+            held.planner.on_report(&server, &report, asked, now);
+        }
+    }
+
+    async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+    ) -> Option<(StatusCode, Bytes)> {
+        let kept = self.pool().take(address, false);
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => {
+                let wait = Duration::from_millis(CONNECT_MS);
+                pool::connect(address, wait).await.ok()?
+            }
+        };
+        let request = request.map(Full::new);
+        let answering = async {
+            let response = connection.sender.send_request(request).await.ok()?;
+            let status = response.status();
+            let body = response.into_body().collect().await.ok()?.to_bytes();
+            Some((status, body))
+        };
+        let answered = timeout(Duration::from_millis(ANSWER_MS), answering).await;
+        let answer = answered.ok().flatten()?;
+        self.pool().put(address, connection.sender, None);
+        Some(answer)
+    }
+}
+
+fn name(outcome: OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Accepted => "accepted",
+        OrderOutcome::Holds => "holds",
+        OrderOutcome::Conflict => "conflict",
+        OrderOutcome::Refused => "refused",
+        OrderOutcome::Unknown => "unknown",
+    }
+}
+
+impl Held {
+    fn set_engines(
+        &mut self,
+        centre: &DataCentre,
+        deployment: Option<&Deployment>,
+        servers: &Table,
+    ) {
+        let Some(deployment) = deployment else {
+            return;
+        };
+        let mut present = BTreeSet::new();
+        for record in servers.servers() {
+            let server = &record.announcement;
+            let service = deployment.services.get(&server.service);
+            let sheet = service.and_then(|service| service.engine.as_ref());
+            let Some(sheet) = sheet.filter(|_| server.data_centre == *centre) else {
+                continue;
+            };
+            if server.state == ServerState::Leaving {
+                continue;
+            }
+            let info = EngineInfo {
+                started_unix_ms: server.started_unix_ms,
+                adapter_slots: sheet.adapter_capacity(&server.models),
+                bases: server.models.clone(),
+            };
+            self.planner.set_engine(&server.server, info);
+            self.addresses
+                .insert(server.server.clone(), server.address);
+            present.insert(server.server.clone());
+        }
+        let gone: Vec<ServerName> = self
+            .planner
+            .engines()
+            .filter(|server| !present.contains(*server))
+            .cloned()
+            .collect();
+        for server in gone {
+            self.planner.remove_engine(&server);
+            self.addresses.remove(&server);
+        }
+    }
+
+    fn address(&self, action: &SlotAction) -> Option<SocketAddr> {
+        let server = match action {
+            SlotAction::Order(order) => &order.server,
+            SlotAction::Report(server) => server,
+        };
+        self.addresses.get(server).copied()
+    }
+
+    fn news(
+        &self,
+        centre: &DataCentre,
+        items: Vec<(ServerName, ModelName, u64, Option<MonoMs>)>,
+        full: bool,
+        now: MonoMs,
+    ) -> ResidencyNews {
+        let items = items.into_iter().map(|(server, model, version, ready)| {
+            let ready_in_ms = ready.map(|ready| ready.since(now));
+            Residency {
+                server,
+                model,
+                version,
+                ready_in_ms: ready_in_ms.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX)),
+            }
+        });
+        ResidencyNews {
+            data_centre: centre.clone(),
+            fence: self.fence,
+            full,
+            items: items.collect(),
+            refused: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/accept.rs
@@ -0,0 +1,218 @@
+//! Takes connections of callers, and answers the question whether the VM takes new ones.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use super::answer::Body;
+use super::answer::full;
+use super::context::Gateway;
+use super::deployment::CallerLimits;
+use super::exchange;
+
+/// Pause after a failure to accept, such as a lack of descriptors.
+const ACCEPT_PAUSE_MS: u64 = 20;
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Idle time beyond the one told to callers, so that they close first.
+const IDLE_MARGIN_MS: u64 = 5_000;
+/// Interval of looks at the work that is left.
+const DRAIN_LOOK_MS: u64 = 20;
+
+/// Connections of callers, accepted until the VM leaves.
+pub struct Acceptor {
+    local_address: SocketAddr,
+    accepting: JoinHandle<()>,
+    close: watch::Sender<bool>,
+    open: Arc<AtomicUsize>,
+}
+
+impl Acceptor {
+    /// Listens at `address`.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub fn bind(address: SocketAddr, gateway: Arc<Gateway>) -> io::Result<Self> {
+        let listener = listen(address)?;
+        let local_address = listener.local_addr()?;
+        let (close, closing) = watch::channel(false);
+        let open = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&open);
+        let accepting = tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                    continue;
+                };
+                let serving = serve(
+                    stream,
+                    Arc::clone(&gateway),
+                    closing.clone(),
+                    Counted::new(&counted),
+                );
+                tokio::spawn(serving);
+            }
+        });
+        Ok(Self {
+            local_address,
+            accepting,
+            close,
+            open,
+        })
+    }
+
+    /// Address that is listened at.
+    pub fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+
+    /// Closes idle connections and those in use after their request, and waits for them.
+    pub async fn drain(&self) {
+        self.close.send_replace(true);
+        while self.open.load(Ordering::Relaxed) > 0 {
+            sleep(Duration::from_millis(DRAIN_LOOK_MS)).await;
+        }
+    }
+}
+
+impl Drop for Acceptor {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Counts a connection until it is dropped.
+struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    gateway: Arc<Gateway>,
+    mut closing: watch::Receiver<bool>,
+    _counted: Counted,
+) {
+    let _ = stream.set_nodelay(true);
+    let limits = gateway
+        .deployment()
+        .map_or_else(CallerLimits::default, |deployment| deployment.limits);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let gateway = Arc::clone(&gateway);
+        async move { Ok::<_, Infallible>(exchange::answer(gateway, request).await) }
+    });
+    let idle = Duration::from_millis(limits.idle_timeout_ms + IDLE_MARGIN_MS);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(limits.header_bytes.max(8 * 1024))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // An error is the caller's broken connection; its request has been dropped with it.
+        _ = connection.as_mut() => return,
+        _ = closing.wait_for(|close| *close) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+/// Answers the platform's question whether the VM takes new connections.
+pub struct Readiness {
+    ready: Arc<AtomicBool>,
+    answering: JoinHandle<()>,
+}
+
+impl Readiness {
+    /// Listens at `address`; not ready at first.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        let listener = listen(address)?;
+        let ready = Arc::new(AtomicBool::new(false));
+        let shared = Arc::clone(&ready);
+        let answering = tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                    continue;
+                };
+                tokio::spawn(answer_readiness(stream, Arc::clone(&shared)));
+            }
+        });
+        Ok(Self { ready, answering })
+    }
+
+    /// Sets the answer.
+    pub fn set(&self, is_ready: bool) {
+        self.ready.store(is_ready, Ordering::Relaxed);
+    }
+
+    /// The answer.
+    pub fn get(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Readiness {
+    fn drop(&mut self) {
+        self.answering.abort();
+    }
+}
+
+async fn answer_readiness(stream: TcpStream, ready: Arc<AtomicBool>) {
+    let service = service_fn(move |_: Request<Incoming>| {
+        let status = match ready.load(Ordering::Relaxed) {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        async move { Ok::<_, Infallible>(status_only(status)) }
+    });
+    let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    // The platform asks again if this connection breaks.
+    let _ = serving.await;
+}
+
+fn status_only(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(full(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/gateway/answer.rs
@@ -0,0 +1,70 @@
+//! Answers that the gateway makes itself.
+
+use std::io;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+
+/// Body of an answer to a caller.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Why a request gets no answer of a backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Stable name of the reason, for logs and callers.
+    pub reason: &'static str,
+    /// Time after which the caller may come back with success.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// A final answer.
+    pub fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after_ms: None,
+        }
+    }
+
+    /// The request has not run and never will; it may come back after `retry_after_ms`.
+    pub fn not_run(status: StatusCode, reason: &'static str, retry_after_ms: u64) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after_ms: Some(retry_after_ms),
+        }
+    }
+
+    /// The answer to the caller.
+    pub fn into_response(self) -> Response<Body> {
+        let text = format!("{{\"error\":\"{}\"}}\n", self.reason);
+        let mut response = Response::new(full(Bytes::from(text)));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+        if let Some(retry_after_ms) = self.retry_after_ms {
+            let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
+
+/// A body that is known in whole.
+pub(super) fn full(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
--- /dev/null
+++ b/src/gateway/context.rs
@@ -0,0 +1,193 @@
+//! What all requests of an entry VM share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use super::board::Board;
+use super::board::Distance;
+use super::deployment::Deployment;
+use super::dialect::Dialect;
+use super::pool::Pool;
+use super::quota::Quota;
+use super::uses::Uses;
+use super::waits::Waits;
+use crate::events::EventLog;
+use crate::link::Want;
+use crate::pipeline::RetryBudget;
+use crate::types::Clock;
+use crate::types::DataCentre;
+use crate::types::ModelName;
+use crate::types::MonoMs;
+use crate::types::ServiceName;
+
+/// Part of the fleet's saved retries that is kept back for VMs that are not counted.
+const SAVED_RETRIES_SHARE: f64 = 0.7;
+/// Part of the allowed retries per request that is used.
+const RETRIES_SHARE: f64 = 0.9;
+
+/// What a gateway needs to know at its start.
+pub struct GatewayConfig {
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Protocol of callers and backend servers.
+    pub dialect: Arc<dyn Dialect>,
+    /// How far the data centres are.
+    pub distances: HashMap<DataCentre, Distance>,
+    /// Retries per request that the operator allows, over all VMs.
+    pub retries_per_request: f64,
+    /// Retries beside those, over all VMs.
+    pub saved_retries: f64,
+    /// Time after which a named adapter version is insisted on.
+    pub version_grace_ms: u64,
+    /// Structured log.
+    pub events: EventLog,
+}
+
+/// Shared state of the request path.
+pub struct Gateway {
+    pub(super) config: GatewayConfig,
+    /// Token limits.
+    pub quota: Quota,
+    /// Requests that wait for adapters.
+    pub waits: Waits,
+    deployment: Mutex<Option<Arc<Deployment>>>,
+    board: Mutex<Board>,
+    pool: Mutex<Pool>,
+    uses: Mutex<Uses>,
+    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    versions: Mutex<HashMap<ModelName, (u64, MonoMs)>>,
+    asker: Arc<dyn Asker>,
+}
+
+/// Passes wishes for adapters on to the VM that orders the engines.
+pub trait Asker: Send + Sync {
+    /// Passes a wish on, if that VM can be reached.
+    fn ask(&self, want: Want);
+}
+
+impl Gateway {
+    /// A gateway that knows no configuration and no servers.
+    pub fn new(config: GatewayConfig, quota: Quota, asker: Arc<dyn Asker>) -> Self {
+        Self {
+            board: Mutex::new(Board::new(config.distances.clone())),
+            config,
+            quota,
+            waits: Waits::default(),
+            deployment: Mutex::default(),
+            pool: Mutex::default(),
+            uses: Mutex::default(),
+            budgets: Mutex::default(),
+            versions: Mutex::default(),
+            asker,
+        }
+    }
+
+    /// Structured log.
+    pub fn events(&self) -> &EventLog {
+        &self.config.events
+    }
+
+    /// Time now.
+    pub fn now(&self) -> MonoMs {
+        self.config.clock.mono()
+    }
+
+    /// The configuration in force.
+    pub fn deployment(&self) -> Option<Arc<Deployment>> {
+        lock(&self.deployment).clone()
+    }
+
+    /// Puts a configuration in force, unless it is older than the present one.
+    pub fn set_deployment(&self, deployment: Deployment) -> bool {
+        let mut current = lock(&self.deployment);
+        let version = current.as_ref().map_or(0, |current| current.version);
+        if current.is_some() && deployment.version <= version {
+            return false;
+        }
+        self.quota.set_deployment(&deployment, current.as_deref());
+        *current = Some(Arc::new(deployment));
+        true
+    }
+
+    /// The servers as this VM sees them.
+    pub fn board(&self) -> MutexGuard<'_, Board> {
+        lock(&self.board)
+    }
+
+    /// Use of adapters.
+    pub fn uses(&self) -> MutexGuard<'_, Uses> {
+        lock(&self.uses)
+    }
+
+    /// Connections to backend servers.
+    pub(super) fn pool(&self) -> MutexGuard<'_, Pool> {
+        lock(&self.pool)
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn prune_pool(&self) {
+        self.pool().prune();
+    }
+
+    /// Sets the versions of adapters that were named.
+    pub fn set_versions(&self, versions: &[(ModelName, u64)]) {
+        let now = self.now();
+        let mut known = lock(&self.versions);
+        for (model, version) in versions {
+            let entry = known.entry(model.clone()).or_insert((0, now));
+            if *version > entry.0 {
+                *entry = (*version, now);
+            }
+        }
+    }
+
+    /// Version of `model` that has to answer from now on, if one was named a while ago.
+    pub(super) fn required_version(&self, model: &ModelName) -> Option<u64> {
+        let known = lock(&self.versions);
+        let (version, named) = known.get(model).copied()?;
+        let is_due = self.now().since(named) >= self.config.version_grace_ms;
+        is_due.then_some(version)
+    }
+
+    /// Asks at once for an adapter, or for one more copy of it.
+    pub(super) fn ask_now(&self, model: &ModelName, priority: u8, copy: bool) {
+        let want = Want {
+            model: model.clone(),
+            waiting: 1,
+            priority,
+            copy,
+        };
+        self.asker.ask(want);
+    }
+
+    /// Adds a request's part to the retry budget of its service.
+    pub(super) fn count_request(&self, service: &ServiceName) {
+        let mut budgets = lock(&self.budgets);
+        self.budget(&mut budgets, service).add_request();
+    }
+
+    /// Takes a retry from the budget of a service; false if it is used up.
+    pub(super) fn take_retry(&self, service: &ServiceName) -> bool {
+        let mut budgets = lock(&self.budgets);
+        self.budget(&mut budgets, service).take()
+    }
+
+    fn budget<'a>(
+        &self,
+        budgets: &'a mut HashMap<ServiceName, RetryBudget>,
+        service: &ServiceName,
+    ) -> &'a RetryBudget {
+        budgets.entry(service.clone()).or_insert_with(|| {
+            let vms = f64::from(self.quota.entry_vms());
+            let saved = self.config.saved_retries * SAVED_RETRIES_SHARE / vms;
+            RetryBudget::new(self.config.retries_per_request * RETRIES_SHARE, saved)
+        })
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/gateway/deployment.rs
@@ -0,0 +1,335 @@
+//! The operator's configuration: routes, services, client accounts and the limits on callers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use snafu::Snafu;
+
+use crate::control::KeyHash;
+use crate::control::Sha256Hash;
+use crate::types::AccountName;
+use crate::types::ModelName;
+use crate::types::ServiceName;
+use crate::types::Tokens;
+
+/// Why a configuration is refused.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("{field} is {value:?}; allowed: {allowed}"))]
+pub struct InvalidDeployment {
+    /// Field of the configuration.
+    pub field: String,
+    /// Value that was found; never a key.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+/// Result of checking a configuration.
+pub type Result<T> = std::result::Result<T, InvalidDeployment>;
+
+/// What may be repeated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Repeat {
+    /// The request is idempotent.
+    Idempotent,
+    /// The request runs at most once.
+    Never,
+    /// The answer is a stream of events.
+    Stream {
+        /// Whether it may go on after the last event at another backend server.
+        resumable: bool,
+    },
+}
+
+impl Repeat {
+    /// Whether a request that may have run may be sent again.
+    pub fn may_run_again(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Stream { resumable: true })
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// One route.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Host that callers name.
+    pub host: Arc<str>,
+    /// Start of the path, beginning and ending with a slash.
+    pub path_prefix: Arc<str>,
+    /// What may be repeated.
+    pub repeat: Repeat,
+    /// Longest time until the answer.
+    pub timeout_ms: u64,
+    /// Time within which an answer has its full worth.
+    pub target_latency_ms: u64,
+    /// Rank, 0 first.
+    pub priority: u8,
+    /// Services with their weights.
+    pub targets: Vec<(ServiceName, u32)>,
+    /// Backend servers that one request may be sent to.
+    pub max_attempts: u32,
+    /// Whether callers need no key.
+    pub is_public: bool,
+    /// Longest pause between events within which a stream has its full worth.
+    pub gap_target_ms: u64,
+}
+
+impl Route {
+    /// The service for a request, drawn by weight with `draw` in 0..1.
+    pub fn target(&self, draw: f64) -> &ServiceName {
+        let total: u32 = self.targets.iter().map(|(_, weight)| weight).sum();
+        let mut rest = draw * f64::from(total);
+        for (service, weight) in &self.targets {
+            rest -= f64::from(*weight);
+            if rest < 0.0 {
+                return service;
+            }
+        }
+        let last = self.targets.iter().rfind(|(_, weight)| *weight > 0);
+        &last.expect("a checked route has a weight above 0").0
+    }
+}
+
+/// A base model with its adapters.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// Its name.
+    pub name: ModelName,
+    /// Size of its weights.
+    pub weights_mb: f64,
+    /// Size of one adapter.
+    pub adapter_mb: f64,
+}
+
+/// What the engines of a service are like.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineSheet {
+    /// Requests in one batch.
+    pub slots: u32,
+    /// Tokens that fit into the memory for prompts and answers.
+    pub memory_tokens: Tokens,
+    /// Memory for weights.
+    pub weights_mb: f64,
+    /// Adapters at once.
+    pub adapter_slots: usize,
+    /// Base models.
+    pub models: Vec<Model>,
+}
+
+impl EngineSheet {
+    /// Adapters that an engine which holds `bases` can hold at once, by places and by memory.
+    pub fn adapter_capacity(&self, bases: &[ModelName]) -> usize {
+        let held = || {
+            let models = self.models.iter();
+            models.filter(|model| bases.contains(&model.name))
+        };
+        let weights_mb: f64 = held().map(|model| model.weights_mb).sum();
+        let adapter_mb = held().map(|model| model.adapter_mb).fold(0.0, f64::max);
+        if adapter_mb <= 0.0 {
+            return self.adapter_slots;
+        }
+        let room_mb = (self.weights_mb - weights_mb).max(0.0);
+        self.adapter_slots.min((room_mb / adapter_mb) as usize)
+    }
+}
+
+/// One service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Path of its health check.
+    pub health_path: Arc<str>,
+    /// Connections that one backend server takes from all VMs together.
+    pub max_connections: u32,
+    /// What its engines are like, if it has any.
+    pub engine: Option<EngineSheet>,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time in which a head has to arrive.
+    pub header_timeout_ms: u64,
+    /// Time for which a connection may be idle.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+/// What an account's rate counts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuotaUnit {
+    /// Requests.
+    Requests,
+    /// Tokens; a request that names none counts as this many.
+    Tokens {
+        /// Tokens of a request that names none.
+        plain_tokens: Tokens,
+    },
+}
+
+/// A client account.
+#[derive(Clone, Debug)]
+pub struct Account {
+    /// Its name.
+    pub name: AccountName,
+    /// Rank that goes before the route's, 0 first.
+    pub priority: Option<u8>,
+    /// What its rate counts.
+    pub unit: QuotaUnit,
+    /// Rate over all VMs together; 0 for no limit.
+    pub rate_per_s: u64,
+    /// Burst over all VMs together.
+    pub burst: u64,
+}
+
+impl Account {
+    /// What a request costs.
+    pub fn cost(&self, tokens: Option<Tokens>) -> Tokens {
+        match self.unit {
+            QuotaUnit::Requests => 1,
+            QuotaUnit::Tokens { plain_tokens } => tokens.unwrap_or(plain_tokens),
+        }
+    }
+}
+
+/// A checked configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Deployment {
+    /// Its version.
+    pub version: u64,
+    /// Limits on callers.
+    pub limits: CallerLimits,
+    /// Services by name.
+    pub services: IndexMap<ServiceName, Service>,
+    /// Client accounts by name.
+    pub accounts: IndexMap<AccountName, Arc<Account>>,
+    /// Routes by host, longest prefix first.
+    routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    keys: HashMap<KeyHash, Arc<Account>>,
+}
+
+impl Deployment {
+    /// An empty configuration.
+    pub fn new(version: u64, limits: CallerLimits) -> Self {
+        Self {
+            version,
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a service.
+    pub fn add_service(&mut self, name: ServiceName, service: Service) {
+        self.services.insert(name, service);
+    }
+
+    /// Adds a route whose services were added before.
+    ///
+    /// # Errors
+    /// A service is unknown, all weights are 0, the timeout is 0, the prefix is not enclosed in
+    /// slashes, or another route has the same place.
+    pub fn add_route(&mut self, route: Route) -> Result<()> {
+        let name = &route.name;
+        for (service, _) in &route.targets {
+            if !self.services.contains_key(service) {
+                let allowed = "a service of this configuration";
+                return Err(invalid("service", name, service.as_str(), allowed));
+            }
+        }
+        if route.targets.iter().all(|(_, weight)| *weight == 0) {
+            return Err(invalid("weights", name, "0", "a sum above 0"));
+        }
+        if route.timeout_ms == 0 {
+            return Err(invalid("timeout_ms", name, "0", "at least 1"));
+        }
+        let prefix = &route.path_prefix;
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            let allowed = "a path that begins and ends with a slash";
+            return Err(invalid("path_prefix", name, prefix, allowed));
+        }
+        let siblings = self.routes.entry(route.host.clone()).or_default();
+        if siblings.iter().any(|other| other.path_prefix == *prefix) {
+            let allowed = "a place that no other route has";
+            return Err(invalid("path_prefix", name, prefix, allowed));
+        }
+        let at = siblings.partition_point(|other| other.path_prefix.len() >= prefix.len());
+        siblings.insert(at, Arc::new(route));
+        Ok(())
+    }
+
+    /// Adds a client account with its keys.
+    ///
+    /// # Errors
+    /// Another account has one of the keys, or the same name.
+    pub fn add_account<'a>(
+        &mut self,
+        account: Account,
+        keys: impl Iterator<Item = &'a str>,
+    ) -> Result<()> {
+        let name = account.name.clone();
+        let account = Arc::new(account);
+        for key in keys {
+            let other = self.keys.insert(hash_key(key), Arc::clone(&account));
+            if other.is_some_and(|other| other.name != name) {
+                let allowed = "a key that no other account has";
+                return Err(invalid("key", name.as_str(), "(hidden)", allowed));
+            }
+        }
+        let other = self.accounts.insert(name.clone(), account);
+        if other.is_some() {
+            let allowed = "a name that no other account has";
+            return Err(invalid("account", name.as_str(), name.as_str(), allowed));
+        }
+        Ok(())
+    }
+
+    /// The route for a request.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(host)?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(&*route.path_prefix))
+    }
+
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
+    /// The account that holds `key`.
+    pub fn authenticate(&self, key: &str) -> Option<&Arc<Account>> {
+        self.keys.get(&hash_key(key))
+    }
+}
+
+fn hash_key(key: &str) -> KeyHash {
+    Sha256Hash::of(key.as_bytes())
+}
+
+fn invalid(field: &str, of: &str, value: &str, allowed: &str) -> InvalidDeployment {
+    InvalidDeployment {
+        field: format!("{field} of {of}"),
+        value: value.to_owned(),
+        allowed: allowed.to_owned(),
+    }
+}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,623 @@
+//! One request from its head to its final answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use rand::RngExt;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use super::answer::Body;
+use super::answer::Refusal;
+use super::answer::full;
+use super::attempt;
+use super::attempt::Ended;
+use super::attempt::Next;
+use super::attempt::Past;
+use super::board::Choice;
+use super::board::Need;
+use super::board::is_adapter;
+use super::context::Gateway;
+use super::deployment::Account;
+use super::deployment::Deployment;
+use super::deployment::Route;
+use super::dialect::CallerHead;
+use super::dialect::SendFacts;
+use super::forward;
+use super::forward::Miss;
+use super::forward::Reply;
+use super::forward::Template;
+use super::quota::Taken;
+use super::record::RequestRecord;
+use super::relay;
+use crate::limits::Shortage;
+use crate::types::ServerName;
+use crate::types::ServiceName;
+
+/// Time to come back while the VM knows no configuration.
+const UNCONFIGURED_RETRY_MS: u64 = 300;
+/// Time to come back when a service has no server.
+const NO_SERVER_RETRY_MS: u64 = 500;
+/// Time to come back when all servers are full.
+const BUSY_RETRY_MS: u64 = 400;
+/// Longest wait between two looks at the servers.
+const LOOK_MS: u64 = 100;
+/// Part of the objective for which only near engines are considered, in percent.
+const NEAR_ONLY_PERCENT: u64 = 50;
+/// Part of the time that is left which may be spent on waiting for an adapter, in percent.
+const WAIT_PERCENT: u64 = 60;
+/// Least time after which a repeatable request goes to another server.
+const MIN_PATIENCE_MS: u64 = 900;
+/// Largest answer that is kept in memory before it is passed on.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Rank of a request at an engine for each rank of its route.
+const ENGINE_PRIORITY_STEP: u8 = 2;
+/// Lowest rank at an engine.
+const MAX_ENGINE_PRIORITY: u8 = 9;
+
+/// Answers a request. Never fails: what goes wrong becomes an answer.
+pub(super) async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    let begun = Instant::now();
+    let (parts, body) = request.into_parts();
+    let caller = gateway.config.dialect.read(&parts);
+    let mut record = RequestRecord {
+        request_id: caller.request_id.clone(),
+        model: caller.model.clone(),
+        ..RequestRecord::default()
+    };
+    match begin(&gateway, &parts, body, caller, begun, &mut record).await {
+        Ok(exchange) => exchange.run(record).await,
+        Err(refusal) => refuse(&gateway, refusal, record, begun),
+    }
+}
+
+fn refuse(
+    gateway: &Gateway,
+    refusal: Refusal,
+    mut record: RequestRecord,
+    begun: Instant,
+) -> Response<Body> {
+    record.status = refusal.status.as_u16();
+    record.reason = Some(refusal.reason);
+    record.first_ms = elapsed_ms(begun);
+    record.total_ms = record.first_ms;
+    gateway.config.events.emit(&record);
+    refusal.into_response()
+}
+
+/// Finds the route and the account, reads the body and reserves the tokens.
+async fn begin(
+    gateway: &Arc<Gateway>,
+    parts: &Parts,
+    body: Incoming,
+    caller: CallerHead,
+    begun: Instant,
+    record: &mut RequestRecord,
+) -> Result<Exchange, Refusal> {
+    let deployment = gateway.deployment().ok_or_else(|| {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Refusal::not_run(status, "no_configuration", UNCONFIGURED_RETRY_MS)
+    })?;
+    record.deployment_version = deployment.version;
+    let route = find_route(&deployment, parts)?;
+    record.route = Some(route.name.clone());
+    let account = find_account(&deployment, &route, &caller)?;
+    record.account = account.as_ref().map(|account| account.name.clone());
+    let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
+    let deadline = begun + Duration::from_millis(wait_ms.min(route.timeout_ms));
+    let body = read_body(&deployment, body, deadline).await?;
+    let taken = take_tokens(gateway, account.as_deref(), &caller).await?;
+    let service = route.target(rand::rng().random()).clone();
+    gateway.count_request(&service);
+    let template = Template {
+        request_id: caller.request_id.clone(),
+        method: parts.method.clone(),
+        uri: parts.uri.clone(),
+        headers: end_to_end(&parts.headers),
+        body,
+        model: caller.model.clone(),
+        may_repeat: route.repeat.may_run_again(),
+    };
+    Ok(Exchange {
+        past: Past {
+            repeat: route.repeat,
+            runs: 0,
+            refusals: 0,
+            max_runs: route.max_attempts.max(1),
+            has_begun: false,
+        },
+        gateway: Arc::clone(gateway),
+        is_engine: is_engine(&deployment, &service),
+        route,
+        account,
+        caller,
+        service,
+        template,
+        begun,
+        deadline,
+        tried: Vec::new(),
+        taken: Some(taken),
+    })
+}
+
+fn is_engine(deployment: &Deployment, service: &ServiceName) -> bool {
+    let known = deployment.services.get(service);
+    known.is_some_and(|service| service.engine.is_some())
+}
+
+fn find_route(deployment: &Deployment, parts: &Parts) -> Result<Arc<Route>, Refusal> {
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let route = deployment.route(host, parts.uri.path()).cloned();
+    route.ok_or_else(|| Refusal::new(StatusCode::NOT_FOUND, "no_route"))
+}
+
+fn find_account(
+    deployment: &Deployment,
+    route: &Route,
+    caller: &CallerHead,
+) -> Result<Option<Arc<Account>>, Refusal> {
+    if route.is_public || deployment.accounts.is_empty() {
+        return Ok(None);
+    }
+    let key = caller.key.as_deref().unwrap_or_default();
+    match deployment.authenticate(key) {
+        Some(account) => Ok(Some(Arc::clone(account))),
+        None => Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown_key")),
+    }
+}
+
+async fn read_body(
+    deployment: &Deployment,
+    body: Incoming,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, deployment.limits.body_bytes);
+    match timeout_at(deadline, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(Refusal::new(status, "body_too_large"))
+        }
+        Ok(Err(_)) => Err(Refusal::new(StatusCode::BAD_REQUEST, "body_broken")),
+        Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
+    }
+}
+
+async fn take_tokens(
+    gateway: &Gateway,
+    account: Option<&Account>,
+    caller: &CallerHead,
+) -> Result<Taken, Refusal> {
+    let Some(account) = account else {
+        return Ok(Taken::Unlimited);
+    };
+    let tokens = account.cost(caller.tokens());
+    let status = StatusCode::TOO_MANY_REQUESTS;
+    gateway
+        .quota
+        .take(account, tokens)
+        .await
+        .map_err(|shortage| match shortage {
+            Shortage::Later { retry_after_ms } => {
+                Refusal::not_run(status, "over_rate", retry_after_ms.max(1))
+            }
+            Shortage::TooLarge { .. } => Refusal::new(status, "over_burst"),
+            Shortage::UnknownAccount => Refusal::not_run(status, "limits_unknown", LOOK_MS),
+        })
+}
+
+/// Drops the headers that concern only the caller's connection.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        kept.remove(name.as_str());
+    }
+    for name in [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    ] {
+        kept.remove(name);
+    }
+    kept
+}
+
+/// A request that is admitted.
+pub(super) struct Exchange {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) route: Arc<Route>,
+    pub(super) past: Past,
+    pub(super) begun: Instant,
+    pub(super) deadline: Instant,
+    account: Option<Arc<Account>>,
+    caller: CallerHead,
+    service: ServiceName,
+    is_engine: bool,
+    template: Template,
+    tried: Vec<ServerName>,
+    taken: Option<Taken>,
+}
+
+/// An answer that was read as far as it decides about a repeat.
+pub(super) enum Read {
+    /// The whole answer.
+    Whole(Response<Bytes>),
+    /// A stream, with its first bytes.
+    Stream(Box<Reply>, Bytes),
+}
+
+impl Exchange {
+    async fn run(mut self, mut record: RequestRecord) -> Response<Body> {
+        let deadline = self.deadline;
+        let outcome = match timeout_at(deadline, self.obtain(None, &mut record)).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(self.overdue()),
+        };
+        record.first_ms = elapsed_ms(self.begun);
+        match outcome {
+            Ok(Read::Whole(response)) => {
+                record.status = response.status().as_u16();
+                record.total_ms = record.first_ms;
+                self.gateway.config.events.emit(&record);
+                let (parts, body) = response.into_parts();
+                Response::from_parts(parts, full(body))
+            }
+            Ok(Read::Stream(reply, first)) => relay::start(self, *reply, first, record),
+            Err(refusal) => {
+                let begun = self.begun;
+                refuse(&self.gateway, refusal, record, begun)
+            }
+        }
+    }
+
+    fn overdue(&self) -> Refusal {
+        if self.past.runs == 0 {
+            Refusal::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not_served_in_time",
+                BUSY_RETRY_MS,
+            )
+        } else {
+            Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no_answer_in_time")
+        }
+    }
+
+    /// Sends the request until there is an answer to pass on. `last_event` is that of a stream that
+    /// goes on.
+    pub(super) async fn obtain(
+        &mut self,
+        last_event: Option<u64>,
+        record: &mut RequestRecord,
+    ) -> Result<Read, Refusal> {
+        let mut failure: Option<Response<Bytes>> = None;
+        loop {
+            let server = match self.pick(record).await {
+                Ok(server) => server,
+                Err(refusal) => return self.last_resort(failure, refusal),
+            };
+            record.servers.push(server.clone());
+            let sent = self.send_once(&server, last_event).await;
+            let ended = match sent {
+                Ok(Read::Whole(response)) if response.status().is_server_error() => {
+                    record.sends.push("server_error");
+                    failure = Some(response);
+                    Ended::Answered { failed: true }
+                }
+                Ok(read) => {
+                    record.sends.push("answered");
+                    return Ok(read);
+                }
+                Err(miss) => {
+                    record.sends.push(miss.reason());
+                    match miss {
+                        Miss::Lost(_) => Ended::Lost,
+                        Miss::NotSent(_) | Miss::NotRun(_) => Ended::NotRun,
+                    }
+                }
+            };
+            self.tried.push(server);
+            let is_free = matches!(sent_kind(record), Some("connect_failed" | "server_gone"));
+            match attempt::next(&self.past, ended) {
+                Next::Retry if is_free || self.take_retry() => {}
+                Next::Retry => return self.last_resort(failure, self.out_of_budget()),
+                Next::PassOn => return self.last_resort(failure, self.failed()),
+                Next::Refuse => return Err(self.refused_by_all()),
+                Next::Fail => return self.last_resort(failure, self.failed()),
+            }
+        }
+    }
+
+    /// Takes a retry from the service's budget.
+    pub(super) fn take_retry(&self) -> bool {
+        self.gateway.take_retry(&self.service)
+    }
+
+    /// Counts the time of a whole stream.
+    pub(super) fn took_whole(&self) {
+        let took_ms = elapsed_ms(self.begun);
+        self.gateway.board().took(&self.service, took_ms);
+    }
+
+    /// The failure that a server answered, if there is one.
+    fn last_resort(
+        &self,
+        failure: Option<Response<Bytes>>,
+        refusal: Refusal,
+    ) -> Result<Read, Refusal> {
+        match failure {
+            Some(response) => Ok(Read::Whole(response)),
+            None if self.past.runs > 0 => Err(self.failed()),
+            None => Err(refusal),
+        }
+    }
+
+    fn failed(&self) -> Refusal {
+        Refusal::new(StatusCode::BAD_GATEWAY, "answer_lost")
+    }
+
+    fn refused_by_all(&self) -> Refusal {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Refusal::not_run(status, "refused_by_servers", BUSY_RETRY_MS)
+    }
+
+    fn out_of_budget(&self) -> Refusal {
+        match attempt::give_up(&self.past) {
+            Next::Refuse => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                Refusal::not_run(status, "retry_budget_used_up", BUSY_RETRY_MS)
+            }
+            _ => self.failed(),
+        }
+    }
+
+    /// Waits for a server that can take the request.
+    async fn pick(&self, record: &mut RequestRecord) -> Result<ServerName, Refusal> {
+        let began = Instant::now();
+        let mut waiting = None;
+        loop {
+            let choice = self.choose(began);
+            let now = self.gateway.now();
+            let wait_ms = match choice {
+                Choice::Send {
+                    server, is_full, ..
+                } => {
+                    if is_full {
+                        self.ask_for_copy();
+                    }
+                    record.waited_ms += elapsed_ms(began);
+                    return Ok(server);
+                }
+                Choice::NoServer => {
+                    let status = StatusCode::SERVICE_UNAVAILABLE;
+                    return Err(Refusal::not_run(status, "no_server", NO_SERVER_RETRY_MS));
+                }
+                Choice::WaitUntil(ready) => ready.since(now).min(LOOK_MS).max(1),
+                Choice::NotPresent => LOOK_MS,
+            };
+            let adapter = self.caller.model.as_ref().filter(|model| is_adapter(model));
+            let Some(adapter) = adapter else {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return Err(Refusal::not_run(status, "model_absent", NO_SERVER_RETRY_MS));
+            };
+            if self.has_waited_enough(began) {
+                record.waited_ms += elapsed_ms(began);
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return Err(Refusal::not_run(status, "adapter_absent", BUSY_RETRY_MS));
+            }
+            let guard = waiting.get_or_insert_with(|| {
+                let priority = self.priority();
+                let (guard, is_first) = self.gateway.waits.join(adapter, priority);
+                if is_first {
+                    self.gateway.ask_now(adapter, priority, false);
+                }
+                guard
+            });
+            let wait = Duration::from_millis(wait_ms);
+            let _ = tokio::time::timeout(wait, guard.changed()).await;
+        }
+    }
+
+    fn choose(&self, began: Instant) -> Choice {
+        let model = self.caller.model.as_ref().filter(|_| self.is_engine);
+        let version = model.and_then(|model| self.gateway.required_version(model));
+        let near_only_ms = self.route.target_latency_ms * NEAR_ONLY_PERCENT / 100;
+        let need = Need {
+            service: &self.service,
+            model,
+            version,
+            tried: &self.tried,
+            may_go_far: elapsed_ms(began) >= near_only_ms,
+        };
+        let now = self.gateway.now();
+        self.gateway.board().choose(&need, now)
+    }
+
+    fn ask_for_copy(&self) {
+        let model = self.caller.model.as_ref();
+        if let Some(model) = model.filter(|model| self.is_engine && is_adapter(model)) {
+            self.gateway.ask_now(model, self.priority(), true);
+        }
+    }
+
+    fn has_waited_enough(&self, began: Instant) -> bool {
+        let allowed = self.deadline.saturating_duration_since(began);
+        began.elapsed() >= allowed.mul_f64(WAIT_PERCENT as f64 / 100.0)
+    }
+
+    fn priority(&self) -> u8 {
+        let account = self.account.as_ref();
+        let of_account = account.and_then(|account| account.priority);
+        of_account.unwrap_or(self.route.priority)
+    }
+
+    /// Sends the request once and reads the answer as far as it decides about a repeat.
+    async fn send_once(
+        &mut self,
+        server: &ServerName,
+        last_event: Option<u64>,
+    ) -> Result<Read, Miss> {
+        let facts = self.facts(server, last_event);
+        let patience = self.patience();
+        self.past.runs += 1;
+        let sent = Instant::now();
+        let gateway = Arc::clone(&self.gateway);
+        let answered = forward::send(&gateway, &self.template, server, &facts, patience).await;
+        let reply = match answered {
+            Ok(reply) => reply,
+            Err(miss) => return Err(self.count_miss(miss)),
+        };
+        if let Some(taken) = self.taken.take() {
+            self.gateway.quota.used(taken);
+        }
+        let is_stream = self.route.repeat.is_stream() && reply.response.status().is_success();
+        if is_stream {
+            return read_first(reply, patience).await;
+        }
+        let read = self.read_whole(reply).await;
+        if read.is_ok() {
+            let took_ms = elapsed_ms(sent);
+            self.gateway.board().took(&self.service, took_ms);
+        }
+        read
+    }
+
+    fn count_miss(&mut self, miss: Miss) -> Miss {
+        match miss {
+            Miss::NotSent(_) | Miss::NotRun(_) => {
+                self.past.runs -= 1;
+                self.past.refusals += 1;
+            }
+            Miss::Lost(_) => {
+                if let Some(taken) = self.taken.take() {
+                    self.gateway.quota.used(taken);
+                }
+            }
+        }
+        miss
+    }
+
+    fn facts(&self, server: &ServerName, last_event: Option<u64>) -> SendFacts {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let adapter = self.caller.model.as_ref().filter(|model| is_adapter(model));
+        let priority = self.priority().saturating_mul(ENGINE_PRIORITY_STEP);
+        SendFacts {
+            server: server.clone(),
+            wait_ms: left.as_millis() as u64,
+            account: self.account.as_ref().map(|account| account.name.clone()),
+            version: adapter.and_then(|model| self.gateway.required_version(model)),
+            priority: self.is_engine.then(|| priority.min(MAX_ENGINE_PRIORITY)),
+            last_event: last_event.or(self.caller.last_event),
+        }
+    }
+
+    /// How long a server may take to answer before another one is tried.
+    fn patience(&self) -> Instant {
+        let may_repeat = self.route.repeat.may_run_again();
+        if !may_repeat || self.past.runs + 1 >= self.past.max_runs {
+            return self.deadline;
+        }
+        let patience_ms = (self.route.target_latency_ms * 2).max(MIN_PATIENCE_MS);
+        let patience = Instant::now() + Duration::from_millis(patience_ms);
+        patience.min(self.deadline)
+    }
+
+    async fn read_whole(&self, reply: Reply) -> Result<Read, Miss> {
+        let Reply {
+            response,
+            head,
+            sender,
+            guard,
+        } = reply;
+        let (parts, body) = response.into_parts();
+        let limited = Limited::new(body, MAX_ANSWER_BYTES);
+        let collected = limited.collect().await;
+        let bytes = collected.map_err(|_| Miss::Lost("answer_cut_off"))?.to_bytes();
+        if !head.closes {
+            let address = guard.target.address;
+            self.gateway.pool().put(address, sender, head.keep_idle);
+        }
+        let mut answer = Response::from_parts(parts, bytes);
+        strip_connection_headers(answer.headers_mut());
+        Ok(Read::Whole(answer))
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if let Some(taken) = self.taken.take() {
+            if self.past.runs == 0 {
+                self.gateway.quota.give_back(taken);
+            } else {
+                self.gateway.quota.used(taken);
+            }
+        }
+    }
+}
+
+fn sent_kind(record: &RequestRecord) -> Option<&'static str> {
+    record.sends.last().copied()
+}
+
+/// Waits for the first bytes of a stream.
+async fn read_first(mut reply: Reply, patience: Instant) -> Result<Read, Miss> {
+    loop {
+        let frame = timeout_at(patience, reply.response.body_mut().frame()).await;
+        match frame {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(first) = frame.into_data()
+                    && !first.is_empty()
+                {
+                    return Ok(Read::Stream(Box::new(reply), first));
+                }
+            }
+            Ok(Some(Err(_))) => return Err(Miss::Lost("stream_cut_off")),
+            Ok(None) => return Err(Miss::Lost("stream_empty")),
+            Err(_) => return Err(Miss::Lost("no_event_in_time")),
+        }
+    }
+}
+
+/// Drops the headers that concern only the connection to the server.
+pub(super) fn strip_connection_headers(headers: &mut HeaderMap) {
+    for name in [
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "trailer",
+    ] {
+        headers.remove(name);
+    }
+}
+
+/// Time since `begun`.
+pub(super) fn elapsed_ms(begun: Instant) -> u64 {
+    begun.elapsed().as_millis() as u64
+}
--- /dev/null
+++ b/src/gateway/pool.rs
@@ -0,0 +1,151 @@
+//! Connections to backend servers, kept for the next request while the server allows it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+/// Time for which a connection is kept if the server does not tell its own limit.
+const DEFAULT_IDLE_MS: u64 = 900;
+/// Longest time for which a connection is kept.
+const MAX_IDLE_MS: u64 = 10_000;
+/// Idle time up to which a connection carries a request that must not be repeated. The longer it is
+/// idle, the more likely the server closes it just then.
+const UNREPEATABLE_IDLE_MS: u64 = 400;
+/// Time after which bytes that the other side does not acknowledge break a connection.
+const UNACKNOWLEDGED_MS: u64 = 1_500;
+/// Idle connections kept for one server.
+const MAX_IDLE_CONNECTIONS: usize = 64;
+
+/// A connection that a request can be sent on.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sends one request at a time.
+    pub sender: SendRequest<Full<Bytes>>,
+}
+
+/// No connection to a backend server.
+#[derive(Clone, Debug, Snafu)]
+#[snafu(display("{address} cannot be connected: {reason}"))]
+pub struct ConnectError {
+    /// The server's address.
+    pub address: SocketAddr,
+    /// What went wrong.
+    pub reason: String,
+}
+
+/// Result of connecting.
+pub type Result<T> = std::result::Result<T, ConnectError>;
+
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    since: Instant,
+    until: Instant,
+}
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: HashMap<SocketAddr, Vec<Idle>>,
+}
+
+impl Pool {
+    /// An idle connection to `address`, the one used last.
+    pub fn take(&mut self, address: SocketAddr, may_repeat: bool) -> Option<Connection> {
+        let idle = self.idle.get_mut(&address)?;
+        let now = Instant::now();
+        while let Some(candidate) = idle.pop() {
+            let fresh = now.duration_since(candidate.since).as_millis() as u64;
+            let is_fit = may_repeat || fresh <= UNREPEATABLE_IDLE_MS;
+            if now < candidate.until && is_fit && candidate.sender.is_ready() {
+                return Some(Connection {
+                    sender: candidate.sender,
+                });
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub fn put(
+        &mut self,
+        address: SocketAddr,
+        sender: SendRequest<Full<Bytes>>,
+        keep: Option<Duration>,
+    ) {
+        let now = Instant::now();
+        let keep = keep.map_or(Duration::from_millis(DEFAULT_IDLE_MS), |told| {
+            told.mul_f64(0.8).min(Duration::from_millis(MAX_IDLE_MS))
+        });
+        let idle = self.idle.entry(address).or_default();
+        if sender.is_closed() || idle.len() >= MAX_IDLE_CONNECTIONS {
+            return;
+        }
+        idle.push(Idle {
+            sender,
+            since: now,
+            until: now + keep,
+        });
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn prune(&mut self) {
+        let now = Instant::now();
+        self.idle.retain(|_, idle| {
+            idle.retain(|one| now < one.until && !one.sender.is_closed());
+            !idle.is_empty()
+        });
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&mut self, address: SocketAddr) {
+        self.idle.remove(&address);
+    }
+}
+
+/// Opens a connection.
+///
+/// # Errors
+/// The server is not reachable within `wait`.
+pub async fn connect(address: SocketAddr, wait: Duration) -> Result<Connection> {
+    let failed = |reason: String| ConnectError { address, reason };
+    let stream = timeout(wait, TcpStream::connect(address))
+        .await
+        .map_err(|_| failed("timed out".to_owned()))?
+        .map_err(|error| failed(error.to_string()))?;
+    let _ = stream.set_nodelay(true);
+    watch_peer(&stream);
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| failed(error.to_string()))?;
+    tokio::spawn(async move {
+        // How the connection ended shows in the request that it carries.
+        let _ = connection.await;
+    });
+    Ok(Connection { sender })
+}
+
+/// Makes the kernel notice a peer that is gone without a reset.
+fn watch_peer(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let silent = Duration::from_millis(UNACKNOWLEDGED_MS);
+    let keepalive = TcpKeepalive::new()
+        .with_time(Duration::from_secs(1))
+        .with_interval(Duration::from_secs(1))
+        .with_retries(2);
+    // Both only shorten the wait for a dead peer, so a refusal of the kernel is not a failure.
+    let _ = socket.set_tcp_user_timeout(Some(silent));
+    let _ = socket.set_tcp_keepalive(&keepalive);
+}
--- /dev/null
+++ b/src/gateway/quota.rs
@@ -0,0 +1,220 @@
+//! Token limits of the client accounts, from the fleet's one bucket per account.
+//!
+//! While the bucket cannot be reached, the VM hands out a small part of the rate by itself. All VMs
+//! together then stay within the tolerance that the operator grants on the rate.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use crate::limits::BorrowPeers;
+use crate::limits::Client;
+use crate::limits::ClientConfig;
+use crate::limits::History;
+use crate::limits::LimitVersion;
+use crate::limits::NANO;
+use crate::limits::Reservation;
+use crate::limits::Share;
+use crate::limits::Shortage;
+use crate::limits::TokenBucket;
+use crate::limits::WHOLE_PPM;
+use crate::types::AccountName;
+use crate::types::Clock;
+use crate::types::DataCentre;
+use crate::types::Tokens;
+use crate::types::VmName;
+
+use super::deployment::Account;
+use super::deployment::Deployment;
+
+/// Name under which the one bucket per account is kept.
+const FLEET: &str = "fleet";
+/// Part of an account's rate that all VMs together hand out without the bucket, in percent.
+const RESERVE_PERCENT: u64 = 40;
+/// Tokens that all VMs together hand out at once without the bucket.
+const RESERVE_BURST_TOKENS: u64 = 12_000;
+/// VMs assumed while their number is not known.
+const UNKNOWN_VMS: u32 = 16;
+
+/// The name of the only share.
+pub fn fleet_share() -> DataCentre {
+    DataCentre::new(FLEET)
+}
+
+/// The limits of an account as the one share.
+pub fn limits_of(account: &Account, revision: u64) -> LimitVersion {
+    LimitVersion {
+        revision,
+        rate_tokens_per_s: account.rate_per_s,
+        burst_tokens: account.burst,
+        shares_ppm: BTreeMap::from([(fleet_share(), WHOLE_PPM)]),
+    }
+}
+
+/// The history of an account's limits as the one share.
+pub fn history_of(account: &Account, revision: u64) -> History {
+    History::new(limits_of(account, revision))
+}
+
+/// Tokens taken for a request. They count as used if this is dropped.
+#[derive(Debug)]
+pub enum Taken {
+    /// The account has no limit.
+    Unlimited,
+    /// From the fleet's bucket.
+    Reserved(Reservation),
+    /// From the VM's own reserve.
+    FromReserve,
+}
+
+/// Whether the fleet's buckets can be reached. Shared with the code that carries the requests.
+#[derive(Clone, Debug, Default)]
+pub struct Reach(Arc<AtomicBool>);
+
+impl Reach {
+    /// Notes whether the last request was answered.
+    pub fn set(&self, is_reached: bool) {
+        self.0.store(is_reached, Ordering::Relaxed);
+    }
+
+    fn is_reached(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// One VM's access to the account's limits.
+pub struct Quota {
+    client: Client,
+    clock: Clock,
+    reach: Reach,
+    entry_vms: AtomicU32,
+    reserves: Mutex<HashMap<AccountName, TokenBucket>>,
+}
+
+impl Quota {
+    /// Starts without accounts. Must be called in a tokio runtime.
+    pub fn spawn(
+        vm: VmName,
+        incarnation: u64,
+        clock: Clock,
+        peers: Arc<dyn BorrowPeers>,
+        reach: Reach,
+    ) -> Self {
+        let config = ClientConfig {
+            vm,
+            incarnation,
+            data_centre: fleet_share(),
+            clock,
+        };
+        Self {
+            client: Client::spawn(config, peers),
+            clock,
+            reach,
+            entry_vms: AtomicU32::new(UNKNOWN_VMS),
+            reserves: Mutex::default(),
+        }
+    }
+
+    /// Takes the limits of a configuration.
+    pub fn set_deployment(&self, new: &Deployment, old: Option<&Deployment>) {
+        let now = self.clock.mono();
+        for account in new.accounts.values() {
+            self.client
+                .set_limits(account.name.clone(), limits_of(account, new.version));
+            let share = self.reserve_share(account);
+            let mut reserves = self.reserves();
+            reserves
+                .entry(account.name.clone())
+                .or_insert_with(|| TokenBucket::new(share, now));
+        }
+        let gone = old.into_iter().flat_map(|old| old.accounts.keys());
+        for name in gone.filter(|name| !new.accounts.contains_key(*name)) {
+            self.client.remove(name);
+        }
+    }
+
+    /// Sets the number of VMs that share the limits.
+    pub fn set_entry_vms(&self, count: u32) {
+        self.entry_vms.store(count.max(1), Ordering::Relaxed);
+    }
+
+    /// Number of VMs that share the limits.
+    pub fn entry_vms(&self) -> u32 {
+        self.entry_vms.load(Ordering::Relaxed)
+    }
+
+    /// Takes `tokens` of an account.
+    ///
+    /// # Errors
+    /// The account is over its rate and burst.
+    pub async fn take(&self, account: &Account, tokens: Tokens) -> Result<Taken, Shortage> {
+        if account.rate_per_s == 0 {
+            return Ok(Taken::Unlimited);
+        }
+        match self.client.reserve(&account.name, tokens).await {
+            Ok(reservation) => Ok(Taken::Reserved(reservation)),
+            Err(Shortage::TooLarge { .. }) if tokens <= account.burst => {
+                self.take_reserve(account, tokens)
+            }
+            Err(Shortage::Later { .. }) if !self.reach.is_reached() => {
+                self.take_reserve(account, tokens)
+            }
+            Err(shortage) => Err(shortage),
+        }
+    }
+
+    /// Gives back the tokens of a request that did not run.
+    pub fn give_back(&self, taken: Taken) {
+        if let Taken::Reserved(reservation) = taken {
+            self.client.settle(reservation, 0);
+        }
+    }
+
+    /// Settles the tokens of a request that was sent.
+    pub fn used(&self, taken: Taken) {
+        if let Taken::Reserved(reservation) = taken {
+            let tokens = reservation.tokens();
+            self.client.settle(reservation, tokens);
+        }
+    }
+
+    fn take_reserve(&self, account: &Account, tokens: Tokens) -> Result<Taken, Shortage> {
+        let now = self.clock.mono();
+        let share = self.reserve_share(account);
+        let mut reserves = self.reserves();
+        let bucket = reserves
+            .entry(account.name.clone())
+            .or_insert_with(|| TokenBucket::new(share, now));
+        bucket.set_share(now, share);
+        if bucket.tokens(now) >= tokens {
+            bucket.take(now, tokens, 0);
+            return Ok(Taken::FromReserve);
+        }
+        let missing = tokens - bucket.tokens(now);
+        let per_ms = (share.refill_per_ms / NANO.max(1)).max(1) as u64;
+        Err(Shortage::Later {
+            retry_after_ms: missing / per_ms,
+        })
+    }
+
+    fn reserves(&self) -> MutexGuard<'_, HashMap<AccountName, TokenBucket>> {
+        self.reserves.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn reserve_share(&self, account: &Account) -> Share {
+        let vms = u128::from(self.entry_vms());
+        let rate = u128::from(account.rate_per_s * RESERVE_PERCENT / 100);
+        let burst = u128::from(account.burst * RESERVE_PERCENT / 100 + RESERVE_BURST_TOKENS);
+        Share {
+            refill_per_ms: rate * NANO / 1_000 / vms,
+            burst: burst * NANO / vms,
+            lifetime_ms: 0,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,238 @@
+//! Passes a stream of events on. A stream that may be resumed is passed on by whole events and goes
+//! on at another server when it breaks.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::stream;
+use http::Response;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use super::answer::Body;
+use super::attempt;
+use super::attempt::Ended;
+use super::attempt::Next;
+use super::exchange::Exchange;
+use super::exchange::Read;
+use super::exchange::elapsed_ms;
+use super::exchange::strip_connection_headers;
+use super::forward::Reply;
+use super::record::RequestRecord;
+
+/// Least silence after which a stream goes on at another server.
+const MIN_SILENCE_MS: u64 = 1_000;
+/// Silence after which a stream goes on elsewhere, in longest pauses that are in time.
+const SILENCE_PAUSES: u64 = 5;
+/// End of an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Starts to pass a stream on.
+pub(super) fn start(
+    exchange: Exchange,
+    reply: Reply,
+    first: Bytes,
+    mut record: RequestRecord,
+) -> Response<Body> {
+    let Reply {
+        response,
+        head,
+        sender,
+        guard,
+    } = reply;
+    let (mut parts, body) = response.into_parts();
+    record.status = parts.status.as_u16();
+    strip_connection_headers(&mut parts.headers);
+    let source = Source {
+        body,
+        reply_rest: Some((head, sender, guard)),
+    };
+    let mut relay = Relay {
+        record: Some(record),
+        source,
+        pending: BytesMut::new(),
+        ready: None,
+        last_event: None,
+        is_over: false,
+        exchange,
+    };
+    relay.exchange.past.has_begun = true;
+    relay.ready = relay.accept(&first);
+    let chunks = stream::unfold(relay, |mut relay| async move {
+        let chunk = relay.next().await?;
+        Some((chunk.map(Frame::data), relay))
+    });
+    Response::from_parts(parts, StreamBody::new(chunks).boxed_unsync())
+}
+
+type Rest = (
+    super::dialect::AnswerHead,
+    hyper::client::conn::http1::SendRequest<http_body_util::Full<Bytes>>,
+    super::forward::InFlight,
+);
+
+/// Where the events come from.
+struct Source {
+    body: Incoming,
+    reply_rest: Option<Rest>,
+}
+
+struct Relay {
+    exchange: Exchange,
+    record: Option<RequestRecord>,
+    source: Source,
+    /// Bytes after the last complete event.
+    pending: BytesMut,
+    ready: Option<Bytes>,
+    last_event: Option<u64>,
+    is_over: bool,
+}
+
+impl Relay {
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        if self.is_over {
+            return None;
+        }
+        loop {
+            if let Some(chunk) = self.ready.take() {
+                return Some(Ok(chunk));
+            }
+            let until = self.silence_until();
+            let broken = match timeout_at(until, self.source.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.ready = self.accept(&data);
+                    }
+                    continue;
+                }
+                Ok(None) if self.pending.is_empty() => return self.finish(),
+                Ok(None) => "stream_ends_in_event",
+                Ok(Some(Err(_))) => "stream_cut_off",
+                Err(_) => "stream_silent",
+            };
+            if let Err(error) = self.go_on(broken).await {
+                return Some(Err(error));
+            }
+        }
+    }
+
+    fn is_resumable(&self) -> bool {
+        self.exchange.route.repeat.may_run_again()
+    }
+
+    /// Bytes that can be passed on now.
+    fn accept(&mut self, data: &Bytes) -> Option<Bytes> {
+        if !self.is_resumable() {
+            return Some(data.clone());
+        }
+        self.pending.extend_from_slice(data);
+        let end = last_event_end(&self.pending)?;
+        let events = self.pending.split_to(end).freeze();
+        let dialect = &self.exchange.gateway.config.dialect;
+        self.last_event = dialect.last_event(&events).or(self.last_event);
+        if let Some(record) = &mut self.record {
+            record.events += 1;
+        }
+        Some(events)
+    }
+
+    fn silence_until(&self) -> Instant {
+        let deadline = self.exchange.deadline;
+        let past = &self.exchange.past;
+        if !self.is_resumable() || past.runs >= past.max_runs {
+            return deadline;
+        }
+        let pauses_ms = self.exchange.route.gap_target_ms * SILENCE_PAUSES;
+        let silence = Duration::from_millis(pauses_ms.max(MIN_SILENCE_MS));
+        deadline.min(Instant::now() + silence)
+    }
+
+    /// Lets the stream go on at another server, after the last event that was passed on.
+    async fn go_on(&mut self, broken: &'static str) -> io::Result<()> {
+        self.source.reply_rest = None;
+        if let Some(record) = &mut self.record {
+            record.sends.push(broken);
+        }
+        let is_overdue = Instant::now() >= self.exchange.deadline;
+        let next = attempt::next(&self.exchange.past, Ended::Lost);
+        let may_go_on = self.last_event.is_some() && !is_overdue && next == Next::Retry;
+        if !may_go_on || !self.exchange.take_retry() {
+            return Err(self.give_up(broken));
+        }
+        self.pending.clear();
+        let deadline = self.exchange.deadline;
+        let mut record = self.record.take().unwrap_or_default();
+        let obtaining = self.exchange.obtain(self.last_event, &mut record);
+        let obtained = timeout_at(deadline, obtaining).await;
+        self.record = Some(record);
+        match obtained {
+            Ok(Ok(Read::Stream(reply, first))) => {
+                let Reply {
+                    response,
+                    head,
+                    sender,
+                    guard,
+                } = *reply;
+                self.source = Source {
+                    body: response.into_body(),
+                    reply_rest: Some((head, sender, guard)),
+                };
+                self.ready = self.accept(&first);
+                Ok(())
+            }
+            _ => Err(self.give_up("stream_not_resumed")),
+        }
+    }
+
+    fn give_up(&mut self, reason: &'static str) -> io::Error {
+        self.is_over = true;
+        if let Some(record) = &mut self.record {
+            record.reason = Some(reason);
+        }
+        self.log_end();
+        io::Error::other(reason)
+    }
+
+    fn finish(&mut self) -> Option<io::Result<Bytes>> {
+        self.is_over = true;
+        if let Some((head, sender, guard)) = self.source.reply_rest.take()
+            && !head.closes
+        {
+            let address = guard.target.address;
+            let mut pool = self.exchange.gateway.pool();
+            pool.put(address, sender, head.keep_idle);
+        }
+        self.exchange.took_whole();
+        self.log_end();
+        None
+    }
+
+    fn log_end(&mut self) {
+        if let Some(mut record) = self.record.take() {
+            record.total_ms = elapsed_ms(self.exchange.begun);
+            self.exchange.gateway.config.events.emit(&record);
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if let Some(record) = &mut self.record {
+            record.reason = Some("caller_left");
+        }
+        self.log_end();
+    }
+}
+
+/// Position after the last complete event.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let windows = bytes.windows(EVENT_END.len());
+    let at = windows.rev().position(|window| window == EVENT_END)?;
+    Some(bytes.len() - at)
+}
--- /dev/null
+++ b/src/gateway/waits.rs
@@ -0,0 +1,104 @@
+//! Requests that wait for an adapter.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use tokio::sync::Notify;
+
+use crate::link::Want;
+use crate::types::ModelName;
+
+#[derive(Debug)]
+struct Waiting {
+    count: u32,
+    priority: u8,
+    copy: bool,
+    changed: Arc<Notify>,
+}
+
+/// Waiting requests by adapter.
+#[derive(Clone, Debug, Default)]
+pub struct Waits {
+    waiting: Arc<Mutex<HashMap<ModelName, Waiting>>>,
+}
+
+/// One waiting request. It stops waiting when dropped.
+#[derive(Debug)]
+pub struct WaitGuard {
+    waits: Waits,
+    model: ModelName,
+    changed: Arc<Notify>,
+}
+
+impl Waits {
+    /// Registers a request that waits for `model`. The second value is true for the first one.
+    pub fn join(&self, model: &ModelName, priority: u8) -> (WaitGuard, bool) {
+        let mut waiting = self.lock();
+        let entry = waiting.entry(model.clone()).or_insert_with(|| Waiting {
+            count: 0,
+            priority,
+            copy: false,
+            changed: Arc::new(Notify::new()),
+        });
+        entry.count += 1;
+        entry.priority = entry.priority.min(priority);
+        let guard = WaitGuard {
+            waits: self.clone(),
+            model: model.clone(),
+            changed: Arc::clone(&entry.changed),
+        };
+        (guard, entry.count == 1)
+    }
+
+    /// Wakes the requests that wait for `model`.
+    pub fn wake(&self, model: &ModelName) {
+        if let Some(waiting) = self.lock().get(model) {
+            waiting.changed.notify_waiters();
+        }
+    }
+
+    /// Wakes all waiting requests.
+    pub fn wake_all(&self) {
+        for waiting in self.lock().values() {
+            waiting.changed.notify_waiters();
+        }
+    }
+
+    /// All adapters that requests wait for.
+    pub fn wanted(&self) -> Vec<Want> {
+        let waiting = self.lock();
+        let wants = waiting.iter().map(|(model, waiting)| Want {
+            model: model.clone(),
+            waiting: waiting.count,
+            priority: waiting.priority,
+            copy: waiting.copy,
+        });
+        wants.collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<ModelName, Waiting>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl WaitGuard {
+    /// Completes when the adapter's presence changes.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        let mut waiting = self.waits.lock();
+        if let Some(entry) = waiting.get_mut(&self.model) {
+            entry.count -= 1;
+            if entry.count == 0 {
+                waiting.remove(&self.model);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/link/frame.rs
@@ -0,0 +1,197 @@
+//! Messages on a link.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::FrameError;
+use super::Result;
+use crate::consensus::Envelope;
+use crate::limits::BorrowReply;
+use crate::limits::BorrowRequest;
+use crate::registry::Announcement;
+use crate::types::DataCentre;
+use crate::types::ModelName;
+use crate::types::ServerName;
+use crate::types::VmName;
+
+/// Version of the messages; links between different versions are refused.
+pub const LINK_FORMAT: u16 = 1;
+
+/// Part that a VM plays.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Role {
+    /// Keeps the replicated log.
+    Control,
+    /// Serves callers.
+    Entry,
+}
+
+/// First message of both sides.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hello {
+    /// [`LINK_FORMAT`] of the sender.
+    pub format: u16,
+    /// The sender.
+    pub vm: VmName,
+    /// Rises with each start of its process.
+    pub incarnation: u64,
+    /// Its part.
+    pub role: Role,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+}
+
+/// What a controller tells about itself, whenever it changes and at least twice a second.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ControlStatus {
+    /// Whether it leads the replicated log and has heard a quorum just now.
+    pub leads: bool,
+    /// Its term of the log.
+    pub term: u64,
+    /// Where callers reach the leader's operator interface.
+    pub leader_address: Option<SocketAddr>,
+    /// Version of the document that it has applied, 0 for none.
+    pub document_version: u64,
+    /// Highest log index that it has applied.
+    pub applied_index: u64,
+    /// Data centres whose engines it gives orders to, with the fence.
+    pub holds: Vec<(DataCentre, u64)>,
+    /// Addresses of the controllers' links.
+    pub controllers: Vec<SocketAddr>,
+    /// Entry VMs that are connected to it.
+    pub entry_vms: u32,
+}
+
+/// The configuration that a controller has applied.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DocumentNews {
+    /// Version of the document.
+    pub version: u64,
+    /// The operator's bytes.
+    pub body: Arc<[u8]>,
+}
+
+/// Heartbeats that a controller received.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServerNews {
+    /// Servers whose announcement changed.
+    pub changed: Vec<Announcement>,
+    /// Servers that are gone, with the start time of the process that left.
+    pub gone: Vec<(ServerName, u64)>,
+    /// Servers that announced themselves again without a change.
+    pub alive: Vec<ServerName>,
+}
+
+/// Presence of one adapter on one engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Residency {
+    /// The engine.
+    pub server: ServerName,
+    /// The adapter.
+    pub model: ModelName,
+    /// Version that the engine holds or loads; 0 if that is not known.
+    pub version: u64,
+    /// Time until it can be used; `None` if it is not there any more.
+    pub ready_in_ms: Option<u32>,
+}
+
+/// Changes of residency, from the VM that orders the engines.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ResidencyNews {
+    /// The data centre of the engines.
+    pub data_centre: DataCentre,
+    /// Fence of the sender.
+    pub fence: u64,
+    /// Whether this is the whole state.
+    pub full: bool,
+    /// The changes.
+    pub items: Vec<Residency>,
+    /// Adapters that cannot be loaded now; the time after which it is worth to ask again.
+    pub refused: Vec<(ModelName, u32)>,
+}
+
+/// An adapter that an entry VM's requests wait for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Want {
+    /// The adapter.
+    pub model: ModelName,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Rank of the most urgent one, 0 first.
+    pub priority: u8,
+    /// Whether the engines that hold it are full, so that one more copy is worth a place.
+    pub copy: bool,
+}
+
+/// Use of one adapter on one engine by one entry VM.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AdapterUse {
+    /// The engine.
+    pub server: ServerName,
+    /// The adapter.
+    pub model: ModelName,
+    /// Requests that run or wait there now.
+    pub in_flight: u32,
+    /// Requests sent since the last report.
+    pub sent: u32,
+    /// Whether the engine refused a request because the adapter is not there.
+    pub is_missing: bool,
+}
+
+/// A message.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Frame {
+    /// First message.
+    Hello(Hello),
+    /// Keeps the link alive.
+    Ping,
+    /// The sender closes the link and will be back.
+    Leaving,
+    /// Message of the replicated log.
+    Raft(Envelope),
+    /// State of a controller.
+    Status(ControlStatus),
+    /// Asks for the document.
+    PullDocument,
+    /// The document.
+    Document(DocumentNews),
+    /// Versions of adapters: all of them.
+    AdapterVersions(Vec<(ModelName, u64)>),
+    /// Heartbeats.
+    Servers(ServerNews),
+    /// Residency of adapters.
+    Residency(ResidencyNews),
+    /// Adapters that requests wait for, on engines of a data centre.
+    Wants(DataCentre, Vec<Want>),
+    /// Adapters in use.
+    Uses(Vec<AdapterUse>),
+    /// Asks for tokens.
+    Borrow(u64, BorrowRequest),
+    /// The answer to the request with this number.
+    Borrowed(u64, BorrowReply),
+    /// Fingerprint of a request that was running when its backend server ended.
+    Suspect(u64),
+}
+
+impl Frame {
+    /// Encodes the frame, without its length.
+    pub fn encode(&self) -> Bytes {
+        let bytes = bincode::serialize(self).expect("plain data is written to memory");
+        Bytes::from(bytes)
+    }
+
+    /// Decodes a frame.
+    ///
+    /// # Errors
+    /// The bytes are not a frame of this format.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        bincode::deserialize(bytes).map_err(|source| FrameError {
+            bytes: bytes.len(),
+            source,
+        })
+    }
+}
--- /dev/null
+++ b/src/link/listener.rs
@@ -0,0 +1,68 @@
+//! Accepts links.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use super::dialer::next_id;
+use super::frame::Hello;
+use super::session;
+use super::session::Handler;
+
+/// Pause after a failure to accept, such as a lack of descriptors.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// A running listener. Stops accepting when dropped.
+#[derive(Debug)]
+pub struct Listener {
+    local_address: SocketAddr,
+    accepting: JoinHandle<()>,
+}
+
+impl Listener {
+    /// Listens at `address`.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        own: Hello,
+        handler: Arc<dyn Handler>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let local_address = listener.local_addr()?;
+        let accepting = tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                    continue;
+                };
+                let own = own.clone();
+                let handler = Arc::clone(&handler);
+                tokio::spawn(async move {
+                    session::run(stream, &own, next_id(), &handler).await;
+                });
+            }
+        });
+        Ok(Self {
+            local_address,
+            accepting,
+        })
+    }
+
+    /// Address that is listened at.
+    pub fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -22,6 +22,8 @@
 mod views;
 mod vm;
 
+pub use machine::Machine as ControlMachine;
+pub use machine::SharedState as SharedControl;
 pub use vm::Draining;
 pub use vm::Open;
 pub use vm::OpenError;
--- a/src/pipeline/retry_budget.rs
+++ b/src/pipeline/retry_budget.rs
@@ -10,22 +10,31 @@
 /// Retries that a VM may still make.
 #[derive(Debug)]
 pub struct RetryBudget {
+    per_request: f64,
+    max: f64,
     retries: Mutex<f64>,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            retries: Mutex::new(MAX_RETRIES),
-        }
+        Self::new(RETRIES_PER_REQUEST, MAX_RETRIES)
     }
 }
 
 impl RetryBudget {
+    /// A full budget to which each request adds `per_request`, up to `max`.
+    pub fn new(per_request: f64, max: f64) -> Self {
+        Self {
+            per_request,
+            max,
+            retries: Mutex::new(max),
+        }
+    }
+
     /// Adds the share of one admitted request.
     pub fn add_request(&self) {
         let mut retries = self.retries.lock().expect("no holder panics");
-        *retries = (*retries + RETRIES_PER_REQUEST).min(MAX_RETRIES);
+        *retries = (*retries + self.per_request).min(self.max);
     }
 
     /// Takes one retry; false if the budget is used up.
--- /dev/null
+++ b/src/registry/mod.rs
@@ -0,0 +1,10 @@
+//! Backend servers as they announce themselves, merged from several controllers.
+
+mod announcement;
+mod table;
+
+pub use announcement::Announcement;
+pub use announcement::ServerState;
+pub use table::Change;
+pub use table::Record;
+pub use table::Table;
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -7,4 +7,5 @@
 pub mod popularity;
 pub mod residency;
 pub mod routing;
+pub mod slots;
 pub mod suspects;
--- /dev/null
+++ b/src/scheduling/slots/engine.rs
@@ -0,0 +1,161 @@
+//! One engine's adapter slots.
+
+use std::collections::HashMap;
+
+use indexmap::IndexSet;
+
+use crate::types::ModelName;
+use crate::types::MonoMs;
+use crate::types::VmName;
+
+/// Time constant of the average of uses, in milliseconds.
+const USE_AVERAGE_MS: f64 = 20_000.0;
+/// Adapters remembered as recently held.
+const MAX_RECENT: usize = 180;
+
+/// What is known of an engine from its announcement and the configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineInfo {
+    /// Wall clock of its process's start.
+    pub started_unix_ms: u64,
+    /// Adapters that it can hold at once.
+    pub adapter_slots: usize,
+    /// Base models that it holds.
+    pub bases: Vec<ModelName>,
+}
+
+/// What an engine reports of itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EngineReport {
+    /// Orders that it has accepted since its start.
+    pub sequence: u64,
+    /// Adapters that it holds, with their versions.
+    pub adapters: Vec<(ModelName, u64)>,
+    /// Adapters that are being loaded, with their versions.
+    pub loading: Vec<(ModelName, u64)>,
+}
+
+/// Presence of an adapter on an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Phase {
+    /// Ordered; usable from this time on.
+    Loading {
+        /// Expected end of the load.
+        ready: MonoMs,
+    },
+    /// Usable.
+    Ready,
+    /// Ordered to be dropped, which waits for its runs.
+    Unloading,
+}
+
+/// One used slot.
+#[derive(Clone, Debug)]
+pub(super) struct Place {
+    pub(super) phase: Phase,
+    pub(super) version: u64,
+    pub(super) last_used: MonoMs,
+    pub(super) in_flight: HashMap<VmName, u32>,
+    use_score: f64,
+    scored: MonoMs,
+}
+
+impl Place {
+    pub(super) fn new(phase: Phase, version: u64, now: MonoMs) -> Self {
+        Self {
+            phase,
+            version,
+            last_used: now,
+            in_flight: HashMap::new(),
+            use_score: 0.0,
+            scored: now,
+        }
+    }
+
+    pub(super) fn note_use(&mut self, vm: &VmName, in_flight: u32, sent: u32, now: MonoMs) {
+        if in_flight == 0 {
+            self.in_flight.remove(vm);
+        } else {
+            self.in_flight.insert(vm.clone(), in_flight);
+        }
+        if sent > 0 || in_flight > 0 {
+            self.last_used = now;
+        }
+        self.use_score = self.score(now) + f64::from(sent);
+        self.scored = now;
+    }
+
+    pub(super) fn is_used(&self) -> bool {
+        !self.in_flight.is_empty()
+    }
+
+    /// Recent uses, older ones counting less.
+    pub(super) fn score(&self, now: MonoMs) -> f64 {
+        let elapsed_ms = now.since(self.scored) as f64;
+        self.use_score * (-elapsed_ms / USE_AVERAGE_MS).exp()
+    }
+}
+
+/// State of one engine.
+#[derive(Clone, Debug)]
+pub(super) struct Engine {
+    pub(super) info: EngineInfo,
+    pub(super) places: HashMap<ModelName, Place>,
+    /// Adapters that loaded once in this process, the latest last.
+    pub(super) recent: IndexSet<ModelName>,
+    /// Number of accepted orders; `None` until the engine has reported.
+    pub(super) sequence: Option<u64>,
+    pub(super) has_open_order: bool,
+    pub(super) last_order: MonoMs,
+    /// When a report was asked for last.
+    pub(super) report_asked: Option<MonoMs>,
+    pub(super) needs_report: bool,
+}
+
+impl Engine {
+    pub(super) fn new(info: EngineInfo) -> Self {
+        Self {
+            info,
+            places: HashMap::new(),
+            recent: IndexSet::new(),
+            sequence: None,
+            has_open_order: false,
+            last_order: MonoMs(0),
+            report_asked: None,
+            needs_report: true,
+        }
+    }
+
+    pub(super) fn free_slots(&self) -> usize {
+        self.info.adapter_slots.saturating_sub(self.places.len())
+    }
+
+    pub(super) fn loading(&self, now: MonoMs) -> usize {
+        let loading = |place: &&Place| matches!(place.phase, Phase::Loading { ready } if now < ready);
+        self.places.values().filter(loading).count()
+    }
+
+    pub(super) fn holds_base_of(&self, model: &ModelName) -> bool {
+        let base = model.as_str().split('/').next().unwrap_or_default();
+        self.info.bases.iter().any(|held| held.as_str() == base)
+    }
+
+    pub(super) fn remember(&mut self, model: &ModelName) {
+        self.recent.shift_remove(model);
+        self.recent.insert(model.clone());
+        if self.recent.len() > MAX_RECENT {
+            self.recent.shift_remove_index(0);
+        }
+    }
+
+    /// The least valuable adapter that no request uses and none has used for `idle_ms`.
+    pub(super) fn victim(&self, idle_ms: u64, now: MonoMs) -> Option<(ModelName, f64)> {
+        self.places
+            .iter()
+            .filter(|(_, place)| place.phase == Phase::Ready && !place.is_used())
+            .filter(|(_, place)| now.since(place.last_used) >= idle_ms)
+            .map(|(model, place)| (model, place.score(now), place.last_used))
+            .min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)).then(a.0.cmp(b.0)))
+            .map(|(model, score, _)| (model.clone(), score))
+    }
+}
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -13,6 +13,7 @@
 pub use clock::UnixMs;
 pub use name::AccountName;
 pub use name::DataCentre;
+pub use name::ModelName;
 pub use name::ServerName;
 pub use name::ServiceName;
 pub use name::TemplateName;
--- a/src/types/name.rs
+++ b/src/types/name.rs
@@ -61,6 +61,10 @@
     /// Name of a data centre.
     DataCentre
 );
+name_type!(
+    /// Name of a base model, or of an adapter with its base model: `base/adapter`.
+    ModelName
+);
 name_type!(
     /// Name of a backend server.
     ServerName
