feat(slots): home data centre for rare adapters, only confirmed adapters make way

Cause: adapters were loaded once in each data centre, so the store was asked for more loads than it serves; a load was taken for ended by estimate, and an order to drop an adapter that was still on its way overtook the load, after which an engine was ordered beyond its places. Ruled out: the sequence numbers (conflicts were orders beyond four loads in transit).

--- a/src/fleet/borrow.rs
+++ b/src/fleet/borrow.rs
@@ -71,7 +71,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn ask(self, to: DataCentre, request: BorrowRequest) -> Result<BorrowReply, NoCoordinator> {
+    async fn ask(
+        self,
+        to: DataCentre,
+        request: BorrowRequest,
+    ) -> Result<BorrowReply, NoCoordinator> {
         let failed = |reason: &str| NoCoordinator {
             data_centre: to.clone(),
             reason: reason.to_owned(),
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -291,8 +291,7 @@
             return None;
         }
         let now = clock.mono();
-        let (_, began) = *since
-            .get_or_insert((status.term, now));
+        let (_, began) = *since.get_or_insert((status.term, now));
         Some(Held {
             term: status.term,
             since: began,
@@ -465,7 +464,9 @@
     fn adapter_versions(&self) -> Vec<(crate::types::ModelName, u64)> {
         let state = self.state();
         let versions = state.state().fleet().adapter_versions().iter();
-        versions.map(|(model, version)| (model.clone(), *version)).collect()
+        versions
+            .map(|(model, version)| (model.clone(), *version))
+            .collect()
     }
 
     fn status(&self) -> ControlStatus {
--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -20,6 +20,7 @@
 use crate::gateway::Asker;
 use crate::gateway::Dialect;
 use crate::gateway::Gateway;
+use crate::gateway::NEAR_COPY_REQUESTS;
 use crate::link::AdapterUse;
 use crate::link::ControlStatus;
 use crate::link::DocumentNews;
@@ -31,6 +32,7 @@
 use crate::link::Want;
 use crate::registry::Change;
 use crate::registry::Table;
+use crate::scheduling::slots::ranked;
 use crate::types::Clock;
 use crate::types::DataCentre;
 use crate::types::MonoMs;
@@ -335,7 +337,14 @@
 
 impl Asker for EntryFeed {
     fn ask(&self, want: Want) {
-        let centres = self.gateway().board().engine_data_centres();
+        let mut centres = self.gateway().board().engine_data_centres();
+        if self.gateway().recent_demand(&want.model) < NEAR_COPY_REQUESTS {
+            // An adapter that is rarely asked for is loaded once in the fleet.
+            centres = ranked(&want.model, centres.clone().iter())
+                .into_iter()
+                .cloned()
+                .collect();
+        }
         let state = self.lock();
         for data_centre in centres {
             if let Some(holder) = state.holder(&data_centre) {
--- a/src/fleet/entry_vm.rs
+++ b/src/fleet/entry_vm.rs
@@ -119,7 +119,11 @@
         let lingered = Instant::now() + Duration::from_millis(LINGER_MS);
         sleep_until(lingered.min(last)).await;
         let is_done = timeout_at(last, self.acceptor.drain()).await.is_ok();
-        let detail = if is_done { "all work ended" } else { "work cut off" };
+        let detail = if is_done {
+            "all work ended"
+        } else {
+            "work cut off"
+        };
         events.emit(&Lifecycle {
             phase: "stopped",
             detail: detail.into(),
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -61,6 +61,8 @@
     /// Time from which orders may be given.
     from: MonoMs,
     planner: Planner,
+    /// Whether the entry VMs know that this VM holds the data centre.
+    is_told: bool,
     addresses: HashMap<ServerName, SocketAddr>,
 }
 
@@ -128,7 +130,7 @@
                 let before = state.holders.get(centre);
                 let took_over = before.is_some_and(|before| before.vm != self.vm)
                     || before.is_none() && now.0 < self.order_lease_ms && holder.fence > 0;
-                let held = self.begin(holder.fence, took_over, &state.versions, now);
+                let held = self.begin(holder, took_over, holders.len(), &state.versions, now);
                 state.held.insert(centre.clone(), held);
                 self.log_hold(centre, holder.fence, true);
             }
@@ -141,19 +143,24 @@
 
     fn begin(
         &self,
-        fence: u64,
+        holder: &OrderHolder,
         took_over: bool,
+        data_centres: usize,
         versions: &[(ModelName, u64)],
         now: MonoMs,
     ) -> Held {
         let wait_ms = if took_over { self.order_lease_ms } else { 0 };
-        let mut planner = Planner::new(SlotsConfig::default());
+        let mut planner = Planner::new(SlotsConfig {
+            data_centres,
+            ..SlotsConfig::default()
+        });
         let named = versions.iter().map(|(model, version)| (model, *version));
         planner.set_versions(named, now);
         Held {
-            fence,
+            fence: holder.fence,
             from: now.plus(wait_ms),
             planner,
+            is_told: false,
             addresses: HashMap::new(),
         }
     }
@@ -243,7 +250,10 @@
                 }));
             }
             let changes = held.planner.take_news();
-            if !changes.is_empty() {
+            if !held.is_told {
+                held.is_told = true;
+                news.push(held.news(centre, held.planner.residency(), true, now));
+            } else if !changes.is_empty() {
                 news.push(held.news(centre, changes, false, now));
             }
         }
@@ -257,7 +267,9 @@
             tokio::spawn(async move {
                 match action {
                     SlotAction::Order(order) => {
-                        core.desk.carry_out(&core, &centre, fence, address, order).await;
+                        core.desk
+                            .carry_out(&core, &centre, fence, address, order)
+                            .await;
                     }
                     SlotAction::Report(server) => {
                         core.desk.ask_report(&core, &centre, address, server).await;
@@ -385,8 +397,7 @@
                 bases: server.models.clone(),
             };
             self.planner.set_engine(&server.server, info);
-            self.addresses
-                .insert(server.server.clone(), server.address);
+            self.addresses.insert(server.server.clone(), server.address);
             present.insert(server.server.clone());
         }
         let gone: Vec<ServerName> = self
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -63,5 +63,9 @@
 
 /// The final answer of a request that is not sent again and has no answer to pass on.
 pub fn give_up(past: &Past) -> Next {
-    if past.runs == 0 { Next::Refuse } else { Next::Fail }
+    if past.runs == 0 {
+        Next::Refuse
+    } else {
+        Next::Fail
+    }
 }
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -29,6 +29,10 @@
 const LOAD_HALF_MS: f64 = 1_000.0;
 /// Delay by a batch that is full but for one place, against an empty one.
 const FULL_BATCH_MS: f64 = 60.0;
+/// Time by which the load of an adapter may be late.
+const LOAD_LATE_MS: u64 = 1_500;
+/// Time after which an adapter that was not there yet is tried again.
+const LOOK_AGAIN_MS: u64 = 40;
 /// Service time assumed before the first answer.
 const FIRST_SERVICE_MS: f64 = 100.0;
 
@@ -57,6 +61,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Present {
     version: u64,
+    /// When the load was expected to end.
+    expected: MonoMs,
+    /// When it is worth to try.
     ready: MonoMs,
 }
 
@@ -116,7 +123,11 @@
         let beyond = (occupied + 1.0 - slots).max(0.0);
         let queueing_ms = beyond * service_ms / slots;
         let batch_ms = (occupied / slots).min(1.0) * FULL_BATCH_MS;
-        let cold_ms = if self.announcement.cold_ms > 0 { batch_ms } else { 0.0 };
+        let cold_ms = if self.announcement.cold_ms > 0 {
+            batch_ms
+        } else {
+            0.0
+        };
         self.distance.delay_ms() + queueing_ms + batch_ms + cold_ms + self.failing(now) * FAILING_MS
     }
 }
@@ -132,9 +143,6 @@
     pub version: Option<u64>,
     /// Servers that were tried before.
     pub tried: &'a [ServerName],
-    /// Whether servers of other data centres may be taken although the own one could load the
-    /// adapter.
-    pub may_go_far: bool,
 }
 
 /// Where a request goes.
@@ -148,6 +156,8 @@
         delay_ms: u64,
         /// Whether its batch is full, so that another copy of the adapter would help.
         is_full: bool,
+        /// Whether it is in another region.
+        is_far: bool,
     },
     /// To a server that has the adapter from this time on.
     WaitUntil(MonoMs),
@@ -224,7 +234,10 @@
             }
         }
         found.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        found.into_iter().map(|(_, data_centre)| data_centre).collect()
+        found
+            .into_iter()
+            .map(|(_, data_centre)| data_centre)
+            .collect()
     }
 
     /// Replaces the residency of all engines of a data centre.
@@ -249,7 +262,11 @@
         };
         match ready {
             Some(ready) => {
-                let present = Present { version, ready };
+                let present = Present {
+                    version,
+                    expected: ready,
+                    ready,
+                };
                 view.residency.insert(model.clone(), present);
             }
             None => {
@@ -258,13 +275,22 @@
         }
     }
 
-    /// Postpones the use of an adapter that was not ready yet.
-    pub fn postpone(&mut self, server: &ServerName, model: &ModelName, ready: MonoMs) {
-        let view = self.servers.get_mut(server);
-        let present = view.and_then(|view| view.residency.get_mut(model));
-        if let Some(present) = present {
-            present.ready = present.ready.max(ready);
+    /// Takes a refusal for lack of an adapter: one that was expected a short time ago is on its
+    /// way, any other is gone. Returns whether it is gone.
+    pub fn lacks(&mut self, server: &ServerName, model: &ModelName, now: MonoMs) -> bool {
+        let Some(view) = self.servers.get_mut(server) else {
+            return false;
+        };
+        let Some(present) = view.residency.get_mut(model) else {
+            return false;
+        };
+        let overdue_ms = now.since(present.expected);
+        if overdue_ms > LOAD_LATE_MS {
+            view.residency.remove(model);
+            return true;
         }
+        present.ready = now.plus(LOOK_AGAIN_MS + overdue_ms / 4);
+        false
     }
 
     /// Counts a request that is sent.
@@ -297,7 +323,11 @@
         if let Some(view) = self.servers.get_mut(server) {
             let before = view.failing(now);
             let outcome = if failed { 1.0 } else { 0.0 };
-            let weight = if failed { 3.0 * AVERAGE_WEIGHT } else { AVERAGE_WEIGHT };
+            let weight = if failed {
+                3.0 * AVERAGE_WEIGHT
+            } else {
+                AVERAGE_WEIGHT
+            };
             view.failing = before + weight * (outcome - before);
             view.failing_at = now;
         }
@@ -372,8 +402,7 @@
                 continue;
             };
             let is_current = need.version.is_none_or(|least| present.version >= least);
-            let is_allowed = need.may_go_far || view.distance != Distance::Far;
-            if !is_current || !is_allowed {
+            if !is_current {
                 continue;
             }
             let wait_ms = present.ready.since(now) as f64;
@@ -400,6 +429,7 @@
         server: view.announcement.server.clone(),
         delay_ms: (delay_ms - view.distance.delay_ms()).max(0.0) as u64,
         is_full: view.is_full(now),
+        is_far: view.distance == Distance::Far,
     }
 }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -8,6 +8,7 @@
 
 use super::board::Board;
 use super::board::Distance;
+use super::demand::Demand;
 use super::deployment::Deployment;
 use super::dialect::Dialect;
 use super::pool::Pool;
@@ -59,6 +60,7 @@
     uses: Mutex<Uses>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     versions: Mutex<HashMap<ModelName, (u64, MonoMs)>>,
+    demand: Mutex<Demand>,
     asker: Arc<dyn Asker>,
 }
 
@@ -81,6 +83,7 @@
             uses: Mutex::default(),
             budgets: Mutex::default(),
             versions: Mutex::default(),
+            demand: Mutex::default(),
             asker,
         }
     }
@@ -152,6 +155,16 @@
         is_due.then_some(version)
     }
 
+    /// Requests for an adapter in recent time.
+    pub fn recent_demand(&self, model: &ModelName) -> f64 {
+        lock(&self.demand).recent(model, self.now())
+    }
+
+    /// Counts a request for an adapter; returns the requests of recent time.
+    pub(super) fn count_demand(&self, model: &ModelName) -> f64 {
+        lock(&self.demand).count(model, self.now())
+    }
+
     /// Asks at once for an adapter, or for one more copy of it.
     pub(super) fn ask_now(&self, model: &ModelName, priority: u8, copy: bool) {
         let want = Want {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -45,6 +45,8 @@
 use crate::types::ServerName;
 use crate::types::ServiceName;
 
+/// Requests in recent time from which an adapter is worth a place in the own data centre.
+pub const NEAR_COPY_REQUESTS: f64 = 3.0;
 /// Time to come back while the VM knows no configuration.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
 /// Time to come back when a service has no server.
@@ -53,10 +55,10 @@
 const BUSY_RETRY_MS: u64 = 400;
 /// Longest wait between two looks at the servers.
 const LOOK_MS: u64 = 100;
-/// Part of the objective for which only near engines are considered, in percent.
-const NEAR_ONLY_PERCENT: u64 = 50;
 /// Part of the time that is left which may be spent on waiting for an adapter, in percent.
 const WAIT_PERCENT: u64 = 60;
+/// Longest wait for an adapter, in objectives of the route; callers leave a little later.
+const MAX_WAIT_TARGETS: u32 = 3;
 /// Least time after which a repeatable request goes to another server.
 const MIN_PATIENCE_MS: u64 = 900;
 /// Largest answer that is kept in memory before it is passed on.
@@ -120,6 +122,8 @@
     let taken = take_tokens(gateway, account.as_deref(), &caller).await?;
     let service = route.target(rand::rng().random()).clone();
     gateway.count_request(&service);
+    let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
+    let demand = adapter.map_or(0.0, |model| gateway.count_demand(model));
     let template = Template {
         request_id: caller.request_id.clone(),
         method: parts.method.clone(),
@@ -139,6 +143,7 @@
         },
         gateway: Arc::clone(gateway),
         is_engine: is_engine(&deployment, &service),
+        is_popular: demand >= NEAR_COPY_REQUESTS,
         route,
         account,
         caller,
@@ -260,6 +265,8 @@
     caller: CallerHead,
     service: ServiceName,
     is_engine: bool,
+    /// Whether the adapter is asked for so often that a copy in the own data centre is worth it.
+    is_popular: bool,
     template: Template,
     tried: Vec<ServerName>,
     taken: Option<Taken>,
@@ -276,10 +283,12 @@
 impl Exchange {
     async fn run(mut self, mut record: RequestRecord) -> Response<Body> {
         let deadline = self.deadline;
-        let outcome = match timeout_at(deadline, self.obtain(None, &mut record)).await {
+        let mut open = OpenRecord::new(&self.gateway, self.begun, std::mem::take(&mut record));
+        let outcome = match timeout_at(deadline, self.obtain(None, &mut open.record)).await {
             Ok(outcome) => outcome,
             Err(_) => Err(self.overdue()),
         };
+        record = open.close();
         record.first_ms = elapsed_ms(self.begun);
         match outcome {
             Ok(Read::Whole(response)) => {
@@ -402,13 +411,16 @@
         let began = Instant::now();
         let mut waiting = None;
         loop {
-            let choice = self.choose(began);
+            let choice = self.choose();
             let now = self.gateway.now();
             let wait_ms = match choice {
                 Choice::Send {
-                    server, is_full, ..
+                    server,
+                    is_full,
+                    is_far,
+                    ..
                 } => {
-                    if is_full {
+                    if is_full || is_far && self.is_popular {
                         self.ask_for_copy();
                     }
                     record.waited_ms += elapsed_ms(began);
@@ -444,16 +456,14 @@
         }
     }
 
-    fn choose(&self, began: Instant) -> Choice {
+    fn choose(&self) -> Choice {
         let model = self.caller.model.as_ref().filter(|_| self.is_engine);
         let version = model.and_then(|model| self.gateway.required_version(model));
-        let near_only_ms = self.route.target_latency_ms * NEAR_ONLY_PERCENT / 100;
         let need = Need {
             service: &self.service,
             model,
             version,
             tried: &self.tried,
-            may_go_far: elapsed_ms(began) >= near_only_ms,
         };
         let now = self.gateway.now();
         self.gateway.board().choose(&need, now)
@@ -467,8 +477,12 @@
     }
 
     fn has_waited_enough(&self, began: Instant) -> bool {
-        let allowed = self.deadline.saturating_duration_since(began);
-        began.elapsed() >= allowed.mul_f64(WAIT_PERCENT as f64 / 100.0)
+        let left = self.deadline.saturating_duration_since(began);
+        let target = Duration::from_millis(self.route.target_latency_ms);
+        let allowed = left
+            .mul_f64(WAIT_PERCENT as f64 / 100.0)
+            .min(target * MAX_WAIT_TARGETS);
+        began.elapsed() >= allowed
     }
 
     fn priority(&self) -> u8 {
@@ -558,7 +572,9 @@
         let (parts, body) = response.into_parts();
         let limited = Limited::new(body, MAX_ANSWER_BYTES);
         let collected = limited.collect().await;
-        let bytes = collected.map_err(|_| Miss::Lost("answer_cut_off"))?.to_bytes();
+        let bytes = collected
+            .map_err(|_| Miss::Lost("answer_cut_off"))?
+            .to_bytes();
         if !head.closes {
             let address = guard.target.address;
             self.gateway.pool().put(address, sender, head.keep_idle);
@@ -581,6 +597,40 @@
     }
 }
 
+/// Logs a request whose caller left before it had an answer.
+struct OpenRecord {
+    gateway: Arc<Gateway>,
+    begun: Instant,
+    record: RequestRecord,
+    is_open: bool,
+}
+
+impl OpenRecord {
+    fn new(gateway: &Arc<Gateway>, begun: Instant, record: RequestRecord) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            begun,
+            record,
+            is_open: true,
+        }
+    }
+
+    fn close(mut self) -> RequestRecord {
+        self.is_open = false;
+        std::mem::take(&mut self.record)
+    }
+}
+
+impl Drop for OpenRecord {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.record.reason = Some("caller_left");
+            self.record.total_ms = elapsed_ms(self.begun);
+            self.gateway.config.events.emit(&self.record);
+        }
+    }
+}
+
 fn sent_kind(record: &RequestRecord) -> Option<&'static str> {
     record.sends.last().copied()
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -33,8 +33,6 @@
 const UNREACHABLE_MS: u64 = 1_000;
 /// Time for which a server that has its address no more gets no new work.
 const REPLACED_MS: u64 = 10_000;
-/// Time after which an adapter that was not ready is tried again.
-const NOT_READY_MS: u64 = 60;
 /// Time for which a server that is full gets no new work.
 const FULL_MS: u64 = 100;
 
@@ -254,8 +252,9 @@
         gateway.pool().forget(guard.target.address);
         return;
     }
-    if let Some(model) = &template.model {
-        gateway.board().set_residency(server, model, 0, None);
+    if let Some(model) = &template.model
+        && gateway.board().lacks(server, model, now)
+    {
         gateway.uses().missing(server, model);
     }
 }
@@ -272,7 +271,9 @@
         .filter(|model| super::board::is_adapter(model));
     let mut board = gateway.board();
     match adapter {
-        Some(model) if !is_full => board.postpone(server, model, now.plus(NOT_READY_MS)),
+        Some(model) if !is_full => {
+            board.lacks(server, model, now);
+        }
         _ => board.avoid(server, now.plus(FULL_MS)),
     }
 }
--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -79,8 +79,7 @@
     /// Removes a server whose process, started at `started_unix_ms`, has left. False if a later
     /// process of the same name is known or nothing changes.
     pub fn leave(&mut self, server: &ServerName, started_unix_ms: u64, now: MonoMs) -> bool {
-        self.gone
-            .retain(|_, (_, at)| now.since(*at) < GONE_KEPT_MS);
+        self.gone.retain(|_, (_, at)| now.since(*at) < GONE_KEPT_MS);
         let newer = self
             .servers
             .get(server)
@@ -118,7 +117,9 @@
 
     /// Servers that have left, with the start time of their last process.
     pub fn gone(&self) -> impl Iterator<Item = (&ServerName, u64)> {
-        self.gone.iter().map(|(name, (started, _))| (name, *started))
+        self.gone
+            .iter()
+            .map(|(name, (started, _))| (name, *started))
     }
 
     /// Whether a later process of another server has the address.
--- a/src/scheduling/slots/engine.rs
+++ b/src/scheduling/slots/engine.rs
@@ -54,6 +54,9 @@
 pub(super) struct Place {
     pub(super) phase: Phase,
     pub(super) version: u64,
+    /// Whether the engine has been seen to hold it. Until then an order to drop it could overtake
+    /// the load.
+    pub(super) is_confirmed: bool,
     pub(super) last_used: MonoMs,
     pub(super) in_flight: HashMap<VmName, u32>,
     use_score: f64,
@@ -65,6 +68,7 @@
         Self {
             phase,
             version,
+            is_confirmed: false,
             last_used: now,
             in_flight: HashMap::new(),
             use_score: 0.0,
@@ -107,6 +111,10 @@
     pub(super) sequence: Option<u64>,
     pub(super) has_open_order: bool,
     pub(super) last_order: MonoMs,
+    /// Orders in a row that met a conflict.
+    pub(super) conflicts: u32,
+    /// Time before which no order is given.
+    pub(super) pause_until: MonoMs,
     /// When a report was asked for last.
     pub(super) report_asked: Option<MonoMs>,
     pub(super) needs_report: bool,
@@ -121,6 +129,8 @@
             sequence: None,
             has_open_order: false,
             last_order: MonoMs(0),
+            conflicts: 0,
+            pause_until: MonoMs(0),
             report_asked: None,
             needs_report: true,
         }
@@ -130,8 +140,19 @@
         self.info.adapter_slots.saturating_sub(self.places.len())
     }
 
+    /// Whether an order can be given now.
+    pub(super) fn takes_orders(&self, now: MonoMs) -> bool {
+        !self.has_open_order && self.sequence.is_some() && self.pause_until <= now
+    }
+
+    /// Whether an adapter's load has not been seen to end.
+    pub(super) fn has_unconfirmed(&self) -> bool {
+        self.places.values().any(|place| !place.is_confirmed)
+    }
+
     pub(super) fn loading(&self, now: MonoMs) -> usize {
-        let loading = |place: &&Place| matches!(place.phase, Phase::Loading { ready } if now < ready);
+        let loading =
+            |place: &&Place| matches!(place.phase, Phase::Loading { ready } if now < ready);
         self.places.values().filter(loading).count()
     }
 
@@ -148,11 +169,21 @@
         }
     }
 
+    /// Notes the adapters that a report shows as held.
+    pub(super) fn confirm(&mut self, report: &EngineReport) {
+        for (model, version) in &report.adapters {
+            if let Some(place) = self.places.get_mut(model) {
+                place.is_confirmed |= *version >= place.version;
+            }
+        }
+    }
+
     /// The least valuable adapter that no request uses and none has used for `idle_ms`.
     pub(super) fn victim(&self, idle_ms: u64, now: MonoMs) -> Option<(ModelName, f64)> {
         self.places
             .iter()
-            .filter(|(_, place)| place.phase == Phase::Ready && !place.is_used())
+            .filter(|(_, place)| place.phase == Phase::Ready && place.is_confirmed)
+            .filter(|(_, place)| !place.is_used())
             .filter(|(_, place)| now.since(place.last_used) >= idle_ms)
             .map(|(model, place)| (model, place.score(now), place.last_used))
             .min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)).then(a.0.cmp(b.0)))
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -32,6 +32,12 @@
     pub want_ms: u64,
     /// Time between two reports of a quiet engine.
     pub report_every_ms: u64,
+    /// Time between two reports of an engine whose loads have not been seen to end.
+    pub confirm_every_ms: u64,
+    /// Time without orders after an engine met one with a conflict.
+    pub conflict_pause_ms: u64,
+    /// Data centres that load from the store at the same time.
+    pub data_centres: usize,
     /// Age of the state that a report shows.
     pub report_lag_ms: u64,
     /// Time in which an adapter in use may go on in its old version after a new one was named.
@@ -48,6 +54,9 @@
             victim_idle_ms: 300,
             want_ms: 2_000,
             report_every_ms: 4_000,
+            confirm_every_ms: 700,
+            conflict_pause_ms: 60,
+            data_centres: 1,
             report_lag_ms: 600,
             version_grace_ms: 1_500,
         }
@@ -115,6 +124,9 @@
     pub sent: u32,
 }
 
+/// Conflicts in a row after which an engine's sequence is read from its report.
+const CONFLICTS_OUT_OF_STEP: u32 = 4;
+
 /// A change of residency: engine, adapter, version and the time from which it can be used.
 pub type Presence = (ServerName, ModelName, u64, Option<MonoMs>);
 
@@ -281,7 +293,7 @@
     fn renew_versions(&mut self, now: MonoMs, actions: &mut Vec<SlotAction>) {
         let mut due = Vec::new();
         for (server, engine) in &self.engines {
-            if engine.has_open_order || engine.sequence.is_none() {
+            if !engine.takes_orders(now) {
                 continue;
             }
             let outdated = engine.places.iter().find(|(model, place)| {
@@ -348,6 +360,9 @@
             if engine.loading(now) >= self.config.loads_per_engine {
                 continue;
             }
+            if engine.pause_until > now {
+                continue;
+            }
             if engine.has_open_order {
                 // A round trip is shorter than a load somewhere else.
                 return None;
@@ -387,6 +402,7 @@
             .or_insert_with(|| Place::new(phase, version, now));
         place.phase = phase;
         place.version = version;
+        place.is_confirmed = false;
         engine.has_open_order = true;
         engine.last_order = now;
         Some(SlotAction::Order(SlotOrder {
@@ -406,8 +422,13 @@
         if engine.recent.contains(model) {
             return self.config.reload_ms;
         }
-        let loading: usize = self.engines.values().map(|engine| engine.loading(now)).sum();
-        let factor = (loading + 1) as f64 / self.config.loads_at_full_speed.max(1) as f64;
+        let loading: usize = self
+            .engines
+            .values()
+            .map(|engine| engine.loading(now))
+            .sum();
+        let fleet_loads = (loading + 1) * self.config.data_centres.max(1);
+        let factor = fleet_loads as f64 / self.config.loads_at_full_speed.max(1) as f64;
         (self.config.load_ms as f64 * factor.max(1.0)) as u64
     }
 
@@ -445,8 +466,26 @@
         }
         engine.has_open_order = false;
         match outcome {
-            OrderOutcome::Accepted | OrderOutcome::Holds => self.carried_out(order, outcome, now),
-            OrderOutcome::Conflict | OrderOutcome::Refused => self.undo(order),
+            OrderOutcome::Accepted | OrderOutcome::Holds => {
+                engine.conflicts = 0;
+                self.carried_out(order, outcome, now);
+            }
+            OrderOutcome::Conflict => {
+                engine.conflicts += 1;
+                let is_out_of_step = engine.conflicts >= CONFLICTS_OUT_OF_STEP;
+                let pause_ms = match is_out_of_step {
+                    true => self.config.report_lag_ms * 2,
+                    false => self.config.conflict_pause_ms,
+                };
+                engine.pause_until = now.plus(pause_ms);
+                engine.needs_report |= is_out_of_step;
+                self.undo(order);
+            }
+            OrderOutcome::Refused => {
+                engine.sequence = None;
+                engine.needs_report = true;
+                self.undo(order);
+            }
             OrderOutcome::Unknown => {
                 engine.needs_report = true;
                 self.announce_load(order, now);
@@ -517,8 +556,6 @@
         let Some(engine) = self.engines.get_mut(&order.server) else {
             return;
         };
-        engine.sequence = None;
-        engine.needs_report = true;
         let Some(place) = engine.places.get_mut(&order.model) else {
             return;
         };
@@ -530,8 +567,12 @@
             place.phase = Phase::Ready;
             let version = place.version;
             let now_ready = Some(MonoMs(0));
-            self.news
-                .push((order.server.clone(), order.model.clone(), version, now_ready));
+            self.news.push((
+                order.server.clone(),
+                order.model.clone(),
+                version,
+                now_ready,
+            ));
         }
     }
 
@@ -542,6 +583,8 @@
                 self.config.report_lag_ms / 4
             } else if engine.needs_report {
                 self.config.report_lag_ms
+            } else if engine.has_unconfirmed() {
+                self.config.confirm_every_ms
             } else {
                 self.config.report_every_ms
             };
@@ -563,8 +606,9 @@
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
-        let is_settled = !engine.has_open_order
-            && asked.since(engine.last_order) >= self.config.report_lag_ms;
+        engine.confirm(report);
+        let is_settled =
+            !engine.has_open_order && asked.since(engine.last_order) >= self.config.report_lag_ms;
         if engine.sequence.is_none() && !engine.has_open_order {
             engine.sequence = Some(report.sequence);
         }
@@ -572,6 +616,7 @@
             return;
         }
         engine.needs_report = false;
+        engine.conflicts = 0;
         engine.sequence = Some(report.sequence);
         self.adopt(server, report, now);
     }
@@ -615,7 +660,8 @@
                         .push((server.clone(), model.clone(), *version, Some(ready)));
                 }
                 None => {
-                    let place = Place::new(phase, *version, now);
+                    let mut place = Place::new(phase, *version, now);
+                    place.is_confirmed = phase == Phase::Ready;
                     engine.places.insert(model.clone(), place);
                     self.news
                         .push((server.clone(), model.clone(), *version, Some(ready)));
--- a/src/scheduling/slots/rank.rs
+++ b/src/scheduling/slots/rank.rs
@@ -5,23 +5,21 @@
 use std::hash::Hasher;
 
 use crate::types::ModelName;
-use crate::types::ServerName;
 
-/// `servers` in the order of preference for `model`. Adding or removing a server moves only the
-/// models that prefer it.
-pub fn ranked<'a>(
+/// `places`, such as servers or data centres, in the order of preference for `model`. Adding or
+/// removing a place moves only the models that prefer it.
+pub fn ranked<'a, P: Hash + Ord>(
     model: &ModelName,
-    servers: impl Iterator<Item = &'a ServerName>,
-) -> Vec<&'a ServerName> {
-    let mut weighted: Vec<(u64, &ServerName)> =
-        servers.map(|server| (weight(model, server), server)).collect();
+    places: impl Iterator<Item = &'a P>,
+) -> Vec<&'a P> {
+    let mut weighted: Vec<(u64, &P)> = places.map(|place| (weight(model, place), place)).collect();
     weighted.sort_by(|a, b| b.cmp(a));
-    weighted.into_iter().map(|(_, server)| server).collect()
+    weighted.into_iter().map(|(_, place)| place).collect()
 }
 
-fn weight(model: &ModelName, server: &ServerName) -> u64 {
+fn weight(model: &ModelName, place: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     model.hash(&mut hasher);
-    server.hash(&mut hasher);
+    place.hash(&mut hasher);
     hasher.finish()
 }
--- a/tests/consensus_core.rs
+++ b/tests/consensus_core.rs
@@ -68,6 +68,7 @@
         let config = CoreConfig {
             id: id("a"),
             founders: vec!["a".into(), "b".into(), "c".into()],
+            may_found: true,
             timeouts: Timeouts::default(),
             seed: 1,
         };
--- a/tests/consensus_sim/mod.rs
+++ b/tests/consensus_sim/mod.rs
@@ -138,6 +138,7 @@
         let config = CoreConfig {
             id: VoterId::new(vm.clone(), loaded.meta.disk_id),
             founders: self.founders.clone(),
+            may_found: true,
             timeouts: Timeouts::default(),
             seed,
         };
