fix(slots): repeat orders without an answer, replace versions at rest; wait for a full disk

Replacing an adapter in use kept the engine from all other orders. A full disk ended the voter, and its restarts counted as exits. Ruled out: sequence numbers of accepted orders, which matched.

--- a/src/consensus/storage/disk.rs
+++ b/src/consensus/storage/disk.rs
@@ -8,6 +8,8 @@
 use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
 
 /// File that a process locks while it uses the folder.
 const LOCK_FILE: &str = "lock";
@@ -15,6 +17,9 @@
 /// Suffix of a file that is not complete yet.
 const TEMPORARY_SUFFIX: &str = ".tmp";
 
+/// Time between two tries to write to a full disk.
+const FULL_RETRY_MS: u64 = 100;
+
 /// A flat set of files.
 pub trait Disk: Send {
     /// Names of all files.
@@ -102,7 +107,15 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
-        self.append_file(name)?.write_all(bytes)
+        until_room(|| {
+            let file = self.append_file(name)?;
+            let before = file.metadata()?.len();
+            file.write_all(bytes).inspect_err(|_| {
+                // The next try appends the whole record again. If the cut fails, the record counts
+                // as torn, and the next start cuts it.
+                let _ = file.set_len(before);
+            })
+        })
     }
 
     fn sync(&mut self, name: &str) -> Result<()> {
@@ -122,9 +135,11 @@
 
     fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
         let temporary = self.path.join(format!("{name}{TEMPORARY_SUFFIX}"));
-        let mut file = File::create(&temporary)?;
-        file.write_all(bytes)?;
-        file.sync_all()?;
+        until_room(|| {
+            let mut file = File::create(&temporary)?;
+            file.write_all(bytes)?;
+            file.sync_all()
+        })?;
         fs::rename(&temporary, self.path.join(name))?;
         self.folder.sync_all()
     }
@@ -139,3 +154,21 @@
         }
     }
 }
+
+/// Repeats `write` while the disk is full. To the log this is a disk that hangs: the voter goes on
+/// without durable writes of its own until there is room again.
+fn until_room(mut write: impl FnMut() -> Result<()>) -> Result<()> {
+    let mut is_reported = false;
+    loop {
+        match write() {
+            Err(error) if error.kind() == ErrorKind::StorageFull => {
+                if !is_reported {
+                    log::warn!("consensus: the disk is full, writes wait for room");
+                    is_reported = true;
+                }
+                thread::sleep(Duration::from_millis(FULL_RETRY_MS));
+            }
+            outcome => return outcome,
+        }
+    }
+}
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -51,7 +51,7 @@
 use crate::types::VmName;
 
 /// Longest wait for the answer to an order or a question.
-const ANSWER_MS: u64 = 600;
+const ANSWER_MS: u64 = 350;
 /// Longest time to open a connection to an engine.
 const CONNECT_MS: u64 = 300;
 
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -45,6 +45,7 @@
     accepting: JoinHandle<()>,
     close: watch::Sender<bool>,
     open: Arc<AtomicUsize>,
+    gateway: Arc<Gateway>,
 }
 
 impl Acceptor {
@@ -58,6 +59,7 @@
         let (close, closing) = watch::channel(false);
         let open = Arc::new(AtomicUsize::new(0));
         let counted = Arc::clone(&open);
+        let shared = Arc::clone(&gateway);
         let accepting = tokio::spawn(async move {
             loop {
                 let Ok((stream, _)) = listener.accept().await else {
@@ -78,6 +80,7 @@
             accepting,
             close,
             open,
+            gateway: shared,
         })
     }
 
@@ -86,8 +89,10 @@
         self.local_address
     }
 
-    /// Closes idle connections and those in use after their request, and waits for them.
+    /// Closes idle connections and those in use after their request, and waits for them. Requests
+    /// that still come in are refused.
     pub async fn drain(&self) {
+        self.gateway.stop_taking();
         self.close.send_replace(true);
         while self.open.load(Ordering::Relaxed) > 0 {
             sleep(Duration::from_millis(DRAIN_LOOK_MS)).await;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use super::board::Board;
 use super::board::Distance;
@@ -62,6 +64,7 @@
     versions: Mutex<HashMap<ModelName, (u64, MonoMs)>>,
     demand: Mutex<Demand>,
     asker: Arc<dyn Asker>,
+    is_leaving: AtomicBool,
 }
 
 /// Passes wishes for adapters on to the VM that orders the engines.
@@ -85,6 +88,7 @@
             versions: Mutex::default(),
             demand: Mutex::default(),
             asker,
+            is_leaving: AtomicBool::new(false),
         }
     }
 
@@ -93,6 +97,16 @@
         &self.config.events
     }
 
+    /// Refuses requests from now on.
+    pub fn stop_taking(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether requests are refused because the VM leaves.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
     /// Time now.
     pub fn now(&self) -> MonoMs {
         self.config.clock.mono()
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -49,6 +49,8 @@
 pub const NEAR_COPY_REQUESTS: f64 = 3.0;
 /// Time to come back while the VM knows no configuration.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
+/// Time to come back, to another VM, when this one leaves.
+const LEAVING_RETRY_MS: u64 = 20;
 /// Time to come back when a service has no server.
 const NO_SERVER_RETRY_MS: u64 = 500;
 /// Time to come back when all servers are full.
@@ -107,6 +109,10 @@
     begun: Instant,
     record: &mut RequestRecord,
 ) -> Result<Exchange, Refusal> {
+    if gateway.is_leaving() {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
+    }
     let deployment = gateway.deployment().ok_or_else(|| {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         Refusal::not_run(status, "no_configuration", UNCONFIGURED_RETRY_MS)
--- a/src/scheduling/slots/engine.rs
+++ b/src/scheduling/slots/engine.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexSet;
 
+use super::planner::SlotOrder;
 use crate::types::ModelName;
 use crate::types::MonoMs;
 use crate::types::VmName;
@@ -45,10 +46,19 @@
     },
     /// Usable.
     Ready,
+    /// Gets no new requests, so that it can be replaced by a newer version.
+    Retiring,
     /// Ordered to be dropped, which waits for its runs.
     Unloading,
 }
 
+impl Phase {
+    /// Whether new requests may use it, now or after its load.
+    pub(super) fn is_usable(self) -> bool {
+        matches!(self, Self::Loading { .. } | Self::Ready)
+    }
+}
+
 /// One used slot.
 #[derive(Clone, Debug)]
 pub(super) struct Place {
@@ -58,6 +68,8 @@
     /// the load.
     pub(super) is_confirmed: bool,
     pub(super) last_used: MonoMs,
+    /// When it got no new requests any more.
+    pub(super) retired: MonoMs,
     pub(super) in_flight: HashMap<VmName, u32>,
     use_score: f64,
     scored: MonoMs,
@@ -70,6 +82,7 @@
             version,
             is_confirmed: false,
             last_used: now,
+            retired: now,
             in_flight: HashMap::new(),
             use_score: 0.0,
             scored: now,
@@ -111,6 +124,8 @@
     pub(super) sequence: Option<u64>,
     pub(super) has_open_order: bool,
     pub(super) last_order: MonoMs,
+    /// An order without an answer, which may still be carried out.
+    pub(super) unresolved: Option<SlotOrder>,
     /// Orders in a row that met a conflict.
     pub(super) conflicts: u32,
     /// Time before which no order is given.
@@ -129,6 +144,7 @@
             sequence: None,
             has_open_order: false,
             last_order: MonoMs(0),
+            unresolved: None,
             conflicts: 0,
             pause_until: MonoMs(0),
             report_asked: None,
@@ -142,7 +158,8 @@
 
     /// Whether an order can be given now.
     pub(super) fn takes_orders(&self, now: MonoMs) -> bool {
-        !self.has_open_order && self.sequence.is_some() && self.pause_until <= now
+        let is_free = !self.has_open_order && self.unresolved.is_none();
+        is_free && self.sequence.is_some() && self.pause_until <= now
     }
 
     /// Whether an adapter's load has not been seen to end.
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -40,8 +40,8 @@
     pub data_centres: usize,
     /// Age of the state that a report shows.
     pub report_lag_ms: u64,
-    /// Time in which an adapter in use may go on in its old version after a new one was named.
-    pub version_grace_ms: u64,
+    /// Time after which all VMs know that an adapter gets no new requests, and have told its use.
+    pub retire_ms: u64,
 }
 
 impl Default for SlotsConfig {
@@ -58,7 +58,7 @@
             conflict_pause_ms: 60,
             data_centres: 1,
             report_lag_ms: 600,
-            version_grace_ms: 1_500,
+            retire_ms: 400,
         }
     }
 }
@@ -256,7 +256,7 @@
                 let ready = match place.phase {
                     Phase::Loading { ready } => Some(ready),
                     Phase::Ready => Some(MonoMs(0)),
-                    Phase::Unloading => None,
+                    Phase::Retiring | Phase::Unloading => None,
                 };
                 all.push((server.clone(), model.clone(), place.version, ready));
             }
@@ -268,6 +268,7 @@
     pub fn plan(&mut self, now: MonoMs) -> Vec<SlotAction> {
         let mut actions = Vec::new();
         self.finish_loads(now);
+        self.repeat_unresolved(now, &mut actions);
         self.renew_versions(now, &mut actions);
         self.serve_wants(now, &mut actions);
         self.ask_reports(now, &mut actions);
@@ -289,23 +290,46 @@
         }
     }
 
-    /// Reloads adapters whose version is older than the one named, idle ones first.
+    /// Gives orders without an answer again. All copies of an order expect the same sequence, so at
+    /// most one of them is carried out.
+    fn repeat_unresolved(&mut self, now: MonoMs, actions: &mut Vec<SlotAction>) {
+        for engine in self.engines.values_mut() {
+            if engine.has_open_order || engine.pause_until > now {
+                continue;
+            }
+            if let Some(order) = &engine.unresolved {
+                actions.push(SlotAction::Order(order.clone()));
+                engine.has_open_order = true;
+                engine.last_order = now;
+            }
+        }
+    }
+
+    /// Replaces adapters whose version is older than the one named. One in use gets no new requests
+    /// first: an order would keep the engine from others until its runs have ended.
     fn renew_versions(&mut self, now: MonoMs, actions: &mut Vec<SlotAction>) {
         let mut due = Vec::new();
-        for (server, engine) in &self.engines {
+        for (server, engine) in &mut self.engines {
+            for (model, place) in &mut engine.places {
+                let named = self.versions.get(model);
+                let is_old = named.is_some_and(|(version, _)| place.version < *version);
+                if is_old && place.phase == Phase::Ready {
+                    place.phase = Phase::Retiring;
+                    place.retired = now;
+                    let version = place.version;
+                    self.news
+                        .push((server.clone(), model.clone(), version, None));
+                }
+            }
             if !engine.takes_orders(now) {
                 continue;
             }
-            let outdated = engine.places.iter().find(|(model, place)| {
-                let Some((version, named)) = self.versions.get(*model) else {
-                    return false;
-                };
-                let may_wait = now.since(*named) < self.config.version_grace_ms;
-                place.phase == Phase::Ready
-                    && place.version < *version
-                    && !(place.is_used() && may_wait)
+            let rest_ms = self.config.retire_ms;
+            let idle = engine.places.iter().find(|(_, place)| {
+                let has_rested = now.since(place.retired) >= rest_ms;
+                place.phase == Phase::Retiring && !place.is_used() && has_rested
             });
-            if let Some((model, _)) = outdated {
+            if let Some((model, _)) = idle {
                 due.push((server.clone(), model.clone()));
             }
         }
@@ -342,7 +366,7 @@
     fn holders(&self, model: &ModelName) -> usize {
         let holds = |engine: &&Engine| {
             let place = engine.places.get(model);
-            place.is_some_and(|place| place.phase != Phase::Unloading)
+            place.is_some_and(|place| place.phase.is_usable())
         };
         self.engines.values().filter(holds).count()
     }
@@ -367,6 +391,9 @@
                 // A round trip is shorter than a load somewhere else.
                 return None;
             }
+            if engine.unresolved.is_some() {
+                continue;
+            }
             if engine.free_slots() > 0 {
                 return self.order_load(server, model, now);
             }
@@ -465,11 +492,18 @@
             return;
         }
         engine.has_open_order = false;
+        let was_unresolved = engine.unresolved.take().is_some();
         match outcome {
             OrderOutcome::Accepted | OrderOutcome::Holds => {
                 engine.conflicts = 0;
                 self.carried_out(order, outcome, now);
             }
+            OrderOutcome::Conflict if was_unresolved => {
+                // An earlier copy was carried out, or the engine is busy with another order.
+                engine.unresolved = Some(order.clone());
+                engine.pause_until = now.plus(self.config.report_lag_ms * 2);
+                engine.needs_report = true;
+            }
             OrderOutcome::Conflict => {
                 engine.conflicts += 1;
                 let is_out_of_step = engine.conflicts >= CONFLICTS_OUT_OF_STEP;
@@ -487,7 +521,8 @@
                 self.undo(order);
             }
             OrderOutcome::Unknown => {
-                engine.needs_report = true;
+                engine.unresolved = Some(order.clone());
+                engine.pause_until = now.plus(self.config.conflict_pause_ms);
                 self.announce_load(order, now);
             }
         }
@@ -617,6 +652,10 @@
         }
         engine.needs_report = false;
         engine.conflicts = 0;
+        let unresolved = engine.unresolved.as_ref();
+        if unresolved.is_some_and(|order| report.sequence > order.expected_sequence) {
+            engine.unresolved = None;
+        }
         engine.sequence = Some(report.sequence);
         self.adopt(server, report, now);
     }
@@ -630,10 +669,14 @@
             let mut all = report.adapters.iter().chain(&report.loading);
             all.any(|(other, _)| other == model)
         };
+        let is_awaited = |model: &ModelName| {
+            let unresolved = engine.unresolved.as_ref();
+            unresolved.is_some_and(|order| order.load && order.model == *model)
+        };
         let missing: Vec<ModelName> = engine
             .places
             .keys()
-            .filter(|model| !reported(model))
+            .filter(|model| !reported(model) && !is_awaited(model))
             .cloned()
             .collect();
         for model in missing {
@@ -652,6 +695,7 @@
             };
             match engine.places.get_mut(model) {
                 Some(place) if place.phase == phase && place.version == *version => {}
+                Some(place) if place.phase == Phase::Retiring && place.version == *version => {}
                 Some(place) if place.phase != Phase::Ready && phase != Phase::Ready => {}
                 Some(place) => {
                     place.phase = phase;
