--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -130,7 +130,7 @@
                 let before = state.holders.get(centre);
                 let took_over = before.is_some_and(|before| before.vm != self.vm)
                     || before.is_none() && now.0 < self.order_lease_ms && holder.fence > 0;
-                let held = self.begin(holder, took_over, holders.len(), &state.versions, now);
+                let held = self.begin(holder, took_over, &state.versions, now);
                 state.held.insert(centre.clone(), held);
                 self.log_hold(centre, holder.fence, true);
             }
@@ -145,15 +145,11 @@
         &self,
         holder: &OrderHolder,
         took_over: bool,
-        data_centres: usize,
         versions: &[(ModelName, u64)],
         now: MonoMs,
     ) -> Held {
         let wait_ms = if took_over { self.order_lease_ms } else { 0 };
-        let mut planner = Planner::new(SlotsConfig {
-            data_centres,
-            ..SlotsConfig::default()
-        });
+        let mut planner = Planner::new(SlotsConfig::default());
         let named = versions.iter().map(|(model, version)| (model, *version));
         planner.set_versions(named, now);
         Held {
--- a/src/scheduling/slots/engine.rs
+++ b/src/scheduling/slots/engine.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexSet;
 
+use super::pace::Pace;
 use super::planner::SlotOrder;
 use crate::types::ModelName;
 use crate::types::MonoMs;
@@ -67,6 +68,8 @@
     /// Whether the engine has been seen to hold it. Until then an order to drop it could overtake
     /// the load.
     pub(super) is_confirmed: bool,
+    /// Whether its load came from the weight store.
+    pub(super) is_from_store: bool,
     pub(super) last_used: MonoMs,
     /// When it got no new requests any more.
     pub(super) retired: MonoMs,
@@ -81,6 +84,7 @@
             phase,
             version,
             is_confirmed: false,
+            is_from_store: false,
             last_used: now,
             retired: now,
             in_flight: HashMap::new(),
@@ -102,6 +106,10 @@
         self.scored = now;
     }
 
+    pub(super) fn is_loading(&self, now: MonoMs) -> bool {
+        matches!(self.phase, Phase::Loading { ready } if now < ready)
+    }
+
     pub(super) fn is_used(&self) -> bool {
         !self.in_flight.is_empty()
     }
@@ -186,11 +194,33 @@
         }
     }
 
-    /// Notes the adapters that a report shows as held.
-    pub(super) fn confirm(&mut self, report: &EngineReport) {
+    /// Loads from the store that are under way.
+    pub(super) fn store_loads(&self, now: MonoMs) -> usize {
+        let places = self.places.values().filter(|place| place.is_from_store);
+        let loading = places.filter(|place| place.is_loading(now));
+        loading.count()
+    }
+
+    /// Compares a report that was asked for at `asked` with the loads that should have ended.
+    pub(super) fn confirm(&mut self, report: &EngineReport, asked: MonoMs, pace: &mut Pace) {
         for (model, version) in &report.adapters {
-            if let Some(place) = self.places.get_mut(model) {
-                place.is_confirmed |= *version >= place.version;
+            if let Some(place) = self.places.get_mut(model)
+                && !place.is_confirmed
+                && *version >= place.version
+            {
+                place.is_confirmed = true;
+                if place.is_from_store {
+                    pace.in_time();
+                }
+            }
+        }
+        for (model, _) in &report.loading {
+            let place = self.places.get_mut(model);
+            let Some(place) = place.filter(|place| !place.is_loading(asked)) else {
+                continue;
+            };
+            if place.is_from_store {
+                pace.late();
             }
         }
     }
--- a/src/scheduling/slots/mod.rs
+++ b/src/scheduling/slots/mod.rs
@@ -8,6 +8,7 @@
 //! what it held a short time ago much faster, so an adapter that returns goes home.
 
 mod engine;
+mod pace;
 mod planner;
 mod rank;
 
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -9,6 +9,7 @@
 use super::engine::EngineReport;
 use super::engine::Phase;
 use super::engine::Place;
+use super::pace::Pace;
 use super::rank::ranked;
 use crate::types::ModelName;
 use crate::types::MonoMs;
@@ -20,24 +21,22 @@
 pub struct SlotsConfig {
     /// Adapters that may be on their way to one engine.
     pub loads_per_engine: usize,
-    /// Expected time of a load from the store.
+    /// Expected time of a load from the store before the first one was seen.
     pub load_ms: u64,
     /// Expected time of a load of an adapter that the engine held recently.
     pub reload_ms: u64,
-    /// Loads from the store, over all engines, up to which each takes `load_ms`.
-    pub loads_at_full_speed: usize,
     /// Time without use after which an adapter may make way.
     pub victim_idle_ms: u64,
     /// Time after which nobody waits any more for an adapter that was asked for.
     pub want_ms: u64,
+    /// Age up to which a wish comes before older ones: its requests may still be answered in time.
+    pub prompt_ms: u64,
     /// Time between two reports of a quiet engine.
     pub report_every_ms: u64,
     /// Time between two reports of an engine whose loads have not been seen to end.
     pub confirm_every_ms: u64,
     /// Time without orders after an engine met one with a conflict.
     pub conflict_pause_ms: u64,
-    /// Data centres that load from the store at the same time.
-    pub data_centres: usize,
     /// Age of the state that a report shows.
     pub report_lag_ms: u64,
     /// Time after which all VMs know that an adapter gets no new requests, and have told its use.
@@ -50,13 +49,12 @@
             loads_per_engine: 4,
             load_ms: 250,
             reload_ms: 25,
-            loads_at_full_speed: 8,
             victim_idle_ms: 300,
-            want_ms: 2_000,
+            want_ms: 800,
+            prompt_ms: 350,
             report_every_ms: 4_000,
             confirm_every_ms: 700,
             conflict_pause_ms: 60,
-            data_centres: 1,
             report_lag_ms: 600,
             retire_ms: 400,
         }
@@ -144,6 +142,7 @@
     engines: IndexMap<ServerName, Engine>,
     wants: IndexMap<ModelName, Want>,
     versions: BTreeMap<ModelName, (u64, MonoMs)>,
+    pace: Pace,
     news: Vec<Presence>,
 }
 
@@ -155,6 +154,7 @@
             engines: IndexMap::new(),
             wants: IndexMap::new(),
             versions: BTreeMap::new(),
+            pace: Pace::new(config.load_ms),
             news: Vec::new(),
         }
     }
@@ -346,7 +346,8 @@
             .iter()
             .map(|(model, want)| (model.clone(), *want))
             .collect();
-        wants.sort_by_key(|(_, want)| (want.wanted.priority, want.since));
+        wants.sort_by_key(|(_, want)| self.urgency(want, now));
+        self.pace.step(!wants.is_empty(), now);
         for (model, want) in wants {
             let holders = self.holders(&model);
             if holders > 0 && !want.wanted.copy {
@@ -362,6 +363,22 @@
         }
     }
 
+    /// Order in which wishes are served: by rank, and within a rank those that may still be in time,
+    /// the oldest first, then the others, the newest first.
+    fn urgency(&self, want: &Want, now: MonoMs) -> (u8, bool, bool, i64) {
+        let age_ms = now.since(want.since);
+        let is_late = age_ms > self.config.prompt_ms;
+        let age_ms = age_ms.cast_signed();
+        let order = if is_late { age_ms } else { -age_ms };
+        (want.wanted.priority, want.wanted.copy, is_late, order)
+    }
+
+    /// Loads from the store that are under way.
+    fn store_loads(&self, now: MonoMs) -> usize {
+        let loads = self.engines.values().map(|engine| engine.store_loads(now));
+        loads.sum()
+    }
+
     /// Engines that hold or load `model`.
     fn holders(&self, model: &ModelName) -> usize {
         let holds = |engine: &&Engine| {
@@ -374,14 +391,17 @@
     /// The next order towards having `model` on one more engine.
     fn make_room(&mut self, model: &ModelName, now: MonoMs) -> Option<SlotAction> {
         let names = ranked(model, self.engines.keys());
-        let candidates: Vec<ServerName> = names
+        let mut candidates: Vec<ServerName> = names
             .into_iter()
             .filter(|name| self.is_candidate(name, model))
             .cloned()
             .collect();
+        candidates.sort_by_key(|name| !self.engines[name].recent.contains(model));
+        let store_is_busy = self.store_loads(now) >= self.pace.limit();
         for server in &candidates {
             let engine = &self.engines[server];
-            if engine.loading(now) >= self.config.loads_per_engine {
+            let is_reload = engine.recent.contains(model);
+            if store_is_busy && !is_reload || engine.loading(now) >= self.config.loads_per_engine {
                 continue;
             }
             if engine.pause_until > now {
@@ -419,10 +439,11 @@
         now: MonoMs,
     ) -> Option<SlotAction> {
         let version = self.versions.get(model).map_or(0, |(version, _)| *version);
-        let ready = now.plus(self.load_time_ms(server, model, now));
+        let ready = now.plus(self.load_time_ms(server, model));
         let engine = self.engines.get_mut(server)?;
         let expected_sequence = engine.sequence?;
         let phase = Phase::Loading { ready };
+        let is_from_store = !engine.recent.contains(model);
         let place = engine
             .places
             .entry(model.clone())
@@ -430,6 +451,7 @@
         place.phase = phase;
         place.version = version;
         place.is_confirmed = false;
+        place.is_from_store = is_from_store;
         engine.has_open_order = true;
         engine.last_order = now;
         Some(SlotAction::Order(SlotOrder {
@@ -442,21 +464,13 @@
         }))
     }
 
-    fn load_time_ms(&self, server: &ServerName, model: &ModelName, now: MonoMs) -> u64 {
-        let Some(engine) = self.engines.get(server) else {
-            return self.config.load_ms;
-        };
-        if engine.recent.contains(model) {
-            return self.config.reload_ms;
+    fn load_time_ms(&self, server: &ServerName, model: &ModelName) -> u64 {
+        let engine = self.engines.get(server);
+        let is_reload = engine.is_some_and(|engine| engine.recent.contains(model));
+        match is_reload {
+            true => self.config.reload_ms,
+            false => self.pace.load_ms(),
         }
-        let loading: usize = self
-            .engines
-            .values()
-            .map(|engine| engine.loading(now))
-            .sum();
-        let fleet_loads = (loading + 1) * self.config.data_centres.max(1);
-        let factor = fleet_loads as f64 / self.config.loads_at_full_speed.max(1) as f64;
-        (self.config.load_ms as f64 * factor.max(1.0)) as u64
     }
 
     fn order_unload(
@@ -531,7 +545,7 @@
     /// Tells the VMs of a load that may be under way; a request that comes too early is refused.
     fn announce_load(&mut self, order: &SlotOrder, now: MonoMs) {
         if order.load {
-            let ready = now.plus(self.load_time_ms(&order.server, &order.model, now));
+            let ready = now.plus(self.load_time_ms(&order.server, &order.model));
             self.news.push((
                 order.server.clone(),
                 order.model.clone(),
@@ -553,7 +567,7 @@
     }
 
     fn carried_out(&mut self, order: &SlotOrder, outcome: OrderOutcome, now: MonoMs) {
-        let load_ms = self.load_time_ms(&order.server, &order.model, now);
+        let load_ms = self.load_time_ms(&order.server, &order.model);
         let Some(engine) = self.engines.get_mut(&order.server) else {
             return;
         };
@@ -641,7 +655,7 @@
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
-        engine.confirm(report);
+        engine.confirm(report, asked, &mut self.pace);
         let is_settled =
             !engine.has_open_order && asked.since(engine.last_order) >= self.config.report_lag_ms;
         if engine.sequence.is_none() && !engine.has_open_order {
