--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -320,6 +320,7 @@
         core.update_desk();
         if count.is_multiple_of(ALIVE_TICKS) {
             core.tell_alive();
+            core.desk.log_state(core.now());
         }
     }
 }
@@ -592,7 +593,7 @@
             Frame::PullDocument => self.send_document(session),
             Frame::Servers(news) => self.on_servers(news),
             Frame::Wants(data_centre, wants) => {
-                self.desk.wanted(&data_centre, &wants, self.now());
+                self.desk.wanted(session, &data_centre, &wants, self.now());
                 self.desk.work(self);
             }
             Frame::Uses(uses) => self.desk.used(&session.peer().vm, &uses, self.now()),
--- a/src/fleet/log_line.rs
+++ b/src/fleet/log_line.rs
@@ -6,6 +6,7 @@
 
 use crate::events::Event;
 use crate::events::Weight;
+use crate::scheduling::slots::Summary;
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::ServerName;
@@ -113,3 +114,19 @@
         Weight::Failure
     }
 }
+
+/// State of the adapter slots of a data centre.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct SlotState {
+    pub(super) data_centre: DataCentre,
+    #[serde(flatten)]
+    pub(super) summary: Summary,
+}
+
+impl Event for SlotState {
+    const KIND: &'static str = "slots";
+
+    fn weight(&self) -> Weight {
+        Weight::Routine
+    }
+}
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -21,6 +21,7 @@
 use super::control_vm::Core;
 use super::log_line::HoldChange;
 use super::log_line::OrderDone;
+use super::log_line::SlotState;
 use crate::control::OrderHolder;
 use crate::events::EventLog;
 use crate::gateway::EngineDialect;
@@ -183,12 +184,27 @@
         true
     }
 
-    /// Notes what the requests of an entry VM wait for.
-    pub(super) fn wanted(&self, centre: &DataCentre, wants: &[Want], now: MonoMs) {
+    /// Notes what the requests of an entry VM wait for. A VM that asks for what is there has a wrong
+    /// view and is told again.
+    pub(super) fn wanted(
+        &self,
+        session: &Session,
+        centre: &DataCentre,
+        wants: &[Want],
+        now: MonoMs,
+    ) {
         let mut state = self.lock();
         let Some(held) = state.held.get_mut(centre) else {
             return;
         };
+        let present: Vec<_> = wants
+            .iter()
+            .filter(|want| !want.copy)
+            .flat_map(|want| held.planner.presence(&want.model))
+            .collect();
+        if !present.is_empty() {
+            session.send(&Frame::Residency(held.news(centre, present, false, now)));
+        }
         for want in wants {
             let wanted = Wanted {
                 waiting: want.waiting,
@@ -224,6 +240,16 @@
         }
     }
 
+    /// Logs the state of the slots.
+    pub(super) fn log_state(&self, now: MonoMs) {
+        for (centre, held) in &self.lock().held {
+            self.events.emit(&SlotState {
+                data_centre: centre.clone(),
+                summary: held.planner.summary(now),
+            });
+        }
+    }
+
     /// Sends the whole residency on a new link.
     pub(super) fn greet(&self, session: &Session, now: MonoMs) {
         for (centre, held) in &self.lock().held {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -357,8 +357,10 @@
                     }
                 }
             };
-            self.tried.push(server);
-            let is_free = matches!(sent_kind(record), Some("connect_failed" | "server_gone"));
+            if ended != Ended::NotRun || is_unreachable(record) {
+                self.tried.push(server);
+            }
+            let is_free = is_unreachable(record);
             match attempt::next(&self.past, ended) {
                 Next::Retry if is_free || self.take_retry() => {}
                 Next::Retry => return self.last_resort(failure, self.out_of_budget()),
@@ -637,8 +639,12 @@
     }
 }
 
-fn sent_kind(record: &RequestRecord) -> Option<&'static str> {
-    record.sends.last().copied()
+/// Whether the last send ended before a connection was open.
+fn is_unreachable(record: &RequestRecord) -> bool {
+    matches!(
+        record.sends.last(),
+        Some(&("connect_failed" | "server_gone"))
+    )
 }
 
 /// Waits for the first bytes of a stream.
--- a/src/scheduling/slots/engine.rs
+++ b/src/scheduling/slots/engine.rs
@@ -12,6 +12,8 @@
 
 /// Time constant of the average of uses, in milliseconds.
 const USE_AVERAGE_MS: f64 = 20_000.0;
+/// Age of the state that a report shows, at most.
+const REPORT_AGE_MS: u64 = 150;
 /// Adapters remembered as recently held.
 const MAX_RECENT: usize = 180;
 
@@ -110,6 +112,15 @@
         matches!(self.phase, Phase::Loading { ready } if now < ready)
     }
 
+    /// Time from which requests may use it, if they may.
+    pub(super) fn ready(&self) -> Option<MonoMs> {
+        match self.phase {
+            Phase::Loading { ready } => Some(ready),
+            Phase::Ready => Some(MonoMs(0)),
+            Phase::Retiring | Phase::Unloading => None,
+        }
+    }
+
     pub(super) fn is_used(&self) -> bool {
         !self.in_flight.is_empty()
     }
@@ -216,10 +227,8 @@
         }
         for (model, _) in &report.loading {
             let place = self.places.get_mut(model);
-            let Some(place) = place.filter(|place| !place.is_loading(asked)) else {
-                continue;
-            };
-            if place.is_from_store {
+            let seen = MonoMs(asked.0.saturating_sub(REPORT_AGE_MS));
+            if place.is_some_and(|place| place.is_from_store && !place.is_loading(seen)) {
                 pace.late();
             }
         }
--- a/src/scheduling/slots/mod.rs
+++ b/src/scheduling/slots/mod.rs
@@ -19,6 +19,7 @@
 pub use planner::SlotAction;
 pub use planner::SlotOrder;
 pub use planner::SlotsConfig;
+pub use planner::Summary;
 pub use planner::Use;
 pub use planner::Wanted;
 pub use rank::ranked;
--- a/src/scheduling/slots/pace.rs
+++ b/src/scheduling/slots/pace.rs
@@ -10,7 +10,7 @@
 /// Loads at once at the start.
 const FIRST_LIMIT: f64 = 3.0;
 /// Change of the expected time after a load that was late.
-const LATE_FACTOR: f64 = 1.06;
+const LATE_FACTOR: f64 = 1.12;
 /// Change of the expected time after a load that ended in time.
 const IN_TIME_FACTOR: f64 = 0.985;
 /// Expected time above the shortest one from which the store counts as crowded.
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use indexmap::IndexMap;
+use serde::Serialize;
 
 use super::engine::Engine;
 use super::engine::EngineInfo;
@@ -122,12 +123,33 @@
     pub sent: u32,
 }
 
+/// Time that a load is expected to last that should have ended or was begun by another holder.
+const LOAD_LEFT_MS: u64 = 80;
 /// Conflicts in a row after which an engine's sequence is read from its report.
 const CONFLICTS_OUT_OF_STEP: u32 = 4;
 
 /// A change of residency: engine, adapter, version and the time from which it can be used.
 pub type Presence = (ServerName, ModelName, u64, Option<MonoMs>);
 
+/// Figures for logs.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Summary {
+    /// Engines.
+    pub engines: usize,
+    /// Engines whose state is not known yet.
+    pub unknown: usize,
+    /// Adapters that engines hold or load.
+    pub adapters: usize,
+    /// Loads from the store that are under way.
+    pub store_loads: usize,
+    /// Loads from the store that may be under way.
+    pub store_limit: usize,
+    /// Expected time of a load from the store.
+    pub load_ms: u64,
+    /// Adapters that requests wait for.
+    pub wanted: usize,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Want {
     wanted: Wanted,
@@ -253,12 +275,7 @@
         let mut all = Vec::new();
         for (server, engine) in &self.engines {
             for (model, place) in &engine.places {
-                let ready = match place.phase {
-                    Phase::Loading { ready } => Some(ready),
-                    Phase::Ready => Some(MonoMs(0)),
-                    Phase::Retiring | Phase::Unloading => None,
-                };
-                all.push((server.clone(), model.clone(), place.version, ready));
+                all.push((server.clone(), model.clone(), place.version, place.ready()));
             }
         }
         all
@@ -275,9 +292,31 @@
         actions
     }
 
-    /// When [`Self::plan`] has something to do without news, at the latest.
-    pub fn has_wants(&self) -> bool {
-        !self.wants.is_empty()
+    /// Engines that hold or load `model`.
+    pub fn presence(&self, model: &ModelName) -> Vec<Presence> {
+        let held = self.engines.iter().filter_map(|(server, engine)| {
+            let place = engine.places.get(model)?;
+            let ready = place.ready()?;
+            Some((server.clone(), model.clone(), place.version, Some(ready)))
+        });
+        held.collect()
+    }
+
+    /// Figures for logs.
+    pub fn summary(&self, now: MonoMs) -> Summary {
+        let engines = self.engines.values();
+        Summary {
+            engines: self.engines.len(),
+            unknown: engines
+                .clone()
+                .filter(|engine| engine.sequence.is_none())
+                .count(),
+            adapters: engines.map(|engine| engine.places.len()).sum(),
+            store_loads: self.store_loads(now),
+            store_limit: self.pace.limit(),
+            load_ms: self.pace.load_ms(),
+            wanted: self.wants.len(),
+        }
     }
 
     fn finish_loads(&mut self, now: MonoMs) {
@@ -656,12 +695,12 @@
             return;
         };
         engine.confirm(report, asked, &mut self.pace);
-        let is_settled =
-            !engine.has_open_order && asked.since(engine.last_order) >= self.config.report_lag_ms;
-        if engine.sequence.is_none() && !engine.has_open_order {
-            engine.sequence = Some(report.sequence);
-        }
-        if !is_settled {
+        // The report shows one moment: a list that comes with the expected sequence lacks no order.
+        let is_current = engine
+            .sequence
+            .is_none_or(|sequence| sequence == report.sequence);
+        let is_quiet = asked.since(engine.last_order) >= self.config.report_lag_ms;
+        if engine.has_open_order || !is_current && !is_quiet {
             return;
         }
         engine.needs_report = false;
@@ -697,7 +736,7 @@
             engine.places.remove(&model);
             self.news.push((server.clone(), model, 0, None));
         }
-        let loading_ready = now.plus(self.config.load_ms);
+        let loading_ready = now.plus(LOAD_LEFT_MS);
         let held = report.adapters.iter().map(|item| (item, MonoMs(0)));
         let loading = report.loading.iter().map(|item| (item, loading_ready));
         for ((model, version), ready) in held.chain(loading) {
@@ -710,7 +749,8 @@
             match engine.places.get_mut(model) {
                 Some(place) if place.phase == phase && place.version == *version => {}
                 Some(place) if place.phase == Phase::Retiring && place.version == *version => {}
-                Some(place) if place.phase != Phase::Ready && phase != Phase::Ready => {}
+                Some(place) if phase != Phase::Ready && place.is_loading(now) => {}
+                Some(place) if phase != Phase::Ready && place.phase == Phase::Unloading => {}
                 Some(place) => {
                     place.phase = phase;
                     place.version = *version;
