--- a/src/events.rs
+++ b/src/events.rs
@@ -22,7 +22,7 @@
 use crate::types::VmName;
 
 /// Routine lines of one kind in a second.
-const ROUTINE_PER_S: u32 = 40;
+const ROUTINE_PER_S: u32 = 120;
 /// Lines about failures of one kind in a second.
 const FAILURES_PER_S: u32 = 200;
 /// Bytes that may wait to be written.
--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -254,7 +254,10 @@
             board.clear_residency(&news.data_centre);
         }
         for item in &news.items {
-            let ready = item.ready_in_ms.map(|ms| now.plus(u64::from(ms)));
+            let ready = item.ready_in_ms.map(|ms| match ms {
+                0 => MonoMs(0),
+                ms => now.plus(u64::from(ms)),
+            });
             board.set_residency(&item.server, &item.model, item.version, ready);
         }
         drop(board);
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -223,6 +223,7 @@
                 let count = Use {
                     in_flight: used.in_flight,
                     sent: used.sent,
+                    is_early: used.is_early,
                 };
                 held.planner
                     .note_use(&used.server, &used.model, vm, count, now);
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -32,7 +32,7 @@
 /// Time by which the load of an adapter may be late.
 const LOAD_LATE_MS: u64 = 1_500;
 /// Time after which an adapter that was not there yet is tried again.
-const LOOK_AGAIN_MS: u64 = 40;
+const LOOK_AGAIN_MS: u64 = 50;
 /// Service time assumed before the first answer.
 const FIRST_SERVICE_MS: f64 = 100.0;
 
@@ -289,7 +289,7 @@
             view.residency.remove(model);
             return true;
         }
-        present.ready = now.plus(LOOK_AGAIN_MS + overdue_ms / 4);
+        present.ready = now.plus(LOOK_AGAIN_MS + overdue_ms / 2);
         false
     }
 
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -91,8 +91,8 @@
     pub is_not_run: bool,
     /// Whether the server is another one than expected, or lacks the model.
     pub is_misdirected: bool,
-    /// Whether a misdirected request reached another server than expected.
-    pub is_other_server: bool,
+    /// The server that a misdirected request reached.
+    pub reached: Option<ServerName>,
     /// Load of the server.
     pub load: Option<ServerLoad>,
     /// Time for which the connection may be kept idle.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -23,6 +23,7 @@
 use super::pool;
 use crate::registry::Announcement;
 use crate::types::ModelName;
+use crate::types::MonoMs;
 use crate::types::ServerName;
 
 /// Longest time to open a connection within the region.
@@ -247,15 +248,13 @@
 fn note_misdirected(gateway: &Gateway, template: &Template, guard: &InFlight, head: &AnswerHead) {
     let now = gateway.now();
     let server = &guard.target.server;
-    if head.is_other_server {
+    if head.reached.as_ref().is_some_and(|reached| reached != server) {
         gateway.board().avoid(server, now.plus(REPLACED_MS));
         gateway.pool().forget(guard.target.address);
         return;
     }
-    if let Some(model) = &template.model
-        && gateway.board().lacks(server, model, now)
-    {
-        gateway.uses().missing(server, model);
+    if let Some(model) = &template.model {
+        note_lack(gateway, server, model, now);
     }
 }
 
@@ -269,11 +268,18 @@
         .model
         .as_ref()
         .filter(|model| super::board::is_adapter(model));
-    let mut board = gateway.board();
     match adapter {
-        Some(model) if !is_full => {
-            board.lacks(server, model, now);
-        }
-        _ => board.avoid(server, now.plus(FULL_MS)),
+        Some(model) if !is_full => note_lack(gateway, server, model, now),
+        _ => gateway.board().avoid(server, now.plus(FULL_MS)),
+    }
+}
+
+fn note_lack(gateway: &Gateway, server: &ServerName, model: &ModelName, now: MonoMs) {
+    let is_gone = gateway.board().lacks(server, model, now);
+    let mut uses = gateway.uses();
+    if is_gone {
+        uses.missing(server, model);
+    } else {
+        uses.early(server, model);
     }
 }
--- a/src/gateway/uses.rs
+++ b/src/gateway/uses.rs
@@ -11,6 +11,7 @@
     in_flight: u32,
     sent: u32,
     is_missing: bool,
+    is_early: bool,
     is_changed: bool,
 }
 
@@ -39,6 +40,11 @@
         self.count(server, model).is_missing = true;
     }
 
+    /// Notes that the engine lacks the adapter so far.
+    pub fn early(&mut self, server: &ServerName, model: &ModelName) {
+        self.count(server, model).is_early = true;
+    }
+
     /// Changes since the last call.
     pub fn take(&mut self) -> Vec<AdapterUse> {
         let mut changes = Vec::new();
@@ -52,6 +58,7 @@
                 in_flight: count.in_flight,
                 sent: count.sent,
                 is_missing: count.is_missing,
+                is_early: count.is_early,
             });
             *count = Count {
                 in_flight: count.in_flight,
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -140,6 +140,8 @@
     pub sent: u32,
     /// Whether the engine refused a request because the adapter is not there.
     pub is_missing: bool,
+    /// Whether the engine refused a request because the adapter was not there yet.
+    pub is_early: bool,
 }
 
 /// A message.
--- a/src/scheduling/slots/engine.rs
+++ b/src/scheduling/slots/engine.rs
@@ -4,7 +4,6 @@
 
 use indexmap::IndexSet;
 
-use super::pace::Pace;
 use super::planner::SlotOrder;
 use crate::types::ModelName;
 use crate::types::MonoMs;
@@ -12,8 +11,6 @@
 
 /// Time constant of the average of uses, in milliseconds.
 const USE_AVERAGE_MS: f64 = 20_000.0;
-/// Age of the state that a report shows, at most.
-const REPORT_AGE_MS: u64 = 150;
 /// Adapters remembered as recently held.
 const MAX_RECENT: usize = 180;
 
@@ -72,6 +69,10 @@
     pub(super) is_confirmed: bool,
     /// Whether its load came from the weight store.
     pub(super) is_from_store: bool,
+    /// Whether the engine refused a request for it although it should be there.
+    pub(super) is_doubted: bool,
+    /// Whether a request came before its load had ended.
+    pub(super) was_early: bool,
     pub(super) last_used: MonoMs,
     /// When it got no new requests any more.
     pub(super) retired: MonoMs,
@@ -87,6 +88,8 @@
             version,
             is_confirmed: false,
             is_from_store: false,
+            was_early: false,
+            is_doubted: false,
             last_used: now,
             retired: now,
             in_flight: HashMap::new(),
@@ -212,24 +215,12 @@
         loading.count()
     }
 
-    /// Compares a report that was asked for at `asked` with the loads that should have ended.
-    pub(super) fn confirm(&mut self, report: &EngineReport, asked: MonoMs, pace: &mut Pace) {
+    /// Notes the adapters that a report shows as held.
+    pub(super) fn confirm(&mut self, report: &EngineReport) {
         for (model, version) in &report.adapters {
-            if let Some(place) = self.places.get_mut(model)
-                && !place.is_confirmed
-                && *version >= place.version
-            {
-                place.is_confirmed = true;
-                if place.is_from_store {
-                    pace.in_time();
-                }
-            }
-        }
-        for (model, _) in &report.loading {
-            let place = self.places.get_mut(model);
-            let seen = MonoMs(asked.0.saturating_sub(REPORT_AGE_MS));
-            if place.is_some_and(|place| place.is_from_store && !place.is_loading(seen)) {
-                pace.late();
+            if let Some(place) = self.places.get_mut(model) {
+                place.is_confirmed |= *version >= place.version;
+                place.is_doubted = false;
             }
         }
     }
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -121,6 +121,8 @@
     pub in_flight: u32,
     /// Requests sent since the last report.
     pub sent: u32,
+    /// Whether one of them came before the adapter was there.
+    pub is_early: bool,
 }
 
 /// Time that a load is expected to last that should have ended or was begun by another holder.
@@ -251,8 +253,20 @@
             .engines
             .get_mut(server)
             .and_then(|engine| engine.places.get_mut(model));
-        if let Some(place) = place {
-            place.note_use(vm, used.in_flight, used.sent, now);
+        let Some(place) = place else {
+            return;
+        };
+        place.note_use(vm, used.in_flight, used.sent, now);
+        if used.is_early {
+            place.was_early = true;
+            if place.is_from_store {
+                self.pace.late();
+            }
+        } else if used.in_flight > 0 && !place.is_confirmed && place.phase == Phase::Ready {
+            place.is_confirmed = true;
+            if place.is_from_store && !place.was_early {
+                self.pace.in_time();
+            }
         }
     }
 
@@ -295,7 +309,7 @@
     /// Engines that hold or load `model`.
     pub fn presence(&self, model: &ModelName) -> Vec<Presence> {
         let held = self.engines.iter().filter_map(|(server, engine)| {
-            let place = engine.places.get(model)?;
+            let place = engine.places.get(model).filter(|place| !place.is_doubted)?;
             let ready = place.ready()?;
             Some((server.clone(), model.clone(), place.version, Some(ready)))
         });
@@ -491,6 +505,8 @@
         place.version = version;
         place.is_confirmed = false;
         place.is_from_store = is_from_store;
+        place.was_early = false;
+        place.is_doubted = false;
         engine.has_open_order = true;
         engine.last_order = now;
         Some(SlotAction::Order(SlotOrder {
@@ -599,10 +615,11 @@
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
-        let place = engine.places.get(model);
-        if place.is_some_and(|place| place.phase == Phase::Ready) {
+        let place = engine.places.get_mut(model);
+        if let Some(place) = place.filter(|place| place.phase == Phase::Ready) {
+            place.is_doubted = true;
             engine.needs_report = true;
-        }
+            }
     }
 
     fn carried_out(&mut self, order: &SlotOrder, outcome: OrderOutcome, now: MonoMs) {
@@ -694,7 +711,7 @@
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
-        engine.confirm(report, asked, &mut self.pace);
+        engine.confirm(report);
         // The report shows one moment: a list that comes with the expected sequence lacks no order.
         let is_current = engine
             .sequence
