fix(gateway): a postponed adapter stays postponed when its presence is told again

Cause: a VM that asked again for an adapter whose load was a little late was told that it is there, sent at once, was refused and asked again, until the retry budget was used up. Ruled out: the expected load time (250 ms learned, 250 ms true), sequence numbers.

--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -33,6 +33,8 @@
 const LOAD_LATE_MS: u64 = 1_500;
 /// Time after which an adapter that was not there yet is tried again.
 const LOOK_AGAIN_MS: u64 = 50;
+/// Time in which the presence of an adapter is verified.
+const VERIFY_MS: u64 = 400;
 /// Service time assumed before the first answer.
 const FIRST_SERVICE_MS: f64 = 100.0;
 
@@ -262,10 +264,12 @@
         };
         match ready {
             Some(ready) => {
+                let postponed = view.residency.get(model).map(|known| known.ready);
+                let postponed = postponed.filter(|_| ready == MonoMs(0));
                 let present = Present {
                     version,
                     expected: ready,
-                    ready,
+                    ready: postponed.unwrap_or(ready),
                 };
                 view.residency.insert(model.clone(), present);
             }
@@ -276,7 +280,8 @@
     }
 
     /// Takes a refusal for lack of an adapter: one that was expected a short time ago is on its
-    /// way, any other is gone. Returns whether it is gone.
+    /// way. Any other is used again after the VM that orders the engine has had time to verify it;
+    /// returns true for it.
     pub fn lacks(&mut self, server: &ServerName, model: &ModelName, now: MonoMs) -> bool {
         let Some(view) = self.servers.get_mut(server) else {
             return false;
@@ -286,7 +291,7 @@
         };
         let overdue_ms = now.since(present.expected);
         if overdue_ms > LOAD_LATE_MS {
-            view.residency.remove(model);
+            present.ready = now.plus(VERIFY_MS);
             return true;
         }
         present.ready = now.plus(LOOK_AGAIN_MS + overdue_ms / 2);
