--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -248,7 +248,11 @@
 fn note_misdirected(gateway: &Gateway, template: &Template, guard: &InFlight, head: &AnswerHead) {
     let now = gateway.now();
     let server = &guard.target.server;
-    if head.reached.as_ref().is_some_and(|reached| reached != server) {
+    if head
+        .reached
+        .as_ref()
+        .is_some_and(|reached| reached != server)
+    {
         gateway.board().avoid(server, now.plus(REPLACED_MS));
         gateway.pool().forget(guard.target.address);
         return;
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -619,7 +619,7 @@
         if let Some(place) = place.filter(|place| place.phase == Phase::Ready) {
             place.is_doubted = true;
             engine.needs_report = true;
-            }
+        }
     }
 
     fn carried_out(&mut self, order: &SlotOrder, outcome: OrderOutcome, now: MonoMs) {
--- /dev/null
+++ b/tests/boundaries.rs
@@ -0,0 +1,54 @@
+//! The product knows nothing of the platform: names of its protocol occur only under `platform/`.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+/// Names of the platform's protocol that have another name, or none, in the product.
+const PLATFORM_NAMES: [&str; 13] = [
+    "Deadline-Ms",
+    "Expect-Instance",
+    "expect-instance",
+    "Prompt-Prefix",
+    "Token-Usage",
+    "Not-Executed",
+    "not-executed",
+    "Response-Signature",
+    "response-signature",
+    "Tenant-Id",
+    "RetryBudgetRatio",
+    "ConfigApplyMs",
+    "FencingToken",
+];
+
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+#[test]
+fn no_name_of_the_platform_occurs_in_the_product() {
+    let mut files = Vec::new();
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    sources(&root.join("src"), &mut files);
+    assert!(files.len() > 100);
+    for file in files {
+        let text = fs::read_to_string(&file).unwrap();
+        for name in PLATFORM_NAMES {
+            assert!(!text.contains(name), "{} names {name}", file.display());
+        }
+    }
+}
+
+#[test]
+fn the_product_does_not_depend_on_the_platform() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let manifest = fs::read_to_string(root.join("Cargo.toml")).unwrap();
+    assert!(!manifest.contains("medlarlift-platform"));
+}
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,314 @@
+//! Decisions of the gateway: routes and accounts of a configuration, the choice of a server, and what
+//! follows a send that brought no answer.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use medlarlift::gateway::ServerLoad;
+use medlarlift::gateway::attempt;
+use medlarlift::gateway::attempt::Ended;
+use medlarlift::gateway::attempt::Next;
+use medlarlift::gateway::attempt::Past;
+use medlarlift::gateway::board::Board;
+use medlarlift::gateway::board::Choice;
+use medlarlift::gateway::board::Distance;
+use medlarlift::gateway::board::Need;
+use medlarlift::gateway::deployment::Account;
+use medlarlift::gateway::deployment::CallerLimits;
+use medlarlift::gateway::deployment::Deployment;
+use medlarlift::gateway::deployment::EngineSheet;
+use medlarlift::gateway::deployment::Model;
+use medlarlift::gateway::deployment::QuotaUnit;
+use medlarlift::gateway::deployment::Repeat;
+use medlarlift::gateway::deployment::Route;
+use medlarlift::gateway::deployment::Service;
+use medlarlift::registry::Announcement;
+use medlarlift::registry::ServerState;
+use medlarlift::types::AccountName;
+use medlarlift::types::DataCentre;
+use medlarlift::types::ModelName;
+use medlarlift::types::MonoMs;
+use medlarlift::types::ServerName;
+use medlarlift::types::ServiceName;
+
+const NOW: MonoMs = MonoMs(100_000);
+
+fn route(prefix: &str, service: &str, weight: u32) -> Route {
+    Route {
+        name: Arc::from(prefix),
+        host: Arc::from("shop.example"),
+        path_prefix: Arc::from(prefix),
+        repeat: Repeat::Idempotent,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        priority: 0,
+        targets: vec![(ServiceName::from(service), weight)],
+        max_attempts: 2,
+        is_public: false,
+        gap_target_ms: 0,
+    }
+}
+
+fn deployment() -> Deployment {
+    let mut deployment = Deployment::new(1, CallerLimits::default());
+    let service = Service {
+        health_path: Arc::from("/health"),
+        max_connections: 10,
+        engine: None,
+    };
+    deployment.add_service(ServiceName::from("orders"), service);
+    deployment
+}
+
+fn account(name: &str) -> Account {
+    Account {
+        name: AccountName::from(name),
+        priority: None,
+        unit: QuotaUnit::Tokens { plain_tokens: 200 },
+        rate_per_s: 10,
+        burst: 10,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let mut deployment = deployment();
+    for prefix in ["/a/", "/a/b/", "/"] {
+        deployment.add_route(route(prefix, "orders", 1)).unwrap();
+    }
+    let found = |host: &str, path: &str| {
+        let route = deployment.route(host, path);
+        route.map(|route| route.name.to_string())
+    };
+    assert_eq!(found("shop.example", "/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(found("shop.example", "/a/x").as_deref(), Some("/a/"));
+    assert_eq!(found("shop.example", "/x").as_deref(), Some("/"));
+    assert_eq!(found("other.example", "/a/"), None);
+}
+
+#[test]
+fn invalid_routes_are_refused_with_field_and_value() {
+    let mut deployment = deployment();
+    let text = |result: Result<(), _>| result.map_err(|e| format!("{e}")).unwrap_err();
+    let unknown = text(deployment.add_route(route("/a/", "nowhere", 1)));
+    assert!(unknown.contains("\"nowhere\""), "{unknown}");
+    let weightless = text(deployment.add_route(route("/a/", "orders", 0)));
+    assert!(weightless.contains("weights"), "{weightless}");
+    let mut timeless = route("/a/", "orders", 1);
+    timeless.timeout_ms = 0;
+    let timeless = text(deployment.add_route(timeless));
+    assert!(timeless.contains("timeout_ms"), "{timeless}");
+    deployment.add_route(route("/a/", "orders", 1)).unwrap();
+    let twice = text(deployment.add_route(route("/a/", "orders", 1)));
+    assert!(twice.contains("\"/a/\""), "{twice}");
+}
+
+#[test]
+fn two_accounts_must_not_share_a_key_and_the_error_hides_it() {
+    let mut deployment = deployment();
+    let keys = || ["secret"].into_iter();
+    deployment.add_account(account("one"), keys()).unwrap();
+    let error = deployment.add_account(account("two"), keys()).unwrap_err();
+    assert!(!error.to_string().contains("secret"), "{error}");
+    assert_matches!(deployment.authenticate("secret"), Some(_));
+    assert_matches!(deployment.authenticate("other"), None);
+}
+
+#[test]
+fn a_split_route_draws_by_weight() {
+    let mut split = route("/a/", "x", 90);
+    split.targets.push((ServiceName::from("y"), 10));
+    assert_eq!(split.target(0.0).as_str(), "x");
+    assert_eq!(split.target(0.89).as_str(), "x");
+    assert_eq!(split.target(0.91).as_str(), "y");
+    split.targets[1].1 = 0;
+    assert_eq!(split.target(0.999).as_str(), "x");
+}
+
+#[test]
+fn adapters_fit_by_places_and_by_memory() {
+    let mut sheet = EngineSheet {
+        slots: 8,
+        memory_tokens: 1_000,
+        weights_mb: 1_000.0,
+        adapter_slots: 30,
+        models: vec![Model {
+            name: ModelName::from("base"),
+            weights_mb: 800.0,
+            adapter_mb: 10.0,
+        }],
+    };
+    let bases = [ModelName::from("base")];
+    assert_eq!(sheet.adapter_capacity(&bases), 20);
+    sheet.weights_mb = 2_000.0;
+    assert_eq!(sheet.adapter_capacity(&bases), 30);
+}
+
+fn past(repeat: Repeat, runs: u32, refusals: u32) -> Past {
+    Past {
+        repeat,
+        runs,
+        refusals,
+        max_runs: 2,
+        has_begun: false,
+    }
+}
+
+#[test]
+fn what_may_have_run_is_repeated_only_if_it_may_run_again() {
+    let failed = Ended::Answered { failed: true };
+    for repeat in [Repeat::Idempotent, Repeat::Stream { resumable: true }] {
+        assert_eq!(attempt::next(&past(repeat, 1, 0), Ended::Lost), Next::Retry);
+        assert_eq!(attempt::next(&past(repeat, 2, 0), Ended::Lost), Next::Fail);
+        assert_eq!(attempt::next(&past(repeat, 1, 0), failed), Next::Retry);
+    }
+    for repeat in [Repeat::Never, Repeat::Stream { resumable: false }] {
+        assert_eq!(attempt::next(&past(repeat, 1, 0), Ended::Lost), Next::Fail);
+        assert_eq!(attempt::next(&past(repeat, 1, 0), failed), Next::PassOn);
+    }
+}
+
+#[test]
+fn only_what_has_not_run_is_refused() {
+    let never = Repeat::Never;
+    assert_eq!(
+        attempt::next(&past(never, 0, 1), Ended::NotRun),
+        Next::Retry
+    );
+    assert_eq!(
+        attempt::next(&past(never, 0, 6), Ended::NotRun),
+        Next::Refuse
+    );
+    assert_eq!(
+        attempt::next(&past(Repeat::Idempotent, 1, 6), Ended::NotRun),
+        Next::Fail
+    );
+}
+
+fn announcement(name: &str, data_centre: &str, slots: u32) -> Announcement {
+    Announcement {
+        server: ServerName::from(name),
+        started_unix_ms: 1,
+        sequence: 1,
+        service: ServiceName::from("models"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: DataCentre::from(data_centre),
+        slots,
+        state: ServerState::Ready,
+        cold_ms: 0,
+        models: vec![ModelName::from("base")],
+    }
+}
+
+fn board(servers: &[(&str, &str)]) -> Board {
+    let near = DataCentre::from("near");
+    let mut board = Board::new(HashMap::from([(near, Distance::Near)]));
+    for (name, data_centre) in servers {
+        board.set_server(announcement(name, data_centre, 4));
+    }
+    board
+}
+
+fn choose(board: &Board, model: &str, tried: &[ServerName], now: MonoMs) -> Choice {
+    let service = ServiceName::from("models");
+    let model = ModelName::from(model);
+    let need = Need {
+        service: &service,
+        model: Some(&model),
+        version: None,
+        tried,
+    };
+    board.choose(&need, now)
+}
+
+fn chosen(choice: &Choice) -> &str {
+    match choice {
+        Choice::Send { server, .. } => server.as_str(),
+        other => panic!("no server: {other:?}"),
+    }
+}
+
+#[test]
+fn an_adapter_is_served_where_it_is_present() {
+    let mut board = board(&[("a", "near"), ("b", "far")]);
+    let model = ModelName::from("base/x");
+    assert_eq!(choose(&board, "base/x", &[], NOW), Choice::NotPresent);
+    board.set_residency(&ServerName::from("b"), &model, 1, Some(MonoMs(0)));
+    assert_eq!(chosen(&choose(&board, "base/x", &[], NOW)), "b");
+    board.set_residency(&ServerName::from("a"), &model, 1, Some(MonoMs(0)));
+    assert_eq!(chosen(&choose(&board, "base/x", &[], NOW)), "a");
+}
+
+#[test]
+fn a_load_that_ends_soon_is_waited_for() {
+    let mut board = board(&[("a", "near")]);
+    let ready = NOW.plus(200);
+    board.set_residency(
+        &ServerName::from("a"),
+        &ModelName::from("base/x"),
+        1,
+        Some(ready),
+    );
+    assert_eq!(choose(&board, "base/x", &[], NOW), Choice::WaitUntil(ready));
+    assert_eq!(chosen(&choose(&board, "base/x", &[], ready)), "a");
+}
+
+#[test]
+fn a_postponed_adapter_stays_postponed_when_it_is_announced_again() {
+    let mut board = board(&[("a", "near")]);
+    let server = ServerName::from("a");
+    let model = ModelName::from("base/x");
+    board.set_residency(&server, &model, 1, Some(NOW));
+    assert!(!board.lacks(&server, &model, NOW));
+    board.set_residency(&server, &model, 1, Some(MonoMs(0)));
+    assert_matches!(choose(&board, "base/x", &[], NOW), Choice::WaitUntil(_));
+}
+
+#[test]
+fn an_adapter_that_is_missing_for_long_is_reported() {
+    let mut board = board(&[("a", "near")]);
+    let server = ServerName::from("a");
+    let model = ModelName::from("base/x");
+    board.set_residency(&server, &model, 1, Some(MonoMs(0)));
+    assert!(board.lacks(&server, &model, NOW));
+}
+
+#[test]
+fn a_full_or_failing_server_gives_way_to_another_one() {
+    let mut board = board(&[("a", "near"), ("b", "near")]);
+    let a = ServerName::from("a");
+    let full = ServerLoad {
+        running: 4,
+        waiting: 40,
+        slots: 4,
+    };
+    board.told_load(&a, full, NOW);
+    assert_eq!(chosen(&choose(&board, "base", &[], NOW)), "b");
+    let b = ServerName::from("b");
+    for _ in 0..20 {
+        board.judged(&b, true, NOW);
+    }
+    assert_eq!(chosen(&choose(&board, "base", &[], NOW)), "a");
+    board.avoid(&a, NOW.plus(500));
+    assert_eq!(chosen(&choose(&board, "base", &[], NOW)), "b");
+}
+
+#[test]
+fn a_server_that_leaves_gets_no_new_work() {
+    let mut board = board(&[("a", "near")]);
+    let mut leaving = announcement("a", "near", 4);
+    leaving.state = ServerState::Leaving;
+    board.set_server(leaving);
+    assert_eq!(choose(&board, "base", &[], NOW), Choice::NoServer);
+}
+
+#[test]
+fn a_server_that_failed_the_request_is_tried_last() {
+    let board = board(&[("a", "near"), ("b", "far")]);
+    let a = ServerName::from("a");
+    assert_eq!(chosen(&choose(&board, "base", &[], NOW)), "a");
+    assert_eq!(chosen(&choose(&board, "base", &[a.clone()], NOW)), "b");
+    let both = [a, ServerName::from("b")];
+    assert_eq!(chosen(&choose(&board, "base", &both, NOW)), "a");
+}
--- /dev/null
+++ b/tests/slots.rs
@@ -0,0 +1,259 @@
+//! Adapter slots of engines: what is loaded where, what makes way, and what a late or lost answer to
+//! an order leaves behind.
+
+use assert_matches::assert_matches;
+use medlarlift::scheduling::slots::EngineInfo;
+use medlarlift::scheduling::slots::EngineReport;
+use medlarlift::scheduling::slots::OrderOutcome;
+use medlarlift::scheduling::slots::Planner;
+use medlarlift::scheduling::slots::SlotAction;
+use medlarlift::scheduling::slots::SlotOrder;
+use medlarlift::scheduling::slots::SlotsConfig;
+use medlarlift::scheduling::slots::Use;
+use medlarlift::scheduling::slots::Wanted;
+use medlarlift::types::ModelName;
+use medlarlift::types::MonoMs;
+use medlarlift::types::ServerName;
+use medlarlift::types::VmName;
+
+const WANTED: Wanted = Wanted {
+    waiting: 1,
+    priority: 0,
+    copy: false,
+};
+
+/// A planner with one engine that has reported.
+struct Bench {
+    planner: Planner,
+    server: ServerName,
+    now: MonoMs,
+}
+
+impl Bench {
+    fn new(adapter_slots: usize) -> Self {
+        let mut bench = Self {
+            planner: Planner::new(SlotsConfig::default()),
+            server: ServerName::from("e1"),
+            now: MonoMs(10_000),
+        };
+        bench.add_engine(adapter_slots, 1);
+        bench.report(EngineReport::default());
+        bench
+    }
+
+    fn add_engine(&mut self, adapter_slots: usize, started_unix_ms: u64) {
+        let info = EngineInfo {
+            started_unix_ms,
+            adapter_slots,
+            bases: vec![ModelName::from("base")],
+        };
+        self.planner.set_engine(&self.server, info);
+    }
+
+    fn report(&mut self, report: EngineReport) {
+        self.planner
+            .on_report(&self.server, &report, self.now, self.now);
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now = self.now.plus(ms);
+    }
+
+    fn orders(&mut self) -> Vec<SlotOrder> {
+        let actions = self.planner.plan(self.now);
+        let orders = actions.into_iter().filter_map(|action| match action {
+            SlotAction::Order(order) => Some(order),
+            SlotAction::Report(_) => None,
+        });
+        orders.collect()
+    }
+
+    fn want(&mut self, name: &str) {
+        self.planner.want(&model(name), WANTED, self.now);
+    }
+
+    /// Wants an adapter and answers the order for it.
+    fn load(&mut self, name: &str, outcome: OrderOutcome) -> SlotOrder {
+        self.want(name);
+        let order = self.orders().remove(0);
+        self.planner.on_order(&order, outcome, self.now);
+        order
+    }
+
+    fn used(&mut self, name: &str, in_flight: u32, sent: u32) {
+        let used = Use {
+            in_flight,
+            sent,
+            is_early: false,
+        };
+        let vm = VmName::from("entry");
+        self.planner
+            .note_use(&self.server, &model(name), &vm, used, self.now);
+    }
+
+    fn held(names: &[(&str, u64)], sequence: u64) -> EngineReport {
+        EngineReport {
+            sequence,
+            adapters: names.iter().map(|(name, v)| (model(name), *v)).collect(),
+            loading: Vec::new(),
+        }
+    }
+}
+
+fn model(name: &str) -> ModelName {
+    ModelName::from(format!("base/{name}"))
+}
+
+#[test]
+fn a_wanted_adapter_is_loaded_with_the_expected_sequence() {
+    let mut bench = Bench::new(2);
+    let order = bench.load("a1", OrderOutcome::Accepted);
+    assert!(order.load);
+    assert_eq!(order.expected_sequence, 0);
+    assert_eq!(
+        bench.load("a2", OrderOutcome::Accepted).expected_sequence,
+        1
+    );
+}
+
+#[test]
+fn nothing_is_ordered_before_the_engine_has_reported() {
+    let mut bench = Bench::new(2);
+    bench.add_engine(2, 2);
+    bench.want("a1");
+    assert_eq!(bench.orders(), []);
+}
+
+#[test]
+fn an_adapter_that_may_still_be_on_its_way_does_not_make_way() {
+    let mut bench = Bench::new(1);
+    bench.load("a1", OrderOutcome::Accepted);
+    bench.pass(5_000);
+    bench.want("a2");
+    // The load should have ended long ago, but nothing shows that it has.
+    assert_eq!(bench.orders(), []);
+    bench.report(Bench::held(&[("a1", 1)], 1));
+    bench.want("a2");
+    assert_matches!(&bench.orders()[..], [order] if !order.load && order.model == model("a1"));
+}
+
+#[test]
+fn an_adapter_in_use_does_not_make_way() {
+    let mut bench = Bench::new(1);
+    bench.load("a1", OrderOutcome::Accepted);
+    bench.pass(1_000);
+    bench.report(Bench::held(&[("a1", 1)], 1));
+    bench.used("a1", 1, 1);
+    bench.pass(1_000);
+    bench.want("a2");
+    assert_eq!(bench.orders(), []);
+    bench.used("a1", 0, 0);
+    bench.pass(1_000);
+    bench.want("a2");
+    assert_matches!(&bench.orders()[..], [order] if !order.load);
+}
+
+#[test]
+fn the_least_used_adapter_makes_way() {
+    let mut bench = Bench::new(2);
+    bench.load("a1", OrderOutcome::Accepted);
+    bench.load("a2", OrderOutcome::Accepted);
+    bench.pass(1_000);
+    bench.report(Bench::held(&[("a1", 1), ("a2", 1)], 2));
+    bench.used("a1", 0, 5);
+    bench.used("a2", 0, 1);
+    bench.pass(1_000);
+    bench.want("a3");
+    assert_matches!(&bench.orders()[..], [order] if order.model == model("a2"));
+}
+
+#[test]
+fn an_order_without_an_answer_is_repeated_and_keeps_its_slot() {
+    let mut bench = Bench::new(1);
+    let order = bench.load("a1", OrderOutcome::Unknown);
+    bench.pass(100);
+    bench.want("a2");
+    let again = bench.orders();
+    assert_eq!(again, [order.clone()]);
+    bench
+        .planner
+        .on_order(&again[0], OrderOutcome::Unknown, bench.now);
+    // A report of before the order does not free the slot.
+    bench.pass(1_000);
+    bench.report(Bench::held(&[], 0));
+    bench.want("a2");
+    assert_eq!(bench.orders(), [order]);
+}
+
+#[test]
+fn an_order_that_was_carried_out_late_is_learned_from_the_report() {
+    let mut bench = Bench::new(2);
+    let order = bench.load("a1", OrderOutcome::Unknown);
+    bench.pass(100);
+    let again = bench.orders().remove(0);
+    bench
+        .planner
+        .on_order(&again, OrderOutcome::Conflict, bench.now);
+    bench.pass(2_000);
+    bench.report(Bench::held(&[("a1", 1)], 1));
+    let next = bench.load("a2", OrderOutcome::Accepted);
+    assert_eq!(next.expected_sequence, order.expected_sequence + 1);
+}
+
+#[test]
+fn a_restarted_engine_is_empty_and_takes_orders_after_its_report() {
+    let mut bench = Bench::new(1);
+    bench.load("a1", OrderOutcome::Accepted);
+    bench.planner.take_news();
+    bench.add_engine(1, 2);
+    let news = bench.planner.take_news();
+    assert_matches!(&news[..], [(_, gone, _, None)] if *gone == model("a1"));
+    bench.report(EngineReport::default());
+    assert_eq!(
+        bench.load("a2", OrderOutcome::Accepted).expected_sequence,
+        0
+    );
+}
+
+#[test]
+fn a_new_planner_adopts_what_the_engine_holds() {
+    let mut bench = Bench::new(1);
+    bench.add_engine(1, 2);
+    bench.report(Bench::held(&[("a7", 3)], 9));
+    bench.pass(1_000);
+    bench.want("a8");
+    let orders = bench.orders();
+    assert_matches!(&orders[..], [order] if !order.load && order.expected_sequence == 9);
+}
+
+#[test]
+fn a_new_version_replaces_an_adapter_once_it_is_at_rest() {
+    let mut bench = Bench::new(2);
+    bench.load("a1", OrderOutcome::Accepted);
+    bench.pass(1_000);
+    bench.report(Bench::held(&[("a1", 1)], 1));
+    bench.used("a1", 1, 1);
+    let named = model("a1");
+    bench
+        .planner
+        .set_versions([(&named, 2)].into_iter(), bench.now);
+    bench.planner.take_news();
+    assert_eq!(bench.orders(), []);
+    let news = bench.planner.take_news();
+    assert_matches!(&news[..], [(_, retired, _, None)] if *retired == named);
+    bench.used("a1", 0, 0);
+    bench.pass(1_000);
+    assert_matches!(&bench.orders()[..], [order] if order.load && order.version == 2);
+}
+
+#[test]
+fn a_doubted_adapter_is_not_announced_until_a_report_shows_it() {
+    let mut bench = Bench::new(1);
+    bench.load("a1", OrderOutcome::Accepted);
+    bench.pass(1_000);
+    bench.orders();
+    bench.planner.note_missing(&bench.server, &model("a1"));
+    assert_eq!(bench.planner.presence(&model("a1")), []);
+    bench.report(Bench::held(&[("a1", 1)], 1));
+    assert_eq!(bench.planner.presence(&model("a1")).len(), 1);
+}
