--- a/src/fleet/control_links.rs
+++ b/src/fleet/control_links.rs
@@ -32,6 +32,8 @@
     sessions: Mutex<IndexMap<u64, (Session, MonoMs)>>,
     /// When each controller was last linked.
     seen: Mutex<BTreeMap<VmName, (DataCentre, MonoMs)>>,
+    /// Controllers that have said that they stop, until they are linked anew.
+    leaving: Mutex<BTreeSet<VmName>>,
     targets: watch::Sender<BTreeSet<SocketAddr>>,
 }
 
@@ -59,6 +61,23 @@
         }
     }
 
+    /// Notes that a controller stops.
+    pub(super) fn left(&self, vm: &VmName) {
+        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.insert(vm.clone());
+    }
+
+    /// Whether a controller has said that it stops.
+    pub(super) fn is_leaving(&self, vm: &VmName) -> bool {
+        let leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.contains(vm)
+    }
+
+    fn is_back(&self, vm: &VmName) {
+        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.remove(vm);
+    }
+
     /// Number of entry VMs that are linked.
     pub(super) fn entry_vms(&self) -> u32 {
         let sessions = self.lock();
@@ -149,6 +168,7 @@
         self.links
             .lock()
             .insert(session.id(), (session.clone(), opened));
+        self.links.is_back(&session.peer().vm);
         core.greet(session);
         core.events().emit(&LinkChange {
             peer: session.peer().vm.clone(),
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -69,7 +69,7 @@
 /// Silence after which a controller forgets a backend server.
 const SERVER_SILENT_MS: u64 = 5_000;
 /// Age of a quorum's confirmation up to which this VM may act for the log.
-const QUORUM_FRESH_MS: u64 = 1_200;
+pub(super) const QUORUM_FRESH_MS: u64 = 900;
 /// Age of a quorum's confirmation up to which the leader hands out tokens.
 const LEADER_FRESH_MS: u64 = 700;
 /// Applied entries after which the log is compacted; documents may be large.
@@ -252,6 +252,10 @@
     /// Hands the log over and stops.
     pub async fn shutdown(&self) {
         self.duties.abort();
+        self.core.desk.stop();
+        self.core.tell_status(true);
+        let leaving = Frame::Leaving.encode();
+        self.core.links.broadcast(&leaving, |_| true);
         let handing_over = self.core.log.shutdown();
         let _ = timeout(Duration::from_millis(SHUTDOWN_MS), handing_over).await;
         self.regular.abort();
@@ -475,10 +479,9 @@
         let is_fresh = log.quorum_contact_age_ms <= QUORUM_FRESH_MS;
         let port = self.config.link_address.port();
         let members = log.voters.iter().chain(&log.learners);
+        let holds = self.desk.active(self.now());
         let state = self.state();
         let fleet = state.state().fleet();
-        let held = fleet.holders().iter();
-        let own = &self.config.hello.vm;
         ControlStatus {
             leads: log.is_leader && log.quorum_contact_age_ms <= LEADER_FRESH_MS,
             term: log.term,
@@ -488,10 +491,7 @@
                 .and_then(|leader| link_address(leader, self.config.operator_address.port())),
             document_version: fleet.document().map_or(0, |document| document.version),
             applied_index: log.applied_index,
-            holds: held
-                .filter(|(_, holder)| is_fresh && holder.vm == *own)
-                .map(|(data_centre, holder)| (data_centre.clone(), holder.fence))
-                .collect(),
+            holds: if is_fresh { holds } else { Vec::new() },
             controllers: members
                 .filter_map(|id| link_address(&id.vm, port))
                 .collect(),
@@ -596,6 +596,7 @@
                 self.desk.wanted(session, &data_centre, &wants, self.now());
                 self.desk.work(self);
             }
+            Frame::Leaving => self.links.left(&session.peer().vm),
             Frame::Uses(uses) => self.desk.used(&session.peer().vm, &uses, self.now()),
             Frame::Borrow(number, request) => {
                 let reply = self.quota.receive(&request);
--- a/src/fleet/duties.rs
+++ b/src/fleet/duties.rs
@@ -19,9 +19,7 @@
 /// Interval of looks.
 const ROUND_MS: u64 = 250;
 /// Silence after which another VM gives the orders of a data centre.
-const HOLDER_SILENT_MS: u64 = 2_500;
-/// Time for which a controller has to be linked before it gets orders back.
-const SETTLED_MS: u64 = 5_000;
+pub(super) const HOLDER_SILENT_MS: u64 = 1_600;
 /// Silence after which a voter is removed that has a successor in its data centre.
 const VOTER_SILENT_MS: u64 = 6_000;
 /// Time for which silent controllers are remembered.
@@ -64,6 +62,8 @@
     fleet: Fleet,
     seen: Seen,
     voters: BTreeSet<VmName>,
+    /// Controllers that have said that they stop.
+    leaving: BTreeSet<VmName>,
     engine_centres: BTreeSet<DataCentre>,
     heard: &'a BTreeMap<VmName, MonoMs>,
     now: MonoMs,
@@ -81,10 +81,12 @@
         let since = MonoMs(now.0.saturating_sub(REMEMBERED_MS));
         let seen = core.links.controllers(now, since);
         for (vm, (_, opened)) in &seen {
-            if opened.is_some() {
+            if opened.is_some() && !core.links.is_leaving(vm) {
                 heard.insert(vm.clone(), now);
             }
         }
+        let leaving = seen.keys().filter(|vm| core.links.is_leaving(vm));
+        let leaving = leaving.cloned().collect();
         let servers = core.merged();
         let engines = servers.servers().map(|record| &record.announcement);
         let engine_centres = engines
@@ -97,6 +99,7 @@
             own_centre: &core.config.hello.data_centre,
             fleet: core.state().state().fleet().clone(),
             seen,
+            leaving,
             voters: status.voters.iter().map(|id| id.vm.clone()).collect(),
             engine_centres,
             heard,
@@ -140,14 +143,6 @@
         self.now.since(heard)
     }
 
-    fn is_settled(&self, vm: &VmName) -> bool {
-        if vm == self.own {
-            return self.now.since(self.led_since) >= SETTLED_MS;
-        }
-        let opened = self.seen.get(vm).and_then(|(_, opened)| *opened);
-        opened.is_some_and(|opened| self.now.since(opened) >= SETTLED_MS)
-    }
-
     fn assignment(&self) -> Option<FleetCommand> {
         let due = self.engine_centres.iter().find_map(|centre| {
             let vm = self.better_holder(centre)?;
@@ -166,18 +161,17 @@
             let controller = self.fleet.controllers().get(vm);
             controller.is_some_and(|controller| controller.data_centre == *centre)
         };
-        let alive = |vm: &&VmName| self.silence_ms(vm) < ROUND_MS * 2;
+        let alive =
+            |vm: &&VmName| self.silence_ms(vm) < ROUND_MS * 2 && !self.leaving.contains(*vm);
         let local = self.voters.iter().filter(alive).find(|vm| in_centre(vm));
         let Some(holder) = self.fleet.holders().get(centre) else {
             return Some(local.unwrap_or(self.own));
         };
-        let is_lost =
-            !self.voters.contains(&holder.vm) || self.silence_ms(&holder.vm) >= HOLDER_SILENT_MS;
-        if is_lost {
-            return Some(local.unwrap_or(self.own));
-        }
-        let returns = local.filter(|vm| **vm != holder.vm && self.is_settled(vm));
-        returns.filter(|_| !in_centre(&holder.vm))
+        let is_lost = !self.voters.contains(&holder.vm)
+            || self.leaving.contains(&holder.vm)
+            || self.silence_ms(&holder.vm) >= HOLDER_SILENT_MS;
+        // A holder that lives keeps its task wherever it is, since a change interrupts the orders.
+        is_lost.then(|| local.unwrap_or(self.own))
     }
 
     /// A voter that has been silent for long and has a successor in its data centre.
--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -32,7 +32,6 @@
 use crate::link::Want;
 use crate::registry::Change;
 use crate::registry::Table;
-use crate::scheduling::slots::ranked;
 use crate::types::Clock;
 use crate::types::DataCentre;
 use crate::types::MonoMs;
@@ -43,6 +42,9 @@
 /// Time after which a document that was asked for is asked for again.
 const PULL_AGAIN_MS: u64 = 700;
 
+/// Times that a data centre is asked for an adapter before the next one is.
+const ASKS_PER_HOME: u32 = 3;
+
 /// The controllers' news.
 pub(super) struct EntryFeed {
     clock: Clock,
@@ -123,8 +125,8 @@
         self.expire_servers();
         self.send_uses();
         if wants {
-            for want in self.gateway().waits.wanted() {
-                self.ask(want);
+            for (want, asked_before) in self.gateway().waits.wanted() {
+                self.ask(want, asked_before);
             }
         }
     }
@@ -339,17 +341,18 @@
 }
 
 impl Asker for EntryFeed {
-    fn ask(&self, want: Want) {
-        let mut centres = self.gateway().board().engine_data_centres();
-        if self.gateway().recent_demand(&want.model) < NEAR_COPY_REQUESTS {
-            // An adapter that is rarely asked for is loaded once in the fleet.
-            centres = ranked(&want.model, centres.clone().iter())
-                .into_iter()
-                .cloned()
-                .collect();
+    fn ask(&self, want: Want, asked_before: u32) {
+        // An adapter that is rarely asked for is loaded once in the fleet.
+        let near = self.gateway().recent_demand(&want.model) >= NEAR_COPY_REQUESTS;
+        let mut homes = self.gateway().board().homes(&want.model, near);
+        if homes.is_empty() {
+            return;
         }
+        // A data centre that does not load it in time is passed over.
+        let passed = (asked_before / ASKS_PER_HOME) as usize % homes.len();
+        homes.rotate_left(passed);
         let state = self.lock();
-        for data_centre in centres {
+        for data_centre in homes {
             if let Some(holder) = state.holder(&data_centre) {
                 holder.send(&Frame::Wants(data_centre, vec![want]));
                 return;
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -19,6 +19,8 @@
 
 use super::control_vm::ControlConfig;
 use super::control_vm::Core;
+use super::control_vm::QUORUM_FRESH_MS;
+use super::duties::HOLDER_SILENT_MS;
 use super::log_line::HoldChange;
 use super::log_line::OrderDone;
 use super::log_line::SlotState;
@@ -53,6 +55,8 @@
 
 /// Longest wait for the answer to an order or a question.
 const ANSWER_MS: u64 = 350;
+/// Time added to the wait for a former holder's last order.
+const TAKEOVER_MARGIN_MS: u64 = 200;
 /// Longest time to open a connection to an engine.
 const CONNECT_MS: u64 = 300;
 
@@ -83,6 +87,7 @@
     /// The last holder seen of each data centre.
     holders: BTreeMap<DataCentre, OrderHolder>,
     versions: Vec<(ModelName, u64)>,
+    is_stopped: bool,
 }
 
 impl OrderDesk {
@@ -115,6 +120,9 @@
         now: MonoMs,
     ) {
         let mut state = self.lock();
+        if state.is_stopped {
+            return;
+        }
         let mine = |centre: &DataCentre| {
             let holder = holders.get(centre);
             holder.filter(|holder| is_fresh && holder.vm == self.vm)
@@ -149,7 +157,7 @@
         versions: &[(ModelName, u64)],
         now: MonoMs,
     ) -> Held {
-        let wait_ms = if took_over { self.order_lease_ms } else { 0 };
+        let wait_ms = if took_over { self.takeover_ms() } else { 0 };
         let mut planner = Planner::new(SlotsConfig::default());
         let named = versions.iter().map(|(model, version)| (model, *version));
         planner.set_versions(named, now);
@@ -162,6 +170,29 @@
         }
     }
 
+    /// Time after an assignment in which the former holder's last order is old enough: it stops
+    /// once it has not heard a quorum for a while, and was silent for longer when it was replaced.
+    fn takeover_ms(&self) -> u64 {
+        let last_order_ms = QUORUM_FRESH_MS + self.order_lease_ms + TAKEOVER_MARGIN_MS;
+        last_order_ms.saturating_sub(HOLDER_SILENT_MS)
+    }
+
+    /// Data centres in which this VM gives orders now, with the fence.
+    pub(super) fn active(&self, now: MonoMs) -> Vec<(DataCentre, u64)> {
+        let state = self.lock();
+        let active = state.held.iter().filter(|(_, held)| held.from <= now);
+        active
+            .map(|(centre, held)| (centre.clone(), held.fence))
+            .collect()
+    }
+
+    /// Gives no orders any more.
+    pub(super) fn stop(&self) {
+        let mut state = self.lock();
+        state.is_stopped = true;
+        state.held.clear();
+    }
+
     fn log_hold(&self, data_centre: &DataCentre, fence: u64, holds: bool) {
         self.events.emit(&HoldChange {
             data_centre: data_centre.clone(),
@@ -265,13 +296,14 @@
         let mut due = Vec::new();
         let mut news = Vec::new();
         for (centre, held) in &mut self.lock().held {
-            if held.from <= now {
-                let actions = held.planner.plan(now);
-                due.extend(actions.into_iter().filter_map(|action| {
-                    let address = held.address(&action)?;
-                    Some((centre.clone(), held.fence, address, action))
-                }));
-            }
+            let actions = match held.from <= now {
+                true => held.planner.plan(now),
+                false => held.planner.plan_reports(now),
+            };
+            due.extend(actions.into_iter().filter_map(|action| {
+                let address = held.address(&action)?;
+                Some((centre.clone(), held.fence, address, action))
+            }));
             let changes = held.planner.take_news();
             if !held.is_told {
                 held.is_told = true;
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -7,6 +7,7 @@
 use super::dialect::ServerLoad;
 use crate::registry::Announcement;
 use crate::registry::ServerState;
+use crate::scheduling::slots::ranked;
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::MonoMs;
@@ -223,23 +224,30 @@
         self.servers.values()
     }
 
-    /// Data centres with an engine that takes work, nearest first.
-    pub fn engine_data_centres(&self) -> Vec<DataCentre> {
-        let mut found: Vec<(f64, DataCentre)> = Vec::new();
-        for view in self.servers.values() {
-            let data_centre = &view.announcement.data_centre;
-            let is_known = found.iter().any(|(_, known)| known == data_centre);
-            let serves = !view.announcement.models.is_empty()
-                && view.announcement.state == ServerState::Ready;
-            if serves && !is_known {
-                found.push((view.distance.delay_ms(), data_centre.clone()));
+    /// Data centres with an engine that takes work, in the order in which `model` should be loaded
+    /// there: those of the engines that it prefers, or with `near` the nearest first.
+    pub fn homes(&self, model: &ModelName, near: bool) -> Vec<DataCentre> {
+        let engines: Vec<&Announcement> = self
+            .servers
+            .values()
+            .map(|view| &view.announcement)
+            .filter(|server| server.state == ServerState::Ready && !server.models.is_empty())
+            .collect();
+        let names = engines.iter().map(|server| &server.server);
+        let mut homes: Vec<DataCentre> = Vec::new();
+        for name in ranked(model, names) {
+            let data_centre = &self.servers[name].announcement.data_centre;
+            if !homes.contains(data_centre) {
+                homes.push(data_centre.clone());
             }
         }
-        found.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        found
-            .into_iter()
-            .map(|(_, data_centre)| data_centre)
-            .collect()
+        if near {
+            homes.sort_by(|a, b| {
+                let delay_ms = |centre| self.distance(centre).delay_ms();
+                delay_ms(a).total_cmp(&delay_ms(b))
+            });
+        }
+        homes
     }
 
     /// Replaces the residency of all engines of a data centre.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -69,8 +69,9 @@
 
 /// Passes wishes for adapters on to the VM that orders the engines.
 pub trait Asker: Send + Sync {
-    /// Passes a wish on, if that VM can be reached.
-    fn ask(&self, want: Want);
+    /// Passes a wish on, if that VM can be reached. `asked_before` counts earlier wishes of the same
+    /// waiting requests.
+    fn ask(&self, want: Want, asked_before: u32);
 }
 
 impl Gateway {
@@ -187,7 +188,7 @@
             priority,
             copy,
         };
-        self.asker.ask(want);
+        self.asker.ask(want, 0);
     }
 
     /// Adds a request's part to the retry budget of its service.
--- a/src/gateway/waits.rs
+++ b/src/gateway/waits.rs
@@ -15,7 +15,8 @@
 struct Waiting {
     count: u32,
     priority: u8,
-    copy: bool,
+    /// Times that the adapter was asked for.
+    asked: u32,
     changed: Arc<Notify>,
 }
 
@@ -40,7 +41,7 @@
         let entry = waiting.entry(model.clone()).or_insert_with(|| Waiting {
             count: 0,
             priority,
-            copy: false,
+            asked: 0,
             changed: Arc::new(Notify::new()),
         });
         entry.count += 1;
@@ -67,14 +68,18 @@
         }
     }
 
-    /// All adapters that requests wait for.
-    pub fn wanted(&self) -> Vec<Want> {
-        let waiting = self.lock();
-        let wants = waiting.iter().map(|(model, waiting)| Want {
-            model: model.clone(),
-            waiting: waiting.count,
-            priority: waiting.priority,
-            copy: waiting.copy,
+    /// All adapters that requests wait for, with the number of earlier calls that listed them.
+    pub fn wanted(&self) -> Vec<(Want, u32)> {
+        let mut waiting = self.lock();
+        let wants = waiting.iter_mut().map(|(model, waiting)| {
+            waiting.asked += 1;
+            let want = Want {
+                model: model.clone(),
+                waiting: waiting.count,
+                priority: waiting.priority,
+                copy: false,
+            };
+            (want, waiting.asked - 1)
         });
         wants.collect()
     }
--- a/src/scheduling/slots/engine.rs
+++ b/src/scheduling/slots/engine.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexSet;
 
+use super::pace::Pace;
 use super::planner::SlotOrder;
 use crate::types::ModelName;
 use crate::types::MonoMs;
@@ -11,6 +12,8 @@
 
 /// Time constant of the average of uses, in milliseconds.
 const USE_AVERAGE_MS: f64 = 20_000.0;
+/// Age of the state that a report shows.
+const REPORT_AGE_MS: u64 = 120;
 /// Adapters remembered as recently held.
 const MAX_RECENT: usize = 180;
 
@@ -67,12 +70,12 @@
     /// Whether the engine has been seen to hold it. Until then an order to drop it could overtake
     /// the load.
     pub(super) is_confirmed: bool,
+    /// When its load was ordered.
+    pub(super) ordered: MonoMs,
     /// Whether its load came from the weight store.
     pub(super) is_from_store: bool,
     /// Whether the engine refused a request for it although it should be there.
     pub(super) is_doubted: bool,
-    /// Whether a request came before its load had ended.
-    pub(super) was_early: bool,
     pub(super) last_used: MonoMs,
     /// When it got no new requests any more.
     pub(super) retired: MonoMs,
@@ -87,8 +90,8 @@
             phase,
             version,
             is_confirmed: false,
+            ordered: now,
             is_from_store: false,
-            was_early: false,
             is_doubted: false,
             last_used: now,
             retired: now,
@@ -215,12 +218,25 @@
         loading.count()
     }
 
-    /// Notes the adapters that a report shows as held.
-    pub(super) fn confirm(&mut self, report: &EngineReport) {
+    /// Notes the adapters that a report, asked for at `asked`, shows as held or on their way.
+    pub(super) fn confirm(&mut self, report: &EngineReport, asked: MonoMs, pace: &mut Pace) {
         for (model, version) in &report.adapters {
-            if let Some(place) = self.places.get_mut(model) {
-                place.is_confirmed |= *version >= place.version;
-                place.is_doubted = false;
+            let Some(place) = self.places.get_mut(model) else {
+                continue;
+            };
+            if *version >= place.version && !place.is_confirmed {
+                place.is_confirmed = true;
+                if place.is_from_store {
+                    pace.at_most(asked.since(place.ordered));
+                }
+            }
+            place.is_doubted = false;
+        }
+        let shown = MonoMs(asked.0.saturating_sub(REPORT_AGE_MS));
+        for (model, _) in &report.loading {
+            let place = self.places.get(model);
+            if let Some(place) = place.filter(|place| place.is_from_store) {
+                pace.at_least(shown.since(place.ordered));
             }
         }
     }
--- a/src/scheduling/slots/pace.rs
+++ b/src/scheduling/slots/pace.rs
@@ -1,37 +1,41 @@
 //! How many loads from the weight store may be under way at once, and how long one takes.
 //!
 //! Beyond some number of loads at once the store serves each more slowly, so that more of them only
-//! delay each other. That number is not told. It is found by watching whether loads end when they
-//! are expected to: the expected time follows what is seen, and the limit falls while the expected
-//! time is well above the shortest one seen.
+//! delay each other. That number is not told. The limit starts in proportion to the engines, falls
+//! while loads take much longer than the shortest time seen, and rises while loads wait and do not.
 
 use crate::types::MonoMs;
 
-/// Loads at once at the start.
-const FIRST_LIMIT: f64 = 3.0;
-/// Change of the expected time after a load that was late.
-const LATE_FACTOR: f64 = 1.12;
-/// Change of the expected time after a load that ended in time.
-const IN_TIME_FACTOR: f64 = 0.985;
-/// Expected time above the shortest one from which the store counts as crowded.
-const CROWDED_FACTOR: f64 = 1.35;
+/// Loads at once for each engine at the start.
+const LOADS_PER_ENGINE: f64 = 1.0;
+/// Smallest and largest change of that number.
+const FACTOR_RANGE: (f64, f64) = (0.5, 4.0);
+/// Smallest limit.
+const MIN_LIMIT: f64 = 2.0;
+/// Weight of a measured load in the expected time.
+const MEASURED_WEIGHT: f64 = 0.3;
+/// Least correction downwards after a load that ended in time, as a part of the expected time. An
+/// end is seen late, so without it the expected time would stay too long.
+const PROBE_PART: f64 = 0.08;
+/// Expected time, in shortest ones, from which the store counts as crowded.
+const CROWDED: f64 = 2.0;
+/// Expected time, in shortest ones, up to which the store counts as free.
+const FREE: f64 = 1.3;
 /// Change of the limit while the store is crowded.
-const CROWDED_LIMIT_FACTOR: f64 = 0.85;
-/// Change of the limit while loads wait and the store is not crowded.
-const LIMIT_STEP: f64 = 0.25;
+const CROWDED_FACTOR: f64 = 0.9;
+/// Change of the limit while loads wait and the store is free.
+const FREE_FACTOR: f64 = 1.05;
 /// Interval of changes of the limit.
-const STEP_MS: u64 = 400;
+const STEP_MS: u64 = 1_000;
 /// Rise of the shortest time at each step, so that it follows a store that has become slower.
-const FLOOR_RISE: f64 = 1.002;
-/// Shortest expected time.
-const MIN_LOAD_MS: f64 = 20.0;
-/// Longest expected time.
-const MAX_LOAD_MS: f64 = 4_000.0;
+const FLOOR_RISE: f64 = 1.005;
+/// Range of the expected time, in milliseconds.
+const LOAD_MS_RANGE: (f64, f64) = (20.0, 4_000.0);
 
 /// Pace of loads from the store.
 #[derive(Clone, Debug)]
 pub(super) struct Pace {
-    limit: f64,
+    factor: f64,
     load_ms: f64,
     floor_ms: f64,
     stepped: MonoMs,
@@ -41,16 +45,17 @@
     /// Begins with the expected time `load_ms`.
     pub(super) fn new(load_ms: u64) -> Self {
         Self {
-            limit: FIRST_LIMIT,
+            factor: 1.0,
             load_ms: load_ms as f64,
             floor_ms: load_ms as f64,
             stepped: MonoMs(0),
         }
     }
 
-    /// Loads that may be under way at once.
-    pub(super) fn limit(&self) -> usize {
-        self.limit.max(1.0) as usize
+    /// Loads that may be under way at once on `engines` engines.
+    pub(super) fn limit(&self, engines: usize) -> usize {
+        let limit = engines as f64 * LOADS_PER_ENGINE * self.factor;
+        limit.max(MIN_LIMIT).round() as usize
     }
 
     /// Expected time of a load.
@@ -58,17 +63,25 @@
         self.load_ms as u64
     }
 
-    /// A load had not ended when it was expected to.
-    pub(super) fn late(&mut self) {
-        self.load_ms = (self.load_ms * LATE_FACTOR).min(MAX_LOAD_MS);
+    /// A load took at least `ms`: it was seen under way that long after its order.
+    pub(super) fn at_least(&mut self, ms: u64) {
+        let shortfall_ms = ms as f64 - self.load_ms;
+        self.correct(shortfall_ms.max(0.0));
     }
 
-    /// A load had ended when it was expected to.
-    pub(super) fn in_time(&mut self) {
-        self.load_ms = (self.load_ms * IN_TIME_FACTOR).max(MIN_LOAD_MS);
+    /// A load took at most `ms`: it was seen to have ended that long after its order.
+    pub(super) fn at_most(&mut self, ms: u64) {
+        let excess_ms = ms as f64 - self.load_ms;
+        self.correct(excess_ms.min(-PROBE_PART * self.load_ms));
         self.floor_ms = self.floor_ms.min(self.load_ms);
     }
 
+    fn correct(&mut self, difference_ms: f64) {
+        let (least, most) = LOAD_MS_RANGE;
+        let corrected = self.load_ms + MEASURED_WEIGHT * difference_ms;
+        self.load_ms = corrected.clamp(least, most);
+    }
+
     /// Adapts the limit; `is_waited_for` tells whether loads wait for it.
     pub(super) fn step(&mut self, is_waited_for: bool, now: MonoMs) {
         if now.since(self.stepped) < STEP_MS {
@@ -76,10 +89,11 @@
         }
         self.stepped = now;
         self.floor_ms *= FLOOR_RISE;
-        if self.load_ms > self.floor_ms * CROWDED_FACTOR {
-            self.limit = (self.limit * CROWDED_LIMIT_FACTOR).max(1.0);
-        } else if is_waited_for {
-            self.limit += LIMIT_STEP;
+        let (least, most) = FACTOR_RANGE;
+        if self.load_ms > self.floor_ms * CROWDED {
+            self.factor = (self.factor * CROWDED_FACTOR).max(least);
+        } else if is_waited_for && self.load_ms < self.floor_ms * FREE {
+            self.factor = (self.factor * FREE_FACTOR).min(most);
         }
     }
 }
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -54,7 +54,7 @@
             want_ms: 800,
             prompt_ms: 350,
             report_every_ms: 4_000,
-            confirm_every_ms: 700,
+            confirm_every_ms: 250,
             conflict_pause_ms: 60,
             report_lag_ms: 600,
             retire_ms: 400,
@@ -257,15 +257,10 @@
             return;
         };
         place.note_use(vm, used.in_flight, used.sent, now);
-        if used.is_early {
-            place.was_early = true;
-            if place.is_from_store {
-                self.pace.late();
-            }
-        } else if used.in_flight > 0 && !place.is_confirmed && place.phase == Phase::Ready {
+        if !used.is_early && used.in_flight > 0 && !place.is_confirmed && place.phase == Phase::Ready {
             place.is_confirmed = true;
-            if place.is_from_store && !place.was_early {
-                self.pace.in_time();
+            if place.is_from_store {
+                self.pace.at_most(now.since(place.ordered));
             }
         }
     }
@@ -316,6 +311,13 @@
         held.collect()
     }
 
+    /// Reports that are to be asked for while no orders may be given yet.
+    pub fn plan_reports(&mut self, now: MonoMs) -> Vec<SlotAction> {
+        let mut actions = Vec::new();
+        self.ask_reports(now, &mut actions);
+        actions
+    }
+
     /// Figures for logs.
     pub fn summary(&self, now: MonoMs) -> Summary {
         let engines = self.engines.values();
@@ -327,7 +329,7 @@
                 .count(),
             adapters: engines.map(|engine| engine.places.len()).sum(),
             store_loads: self.store_loads(now),
-            store_limit: self.pace.limit(),
+            store_limit: self.pace.limit(self.engines.len()),
             load_ms: self.pace.load_ms(),
             wanted: self.wants.len(),
         }
@@ -450,7 +452,7 @@
             .cloned()
             .collect();
         candidates.sort_by_key(|name| !self.engines[name].recent.contains(model));
-        let store_is_busy = self.store_loads(now) >= self.pace.limit();
+        let store_is_busy = self.store_loads(now) >= self.pace.limit(self.engines.len());
         for server in &candidates {
             let engine = &self.engines[server];
             let is_reload = engine.recent.contains(model);
@@ -505,7 +507,7 @@
         place.version = version;
         place.is_confirmed = false;
         place.is_from_store = is_from_store;
-        place.was_early = false;
+        place.ordered = now;
         place.is_doubted = false;
         engine.has_open_order = true;
         engine.last_order = now;
@@ -711,7 +713,7 @@
         let Some(engine) = self.engines.get_mut(server) else {
             return;
         };
-        engine.confirm(report);
+        engine.confirm(report, asked, &mut self.pace);
         // The report shows one moment: a list that comes with the expected sequence lacks no order.
         let is_current = engine
             .sequence
