--- a/src/scheduling/slots/pace.rs
+++ b/src/scheduling/slots/pace.rs
@@ -16,7 +16,7 @@
 const MEASURED_WEIGHT: f64 = 0.3;
 /// Least correction downwards after a load that ended in time, as a part of the expected time. An
 /// end is seen late, so without it the expected time would stay too long.
-const PROBE_PART: f64 = 0.08;
+const PROBE_PART: f64 = 0.03;
 /// Expected time, in shortest ones, from which the store counts as crowded.
 const CROWDED: f64 = 2.0;
 /// Expected time, in shortest ones, up to which the store counts as free.
