--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -244,6 +244,11 @@
         self.core.leave(server, started_unix_ms);
     }
 
+    /// State of the replicated log.
+    pub fn log_status(&self) -> consensus::Status {
+        self.core.log.status()
+    }
+
     /// Whether all parts run. If not, the process should end and be started again.
     pub fn is_running(&self) -> bool {
         self.core.log.is_running()
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -15,10 +15,12 @@
 use super::dialect::Dialect;
 use super::pool::Pool;
 use super::quota::Quota;
+use super::record::RequestRecord;
 use super::uses::Uses;
 use super::waits::Waits;
 use crate::events::EventLog;
 use crate::link::Want;
+use crate::metrics_page::Meters;
 use crate::pipeline::RetryBudget;
 use crate::types::Clock;
 use crate::types::DataCentre;
@@ -47,6 +49,8 @@
     pub version_grace_ms: u64,
     /// Structured log.
     pub events: EventLog,
+    /// Counters and histograms.
+    pub meters: Meters,
 }
 
 /// Shared state of the request path.
@@ -98,6 +102,19 @@
         &self.config.events
     }
 
+    /// Logs and counts a request that has ended.
+    pub(super) fn ended(&self, record: &RequestRecord) {
+        self.config.events.emit(record);
+        let route = record.route.as_deref().unwrap_or_default();
+        let outcome = record.reason.unwrap_or(match record.status {
+            200..=299 => "served",
+            _ => "failed_by_server",
+        });
+        self.config
+            .meters
+            .request(route, outcome, record.first_ms, record.waited_ms);
+    }
+
     /// Refuses requests from now on.
     pub fn stop_taking(&self) {
         self.is_leaving.store(true, Ordering::Relaxed);
@@ -126,6 +143,7 @@
             return false;
         }
         self.quota.set_deployment(&deployment, current.as_deref());
+        self.config.meters.deployment_version(deployment.version);
         *current = Some(Arc::new(deployment));
         true
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -96,7 +96,7 @@
     record.reason = Some(refusal.reason);
     record.first_ms = elapsed_ms(begun);
     record.total_ms = record.first_ms;
-    gateway.config.events.emit(&record);
+    gateway.ended(&record);
     refusal.into_response()
 }
 
@@ -300,7 +300,7 @@
             Ok(Read::Whole(response)) => {
                 record.status = response.status().as_u16();
                 record.total_ms = record.first_ms;
-                self.gateway.config.events.emit(&record);
+                self.gateway.ended(&record);
                 let (parts, body) = response.into_parts();
                 Response::from_parts(parts, full(body))
             }
@@ -634,7 +634,7 @@
         if self.is_open {
             self.record.reason = Some("caller_left");
             self.record.total_ms = elapsed_ms(self.begun);
-            self.gateway.config.events.emit(&self.record);
+            self.gateway.ended(&self.record);
         }
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -216,7 +216,7 @@
     fn log_end(&mut self) {
         if let Some(mut record) = self.record.take() {
             record.total_ms = elapsed_ms(self.exchange.begun);
-            self.exchange.gateway.config.events.emit(&record);
+            self.exchange.gateway.ended(&record);
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod link;
 pub mod membership;
 pub mod metrics;
+pub mod metrics_page;
 pub mod node;
 pub mod peer;
 pub mod pipeline;
--- /dev/null
+++ b/src/metrics_page.rs
@@ -0,0 +1,188 @@
+//! Counters, histograms and gauges of one process, served as text in the OpenMetrics format.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use crate::consensus::Status;
+
+/// Upper bounds of the histograms' buckets, in milliseconds.
+const BOUNDS_MS: [f64; 12] = [
+    10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 600.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0, 16_000.0,
+];
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RequestLabels {
+    route: String,
+    outcome: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RouteLabels {
+    route: String,
+}
+
+/// What a process measures. Clones share it.
+#[derive(Clone)]
+pub struct Meters {
+    registry: Arc<Mutex<Registry>>,
+    requests: Family<RequestLabels, Counter>,
+    first_ms: Family<RouteLabels, Histogram>,
+    waited_ms: Family<RouteLabels, Histogram>,
+    deployment_version: Gauge<u64, AtomicU64>,
+    log_term: Gauge<u64, AtomicU64>,
+    log_applied_index: Gauge<u64, AtomicU64>,
+    log_quorum_age_ms: Gauge<u64, AtomicU64>,
+    log_leads: Gauge<u64, AtomicU64>,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(BOUNDS_MS)
+}
+
+impl Default for Meters {
+    fn default() -> Self {
+        let meters = Self {
+            registry: Arc::new(Mutex::new(Registry::with_prefix("medlarlift"))),
+            requests: Family::default(),
+            first_ms: Family::new_with_constructor(histogram),
+            waited_ms: Family::new_with_constructor(histogram),
+            deployment_version: Gauge::default(),
+            log_term: Gauge::default(),
+            log_applied_index: Gauge::default(),
+            log_quorum_age_ms: Gauge::default(),
+            log_leads: Gauge::default(),
+        };
+        meters.register();
+        meters
+    }
+}
+
+impl Meters {
+    fn register(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let help = "Requests by route and outcome";
+        registry.register("requests", help, self.requests.clone());
+        let help = "Time to the head of the answer in milliseconds";
+        registry.register("first_ms", help, self.first_ms.clone());
+        let help = "Wait for an adapter or a server in milliseconds";
+        registry.register("waited_ms", help, self.waited_ms.clone());
+        let help = "Version of the configuration in force";
+        registry.register("deployment_version", help, self.deployment_version.clone());
+        registry.register("log_term", "Term of the log", self.log_term.clone());
+        let help = "Last log index applied";
+        registry.register("log_applied_index", help, self.log_applied_index.clone());
+        let help = "Age of the last confirmation by a quorum in milliseconds";
+        registry.register("log_quorum_age_ms", help, self.log_quorum_age_ms.clone());
+        let help = "1 if this VM leads the log";
+        registry.register("log_leads", help, self.log_leads.clone());
+    }
+
+    /// Counts a request.
+    pub fn request(&self, route: &str, outcome: &str, first_ms: u64, waited_ms: u64) {
+        let labels = RequestLabels {
+            route: route.to_owned(),
+            outcome: outcome.to_owned(),
+        };
+        self.requests.get_or_create(&labels).inc();
+        let labels = RouteLabels {
+            route: route.to_owned(),
+        };
+        let first = self.first_ms.get_or_create(&labels);
+        first.observe(first_ms as f64);
+        let waited = self.waited_ms.get_or_create(&labels);
+        waited.observe(waited_ms as f64);
+    }
+
+    /// Sets the version of the configuration in force.
+    pub fn deployment_version(&self, version: u64) {
+        self.deployment_version.set(version);
+    }
+
+    /// Sets the state of the log.
+    pub fn log(&self, status: &Status) {
+        self.log_term.set(status.term);
+        self.log_applied_index.set(status.applied_index);
+        self.log_quorum_age_ms.set(status.quorum_contact_age_ms);
+        self.log_leads.set(u64::from(status.is_leader));
+    }
+
+    /// The page.
+    pub fn text(&self) -> String {
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
+
+/// Serves the page. Stops when dropped.
+#[derive(Debug)]
+pub struct MetricsPage {
+    local_address: SocketAddr,
+    serving: JoinHandle<()>,
+}
+
+impl MetricsPage {
+    /// Listens at `address`; every path shows the page.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn bind(address: SocketAddr, meters: Meters) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let local_address = listener.local_addr()?;
+        let serving = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let meters = meters.clone();
+                let service = service_fn(move |_: Request<Incoming>| {
+                    let page = Full::new(Bytes::from(meters.text()));
+                    async move { Ok::<_, Infallible>(Response::new(page)) }
+                });
+                tokio::spawn(async move {
+                    // A reader whose connection breaks asks again.
+                    let _ = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        Ok(Self {
+            local_address,
+            serving,
+        })
+    }
+
+    /// Address that is listened at.
+    pub fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+}
+
+impl Drop for MetricsPage {
+    fn drop(&mut self) {
+        self.serving.abort();
+    }
+}
