fix(slots): a repeated order counts from its acceptance

Cause: the time of a load was counted from the first of several copies of its order, so lost answers made the store seem slow and the limit of loads fell. Test: an_order_that_was_repeated_does_not_make_loads_seem_slow fails before.

--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -664,6 +664,8 @@
         engine.remember(&order.model);
         if let Some(place) = engine.places.get_mut(&order.model) {
             place.phase = Phase::Loading { ready };
+            // An order that had to be repeated counts from its acceptance.
+            place.ordered = now;
             let version = place.version;
             self.news.push((
                 order.server.clone(),
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -258,3 +258,20 @@
     bench.report(Bench::held(&[("a1", 1)], 1));
     assert_eq!(bench.planner.presence(&model("a1")).len(), 1);
 }
+
+#[test]
+fn an_order_that_was_repeated_does_not_make_loads_seem_slow() {
+    let mut bench = Bench::new(4);
+    let order = bench.load("a1", OrderOutcome::Unknown);
+    bench.pass(5_000);
+    let again = bench.orders();
+    assert_eq!(again, [order]);
+    bench
+        .planner
+        .on_order(&again[0], OrderOutcome::Accepted, bench.now);
+    bench.pass(150);
+    let mut report = Bench::held(&[], 1);
+    report.loading = vec![(model("a1"), 1)];
+    bench.report(report);
+    assert!(bench.planner.summary(bench.now).load_ms <= 250);
+}
