feat(gateway): requests that would wait too long at busy servers are refused at once

Cause: with a third of the engines left the rest were sent all requests; their queues grew, answers came after the callers had left, and requests that were slow for load were sent to a second engine. Test: load_beyond_the_engines_does_not_pile_up_at_them.

--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -120,11 +120,17 @@
         self.occupied(now) + 1.0 > f64::from(self.announcement.slots.max(1))
     }
 
+    /// Expected wait for a place, with requests that take `service_ms` each.
+    fn queueing_ms(&self, service_ms: f64, now: MonoMs) -> f64 {
+        let slots = f64::from(self.announcement.slots.max(1));
+        let beyond = (self.occupied(now) + 1.0 - slots).max(0.0);
+        beyond * service_ms / slots
+    }
+
     fn expected_delay_ms(&self, service_ms: f64, now: MonoMs) -> f64 {
         let slots = f64::from(self.announcement.slots.max(1));
         let occupied = self.occupied(now);
-        let beyond = (occupied + 1.0 - slots).max(0.0);
-        let queueing_ms = beyond * service_ms / slots;
+        let queueing_ms = self.queueing_ms(service_ms, now);
         let batch_ms = (occupied / slots).min(1.0) * FULL_BATCH_MS;
         let cold_ms = if self.announcement.cold_ms > 0 {
             batch_ms
@@ -155,7 +161,7 @@
     Send {
         /// The server.
         server: ServerName,
-        /// Time until it is likely to begin, beyond the way there.
+        /// Expected wait for a place there.
         delay_ms: u64,
         /// Whether its batch is full, so that another copy of the adapter would help.
         is_full: bool,
@@ -396,7 +402,7 @@
             .filter(has_model)
             .map(|view| (view.expected_delay_ms(service_ms, now), *view));
         match scored.min_by(|a, b| a.0.total_cmp(&b.0)) {
-            Some((delay_ms, view)) => send(view, delay_ms, now),
+            Some((_, view)) => send(view, service_ms, now),
             None => Choice::NotPresent,
         }
     }
@@ -426,7 +432,7 @@
         }
         match best {
             Some((_, ready, _)) if ready > now => Choice::WaitUntil(ready),
-            Some((delay_ms, _, view)) => send(view, delay_ms, now),
+            Some((_, _, view)) => send(view, service_ms, now),
             None => Choice::NotPresent,
         }
     }
@@ -437,10 +443,10 @@
     }
 }
 
-fn send(view: &ServerView, delay_ms: f64, now: MonoMs) -> Choice {
+fn send(view: &ServerView, service_ms: f64, now: MonoMs) -> Choice {
     Choice::Send {
         server: view.announcement.server.clone(),
-        delay_ms: (delay_ms - view.distance.delay_ms()).max(0.0) as u64,
+        delay_ms: view.queueing_ms(service_ms, now) as u64,
         is_full: view.is_full(now),
         is_far: view.distance == Distance::Far,
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use super::admission;
 use super::answer::Body;
 use super::answer::Refusal;
 use super::answer::full;
@@ -46,7 +47,7 @@
 use crate::types::ServiceName;
 
 /// Requests in recent time from which an adapter is worth a place in the own data centre.
-pub const NEAR_COPY_REQUESTS: f64 = 3.0;
+pub const NEAR_COPY_REQUESTS: f64 = 8.0;
 /// Time to come back while the VM knows no configuration.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
 /// Time to come back, to another VM, when this one leaves.
@@ -424,10 +425,16 @@
             let wait_ms = match choice {
                 Choice::Send {
                     server,
+                    delay_ms,
                     is_full,
                     is_far,
-                    ..
                 } => {
+                    let target_ms = self.route.target_latency_ms;
+                    let refused = admission::refuse_for(delay_ms, target_ms, self.priority());
+                    if let Some(retry_after_ms) = refused.filter(|_| self.past.runs == 0) {
+                        let status = StatusCode::SERVICE_UNAVAILABLE;
+                        return Err(Refusal::not_run(status, "servers_busy", retry_after_ms));
+                    }
                     if is_full || is_far && self.is_popular {
                         self.ask_for_copy();
                     }
@@ -506,7 +513,7 @@
         last_event: Option<u64>,
     ) -> Result<Read, Miss> {
         let facts = self.facts(server, last_event);
-        let patience = self.patience();
+        let patience = self.patience(server);
         self.past.runs += 1;
         let sent = Instant::now();
         let gateway = Arc::clone(&self.gateway);
@@ -560,9 +567,15 @@
     }
 
     /// How long a server may take to answer before another one is tried.
-    fn patience(&self) -> Instant {
+    fn patience(&self, server: &ServerName) -> Instant {
         let may_repeat = self.route.repeat.may_run_again();
-        if !may_repeat || self.past.runs + 1 >= self.past.max_runs {
+        let now = self.gateway.now();
+        let board = self.gateway.board();
+        let is_busy = board
+            .get(server)
+            .is_some_and(|view| admission::is_busy(view.occupied(now), view.announcement.slots));
+        drop(board);
+        if !may_repeat || is_busy || self.past.runs + 1 >= self.past.max_runs {
             return self.deadline;
         }
         let patience_ms = (self.route.target_latency_ms * 2).max(MIN_PATIENCE_MS);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,9 +2,10 @@
 //! are opaque, and what decides about them stands in their heads and in the operator's
 //! configuration.
 //!
-//! Decisions ([`attempt`], [`board`], [`deployment`]) are values in, values out; input and output
+//! Decisions ([`admission`], [`attempt`], [`board`], [`deployment`]) are values in, values out; input and output
 //! are in [`accept`], [`exchange`], [`forward`], [`pool`] and [`relay`].
 
+pub mod admission;
 pub mod attempt;
 pub mod board;
 pub mod deployment;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,7 @@
 
 use assert_matches::assert_matches;
 use medlarlift::gateway::ServerLoad;
+use medlarlift::gateway::admission;
 use medlarlift::gateway::attempt;
 use medlarlift::gateway::attempt::Ended;
 use medlarlift::gateway::attempt::Next;
@@ -312,3 +313,45 @@
     let both = [a, ServerName::from("b")];
     assert_eq!(chosen(&choose(&board, "base", &both, NOW)), "a");
 }
+
+#[test]
+fn requests_that_would_wait_too_long_are_refused_the_less_urgent_first() {
+    assert_eq!(admission::refuse_for(300, 600, 0), None);
+    assert_eq!(admission::refuse_for(500, 600, 2), Some(200));
+    assert_eq!(admission::refuse_for(1_600, 600, 0), Some(1_000));
+    assert_eq!(admission::refuse_for(239, 600, 9), None);
+}
+
+/// A third of the engines is left and the load goes on: the servers' queues stay bounded.
+#[test]
+fn load_beyond_the_engines_does_not_pile_up_at_them() {
+    let mut board = board(&[("a", "near")]);
+    let a = ServerName::from("a");
+    let service = ServiceName::from("models");
+    for _ in 0..200 {
+        board.took(&service, 2_000);
+    }
+    let mut refused = 0;
+    for _ in 0..100 {
+        let Choice::Send { delay_ms, .. } = choose(&board, "base", &[], NOW) else {
+            panic!("no server");
+        };
+        match admission::refuse_for(delay_ms, 600, 0) {
+            Some(_) => refused += 1,
+            None => board.sent(&a),
+        }
+    }
+    let occupied = board.get(&a).map(|view| view.in_flight).unwrap();
+    assert!(occupied <= 6, "{occupied} requests at 4 places");
+    assert_eq!(refused + occupied, 100);
+}
+
+#[test]
+fn a_server_that_fails_requests_is_not_taken_for_a_busy_one() {
+    let mut board = board(&[("a", "near")]);
+    for _ in 0..20 {
+        board.judged(&ServerName::from("a"), true, NOW);
+    }
+    let choice = choose(&board, "base", &[], NOW);
+    assert_matches!(choice, Choice::Send { delay_ms: 0, .. });
+}
