fix(quota): the local reserve bridges buckets that another VM has just taken over

Cause: after a change of the log's leader the accounts' buckets are empty, and after a restart of all VMs the reserves were empty too, so requests within their rate were refused for over a second. Ruled out: the rate itself (refusals stop once the buckets have filled).

--- a/src/fleet/borrow.rs
+++ b/src/fleet/borrow.rs
@@ -19,6 +19,7 @@
 use crate::link::Frame;
 use crate::link::Session;
 use crate::types::DataCentre;
+use crate::types::MonoMs;
 
 /// Longest wait for tokens.
 const BORROW_MS: u64 = 400;
@@ -39,11 +40,17 @@
 
 impl Borrowers {
     /// Sets the link to the leader.
-    pub(super) fn set_leader(&self, leader: Option<Session>) {
+    pub(super) fn set_leader(&self, leader: Option<Session>, now: MonoMs) {
         if leader.is_none() {
             self.reach.set(false);
         }
-        self.lock().leader = leader;
+        let mut state = self.lock();
+        let old = state.leader.as_ref().map(Session::id);
+        let new = leader.as_ref().map(Session::id);
+        if new.is_some() && new != old {
+            self.reach.moved(now);
+        }
+        state.leader = leader;
     }
 
     /// Passes a reply to its request.
--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -188,7 +188,7 @@
             *current = targets;
             is_changed
         });
-        self.borrowers.set_leader(state.leader());
+        self.borrowers.set_leader(state.leader(), self.clock.mono());
         let version = self.gateway().deployment().map_or(0, |d| d.version);
         let was_pulled = state.pulled.is_some_and(|(pulled, at)| {
             pulled >= status.document_version && now.since(at) < PULL_AGAIN_MS
@@ -330,7 +330,7 @@
     fn closed(&self, session: &Session, reason: &str) {
         let mut state = self.lock();
         state.links.shift_remove(&session.id());
-        self.borrowers.set_leader(state.leader());
+        self.borrowers.set_leader(state.leader(), self.clock.mono());
         drop(state);
         self.events.emit(&LinkChange {
             peer: session.peer().vm.clone(),
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -11,6 +11,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use crate::limits::BorrowPeers;
@@ -27,6 +28,7 @@
 use crate::types::AccountName;
 use crate::types::Clock;
 use crate::types::DataCentre;
+use crate::types::MonoMs;
 use crate::types::Tokens;
 use crate::types::VmName;
 
@@ -39,6 +41,8 @@
 const RESERVE_PERCENT: u64 = 40;
 /// Tokens that all VMs together hand out at once without the bucket.
 const RESERVE_BURST_TOKENS: u64 = 12_000;
+/// Time in which buckets that start empty fill far enough.
+const FILL_MS: u64 = 1_500;
 /// VMs assumed while their number is not known.
 const UNKNOWN_VMS: u32 = 16;
 
@@ -75,16 +79,27 @@
 
 /// Whether the fleet's buckets can be reached. Shared with the code that carries the requests.
 #[derive(Clone, Debug, Default)]
-pub struct Reach(Arc<AtomicBool>);
+pub struct Reach {
+    is_reached: Arc<AtomicBool>,
+    /// Uptime from which the buckets have filled since another VM has kept them.
+    filled_ms: Arc<AtomicU64>,
+}
 
 impl Reach {
     /// Notes whether the last request was answered.
     pub fn set(&self, is_reached: bool) {
-        self.0.store(is_reached, Ordering::Relaxed);
+        self.is_reached.store(is_reached, Ordering::Relaxed);
+    }
+
+    /// Notes that another VM keeps the buckets from `now` on; they are empty at first.
+    pub fn moved(&self, now: MonoMs) {
+        let filled = now.plus(FILL_MS);
+        self.filled_ms.store(filled.0, Ordering::Relaxed);
     }
 
-    fn is_reached(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+    fn is_reached(&self, now: MonoMs) -> bool {
+        let is_filled = now.0 >= self.filled_ms.load(Ordering::Relaxed);
+        is_filled && self.is_reached.load(Ordering::Relaxed)
     }
 }
 
@@ -131,7 +146,7 @@
             let mut reserves = self.reserves();
             reserves
                 .entry(account.name.clone())
-                .or_insert_with(|| TokenBucket::new(share, now));
+                .or_insert_with(|| TokenBucket::full(share, now));
         }
         let gone = old.into_iter().flat_map(|old| old.accounts.keys());
         for name in gone.filter(|name| !new.accounts.contains_key(*name)) {
@@ -162,7 +177,7 @@
             Err(Shortage::TooLarge { .. }) if tokens <= account.burst => {
                 self.take_reserve(account, tokens)
             }
-            Err(Shortage::Later { .. }) if !self.reach.is_reached() => {
+            Err(Shortage::Later { .. }) if !self.reach.is_reached(self.clock.mono()) => {
                 self.take_reserve(account, tokens)
             }
             Err(shortage) => Err(shortage),
@@ -190,7 +205,7 @@
         let mut reserves = self.reserves();
         let bucket = reserves
             .entry(account.name.clone())
-            .or_insert_with(|| TokenBucket::new(share, now));
+            .or_insert_with(|| TokenBucket::full(share, now));
         bucket.set_share(now, share);
         if bucket.tokens(now) >= tokens {
             bucket.take(now, tokens, 0);
--- a/src/limits/bucket.rs
+++ b/src/limits/bucket.rs
@@ -39,6 +39,14 @@
         }
     }
 
+    /// A full bucket, for limits that may be exceeded by one burst after a start.
+    pub fn full(share: Share, now: MonoMs) -> Self {
+        Self {
+            level: share.capacity(),
+            ..Self::new(share, now)
+        }
+    }
+
     /// Share of the account's limits that the bucket enforces.
     pub fn share(&self) -> Share {
         self.share
--- a/src/link/dialer.rs
+++ b/src/link/dialer.rs
@@ -23,7 +23,7 @@
 /// First pause after a link was lost; doubled after each failure.
 const MIN_PAUSE_MS: u64 = 100;
 /// Longest pause between two tries.
-const MAX_PAUSE_MS: u64 = 800;
+const MAX_PAUSE_MS: u64 = 300;
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -26,10 +26,13 @@
 use medlarlift::limits::GrantId;
 use medlarlift::limits::History;
 use medlarlift::limits::LimitVersion;
+use medlarlift::limits::NANO;
 use medlarlift::limits::NoCoordinator;
 use medlarlift::limits::Return;
 use medlarlift::limits::Server;
+use medlarlift::limits::Share;
 use medlarlift::limits::Shortage;
+use medlarlift::limits::TokenBucket;
 use medlarlift::types::Clock;
 use medlarlift::types::DataCentre;
 use medlarlift::types::MonoMs;
@@ -593,3 +596,16 @@
         "{refused:?}"
     );
 }
+
+#[test]
+fn a_full_bucket_gives_one_burst_and_then_its_rate() {
+    let share = Share {
+        refill_per_ms: 10 * NANO,
+        burst: 1_000 * NANO,
+        lifetime_ms: 0,
+    };
+    let mut bucket = TokenBucket::full(share, MonoMs(5));
+    assert_eq!(bucket.take(MonoMs(5), 5_000, 0), 1_000);
+    assert_eq!(bucket.take(MonoMs(5), 5_000, 0), 0);
+    assert_eq!(bucket.take(MonoMs(15), 5_000, 0), 100);
+}
