--- a/src/fleet/control_links.rs
+++ b/src/fleet/control_links.rs
@@ -14,7 +14,7 @@
 use indexmap::IndexMap;
 use tokio::sync::watch;
 
-use super::control_vm::Core;
+use super::control_core::Core;
 use super::log_line::LinkChange;
 use crate::consensus::Envelope;
 use crate::consensus::Transport;
--- a/src/fleet/duties.rs
+++ b/src/fleet/duties.rs
@@ -8,12 +8,13 @@
 
 use tokio::time::MissedTickBehavior;
 
-use super::control_vm::Core;
+use super::control_core::Core;
 use crate::consensus::Status;
 use crate::control::Fleet;
 use crate::control::FleetCommand;
 use crate::types::DataCentre;
 use crate::types::MonoMs;
+use crate::types::ServiceName;
 use crate::types::VmName;
 
 /// Interval of looks.
@@ -87,10 +88,16 @@
         }
         let leaving = seen.keys().filter(|vm| core.links.is_leaving(vm));
         let leaving = leaving.cloned().collect();
+        let deployment = core.deployment();
+        let is_engine = |service: &ServiceName| {
+            let services = deployment.as_ref().map(|deployment| &deployment.services);
+            let service = services.and_then(|services| services.get(service));
+            service.is_some_and(|service| service.engine.is_some())
+        };
         let servers = core.merged();
         let engines = servers.servers().map(|record| &record.announcement);
         let engine_centres = engines
-            .filter(|server| !server.models.is_empty())
+            .filter(|server| is_engine(&server.service))
             .map(|server| server.data_centre.clone())
             .collect();
         drop(servers);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,11 +2,13 @@
 //! log and learn of the backend servers, and entry VMs, which serve callers.
 
 mod borrow;
+mod control_core;
 mod control_links;
 mod control_vm;
 mod duties;
 mod entry_feed;
 mod entry_vm;
+mod held;
 mod log_line;
 mod order_desk;
 
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -1,7 +1,6 @@
 //! Carries out the orders to the engines of the data centres that this VM holds.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,10 +16,11 @@
 use http_body_util::Full;
 use tokio::time::timeout;
 
+use super::control_core::Core;
+use super::control_core::QUORUM_FRESH_MS;
 use super::control_vm::ControlConfig;
-use super::control_vm::Core;
-use super::control_vm::QUORUM_FRESH_MS;
 use super::duties::HOLDER_SILENT_MS;
+use super::held::Held;
 use super::log_line::HoldChange;
 use super::log_line::OrderDone;
 use super::log_line::SlotState;
@@ -32,14 +32,10 @@
 use crate::gateway::pool::Pool;
 use crate::link::AdapterUse;
 use crate::link::Frame;
-use crate::link::Residency;
-use crate::link::ResidencyNews;
 use crate::link::Role;
 use crate::link::Session;
 use crate::link::Want;
-use crate::registry::ServerState;
 use crate::registry::Table;
-use crate::scheduling::slots::EngineInfo;
 use crate::scheduling::slots::OrderOutcome;
 use crate::scheduling::slots::Planner;
 use crate::scheduling::slots::SlotAction;
@@ -60,17 +56,6 @@
 /// Longest time to open a connection to an engine.
 const CONNECT_MS: u64 = 300;
 
-/// One data centre that this VM holds.
-struct Held {
-    fence: u64,
-    /// Time from which orders may be given.
-    from: MonoMs,
-    planner: Planner,
-    /// Whether the entry VMs know that this VM holds the data centre.
-    is_told: bool,
-    addresses: HashMap<ServerName, SocketAddr>,
-}
-
 /// The data centres that this VM holds.
 pub(super) struct OrderDesk {
     vm: VmName,
@@ -146,7 +131,7 @@
         }
         state.holders = holders.clone();
         for (centre, held) in &mut state.held {
-            held.set_engines(centre, deployment, servers);
+            held.set_engines(centre, deployment, servers, holders.len());
         }
     }
 
@@ -425,79 +410,3 @@
         OrderOutcome::Unknown => "unknown",
     }
 }
-
-impl Held {
-    fn set_engines(
-        &mut self,
-        centre: &DataCentre,
-        deployment: Option<&Deployment>,
-        servers: &Table,
-    ) {
-        let Some(deployment) = deployment else {
-            return;
-        };
-        let mut present = BTreeSet::new();
-        for record in servers.servers() {
-            let server = &record.announcement;
-            let service = deployment.services.get(&server.service);
-            let sheet = service.and_then(|service| service.engine.as_ref());
-            let Some(sheet) = sheet.filter(|_| server.data_centre == *centre) else {
-                continue;
-            };
-            if server.state == ServerState::Leaving {
-                continue;
-            }
-            let info = EngineInfo {
-                started_unix_ms: server.started_unix_ms,
-                adapter_slots: sheet.adapter_capacity(&server.models),
-                bases: server.models.clone(),
-            };
-            self.planner.set_engine(&server.server, info);
-            self.addresses.insert(server.server.clone(), server.address);
-            present.insert(server.server.clone());
-        }
-        let gone: Vec<ServerName> = self
-            .planner
-            .engines()
-            .filter(|server| !present.contains(*server))
-            .cloned()
-            .collect();
-        for server in gone {
-            self.planner.remove_engine(&server);
-            self.addresses.remove(&server);
-        }
-    }
-
-    fn address(&self, action: &SlotAction) -> Option<SocketAddr> {
-        let server = match action {
-            SlotAction::Order(order) => &order.server,
-            SlotAction::Report(server) => server,
-        };
-        self.addresses.get(server).copied()
-    }
-
-    fn news(
-        &self,
-        centre: &DataCentre,
-        items: Vec<(ServerName, ModelName, u64, Option<MonoMs>)>,
-        full: bool,
-        now: MonoMs,
-    ) -> ResidencyNews {
-        let items = items.into_iter().map(|(server, model, version, ready)| {
-            let ready_in_ms = ready.map(|ready| ready.since(now));
-            Residency {
-                server,
-                model,
-                version,
-                ready_in_ms: ready_in_ms.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX)),
-            }
-        });
-        ResidencyNews {
-            data_centre: centre.clone(),
-            fence: self.fence,
-            full,
-            items: items.collect(),
-            refused: Vec::new(),
-        }
-    }
-}
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -68,3 +69,16 @@
         .map_err(|never| match never {})
         .boxed_unsync()
 }
+
+/// Drops the headers that concern only the connection to the server.
+pub(super) fn strip_connection_headers(headers: &mut HeaderMap) {
+    for name in [
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "trailer",
+    ] {
+        headers.remove(name);
+    }
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -27,8 +27,6 @@
     pub refusals: u32,
     /// Servers that may run it.
     pub max_runs: u32,
-    /// Whether an event of a stream has been passed on.
-    pub has_begun: bool,
 }
 
 /// What follows.
--- /dev/null
+++ b/src/gateway/begin.rs
@@ -0,0 +1,197 @@
+//! The start of a request: its route, account, body and tokens.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::StatusCode;
+use http::header;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use rand::RngExt;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use super::answer::Refusal;
+use super::attempt::Past;
+use super::board::is_adapter;
+use super::context::Gateway;
+use super::deployment::Account;
+use super::deployment::Deployment;
+use super::deployment::Route;
+use super::dialect::CallerHead;
+use super::exchange::Exchange;
+use super::exchange::LEAVING_RETRY_MS;
+use super::exchange::LOOK_MS;
+use super::exchange::NEAR_COPY_REQUESTS;
+use super::forward::Template;
+use super::quota::Taken;
+use super::record::RequestRecord;
+use crate::limits::Shortage;
+use crate::types::ServiceName;
+
+/// Time to come back while the VM knows no configuration.
+const UNCONFIGURED_RETRY_MS: u64 = 300;
+
+/// Finds the route and the account, reads the body and reserves the tokens.
+pub(super) async fn begin(
+    gateway: &Arc<Gateway>,
+    parts: &Parts,
+    body: Incoming,
+    caller: CallerHead,
+    begun: Instant,
+    record: &mut RequestRecord,
+) -> Result<Exchange, Refusal> {
+    if gateway.is_leaving() {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
+    }
+    let deployment = gateway.deployment().ok_or_else(|| {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Refusal::not_run(status, "no_configuration", UNCONFIGURED_RETRY_MS)
+    })?;
+    record.deployment_version = deployment.version;
+    let route = find_route(&deployment, parts)?;
+    record.route = Some(route.name.clone());
+    let account = find_account(&deployment, &route, &caller)?;
+    record.account = account.as_ref().map(|account| account.name.clone());
+    let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
+    let deadline = begun + Duration::from_millis(wait_ms.min(route.timeout_ms));
+    let body = read_body(&deployment, body, deadline).await?;
+    let taken = take_tokens(gateway, account.as_deref(), &caller).await?;
+    let service = route.target(rand::rng().random()).clone();
+    gateway.count_request(&service);
+    let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
+    let demand = adapter.map_or(0.0, |model| gateway.count_demand(model));
+    let template = Template {
+        request_id: caller.request_id.clone(),
+        method: parts.method.clone(),
+        uri: parts.uri.clone(),
+        headers: end_to_end(&parts.headers),
+        body,
+        model: caller.model.clone(),
+        may_repeat: route.repeat.may_run_again(),
+    };
+    Ok(Exchange {
+        past: Past {
+            repeat: route.repeat,
+            runs: 0,
+            refusals: 0,
+            max_runs: route.max_attempts.max(1),
+        },
+        gateway: Arc::clone(gateway),
+        is_engine: is_engine(&deployment, &service),
+        is_popular: demand >= NEAR_COPY_REQUESTS,
+        route,
+        account,
+        caller,
+        service,
+        template,
+        begun,
+        deadline,
+        tried: Vec::new(),
+        taken: Some(taken),
+    })
+}
+
+fn is_engine(deployment: &Deployment, service: &ServiceName) -> bool {
+    let known = deployment.services.get(service);
+    known.is_some_and(|service| service.engine.is_some())
+}
+
+fn find_route(deployment: &Deployment, parts: &Parts) -> Result<Arc<Route>, Refusal> {
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let route = deployment.route(host, parts.uri.path()).cloned();
+    route.ok_or_else(|| Refusal::new(StatusCode::NOT_FOUND, "no_route"))
+}
+
+fn find_account(
+    deployment: &Deployment,
+    route: &Route,
+    caller: &CallerHead,
+) -> Result<Option<Arc<Account>>, Refusal> {
+    if route.is_public || deployment.accounts.is_empty() {
+        return Ok(None);
+    }
+    let key = caller.key.as_deref().unwrap_or_default();
+    match deployment.authenticate(key) {
+        Some(account) => Ok(Some(Arc::clone(account))),
+        None => Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown_key")),
+    }
+}
+
+async fn read_body(
+    deployment: &Deployment,
+    body: Incoming,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, deployment.limits.body_bytes);
+    match timeout_at(deadline, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(Refusal::new(status, "body_too_large"))
+        }
+        Ok(Err(_)) => Err(Refusal::new(StatusCode::BAD_REQUEST, "body_broken")),
+        Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
+    }
+}
+
+async fn take_tokens(
+    gateway: &Gateway,
+    account: Option<&Account>,
+    caller: &CallerHead,
+) -> Result<Taken, Refusal> {
+    let Some(account) = account else {
+        return Ok(Taken::Unlimited);
+    };
+    let tokens = account.cost(caller.tokens());
+    let status = StatusCode::TOO_MANY_REQUESTS;
+    gateway
+        .quota
+        .take(account, tokens)
+        .await
+        .map_err(|shortage| match shortage {
+            Shortage::Later { retry_after_ms } => {
+                Refusal::not_run(status, "over_rate", retry_after_ms.max(1))
+            }
+            Shortage::TooLarge { .. } => Refusal::new(status, "over_burst"),
+            Shortage::UnknownAccount => Refusal::not_run(status, "limits_unknown", LOOK_MS),
+        })
+}
+
+/// Drops the headers that concern only the caller's connection.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        kept.remove(name.as_str());
+    }
+    for name in [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    ] {
+        kept.remove(name);
+    }
+    kept
+}
--- a/src/gateway/deployment.rs
+++ b/src/gateway/deployment.rs
@@ -119,11 +119,20 @@
     pub weights_mb: f64,
     /// Adapters at once.
     pub adapter_slots: usize,
+    /// Loads of base models that the weight store allows in a second, over all engines.
+    pub loads_per_s: f64,
     /// Base models.
     pub models: Vec<Model>,
 }
 
 impl EngineSheet {
+    /// Base models that fit into an empty engine.
+    pub fn loadable(&self) -> Vec<ModelName> {
+        let models = self.models.iter();
+        let fitting = models.filter(|model| model.weights_mb <= self.weights_mb);
+        fitting.map(|model| model.name.clone()).collect()
+    }
+
     /// Adapters that an engine which holds `bases` can hold at once, by places and by memory.
     pub fn adapter_capacity(&self, bases: &[ModelName]) -> usize {
         let held = || {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,17 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::header;
-use http::request::Parts;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use rand::RngExt;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -22,16 +17,17 @@
 use super::answer::Body;
 use super::answer::Refusal;
 use super::answer::full;
+use super::answer::strip_connection_headers;
 use super::attempt;
 use super::attempt::Ended;
 use super::attempt::Next;
 use super::attempt::Past;
+use super::begin::begin;
 use super::board::Choice;
 use super::board::Need;
 use super::board::is_adapter;
 use super::context::Gateway;
 use super::deployment::Account;
-use super::deployment::Deployment;
 use super::deployment::Route;
 use super::dialect::CallerHead;
 use super::dialect::SendFacts;
@@ -39,25 +35,23 @@
 use super::forward::Miss;
 use super::forward::Reply;
 use super::forward::Template;
+use super::open_record::OpenRecord;
 use super::quota::Taken;
 use super::record::RequestRecord;
 use super::relay;
-use crate::limits::Shortage;
 use crate::types::ServerName;
 use crate::types::ServiceName;
 
 /// Requests in recent time from which an adapter is worth a place in the own data centre.
 pub const NEAR_COPY_REQUESTS: f64 = 8.0;
-/// Time to come back while the VM knows no configuration.
-const UNCONFIGURED_RETRY_MS: u64 = 300;
 /// Time to come back, to another VM, when this one leaves.
-const LEAVING_RETRY_MS: u64 = 20;
+pub(super) const LEAVING_RETRY_MS: u64 = 20;
 /// Time to come back when a service has no server.
 const NO_SERVER_RETRY_MS: u64 = 500;
 /// Time to come back when all servers are full.
 const BUSY_RETRY_MS: u64 = 400;
 /// Longest wait between two looks at the servers.
-const LOOK_MS: u64 = 100;
+pub(super) const LOOK_MS: u64 = 100;
 /// Part of the time that is left which may be spent on waiting for an adapter, in percent.
 const WAIT_PERCENT: u64 = 60;
 /// Longest wait for an adapter, in objectives of the route; callers leave a little later.
@@ -101,166 +95,6 @@
     refusal.into_response()
 }
 
-/// Finds the route and the account, reads the body and reserves the tokens.
-async fn begin(
-    gateway: &Arc<Gateway>,
-    parts: &Parts,
-    body: Incoming,
-    caller: CallerHead,
-    begun: Instant,
-    record: &mut RequestRecord,
-) -> Result<Exchange, Refusal> {
-    if gateway.is_leaving() {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
-    }
-    let deployment = gateway.deployment().ok_or_else(|| {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        Refusal::not_run(status, "no_configuration", UNCONFIGURED_RETRY_MS)
-    })?;
-    record.deployment_version = deployment.version;
-    let route = find_route(&deployment, parts)?;
-    record.route = Some(route.name.clone());
-    let account = find_account(&deployment, &route, &caller)?;
-    record.account = account.as_ref().map(|account| account.name.clone());
-    let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
-    let deadline = begun + Duration::from_millis(wait_ms.min(route.timeout_ms));
-    let body = read_body(&deployment, body, deadline).await?;
-    let taken = take_tokens(gateway, account.as_deref(), &caller).await?;
-    let service = route.target(rand::rng().random()).clone();
-    gateway.count_request(&service);
-    let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
-    let demand = adapter.map_or(0.0, |model| gateway.count_demand(model));
-    let template = Template {
-        request_id: caller.request_id.clone(),
-        method: parts.method.clone(),
-        uri: parts.uri.clone(),
-        headers: end_to_end(&parts.headers),
-        body,
-        model: caller.model.clone(),
-        may_repeat: route.repeat.may_run_again(),
-    };
-    Ok(Exchange {
-        past: Past {
-            repeat: route.repeat,
-            runs: 0,
-            refusals: 0,
-            max_runs: route.max_attempts.max(1),
-            has_begun: false,
-        },
-        gateway: Arc::clone(gateway),
-        is_engine: is_engine(&deployment, &service),
-        is_popular: demand >= NEAR_COPY_REQUESTS,
-        route,
-        account,
-        caller,
-        service,
-        template,
-        begun,
-        deadline,
-        tried: Vec::new(),
-        taken: Some(taken),
-    })
-}
-
-fn is_engine(deployment: &Deployment, service: &ServiceName) -> bool {
-    let known = deployment.services.get(service);
-    known.is_some_and(|service| service.engine.is_some())
-}
-
-fn find_route(deployment: &Deployment, parts: &Parts) -> Result<Arc<Route>, Refusal> {
-    let host = parts.headers.get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default();
-    let route = deployment.route(host, parts.uri.path()).cloned();
-    route.ok_or_else(|| Refusal::new(StatusCode::NOT_FOUND, "no_route"))
-}
-
-fn find_account(
-    deployment: &Deployment,
-    route: &Route,
-    caller: &CallerHead,
-) -> Result<Option<Arc<Account>>, Refusal> {
-    if route.is_public || deployment.accounts.is_empty() {
-        return Ok(None);
-    }
-    let key = caller.key.as_deref().unwrap_or_default();
-    match deployment.authenticate(key) {
-        Some(account) => Ok(Some(Arc::clone(account))),
-        None => Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown_key")),
-    }
-}
-
-async fn read_body(
-    deployment: &Deployment,
-    body: Incoming,
-    deadline: Instant,
-) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, deployment.limits.body_bytes);
-    match timeout_at(deadline, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(Refusal::new(status, "body_too_large"))
-        }
-        Ok(Err(_)) => Err(Refusal::new(StatusCode::BAD_REQUEST, "body_broken")),
-        Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
-    }
-}
-
-async fn take_tokens(
-    gateway: &Gateway,
-    account: Option<&Account>,
-    caller: &CallerHead,
-) -> Result<Taken, Refusal> {
-    let Some(account) = account else {
-        return Ok(Taken::Unlimited);
-    };
-    let tokens = account.cost(caller.tokens());
-    let status = StatusCode::TOO_MANY_REQUESTS;
-    gateway
-        .quota
-        .take(account, tokens)
-        .await
-        .map_err(|shortage| match shortage {
-            Shortage::Later { retry_after_ms } => {
-                Refusal::not_run(status, "over_rate", retry_after_ms.max(1))
-            }
-            Shortage::TooLarge { .. } => Refusal::new(status, "over_burst"),
-            Shortage::UnknownAccount => Refusal::not_run(status, "limits_unknown", LOOK_MS),
-        })
-}
-
-/// Drops the headers that concern only the caller's connection.
-fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = headers.clone();
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        kept.remove(name.as_str());
-    }
-    for name in [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    ] {
-        kept.remove(name);
-    }
-    kept
-}
-
 /// A request that is admitted.
 pub(super) struct Exchange {
     pub(super) gateway: Arc<Gateway>,
@@ -268,15 +102,15 @@
     pub(super) past: Past,
     pub(super) begun: Instant,
     pub(super) deadline: Instant,
-    account: Option<Arc<Account>>,
-    caller: CallerHead,
-    service: ServiceName,
-    is_engine: bool,
+    pub(super) account: Option<Arc<Account>>,
+    pub(super) caller: CallerHead,
+    pub(super) service: ServiceName,
+    pub(super) is_engine: bool,
     /// Whether the adapter is asked for so often that a copy in the own data centre is worth it.
-    is_popular: bool,
-    template: Template,
-    tried: Vec<ServerName>,
-    taken: Option<Taken>,
+    pub(super) is_popular: bool,
+    pub(super) template: Template,
+    pub(super) tried: Vec<ServerName>,
+    pub(super) taken: Option<Taken>,
 }
 
 /// An answer that was read as far as it decides about a repeat.
@@ -445,7 +279,7 @@
                     let status = StatusCode::SERVICE_UNAVAILABLE;
                     return Err(Refusal::not_run(status, "no_server", NO_SERVER_RETRY_MS));
                 }
-                Choice::WaitUntil(ready) => ready.since(now).min(LOOK_MS).max(1),
+                Choice::WaitUntil(ready) => ready.since(now).clamp(1, LOOK_MS),
                 Choice::NotPresent => LOOK_MS,
             };
             let adapter = self.caller.model.as_ref().filter(|model| is_adapter(model));
@@ -622,40 +456,6 @@
     }
 }
 
-/// Logs a request whose caller left before it had an answer.
-struct OpenRecord {
-    gateway: Arc<Gateway>,
-    begun: Instant,
-    record: RequestRecord,
-    is_open: bool,
-}
-
-impl OpenRecord {
-    fn new(gateway: &Arc<Gateway>, begun: Instant, record: RequestRecord) -> Self {
-        Self {
-            gateway: Arc::clone(gateway),
-            begun,
-            record,
-            is_open: true,
-        }
-    }
-
-    fn close(mut self) -> RequestRecord {
-        self.is_open = false;
-        std::mem::take(&mut self.record)
-    }
-}
-
-impl Drop for OpenRecord {
-    fn drop(&mut self) {
-        if self.is_open {
-            self.record.reason = Some("caller_left");
-            self.record.total_ms = elapsed_ms(self.begun);
-            self.gateway.ended(&self.record);
-        }
-    }
-}
-
 /// Whether the last send ended before a connection was open.
 fn is_unreachable(record: &RequestRecord) -> bool {
     matches!(
@@ -683,19 +483,6 @@
     }
 }
 
-/// Drops the headers that concern only the connection to the server.
-pub(super) fn strip_connection_headers(headers: &mut HeaderMap) {
-    for name in [
-        "connection",
-        "keep-alive",
-        "transfer-encoding",
-        "content-length",
-        "trailer",
-    ] {
-        headers.remove(name);
-    }
-}
-
 /// Time since `begun`.
 pub(super) fn elapsed_ms(begun: Instant) -> u64 {
     begun.elapsed().as_millis() as u64
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,11 +13,13 @@
 
 mod accept;
 mod answer;
+mod begin;
 mod context;
 mod demand;
 mod dialect;
 mod exchange;
 mod forward;
+mod open_record;
 mod quota;
 mod record;
 mod relay;
--- /dev/null
+++ b/src/gateway/open_record.rs
@@ -0,0 +1,43 @@
+//! The log line of a request that is in progress.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+
+use super::context::Gateway;
+use super::exchange::elapsed_ms;
+use super::record::RequestRecord;
+
+/// Logs a request whose caller left before it had an answer.
+pub(super) struct OpenRecord {
+    gateway: Arc<Gateway>,
+    begun: Instant,
+    pub(super) record: RequestRecord,
+    is_open: bool,
+}
+
+impl OpenRecord {
+    pub(super) fn new(gateway: &Arc<Gateway>, begun: Instant, record: RequestRecord) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            begun,
+            record,
+            is_open: true,
+        }
+    }
+
+    pub(super) fn close(mut self) -> RequestRecord {
+        self.is_open = false;
+        std::mem::take(&mut self.record)
+    }
+}
+
+impl Drop for OpenRecord {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.record.reason = Some("caller_left");
+            self.record.total_ms = elapsed_ms(self.begun);
+            self.gateway.ended(&self.record);
+        }
+    }
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,13 +16,13 @@
 use tokio::time::timeout_at;
 
 use super::answer::Body;
+use super::answer::strip_connection_headers;
 use super::attempt;
 use super::attempt::Ended;
 use super::attempt::Next;
 use super::exchange::Exchange;
 use super::exchange::Read;
 use super::exchange::elapsed_ms;
-use super::exchange::strip_connection_headers;
 use super::forward::Reply;
 use super::record::RequestRecord;
 
@@ -62,7 +62,6 @@
         is_over: false,
         exchange,
     };
-    relay.exchange.past.has_begun = true;
     relay.ready = relay.accept(&first);
     let chunks = stream::unfold(relay, |mut relay| async move {
         let chunk = relay.next().await?;
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -110,8 +110,6 @@
     pub full: bool,
     /// The changes.
     pub items: Vec<Residency>,
-    /// Adapters that cannot be loaded now; the time after which it is worth to ask again.
-    pub refused: Vec<(ModelName, u32)>,
 }
 
 /// An adapter that an entry VM's requests wait for.
@@ -175,8 +173,6 @@
     Borrow(u64, BorrowRequest),
     /// The answer to the request with this number.
     Borrowed(u64, BorrowReply),
-    /// Fingerprint of a request that was running when its backend server ended.
-    Suspect(u64),
 }
 
 impl Frame {
--- a/src/scheduling/slots/engine.rs
+++ b/src/scheduling/slots/engine.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexSet;
 
 use super::pace::Pace;
-use super::planner::SlotOrder;
+use super::types::SlotOrder;
 use crate::types::ModelName;
 use crate::types::MonoMs;
 use crate::types::VmName;
@@ -26,6 +26,8 @@
     pub adapter_slots: usize,
     /// Base models that it holds.
     pub bases: Vec<ModelName>,
+    /// Base models that fit into it.
+    pub loadable: Vec<ModelName>,
 }
 
 /// What an engine reports of itself.
@@ -33,6 +35,8 @@
 pub struct EngineReport {
     /// Orders that it has accepted since its start.
     pub sequence: u64,
+    /// Base models that it holds.
+    pub bases: Vec<ModelName>,
     /// Adapters that it holds, with their versions.
     pub adapters: Vec<(ModelName, u64)>,
     /// Adapters that are being loaded, with their versions.
@@ -72,6 +76,8 @@
     pub(super) is_confirmed: bool,
     /// When its load was ordered.
     pub(super) ordered: MonoMs,
+    /// Whether the load under way replaces an older version, which stays if the order fails.
+    pub(super) is_replaced: bool,
     /// Whether its load came from the weight store.
     pub(super) is_from_store: bool,
     /// Whether the engine refused a request for it although it should be there.
@@ -91,6 +97,7 @@
             version,
             is_confirmed: false,
             ordered: now,
+            is_replaced: false,
             is_from_store: false,
             is_doubted: false,
             last_used: now,
@@ -158,6 +165,8 @@
     /// When a report was asked for last.
     pub(super) report_asked: Option<MonoMs>,
     pub(super) needs_report: bool,
+    /// Base models that its last report showed.
+    pub(super) reported_bases: Vec<ModelName>,
 }
 
 impl Engine {
@@ -174,6 +183,7 @@
             pause_until: MonoMs(0),
             report_asked: None,
             needs_report: true,
+            reported_bases: Vec::new(),
         }
     }
 
@@ -198,9 +208,15 @@
         self.places.values().filter(loading).count()
     }
 
+    /// Whether it holds no base model, as after a restart.
+    pub(super) fn is_empty(&self) -> bool {
+        self.info.bases.is_empty() && self.reported_bases.is_empty()
+    }
+
     pub(super) fn holds_base_of(&self, model: &ModelName) -> bool {
         let base = model.as_str().split('/').next().unwrap_or_default();
-        self.info.bases.iter().any(|held| held.as_str() == base)
+        let mut held = self.info.bases.iter().chain(&self.reported_bases);
+        held.any(|held| held.as_str() == base)
     }
 
     pub(super) fn remember(&mut self, model: &ModelName) {
--- a/src/scheduling/slots/mod.rs
+++ b/src/scheduling/slots/mod.rs
@@ -8,18 +8,21 @@
 //! what it held a short time ago much faster, so an adapter that returns goes home.
 
 mod engine;
+mod orders;
 mod pace;
 mod planner;
 mod rank;
+mod reports;
+mod types;
 
 pub use engine::EngineInfo;
 pub use engine::EngineReport;
-pub use planner::OrderOutcome;
 pub use planner::Planner;
-pub use planner::SlotAction;
-pub use planner::SlotOrder;
-pub use planner::SlotsConfig;
-pub use planner::Summary;
-pub use planner::Use;
-pub use planner::Wanted;
 pub use rank::ranked;
+pub use types::OrderOutcome;
+pub use types::SlotAction;
+pub use types::SlotOrder;
+pub use types::SlotsConfig;
+pub use types::Summary;
+pub use types::Use;
+pub use types::Wanted;
--- /dev/null
+++ b/src/scheduling/slots/orders.rs
@@ -0,0 +1,238 @@
+//! Orders to engines, and what their answers change.
+
+use super::engine::Engine;
+use super::engine::Phase;
+use super::engine::Place;
+use super::planner::Planner;
+use super::types::OrderOutcome;
+use super::types::SlotAction;
+use super::types::SlotOrder;
+use crate::types::ModelName;
+use crate::types::MonoMs;
+use crate::types::ServerName;
+
+/// Conflicts in a row after which an engine's sequence is read from its report.
+const CONFLICTS_OUT_OF_STEP: u32 = 4;
+
+impl Planner {
+    pub(super) fn is_candidate(&self, server: &ServerName, model: &ModelName) -> bool {
+        let engine = &self.engines[server];
+        engine.holds_base_of(model)
+            && engine.sequence.is_some()
+            && engine.info.adapter_slots > 0
+            && !engine.places.contains_key(model)
+    }
+
+    pub(super) fn order_load(
+        &mut self,
+        server: &ServerName,
+        model: &ModelName,
+        now: MonoMs,
+    ) -> Option<SlotAction> {
+        let version = self.versions.get(model).map_or(0, |(version, _)| *version);
+        let ready = now.plus(self.load_time_ms(server, model));
+        let engine = self.engines.get_mut(server)?;
+        let expected_sequence = engine.sequence?;
+        let phase = Phase::Loading { ready };
+        let is_from_store = !engine.recent.contains(model);
+        let place = engine
+            .places
+            .entry(model.clone())
+            .or_insert_with(|| Place::new(phase, version, now));
+        place.is_replaced = place.phase == Phase::Retiring;
+        place.phase = phase;
+        place.version = version;
+        place.is_confirmed = false;
+        place.is_from_store = is_from_store;
+        place.ordered = now;
+        place.is_doubted = false;
+        engine.has_open_order = true;
+        engine.last_order = now;
+        Some(SlotAction::Order(SlotOrder {
+            server: server.clone(),
+            started_unix_ms: engine.info.started_unix_ms,
+            model: model.clone(),
+            load: true,
+            version,
+            expected_sequence,
+        }))
+    }
+
+    pub(super) fn load_time_ms(&self, server: &ServerName, model: &ModelName) -> u64 {
+        let engine = self.engines.get(server);
+        let is_reload = engine.is_some_and(|engine| engine.recent.contains(model));
+        match is_reload {
+            true => self.config.reload_ms,
+            false => self.pace.load_ms(),
+        }
+    }
+
+    pub(super) fn order_unload(
+        &mut self,
+        server: &ServerName,
+        model: &ModelName,
+        now: MonoMs,
+    ) -> Option<SlotAction> {
+        let engine = self.engines.get_mut(server)?;
+        let expected_sequence = engine.sequence?;
+        let place = engine.places.get_mut(model)?;
+        place.phase = Phase::Unloading;
+        engine.has_open_order = true;
+        engine.last_order = now;
+        self.news
+            .push((server.clone(), model.clone(), place.version, None));
+        Some(SlotAction::Order(SlotOrder {
+            server: server.clone(),
+            started_unix_ms: engine.info.started_unix_ms,
+            model: model.clone(),
+            load: false,
+            version: 0,
+            expected_sequence,
+        }))
+    }
+
+    /// Takes an engine's answer to an order.
+    pub fn on_order(&mut self, order: &SlotOrder, outcome: OrderOutcome, now: MonoMs) {
+        let Some(engine) = self.engines.get_mut(&order.server) else {
+            return;
+        };
+        if engine.info.started_unix_ms != order.started_unix_ms {
+            return;
+        }
+        engine.has_open_order = false;
+        let was_unresolved = engine.unresolved.take().is_some();
+        if !order.model.as_str().contains('/') {
+            let pause_ms = self.config.empty_every_ms;
+            return on_base_order(engine, order, outcome, now.plus(pause_ms));
+        }
+        match outcome {
+            OrderOutcome::Accepted | OrderOutcome::Holds => {
+                engine.conflicts = 0;
+                self.carried_out(order, outcome, now);
+            }
+            OrderOutcome::Conflict if was_unresolved => {
+                // An earlier copy was carried out, or the engine is busy with another order.
+                engine.unresolved = Some(order.clone());
+                engine.pause_until = now.plus(self.config.report_lag_ms * 2);
+                engine.needs_report = true;
+            }
+            OrderOutcome::Conflict => {
+                engine.conflicts += 1;
+                let is_out_of_step = engine.conflicts >= CONFLICTS_OUT_OF_STEP;
+                let pause_ms = match is_out_of_step {
+                    true => self.config.report_lag_ms * 2,
+                    false => self.config.conflict_pause_ms,
+                };
+                engine.pause_until = now.plus(pause_ms);
+                engine.needs_report |= is_out_of_step;
+                self.undo(order);
+            }
+            OrderOutcome::Refused => {
+                engine.sequence = None;
+                engine.needs_report = true;
+                self.undo(order);
+            }
+            OrderOutcome::Unknown => {
+                engine.unresolved = Some(order.clone());
+                engine.pause_until = now.plus(self.config.conflict_pause_ms);
+                self.announce_load(order, now);
+            }
+        }
+    }
+
+    /// Tells the VMs of a load that may be under way; a request that comes too early is refused.
+    pub(super) fn announce_load(&mut self, order: &SlotOrder, now: MonoMs) {
+        if order.load {
+            let ready = now.plus(self.load_time_ms(&order.server, &order.model));
+            self.news.push((
+                order.server.clone(),
+                order.model.clone(),
+                order.version,
+                Some(ready),
+            ));
+        }
+    }
+
+    pub(super) fn carried_out(&mut self, order: &SlotOrder, outcome: OrderOutcome, now: MonoMs) {
+        let load_ms = self.load_time_ms(&order.server, &order.model);
+        let Some(engine) = self.engines.get_mut(&order.server) else {
+            return;
+        };
+        let is_counted = outcome == OrderOutcome::Accepted || !order.load;
+        if is_counted {
+            engine.sequence = Some(order.expected_sequence + 1);
+        }
+        if !order.load {
+            if outcome == OrderOutcome::Holds {
+                engine.places.remove(&order.model);
+            } else {
+                engine.needs_report = true;
+            }
+            return;
+        }
+        let ready = match outcome {
+            OrderOutcome::Accepted => now.plus(load_ms),
+            _ => now,
+        };
+        engine.remember(&order.model);
+        if let Some(place) = engine.places.get_mut(&order.model) {
+            place.phase = Phase::Loading { ready };
+            // An order that had to be repeated counts from its acceptance.
+            place.ordered = now;
+            let version = place.version;
+            self.news.push((
+                order.server.clone(),
+                order.model.clone(),
+                version,
+                Some(ready),
+            ));
+        }
+    }
+
+    /// The order was not and will not be carried out. The next report tells what holds.
+    pub(super) fn undo(&mut self, order: &SlotOrder) {
+        let Some(engine) = self.engines.get_mut(&order.server) else {
+            return;
+        };
+        let Some(place) = engine.places.get_mut(&order.model) else {
+            return;
+        };
+        if order.load && place.is_replaced {
+            place.phase = Phase::Retiring;
+            place.version = 0;
+        } else if order.load {
+            engine.places.remove(&order.model);
+            self.news
+                .push((order.server.clone(), order.model.clone(), 0, None));
+        } else {
+            place.phase = Phase::Ready;
+            let version = place.version;
+            let now_ready = Some(MonoMs(0));
+            self.news.push((
+                order.server.clone(),
+                order.model.clone(),
+                version,
+                now_ready,
+            ));
+        }
+    }
+}
+
+/// Takes the answer to an order for a base model. Until a report shows the model, the engine takes no
+/// orders for adapters.
+fn on_base_order(
+    engine: &mut Engine,
+    order: &SlotOrder,
+    outcome: OrderOutcome,
+    pause_until: MonoMs,
+) {
+    engine.pause_until = pause_until;
+    engine.needs_report = true;
+    match outcome {
+        OrderOutcome::Accepted => engine.sequence = Some(order.expected_sequence + 1),
+        OrderOutcome::Holds => engine.reported_bases.push(order.model.clone()),
+        OrderOutcome::Conflict => {}
+        OrderOutcome::Refused => engine.sequence = None,
+        OrderOutcome::Unknown => engine.unresolved = Some(order.clone()),
+    }
+}
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -5,157 +5,26 @@
 use std::collections::HashMap;
 
 use indexmap::IndexMap;
-use serde::Serialize;
 
 use super::engine::Engine;
 use super::engine::EngineInfo;
-use super::engine::EngineReport;
 use super::engine::Phase;
-use super::engine::Place;
 use super::pace::Pace;
 use super::rank::ranked;
+use super::types::Presence;
+use super::types::SlotAction;
+use super::types::SlotOrder;
+use super::types::SlotsConfig;
+use super::types::Summary;
+use super::types::Use;
+use super::types::Wanted;
 use crate::types::ModelName;
 use crate::types::MonoMs;
 use crate::types::ServerName;
 use crate::types::VmName;
 
-/// Figures of the planner.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SlotsConfig {
-    /// Adapters that may be on their way to one engine.
-    pub loads_per_engine: usize,
-    /// Expected time of a load from the store before the first one was seen.
-    pub load_ms: u64,
-    /// Expected time of a load of an adapter that the engine held recently.
-    pub reload_ms: u64,
-    /// Time without use after which an adapter may make way.
-    pub victim_idle_ms: u64,
-    /// Time after which nobody waits any more for an adapter that was asked for.
-    pub want_ms: u64,
-    /// Age up to which a wish comes before older ones: its requests may still be answered in time.
-    pub prompt_ms: u64,
-    /// Time between two reports of a quiet engine.
-    pub report_every_ms: u64,
-    /// Time between two reports of an engine whose loads have not been seen to end.
-    pub confirm_every_ms: u64,
-    /// Time without orders after an engine met one with a conflict.
-    pub conflict_pause_ms: u64,
-    /// Age of the state that a report shows.
-    pub report_lag_ms: u64,
-    /// Time after which all VMs know that an adapter gets no new requests, and have told its use.
-    pub retire_ms: u64,
-}
-
-impl Default for SlotsConfig {
-    fn default() -> Self {
-        Self {
-            loads_per_engine: 4,
-            load_ms: 250,
-            reload_ms: 25,
-            victim_idle_ms: 300,
-            want_ms: 800,
-            prompt_ms: 350,
-            report_every_ms: 4_000,
-            confirm_every_ms: 250,
-            conflict_pause_ms: 60,
-            report_lag_ms: 600,
-            retire_ms: 400,
-        }
-    }
-}
-
-/// An order to an engine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct SlotOrder {
-    /// The engine.
-    pub server: ServerName,
-    /// Start of the engine's process that the order is for.
-    pub started_unix_ms: u64,
-    /// The adapter.
-    pub model: ModelName,
-    /// Whether it is loaded or dropped.
-    pub load: bool,
-    /// Version to load; 0 for the newest.
-    pub version: u64,
-    /// Orders that the engine must have accepted so far.
-    pub expected_sequence: u64,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum SlotAction {
-    /// Give an order.
-    Order(SlotOrder),
-    /// Ask an engine for its report.
-    Report(ServerName),
-}
-
-/// How an engine answered an order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OrderOutcome {
-    /// It is being carried out.
-    Accepted,
-    /// The engine's state is already as ordered.
-    Holds,
-    /// Another order is in progress, or the sequence differs.
-    Conflict,
-    /// The engine knows a higher fence, or is another process.
-    Refused,
-    /// No answer; the order may be carried out now, later or never.
-    Unknown,
-}
-
-/// An adapter that requests wait for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Wanted {
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Rank of the most urgent one, 0 first.
-    pub priority: u8,
-    /// Whether the engines that hold it are full.
-    pub copy: bool,
-}
-
-/// Use of an adapter as a VM reports it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Use {
-    /// Requests in flight now.
-    pub in_flight: u32,
-    /// Requests sent since the last report.
-    pub sent: u32,
-    /// Whether one of them came before the adapter was there.
-    pub is_early: bool,
-}
-
-/// Time that a load is expected to last that should have ended or was begun by another holder.
-const LOAD_LEFT_MS: u64 = 80;
-/// Conflicts in a row after which an engine's sequence is read from its report.
-const CONFLICTS_OUT_OF_STEP: u32 = 4;
-
-/// A change of residency: engine, adapter, version and the time from which it can be used.
-pub type Presence = (ServerName, ModelName, u64, Option<MonoMs>);
-
-/// Figures for logs.
-#[derive(Clone, Copy, Debug, Serialize)]
-pub struct Summary {
-    /// Engines.
-    pub engines: usize,
-    /// Engines whose state is not known yet.
-    pub unknown: usize,
-    /// Adapters that engines hold or load.
-    pub adapters: usize,
-    /// Loads from the store that are under way.
-    pub store_loads: usize,
-    /// Loads from the store that may be under way.
-    pub store_limit: usize,
-    /// Expected time of a load from the store.
-    pub load_ms: u64,
-    /// Adapters that requests wait for.
-    pub wanted: usize,
-}
-
 #[derive(Clone, Debug)]
-struct Want {
+pub(super) struct Want {
     wanted: Wanted,
     /// Waiting requests by VM.
     waiting: HashMap<VmName, u32>,
@@ -166,12 +35,14 @@
 /// The planner of one data centre's engines.
 #[derive(Debug)]
 pub struct Planner {
-    config: SlotsConfig,
-    engines: IndexMap<ServerName, Engine>,
-    wants: IndexMap<ModelName, Want>,
-    versions: BTreeMap<ModelName, (u64, MonoMs)>,
-    pace: Pace,
-    news: Vec<Presence>,
+    pub(super) config: SlotsConfig,
+    pub(super) engines: IndexMap<ServerName, Engine>,
+    pub(super) wants: IndexMap<ModelName, Want>,
+    pub(super) versions: BTreeMap<ModelName, (u64, MonoMs)>,
+    pub(super) pace: Pace,
+    /// When the last load of a base model was ordered.
+    pub(super) base_ordered: Option<MonoMs>,
+    pub(super) news: Vec<Presence>,
 }
 
 impl Planner {
@@ -183,6 +54,7 @@
             wants: IndexMap::new(),
             versions: BTreeMap::new(),
             pace: Pace::new(config.load_ms),
+            base_ordered: None,
             news: Vec::new(),
         }
     }
@@ -305,6 +177,7 @@
         let mut actions = Vec::new();
         self.finish_loads(now);
         self.repeat_unresolved(now, &mut actions);
+        actions.extend(self.load_base(now));
         self.renew_versions(now, &mut actions);
         self.serve_wants(now, &mut actions);
         self.ask_reports(now, &mut actions);
@@ -370,6 +243,44 @@
         }
     }
 
+    /// Sets the time between two loads of base models.
+    pub fn set_base_interval(&mut self, base_every_ms: u64) {
+        self.config.base_every_ms = base_every_ms;
+    }
+
+    /// Loads a base model on an engine that holds none: the one whose adapters are waited for most.
+    fn load_base(&mut self, now: MonoMs) -> Option<SlotAction> {
+        let last = self.base_ordered;
+        if last.is_some_and(|last| now.since(last) < self.config.base_every_ms) {
+            return None;
+        }
+        let waiting = |base: &ModelName| -> u32 {
+            let wants = self.wants.iter();
+            let of_base =
+                wants.filter(|(model, _)| model.as_str().split('/').next() == Some(base.as_str()));
+            of_base.map(|(_, want)| want.wanted.waiting).sum()
+        };
+        let (server, model) = self.engines.iter().find_map(|(server, engine)| {
+            let is_due = engine.is_empty() && engine.takes_orders(now);
+            let loadable = engine.info.loadable.iter().rev().filter(|_| is_due);
+            let model = loadable.max_by_key(|base| waiting(base))?;
+            Some((server.clone(), model.clone()))
+        })?;
+        let engine = self.engines.get_mut(&server)?;
+        let expected_sequence = engine.sequence?;
+        engine.has_open_order = true;
+        engine.last_order = now;
+        self.base_ordered = Some(now);
+        Some(SlotAction::Order(SlotOrder {
+            started_unix_ms: engine.info.started_unix_ms,
+            server,
+            model,
+            load: true,
+            version: 0,
+            expected_sequence,
+        }))
+    }
+
     /// Replaces adapters whose version is older than the one named. One in use gets no new requests
     /// first: an order would keep the engine from others until its runs have ended.
     fn renew_versions(&mut self, now: MonoMs, actions: &mut Vec<SlotAction>) {
@@ -494,314 +405,4 @@
         }
         None
     }
-
-    fn is_candidate(&self, server: &ServerName, model: &ModelName) -> bool {
-        let engine = &self.engines[server];
-        engine.holds_base_of(model)
-            && engine.sequence.is_some()
-            && engine.info.adapter_slots > 0
-            && !engine.places.contains_key(model)
-    }
-
-    fn order_load(
-        &mut self,
-        server: &ServerName,
-        model: &ModelName,
-        now: MonoMs,
-    ) -> Option<SlotAction> {
-        let version = self.versions.get(model).map_or(0, |(version, _)| *version);
-        let ready = now.plus(self.load_time_ms(server, model));
-        let engine = self.engines.get_mut(server)?;
-        let expected_sequence = engine.sequence?;
-        let phase = Phase::Loading { ready };
-        let is_from_store = !engine.recent.contains(model);
-        let place = engine
-            .places
-            .entry(model.clone())
-            .or_insert_with(|| Place::new(phase, version, now));
-        place.phase = phase;
-        place.version = version;
-        place.is_confirmed = false;
-        place.is_from_store = is_from_store;
-        place.ordered = now;
-        place.is_doubted = false;
-        engine.has_open_order = true;
-        engine.last_order = now;
-        Some(SlotAction::Order(SlotOrder {
-            server: server.clone(),
-            started_unix_ms: engine.info.started_unix_ms,
-            model: model.clone(),
-            load: true,
-            version,
-            expected_sequence,
-        }))
-    }
-
-    fn load_time_ms(&self, server: &ServerName, model: &ModelName) -> u64 {
-        let engine = self.engines.get(server);
-        let is_reload = engine.is_some_and(|engine| engine.recent.contains(model));
-        match is_reload {
-            true => self.config.reload_ms,
-            false => self.pace.load_ms(),
-        }
-    }
-
-    fn order_unload(
-        &mut self,
-        server: &ServerName,
-        model: &ModelName,
-        now: MonoMs,
-    ) -> Option<SlotAction> {
-        let engine = self.engines.get_mut(server)?;
-        let expected_sequence = engine.sequence?;
-        let place = engine.places.get_mut(model)?;
-        place.phase = Phase::Unloading;
-        engine.has_open_order = true;
-        engine.last_order = now;
-        self.news
-            .push((server.clone(), model.clone(), place.version, None));
-        Some(SlotAction::Order(SlotOrder {
-            server: server.clone(),
-            started_unix_ms: engine.info.started_unix_ms,
-            model: model.clone(),
-            load: false,
-            version: 0,
-            expected_sequence,
-        }))
-    }
-
-    /// Takes an engine's answer to an order.
-    pub fn on_order(&mut self, order: &SlotOrder, outcome: OrderOutcome, now: MonoMs) {
-        let Some(engine) = self.engines.get_mut(&order.server) else {
-            return;
-        };
-        if engine.info.started_unix_ms != order.started_unix_ms {
-            return;
-        }
-        engine.has_open_order = false;
-        let was_unresolved = engine.unresolved.take().is_some();
-        match outcome {
-            OrderOutcome::Accepted | OrderOutcome::Holds => {
-                engine.conflicts = 0;
-                self.carried_out(order, outcome, now);
-            }
-            OrderOutcome::Conflict if was_unresolved => {
-                // An earlier copy was carried out, or the engine is busy with another order.
-                engine.unresolved = Some(order.clone());
-                engine.pause_until = now.plus(self.config.report_lag_ms * 2);
-                engine.needs_report = true;
-            }
-            OrderOutcome::Conflict => {
-                engine.conflicts += 1;
-                let is_out_of_step = engine.conflicts >= CONFLICTS_OUT_OF_STEP;
-                let pause_ms = match is_out_of_step {
-                    true => self.config.report_lag_ms * 2,
-                    false => self.config.conflict_pause_ms,
-                };
-                engine.pause_until = now.plus(pause_ms);
-                engine.needs_report |= is_out_of_step;
-                self.undo(order);
-            }
-            OrderOutcome::Refused => {
-                engine.sequence = None;
-                engine.needs_report = true;
-                self.undo(order);
-            }
-            OrderOutcome::Unknown => {
-                engine.unresolved = Some(order.clone());
-                engine.pause_until = now.plus(self.config.conflict_pause_ms);
-                self.announce_load(order, now);
-            }
-        }
-    }
-
-    /// Tells the VMs of a load that may be under way; a request that comes too early is refused.
-    fn announce_load(&mut self, order: &SlotOrder, now: MonoMs) {
-        if order.load {
-            let ready = now.plus(self.load_time_ms(&order.server, &order.model));
-            self.news.push((
-                order.server.clone(),
-                order.model.clone(),
-                order.version,
-                Some(ready),
-            ));
-        }
-    }
-
-    /// An engine refused a request because the adapter is not there.
-    pub fn note_missing(&mut self, server: &ServerName, model: &ModelName) {
-        let Some(engine) = self.engines.get_mut(server) else {
-            return;
-        };
-        let place = engine.places.get_mut(model);
-        if let Some(place) = place.filter(|place| place.phase == Phase::Ready) {
-            place.is_doubted = true;
-            engine.needs_report = true;
-        }
-    }
-
-    fn carried_out(&mut self, order: &SlotOrder, outcome: OrderOutcome, now: MonoMs) {
-        let load_ms = self.load_time_ms(&order.server, &order.model);
-        let Some(engine) = self.engines.get_mut(&order.server) else {
-            return;
-        };
-        let is_counted = outcome == OrderOutcome::Accepted || !order.load;
-        if is_counted {
-            engine.sequence = Some(order.expected_sequence + 1);
-        }
-        if !order.load {
-            if outcome == OrderOutcome::Holds {
-                engine.places.remove(&order.model);
-            } else {
-                engine.needs_report = true;
-            }
-            return;
-        }
-        let ready = match outcome {
-            OrderOutcome::Accepted => now.plus(load_ms),
-            _ => now,
-        };
-        engine.remember(&order.model);
-        if let Some(place) = engine.places.get_mut(&order.model) {
-            place.phase = Phase::Loading { ready };
-            // An order that had to be repeated counts from its acceptance.
-            place.ordered = now;
-            let version = place.version;
-            self.news.push((
-                order.server.clone(),
-                order.model.clone(),
-                version,
-                Some(ready),
-            ));
-        }
-    }
-
-    /// The order was not and will not be carried out. The next report tells what holds.
-    fn undo(&mut self, order: &SlotOrder) {
-        let Some(engine) = self.engines.get_mut(&order.server) else {
-            return;
-        };
-        let Some(place) = engine.places.get_mut(&order.model) else {
-            return;
-        };
-        if order.load {
-            engine.places.remove(&order.model);
-            self.news
-                .push((order.server.clone(), order.model.clone(), 0, None));
-        } else {
-            place.phase = Phase::Ready;
-            let version = place.version;
-            let now_ready = Some(MonoMs(0));
-            self.news.push((
-                order.server.clone(),
-                order.model.clone(),
-                version,
-                now_ready,
-            ));
-        }
-    }
-
-    fn ask_reports(&mut self, now: MonoMs, actions: &mut Vec<SlotAction>) {
-        for (server, engine) in &mut self.engines {
-            let age_ms = engine.report_asked.map(|asked| now.since(asked));
-            let wait_ms = if engine.sequence.is_none() {
-                self.config.report_lag_ms / 4
-            } else if engine.needs_report {
-                self.config.report_lag_ms
-            } else if engine.has_unconfirmed() {
-                self.config.confirm_every_ms
-            } else {
-                self.config.report_every_ms
-            };
-            if age_ms.is_none_or(|age_ms| age_ms >= wait_ms) {
-                engine.report_asked = Some(now);
-                actions.push(SlotAction::Report(server.clone()));
-            }
-        }
-    }
-
-    /// Takes an engine's report that was asked for at `asked`.
-    pub fn on_report(
-        &mut self,
-        server: &ServerName,
-        report: &EngineReport,
-        asked: MonoMs,
-        now: MonoMs,
-    ) {
-        let Some(engine) = self.engines.get_mut(server) else {
-            return;
-        };
-        engine.confirm(report, asked, &mut self.pace);
-        // The report shows one moment: a list that comes with the expected sequence lacks no order.
-        let is_current = engine
-            .sequence
-            .is_none_or(|sequence| sequence == report.sequence);
-        let is_quiet = asked.since(engine.last_order) >= self.config.report_lag_ms;
-        if engine.has_open_order || !is_current && !is_quiet {
-            return;
-        }
-        engine.needs_report = false;
-        engine.conflicts = 0;
-        let unresolved = engine.unresolved.as_ref();
-        if unresolved.is_some_and(|order| report.sequence > order.expected_sequence) {
-            engine.unresolved = None;
-        }
-        engine.sequence = Some(report.sequence);
-        self.adopt(server, report, now);
-    }
-
-    /// Replaces the view of an engine by its report.
-    fn adopt(&mut self, server: &ServerName, report: &EngineReport, now: MonoMs) {
-        let Some(engine) = self.engines.get_mut(server) else {
-            return;
-        };
-        let reported = |model: &ModelName| {
-            let mut all = report.adapters.iter().chain(&report.loading);
-            all.any(|(other, _)| other == model)
-        };
-        let is_awaited = |model: &ModelName| {
-            let unresolved = engine.unresolved.as_ref();
-            unresolved.is_some_and(|order| order.load && order.model == *model)
-        };
-        let missing: Vec<ModelName> = engine
-            .places
-            .keys()
-            .filter(|model| !reported(model) && !is_awaited(model))
-            .cloned()
-            .collect();
-        for model in missing {
-            engine.places.remove(&model);
-            self.news.push((server.clone(), model, 0, None));
-        }
-        let loading_ready = now.plus(LOAD_LEFT_MS);
-        let held = report.adapters.iter().map(|item| (item, MonoMs(0)));
-        let loading = report.loading.iter().map(|item| (item, loading_ready));
-        for ((model, version), ready) in held.chain(loading) {
-            engine.remember(model);
-            let phase = if ready == MonoMs(0) {
-                Phase::Ready
-            } else {
-                Phase::Loading { ready }
-            };
-            match engine.places.get_mut(model) {
-                Some(place) if place.phase == phase && place.version == *version => {}
-                Some(place) if place.phase == Phase::Retiring && place.version == *version => {}
-                Some(place) if phase != Phase::Ready && place.is_loading(now) => {}
-                Some(place) if phase != Phase::Ready && place.phase == Phase::Unloading => {}
-                Some(place) => {
-                    place.phase = phase;
-                    place.version = *version;
-                    self.news
-                        .push((server.clone(), model.clone(), *version, Some(ready)));
-                }
-                None => {
-                    let mut place = Place::new(phase, *version, now);
-                    place.is_confirmed = phase == Phase::Ready;
-                    engine.places.insert(model.clone(), place);
-                    self.news
-                        .push((server.clone(), model.clone(), *version, Some(ready)));
-                }
-            }
-        }
-    }
 }
--- /dev/null
+++ b/src/scheduling/slots/types.rs
@@ -0,0 +1,143 @@
+//! Figures, orders and answers of the planner.
+
+use serde::Serialize;
+
+use crate::types::ModelName;
+use crate::types::MonoMs;
+use crate::types::ServerName;
+
+/// Figures of the planner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlotsConfig {
+    /// Adapters that may be on their way to one engine.
+    pub loads_per_engine: usize,
+    /// Expected time of a load from the store before the first one was seen.
+    pub load_ms: u64,
+    /// Expected time of a load of an adapter that the engine held recently.
+    pub reload_ms: u64,
+    /// Time without use after which an adapter may make way.
+    pub victim_idle_ms: u64,
+    /// Time after which nobody waits any more for an adapter that was asked for.
+    pub want_ms: u64,
+    /// Age up to which a wish comes before older ones: its requests may still be answered in time.
+    pub prompt_ms: u64,
+    /// Time between two reports of a quiet engine.
+    pub report_every_ms: u64,
+    /// Time between two reports of an engine whose loads have not been seen to end.
+    pub confirm_every_ms: u64,
+    /// Time without orders after an engine met one with a conflict.
+    pub conflict_pause_ms: u64,
+    /// Age of the state that a report shows.
+    pub report_lag_ms: u64,
+    /// Time between two loads of base models, which the store allows only at a low rate.
+    pub base_every_ms: u64,
+    /// Time between two reports of an engine without a base model.
+    pub empty_every_ms: u64,
+    /// Time after which all VMs know that an adapter gets no new requests, and have told its use.
+    pub retire_ms: u64,
+}
+
+impl Default for SlotsConfig {
+    fn default() -> Self {
+        Self {
+            loads_per_engine: 4,
+            load_ms: 250,
+            reload_ms: 25,
+            victim_idle_ms: 300,
+            want_ms: 800,
+            prompt_ms: 350,
+            report_every_ms: 4_000,
+            confirm_every_ms: 250,
+            conflict_pause_ms: 60,
+            report_lag_ms: 600,
+            base_every_ms: 1_000,
+            empty_every_ms: 300,
+            retire_ms: 400,
+        }
+    }
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SlotOrder {
+    /// The engine.
+    pub server: ServerName,
+    /// Start of the engine's process that the order is for.
+    pub started_unix_ms: u64,
+    /// The adapter.
+    pub model: ModelName,
+    /// Whether it is loaded or dropped.
+    pub load: bool,
+    /// Version to load; 0 for the newest.
+    pub version: u64,
+    /// Orders that the engine must have accepted so far.
+    pub expected_sequence: u64,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SlotAction {
+    /// Give an order.
+    Order(SlotOrder),
+    /// Ask an engine for its report.
+    Report(ServerName),
+}
+
+/// How an engine answered an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderOutcome {
+    /// It is being carried out.
+    Accepted,
+    /// The engine's state is already as ordered.
+    Holds,
+    /// Another order is in progress, or the sequence differs.
+    Conflict,
+    /// The engine knows a higher fence, or is another process.
+    Refused,
+    /// No answer; the order may be carried out now, later or never.
+    Unknown,
+}
+
+/// An adapter that requests wait for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Wanted {
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Rank of the most urgent one, 0 first.
+    pub priority: u8,
+    /// Whether the engines that hold it are full.
+    pub copy: bool,
+}
+
+/// Use of an adapter as a VM reports it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Use {
+    /// Requests in flight now.
+    pub in_flight: u32,
+    /// Requests sent since the last report.
+    pub sent: u32,
+    /// Whether one of them came before the adapter was there.
+    pub is_early: bool,
+}
+
+/// A change of residency: engine, adapter, version and the time from which it can be used.
+pub type Presence = (ServerName, ModelName, u64, Option<MonoMs>);
+
+/// Figures for logs.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Summary {
+    /// Engines.
+    pub engines: usize,
+    /// Engines whose state is not known yet.
+    pub unknown: usize,
+    /// Adapters that engines hold or load.
+    pub adapters: usize,
+    /// Loads from the store that are under way.
+    pub store_loads: usize,
+    /// Loads from the store that may be under way.
+    pub store_limit: usize,
+    /// Expected time of a load from the store.
+    pub load_ms: u64,
+    /// Adapters that requests wait for.
+    pub wanted: usize,
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -134,6 +134,7 @@
         memory_tokens: 1_000,
         weights_mb: 1_000.0,
         adapter_slots: 30,
+        loads_per_s: 1.0,
         models: vec![Model {
             name: ModelName::from("base"),
             weights_mb: 800.0,
@@ -152,7 +153,6 @@
         runs,
         refusals,
         max_runs: 2,
-        has_begun: false,
     }
 }
 
@@ -309,7 +309,10 @@
     let board = board(&[("a", "near"), ("b", "far")]);
     let a = ServerName::from("a");
     assert_eq!(chosen(&choose(&board, "base", &[], NOW)), "a");
-    assert_eq!(chosen(&choose(&board, "base", &[a.clone()], NOW)), "b");
+    assert_eq!(
+        chosen(&choose(&board, "base", std::slice::from_ref(&a), NOW)),
+        "b"
+    );
     let both = [a, ServerName::from("b")];
     assert_eq!(chosen(&choose(&board, "base", &both, NOW)), "a");
 }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -81,6 +81,7 @@
                 started_unix_ms: 1,
                 adapter_slots: PLACES,
                 bases: vec![ModelName::from("base")],
+                loadable: vec![ModelName::from("base")],
             };
             planner.set_engine(server, info);
         }
--- a/tests/overload/store.rs
+++ b/tests/overload/store.rs
@@ -103,6 +103,7 @@
         let versioned = |model: &ModelName| (model.clone(), 1);
         EngineReport {
             sequence: engine.sequence,
+            bases: vec![ModelName::from("base")],
             adapters: engine.held.keys().map(versioned).collect(),
             loading: engine.coming.keys().map(versioned).collect(),
         }
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -46,6 +46,7 @@
             started_unix_ms,
             adapter_slots,
             bases: vec![ModelName::from("base")],
+            loadable: vec![ModelName::from("base")],
         };
         self.planner.set_engine(&self.server, info);
     }
@@ -96,7 +97,7 @@
         EngineReport {
             sequence,
             adapters: names.iter().map(|(name, v)| (model(name), *v)).collect(),
-            loading: Vec::new(),
+            ..EngineReport::default()
         }
     }
 }
@@ -175,7 +176,7 @@
     bench.pass(100);
     bench.want("a2");
     let again = bench.orders();
-    assert_eq!(again, [order.clone()]);
+    assert_eq!(again, std::slice::from_ref(&order));
     bench
         .planner
         .on_order(&again[0], OrderOutcome::Unknown, bench.now);
@@ -275,3 +276,78 @@
     bench.report(report);
     assert!(bench.planner.summary(bench.now).load_ms <= 250);
 }
+
+#[test]
+fn an_engine_without_a_base_model_gets_one_and_then_adapters() {
+    let mut bench = Bench::new(2);
+    let info = EngineInfo {
+        started_unix_ms: 2,
+        adapter_slots: 2,
+        bases: Vec::new(),
+        loadable: vec![ModelName::from("base")],
+    };
+    bench.planner.set_engine(&bench.server, info);
+    bench.report(EngineReport::default());
+    bench.want("a1");
+    let orders = bench.orders();
+    assert_matches!(&orders[..], [order] if order.load && order.model.as_str() == "base");
+    bench
+        .planner
+        .on_order(&orders[0], OrderOutcome::Accepted, bench.now);
+    bench.pass(1_000);
+    bench.want("a1");
+    let report = EngineReport {
+        sequence: 1,
+        bases: vec![ModelName::from("base")],
+        ..EngineReport::default()
+    };
+    bench.report(report);
+    assert_matches!(&bench.orders()[..], [order] if order.model == model("a1"));
+}
+
+#[test]
+fn base_models_are_loaded_at_the_rate_of_the_store() {
+    let mut bench = Bench::new(2);
+    bench.planner.set_base_interval(700);
+    for name in ["e2", "e3"] {
+        let info = EngineInfo {
+            started_unix_ms: 1,
+            adapter_slots: 2,
+            bases: Vec::new(),
+            loadable: vec![ModelName::from("base")],
+        };
+        let server = ServerName::from(name);
+        bench.planner.set_engine(&server, info);
+        bench
+            .planner
+            .on_report(&server, &EngineReport::default(), bench.now, bench.now);
+    }
+    assert_eq!(bench.orders().len(), 1);
+    bench.pass(600);
+    assert_eq!(bench.orders().len(), 0);
+    bench.pass(100);
+    assert_eq!(bench.orders().len(), 1);
+}
+
+#[test]
+fn a_replacement_that_is_refused_leaves_the_old_version_in_its_slot() {
+    let mut bench = Bench::new(1);
+    bench.load("a1", OrderOutcome::Accepted);
+    bench.pass(1_000);
+    bench.report(Bench::held(&[("a1", 1)], 1));
+    let named = model("a1");
+    bench
+        .planner
+        .set_versions([(&named, 2)].into_iter(), bench.now);
+    bench.orders();
+    bench.pass(1_000);
+    let order = bench.orders().remove(0);
+    assert_eq!((order.load, order.version), (true, 2));
+    bench
+        .planner
+        .on_order(&order, OrderOutcome::Conflict, bench.now);
+    bench.pass(100);
+    bench.want("a2");
+    // The only slot is still taken: the replacement is tried again, nothing else is loaded.
+    assert_matches!(&bench.orders()[..], [again] if again.model == named);
+}
