fix(gateway): silence ends no stream

Cause: a stream without an event for 1.5 s was dropped to go on elsewhere; where that was not possible (no retry left, no free server) the caller's answer was cut off although the engine was at work. The same wait for the first event turned slow answers into 502. Ruled out: the drain of leaving VMs (the first case follows a SIGHUP, which changes nothing here). Test: platform a_stream_that_pauses_is_not_cut_off fails before (two runs instead of one).

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -404,7 +404,8 @@
         }
     }
 
-    /// How long a server may take to answer before another one is tried.
+    /// How long a server may take to answer before another one is tried. An engine may take long
+    /// while it is at work, so streams are waited for until their deadline.
     fn patience(&self, server: &ServerName) -> Instant {
         let may_repeat = self.route.repeat.may_run_again();
         let now = self.gateway.now();
@@ -413,7 +414,8 @@
             .get(server)
             .is_some_and(|view| admission::is_busy(view.occupied(now), view.announcement.slots));
         drop(board);
-        if !may_repeat || is_busy || self.past.runs + 1 >= self.past.max_runs {
+        let is_waited_for = !may_repeat || self.route.repeat.is_stream() || is_busy;
+        if is_waited_for || self.past.runs + 1 >= self.past.max_runs {
             return self.deadline;
         }
         let patience_ms = (self.route.target_latency_ms * 2).max(MIN_PATIENCE_MS);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,7 +2,6 @@
 //! on at another server when it breaks.
 
 use std::io;
-use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -26,10 +25,6 @@
 use super::forward::Reply;
 use super::record::RequestRecord;
 
-/// Least silence after which a stream goes on at another server.
-const MIN_SILENCE_MS: u64 = 1_000;
-/// Silence after which a stream goes on elsewhere, in longest pauses that are in time.
-const SILENCE_PAUSES: u64 = 5;
 /// End of an event.
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -102,8 +97,9 @@
             if let Some(chunk) = self.ready.take() {
                 return Some(Ok(chunk));
             }
-            let until = self.silence_until();
-            let broken = match timeout_at(until, self.source.body.frame()).await {
+            // A silent server may still be at work, so only the deadline ends the wait for it.
+            let deadline = self.exchange.deadline;
+            let broken = match timeout_at(deadline, self.source.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
                         self.ready = self.accept(&data);
@@ -113,7 +109,7 @@
                 Ok(None) if self.pending.is_empty() => return self.finish(),
                 Ok(None) => "stream_ends_in_event",
                 Ok(Some(Err(_))) => "stream_cut_off",
-                Err(_) => "stream_silent",
+                Err(_) => "stream_overdue",
             };
             if let Err(error) = self.go_on(broken).await {
                 return Some(Err(error));
@@ -141,17 +137,6 @@
         Some(events)
     }
 
-    fn silence_until(&self) -> Instant {
-        let deadline = self.exchange.deadline;
-        let past = &self.exchange.past;
-        if !self.is_resumable() || past.runs >= past.max_runs {
-            return deadline;
-        }
-        let pauses_ms = self.exchange.route.gap_target_ms * SILENCE_PAUSES;
-        let silence = Duration::from_millis(pauses_ms.max(MIN_SILENCE_MS));
-        deadline.min(Instant::now() + silence)
-    }
-
     /// Lets the stream go on at another server, after the last event that was passed on.
     async fn go_on(&mut self, broken: &'static str) -> io::Result<()> {
         self.source.reply_rest = None;
