fix(slots): expected load time from answers and refusals

Cause: the planner counted a request on its way as proof that the load had ended. The expected time fell to 160 to 175 ms, so that entry VMs sent too early and paid for it from the retry budget, whose saved part is small on each of 75 VMs. Early refusals, the opposite proof, were ignored.

Ruled out: adapters that made way too early (one misdirected send followed an unload); a crowded store (no load waited for the limit).

Change: only an answer of the engine confirms a load; a refusal raises the expected time by a margin and moves the time told to the other VMs; the blind correction downwards is 0.2% of the time. Link format 2.

Both new tests fail on the former code (199 of 200 early; 20 ms instead of 250 ms).

--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -152,7 +152,7 @@
     }
 
     fn send_uses(&self) {
-        let uses = self.gateway().uses().take();
+        let uses = self.gateway().uses().take(self.clock.mono());
         if uses.is_empty() {
             return;
         }
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -240,7 +240,8 @@
                 let count = Use {
                     in_flight: used.in_flight,
                     sent: used.sent,
-                    is_early: used.is_early,
+                    early_age_ms: used.early_age_ms,
+                    is_answered: used.is_answered,
                 };
                 held.planner
                     .note_use(&used.server, &used.model, vm, count, now);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -98,6 +98,14 @@
     }
 }
 
+impl InFlight {
+    fn answered(&self) {
+        if let Some(model) = &self.model {
+            self.gateway.uses().answered(&self.target.server, model);
+        }
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let server = &self.target.server;
@@ -145,6 +153,7 @@
         gateway.board().told_load(server, load, now);
     }
     check(gateway, template, &guard, response.status(), &head)?;
+    guard.answered();
     Ok(Reply {
         response,
         head,
@@ -284,6 +293,6 @@
     if is_gone {
         uses.missing(server, model);
     } else {
-        uses.early(server, model);
+        uses.early(server, model, now);
     }
 }
--- a/src/gateway/uses.rs
+++ b/src/gateway/uses.rs
@@ -4,6 +4,7 @@
 
 use crate::link::AdapterUse;
 use crate::types::ModelName;
+use crate::types::MonoMs;
 use crate::types::ServerName;
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -11,7 +12,8 @@
     in_flight: u32,
     sent: u32,
     is_missing: bool,
-    is_early: bool,
+    early: Option<MonoMs>,
+    is_answered: bool,
     is_changed: bool,
 }
 
@@ -41,12 +43,17 @@
     }
 
     /// Notes that the engine lacks the adapter so far.
-    pub fn early(&mut self, server: &ServerName, model: &ModelName) {
-        self.count(server, model).is_early = true;
+    pub fn early(&mut self, server: &ServerName, model: &ModelName, now: MonoMs) {
+        self.count(server, model).early = Some(now);
+    }
+
+    /// Notes that the engine answered a request for the adapter.
+    pub fn answered(&mut self, server: &ServerName, model: &ModelName) {
+        self.count(server, model).is_answered = true;
     }
 
     /// Changes since the last call.
-    pub fn take(&mut self) -> Vec<AdapterUse> {
+    pub fn take(&mut self, now: MonoMs) -> Vec<AdapterUse> {
         let mut changes = Vec::new();
         for ((server, model), count) in &mut self.counts {
             if !count.is_changed {
@@ -58,7 +65,8 @@
                 in_flight: count.in_flight,
                 sent: count.sent,
                 is_missing: count.is_missing,
-                is_early: count.is_early,
+                early_age_ms: count.early.map(|early| age_ms(early, now)),
+                is_answered: count.is_answered,
             });
             *count = Count {
                 in_flight: count.in_flight,
@@ -76,3 +84,7 @@
         count
     }
 }
+
+fn age_ms(at: MonoMs, now: MonoMs) -> u32 {
+    u32::try_from(now.since(at)).unwrap_or(u32::MAX)
+}
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -19,7 +19,7 @@
 use crate::types::VmName;
 
 /// Version of the messages; links between different versions are refused.
-pub const LINK_FORMAT: u16 = 1;
+pub const LINK_FORMAT: u16 = 2;
 
 /// Part that a VM plays.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -138,8 +138,10 @@
     pub sent: u32,
     /// Whether the engine refused a request because the adapter is not there.
     pub is_missing: bool,
-    /// Whether the engine refused a request because the adapter was not there yet.
-    pub is_early: bool,
+    /// Age of the latest refusal of a request that came before the adapter was there.
+    pub early_age_ms: Option<u32>,
+    /// Whether the engine answered a request.
+    pub is_answered: bool,
 }
 
 /// A message.
--- a/src/scheduling/slots/pace.rs
+++ b/src/scheduling/slots/pace.rs
@@ -13,10 +13,13 @@
 /// Smallest limit.
 const MIN_LIMIT: f64 = 2.0;
 /// Weight of a measured load in the expected time.
-const MEASURED_WEIGHT: f64 = 0.3;
+const MEASURED_WEIGHT: f64 = 0.5;
+/// Part by which the expected time is longer than a load that was seen under way. A request that
+/// comes before the end of the load costs a retry, one that comes a little after it only a wait.
+const MARGIN_PART: f64 = 0.08;
 /// Least correction downwards after a load that ended in time, as a part of the expected time. An
 /// end is seen late, so without it the expected time would stay too long.
-const PROBE_PART: f64 = 0.03;
+const PROBE_PART: f64 = 0.002;
 /// Expected time, in shortest ones, from which the store counts as crowded.
 const CROWDED: f64 = 2.0;
 /// Expected time, in shortest ones, up to which the store counts as free.
@@ -65,21 +68,22 @@
 
     /// A load took at least `ms`: it was seen under way that long after its order.
     pub(super) fn at_least(&mut self, ms: u64) {
-        let shortfall_ms = ms as f64 - self.load_ms;
-        self.correct(shortfall_ms.max(0.0));
+        let target_ms = ms as f64 * (1.0 + MARGIN_PART);
+        if target_ms > self.load_ms {
+            self.set(self.load_ms + MEASURED_WEIGHT * (target_ms - self.load_ms));
+        }
     }
 
     /// A load took at most `ms`: it was seen to have ended that long after its order.
     pub(super) fn at_most(&mut self, ms: u64) {
-        let excess_ms = ms as f64 - self.load_ms;
-        self.correct(excess_ms.min(-PROBE_PART * self.load_ms));
+        let excess_ms = MEASURED_WEIGHT * (ms as f64 - self.load_ms);
+        self.set(self.load_ms + excess_ms.min(-PROBE_PART * self.load_ms));
         self.floor_ms = self.floor_ms.min(self.load_ms);
     }
 
-    fn correct(&mut self, difference_ms: f64) {
+    fn set(&mut self, load_ms: f64) {
         let (least, most) = LOAD_MS_RANGE;
-        let corrected = self.load_ms + MEASURED_WEIGHT * difference_ms;
-        self.load_ms = corrected.clamp(least, most);
+        self.load_ms = load_ms.clamp(least, most);
     }
 
     /// Adapts the limit; `is_waited_for` tells whether loads wait for it.
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -23,6 +23,9 @@
 use crate::types::ServerName;
 use crate::types::VmName;
 
+/// Time that a load is expected to last that an engine says has not ended yet.
+const LOAD_AGAIN_MS: u64 = 40;
+
 #[derive(Clone, Debug)]
 pub(super) struct Want {
     wanted: Wanted,
@@ -135,15 +138,32 @@
             return;
         };
         place.note_use(vm, used.in_flight, used.sent, now);
-        if !used.is_early
-            && used.in_flight > 0
-            && !place.is_confirmed
-            && place.phase == Phase::Ready
-        {
+        if place.is_confirmed || !place.phase.is_usable() {
+            return;
+        }
+        if used.is_answered {
             place.is_confirmed = true;
             if place.is_from_store {
                 self.pace.at_most(now.since(place.ordered));
             }
+            return;
+        }
+        let Some(age_ms) = used.early_age_ms else {
+            return;
+        };
+        let refused_after_ms = now.since(place.ordered).saturating_sub(age_ms.into());
+        if refused_after_ms == 0 {
+            return;
+        }
+        if place.is_from_store {
+            self.pace.at_least(refused_after_ms);
+        }
+        if place.phase == Phase::Ready {
+            let ready = now.plus(LOAD_AGAIN_MS);
+            place.phase = Phase::Loading { ready };
+            let version = place.version;
+            self.news
+                .push((server.clone(), model.clone(), version, Some(ready)));
         }
     }
 
--- a/src/scheduling/slots/types.rs
+++ b/src/scheduling/slots/types.rs
@@ -116,8 +116,10 @@
     pub in_flight: u32,
     /// Requests sent since the last report.
     pub sent: u32,
-    /// Whether one of them came before the adapter was there.
-    pub is_early: bool,
+    /// Age of the latest refusal of one that came before the adapter was there.
+    pub early_age_ms: Option<u32>,
+    /// Whether the engine answered one since the last report.
+    pub is_answered: bool,
 }
 
 /// A change of residency: engine, adapter, version and the time from which it can be used.
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -202,7 +202,8 @@
         Use {
             in_flight: self.fleet.in_use(server, model),
             sent,
-            is_early: false,
+            early_age_ms: None,
+            is_answered: sent > 0,
         }
     }
 }
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -86,8 +86,13 @@
         let used = Use {
             in_flight,
             sent,
-            is_early: false,
+            early_age_ms: None,
+            is_answered: sent > 0,
         };
+        self.note(name, used);
+    }
+
+    fn note(&mut self, name: &str, used: Use) {
         let vm = VmName::from("entry");
         self.planner
             .note_use(&self.server, &model(name), &vm, used, self.now);
@@ -351,3 +356,52 @@
     // The only slot is still taken: the replacement is tried again, nothing else is loaded.
     assert_matches!(&bench.orders()[..], [again] if again.model == named);
 }
+
+/// Guards against an expected time that falls below that of the store because requests on their way
+/// count as answers, so that requests are sent before the adapter is there.
+#[test]
+fn requests_on_their_way_do_not_shorten_the_expected_load() {
+    let mut bench = Bench::new(400);
+    for number in 0..300 {
+        let name = format!("a{number}");
+        bench.load(&name, OrderOutcome::Accepted);
+        bench.pass(300);
+        bench.orders();
+        let unanswered = Use {
+            in_flight: 1,
+            sent: 1,
+            early_age_ms: None,
+            is_answered: false,
+        };
+        bench.note(&name, unanswered);
+    }
+    assert_eq!(bench.planner.summary(bench.now).load_ms, 250);
+}
+
+/// Replays requests that are sent as soon as a load is expected to end, against a store whose loads
+/// take 250 ms, then 400 ms.
+#[test]
+fn few_requests_come_before_their_adapter() {
+    let mut bench = Bench::new(1_000);
+    for (loads, load_ms) in [(200, 250), (400, 400)] {
+        let mut early = 0;
+        for number in 0..loads {
+            let name = format!("a{load_ms}-{number}");
+            bench.load(&name, OrderOutcome::Accepted);
+            let expected_ms = bench.planner.summary(bench.now).load_ms;
+            assert!(expected_ms < load_ms * 6 / 5, "{expected_ms} for {load_ms}");
+            let is_early = expected_ms < load_ms;
+            early += u32::from(is_early);
+            bench.pass(expected_ms + 100);
+            bench.orders();
+            let used = Use {
+                in_flight: 1,
+                sent: 1,
+                early_age_ms: is_early.then_some(100),
+                is_answered: !is_early,
+            };
+            bench.note(&name, used);
+        }
+        assert!(early * 10 < loads, "{early} of {loads} at {load_ms} ms");
+    }
+}
