feat(slots): copies of hot adapters where all requests are counted

Cause: a copy was ordered when an entry VM believed an engine to be full. Each of 75 VMs sees a few requests a second and hears of an engine's load seconds apart, so the belief was nearly always wrong; the threshold for a copy in the own data centre counted the requests of one VM, not of the data centre.

Ruled out: engine speed (requests for adapters of rank 64 and later started within 0.25 s), the store (its loads did not queue).

Change: the VM that orders the engines counts the requests of all VMs. It orders one more copy of the most used adapter of an engine above 60% of its places, on the engine with the fewest requests, and tells the entry VMs which engines are above half. An engine above 60% is passed over for new adapters. VMs with the same view spread by chance. The threshold of near copies is that of the data centre, divided by its entry VMs.

--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -321,6 +321,7 @@
             .update(&holders, is_fresh, deployment.as_deref(), &merged, now);
         drop(merged);
         self.desk.work(self);
+        self.desk.tell_busy(&self.links, now);
     }
 
     pub(super) fn received(self: &Arc<Self>, session: &Session, frame: Frame) {
--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -20,7 +20,6 @@
 use crate::gateway::Asker;
 use crate::gateway::Dialect;
 use crate::gateway::Gateway;
-use crate::gateway::NEAR_COPY_REQUESTS;
 use crate::link::AdapterUse;
 use crate::link::ControlStatus;
 use crate::link::DocumentNews;
@@ -322,6 +321,10 @@
             Frame::AdapterVersions(versions) => self.gateway().set_versions(&versions),
             Frame::Servers(news) => self.on_servers(news),
             Frame::Residency(news) => self.on_residency(session, &news),
+            Frame::Busy(data_centre, busy) => {
+                let now = self.clock.mono();
+                self.gateway().board().set_busy(&data_centre, &busy, now);
+            }
             Frame::Borrowed(number, reply) => self.borrowers.replied(number, reply),
             _ => {}
         }
@@ -343,7 +346,7 @@
 impl Asker for EntryFeed {
     fn ask(&self, want: Want, asked_before: u32) {
         // An adapter that is rarely asked for is loaded once in the fleet.
-        let near = self.gateway().recent_demand(&want.model) >= NEAR_COPY_REQUESTS;
+        let near = self.gateway().is_popular(&want.model);
         let mut homes = self.gateway().board().homes(&want.model, near);
         if homes.is_empty() {
             return;
--- a/src/fleet/held.rs
+++ b/src/fleet/held.rs
@@ -21,6 +21,9 @@
 /// Least loads of base models in a second.
 const MIN_BASE_LOADS_PER_S: f64 = 0.05;
 
+/// Time between two lists of busy engines.
+const BUSY_EVERY_MS: u64 = 300;
+
 /// One data centre that this VM holds.
 pub(super) struct Held {
     pub(super) fence: u64,
@@ -30,6 +33,8 @@
     /// Whether the entry VMs know that this VM holds the data centre.
     pub(super) is_told: bool,
     pub(super) addresses: HashMap<ServerName, SocketAddr>,
+    /// Busy engines as the entry VMs were last told, and when.
+    pub(super) busy_told: (Vec<(ServerName, u32)>, MonoMs),
 }
 
 impl Held {
@@ -62,6 +67,7 @@
             let info = EngineInfo {
                 started_unix_ms: server.started_unix_ms,
                 adapter_slots: sheet.adapter_capacity(bases),
+                run_slots: server.slots,
                 bases: server.models.clone(),
                 loadable,
             };
@@ -83,6 +89,20 @@
         }
     }
 
+    /// The busy engines, if the entry VMs are to be told. Told loads fade there, so they are repeated.
+    pub(super) fn busy_news(&mut self, now: MonoMs) -> Option<Vec<(ServerName, u32)>> {
+        let (told, at) = &self.busy_told;
+        if now.since(*at) < BUSY_EVERY_MS {
+            return None;
+        }
+        let busy = self.planner.busy();
+        if busy.is_empty() && told.is_empty() {
+            return None;
+        }
+        self.busy_told = (busy.clone(), now);
+        Some(busy)
+    }
+
     pub(super) fn address(&self, action: &SlotAction) -> Option<SocketAddr> {
         let server = match action {
             SlotAction::Order(order) => &order.server,
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -18,6 +18,7 @@
 
 use super::control_core::Core;
 use super::control_core::QUORUM_FRESH_MS;
+use super::control_links::Links;
 use super::control_vm::ControlConfig;
 use super::duties::HOLDER_SILENT_MS;
 use super::held::Held;
@@ -152,6 +153,7 @@
             planner,
             is_told: false,
             addresses: HashMap::new(),
+            busy_told: (Vec::new(), MonoMs(0)),
         }
     }
 
@@ -322,6 +324,16 @@
         }
     }
 
+    /// Tells the entry VMs which engines have many requests.
+    pub(super) fn tell_busy(&self, links: &Links, now: MonoMs) {
+        for (centre, held) in &mut self.lock().held {
+            if let Some(busy) = held.busy_news(now) {
+                let frame = Frame::Busy(centre.clone(), busy).encode();
+                links.broadcast(&frame, |session| session.peer().role == Role::Entry);
+            }
+        }
+    }
+
     async fn carry_out(
         &self,
         core: &Arc<Core>,
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -27,7 +27,6 @@
 use super::exchange::Exchange;
 use super::exchange::LEAVING_RETRY_MS;
 use super::exchange::LOOK_MS;
-use super::exchange::NEAR_COPY_REQUESTS;
 use super::forward::Template;
 use super::quota::Taken;
 use super::record::RequestRecord;
@@ -66,7 +65,7 @@
     let service = route.target(rand::rng().random()).clone();
     gateway.count_request(&service);
     let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
-    let demand = adapter.map_or(0.0, |model| gateway.count_demand(model));
+    let is_popular = adapter.is_some_and(|model| gateway.count_demand(model));
     let template = Template {
         request_id: caller.request_id.clone(),
         method: parts.method.clone(),
@@ -85,7 +84,7 @@
         },
         gateway: Arc::clone(gateway),
         is_engine: is_engine(&deployment, &service),
-        is_popular: demand >= NEAR_COPY_REQUESTS,
+        is_popular,
         route,
         account,
         caller,
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -1,6 +1,9 @@
 //! What an entry VM believes of the backend servers, and the choice of one for a request.
 
 use std::collections::HashMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 
 use indexmap::IndexMap;
 
@@ -141,6 +144,9 @@
     }
 }
 
+/// Delay by chance, so that VMs with the same view do not all choose the same server.
+const LOT_MS: f64 = 12.0;
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -152,6 +158,17 @@
     pub version: Option<u64>,
     /// Servers that were tried before.
     pub tried: &'a [ServerName],
+    /// A random number, by which equal servers are told apart.
+    pub lot: u64,
+}
+
+impl Need<'_> {
+    fn lot_ms(&self, view: &ServerView) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        self.lot.hash(&mut hasher);
+        view.announcement.server.hash(&mut hasher);
+        LOT_MS * (hasher.finish() as f64 / u64::MAX as f64)
+    }
 }
 
 /// Where a request goes.
@@ -337,6 +354,27 @@
         }
     }
 
+    /// Takes the engines of a data centre that have many requests, and how many, from the VM that
+    /// counts the requests of all VMs. Its other engines have room.
+    pub fn set_busy(&mut self, centre: &DataCentre, busy: &[(ServerName, u32)], now: MonoMs) {
+        for (server, view) in &mut self.servers {
+            if view.announcement.data_centre != *centre {
+                continue;
+            }
+            let listed = busy.iter().find(|(name, _)| name == server);
+            match listed {
+                Some((_, occupied)) => {
+                    view.others = f64::from(occupied.saturating_sub(view.in_flight));
+                    view.others_at = now;
+                }
+                None => {
+                    let room = f64::from(view.announcement.slots) / 2.0;
+                    view.others = view.others.min(room);
+                }
+            }
+        }
+    }
+
     /// Counts how a request went at a server.
     pub fn judged(&mut self, server: &ServerName, failed: bool, now: MonoMs) {
         if let Some(view) = self.servers.get_mut(server) {
@@ -397,10 +435,10 @@
             need.model.is_none_or(|model| models.contains(model))
         };
         let service_ms = self.service_ms(need.service);
-        let scored = pool
-            .iter()
-            .filter(has_model)
-            .map(|view| (view.expected_delay_ms(service_ms, now), *view));
+        let scored = pool.iter().filter(has_model).map(|view| {
+            let delay_ms = view.expected_delay_ms(service_ms, now);
+            (delay_ms + need.lot_ms(view), *view)
+        });
         match scored.min_by(|a, b| a.0.total_cmp(&b.0)) {
             Some((_, view)) => send(view, service_ms, now),
             None => Choice::NotPresent,
@@ -425,7 +463,7 @@
                 continue;
             }
             let wait_ms = present.ready.since(now) as f64;
-            let delay_ms = view.expected_delay_ms(service_ms, now) + wait_ms;
+            let delay_ms = view.expected_delay_ms(service_ms, now) + wait_ms + need.lot_ms(view);
             if best.is_none_or(|(least_ms, ..)| delay_ms < least_ms) {
                 best = Some((delay_ms, present.ready, view));
             }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -13,6 +13,7 @@
 
 use super::board::Board;
 use super::board::Distance;
+use super::demand;
 use super::demand::Demand;
 use super::deployment::Deployment;
 use super::dialect::Dialect;
@@ -206,14 +207,18 @@
         is_due.then_some(version)
     }
 
-    /// Requests for an adapter in recent time.
-    pub fn recent_demand(&self, model: &ModelName) -> f64 {
-        lock(&self.demand).recent(model, self.now())
+    /// Whether an adapter is asked for so often that it is worth a place in the own data centre.
+    pub fn is_popular(&self, model: &ModelName) -> bool {
+        lock(&self.demand).recent(model, self.now()) >= self.near_copy_requests()
     }
 
-    /// Counts a request for an adapter; returns the requests of recent time.
-    pub(super) fn count_demand(&self, model: &ModelName) -> f64 {
-        lock(&self.demand).count(model, self.now())
+    /// Counts a request for an adapter; returns whether it is popular now.
+    pub(super) fn count_demand(&self, model: &ModelName) -> bool {
+        lock(&self.demand).count(model, self.now()) >= self.near_copy_requests()
+    }
+
+    fn near_copy_requests(&self) -> f64 {
+        demand::near_copy_requests(self.quota.entry_vms(), self.config.distances.len())
     }
 
     /// Asks at once for an adapter, or for one more copy of it.
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -12,6 +12,18 @@
 /// Count below which an adapter is dropped.
 const FORGET_BELOW: f64 = 0.2;
 
+/// Requests in recent time, at all entry VMs of a data centre, from which an adapter is worth a place
+/// there. Their bytes between regions cost more than the load of a copy.
+const NEAR_COPY_REQUESTS: f64 = 24.0;
+/// Least requests at one VM that show that an adapter is asked for again.
+const LEAST_REQUESTS: f64 = 1.5;
+
+/// The part of these requests that one of `entry_vms` in `data_centres` sees.
+pub fn near_copy_requests(entry_vms: u32, data_centres: usize) -> f64 {
+    let vms_in_each = f64::from(entry_vms) / data_centres.max(1) as f64;
+    (NEAR_COPY_REQUESTS / vms_in_each.max(1.0)).max(LEAST_REQUESTS)
+}
+
 /// Recent requests by adapter, older ones counting less.
 #[derive(Debug, Default)]
 pub struct Demand {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use rand::RngExt;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -42,8 +43,6 @@
 use crate::types::ServerName;
 use crate::types::ServiceName;
 
-/// Requests in recent time from which an adapter is worth a place in the own data centre.
-pub const NEAR_COPY_REQUESTS: f64 = 8.0;
 /// Time to come back, to another VM, when this one leaves.
 pub(super) const LEAVING_RETRY_MS: u64 = 20;
 /// Time to come back when a service has no server.
@@ -317,6 +316,7 @@
             model,
             version,
             tried: &self.tried,
+            lot: rand::rng().random(),
         };
         let now = self.gateway.now();
         self.gateway.board().choose(&need, now)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,7 +39,6 @@
 pub use dialect::EngineDialect;
 pub use dialect::SendFacts;
 pub use dialect::ServerLoad;
-pub use exchange::NEAR_COPY_REQUESTS;
 pub use quota::Quota;
 pub use quota::Reach;
 pub use quota::fleet_share;
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -167,6 +167,9 @@
     Servers(ServerNews),
     /// Residency of adapters.
     Residency(ResidencyNews),
+    /// Engines of a data centre with many requests, from the VM that orders them. The others have
+    /// room.
+    Busy(DataCentre, Vec<(ServerName, u32)>),
     /// Adapters that requests wait for, on engines of a data centre.
     Wants(DataCentre, Vec<Want>),
     /// Adapters in use.
--- a/src/scheduling/slots/engine.rs
+++ b/src/scheduling/slots/engine.rs
@@ -24,6 +24,8 @@
     pub started_unix_ms: u64,
     /// Adapters that it can hold at once.
     pub adapter_slots: usize,
+    /// Requests that it can run at once.
+    pub run_slots: u32,
     /// Base models that it holds.
     pub bases: Vec<ModelName>,
     /// Base models that fit into it.
@@ -134,6 +136,11 @@
         }
     }
 
+    /// Requests that use it now.
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight.values().sum()
+    }
+
     pub(super) fn is_used(&self) -> bool {
         !self.in_flight.is_empty()
     }
@@ -167,6 +174,8 @@
     pub(super) needs_report: bool,
     /// Base models that its last report showed.
     pub(super) reported_bases: Vec<ModelName>,
+    /// When one of its adapters last got another engine.
+    pub(super) relieved: MonoMs,
 }
 
 impl Engine {
@@ -184,9 +193,21 @@
             report_asked: None,
             needs_report: true,
             reported_bases: Vec::new(),
+            relieved: MonoMs(0),
         }
     }
 
+    /// Requests for adapters that it runs or that wait there.
+    pub(super) fn occupied(&self) -> u32 {
+        let places = self.places.values();
+        places.map(Place::in_flight).sum()
+    }
+
+    /// Whether more requests than `percent` of its places are taken.
+    pub(super) fn is_fuller_than(&self, percent: u32) -> bool {
+        self.occupied() * 100 > self.info.run_slots * percent
+    }
+
     pub(super) fn free_slots(&self) -> usize {
         self.info.adapter_slots.saturating_sub(self.places.len())
     }
--- a/src/scheduling/slots/mod.rs
+++ b/src/scheduling/slots/mod.rs
@@ -13,6 +13,7 @@
 mod planner;
 mod rank;
 mod reports;
+mod spread;
 mod types;
 
 pub use engine::EngineInfo;
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -200,6 +200,7 @@
         actions.extend(self.load_base(now));
         self.renew_versions(now, &mut actions);
         self.serve_wants(now, &mut actions);
+        self.relieve(now, &mut actions);
         self.ask_reports(now, &mut actions);
         actions
     }
@@ -346,7 +347,7 @@
         self.pace.step(!wants.is_empty(), now);
         for (model, want) in wants {
             let holders = self.holders(&model);
-            if holders > 0 && !want.wanted.copy {
+            if holders > 0 && !(want.wanted.copy && self.needs_copy(&model, now)) {
                 self.wants.shift_remove(&model);
                 continue;
             }
@@ -398,9 +399,22 @@
             .filter(|name| self.is_candidate(name, model))
             .cloned()
             .collect();
-        candidates.sort_by_key(|name| !self.engines[name].recent.contains(model));
+        candidates.sort_by_key(|name| {
+            let engine = &self.engines[name];
+            (engine.is_crowded(), !engine.recent.contains(model))
+        });
+        self.make_room_on(&candidates, model, now)
+    }
+
+    /// The next order towards having `model` on the first of `candidates` that can take it.
+    pub(super) fn make_room_on(
+        &mut self,
+        candidates: &[ServerName],
+        model: &ModelName,
+        now: MonoMs,
+    ) -> Option<SlotAction> {
         let store_is_busy = self.store_loads(now) >= self.pace.limit(self.engines.len());
-        for server in &candidates {
+        for server in candidates {
             let engine = &self.engines[server];
             let is_reload = engine.recent.contains(model);
             if store_is_busy && !is_reload || engine.loading(now) >= self.config.loads_per_engine {
--- /dev/null
+++ b/src/scheduling/slots/spread.rs
@@ -0,0 +1,105 @@
+//! Decides which adapters get one more engine because those that hold them have little room left.
+//!
+//! A few adapters have a large part of the requests. An engine that holds one of them fills up while
+//! its neighbours stay idle, and its requests wait although there are free places. The VMs that send
+//! the requests see only their own part, so this is decided where all of them are counted.
+
+use std::cmp::Reverse;
+
+use super::engine::Engine;
+use super::engine::Phase;
+use super::planner::Planner;
+use super::types::SlotAction;
+use crate::types::ModelName;
+use crate::types::MonoMs;
+use crate::types::ServerName;
+
+/// Part of an engine's places from which its adapters may get another engine, in percent.
+const CROWDED_PERCENT: u32 = 60;
+/// Part of its places up to which an engine takes a copy.
+const ROOM_PERCENT: u32 = 40;
+/// Part of an engine's places from which the VMs that send requests are told its load.
+const BUSY_PERCENT: u32 = 50;
+/// Least requests for an adapter on a crowded engine for which a copy is worth its load.
+const MIN_IN_FLIGHT: u32 = 2;
+/// Time between two copies because of one engine; a copy takes up work only after its load.
+const RELIEVE_EVERY_MS: u64 = 400;
+
+impl Engine {
+    /// Whether it has so many requests that others should not get onto it if that can be helped.
+    pub(super) fn is_crowded(&self) -> bool {
+        self.is_fuller_than(CROWDED_PERCENT)
+    }
+
+    /// Its adapters that are in use, the most used first.
+    fn busiest(&self) -> Vec<ModelName> {
+        let places = self.places.iter();
+        let mut used: Vec<(Reverse<u32>, &ModelName)> = places
+            .filter(|(_, place)| place.in_flight() >= MIN_IN_FLIGHT)
+            .map(|(model, place)| (Reverse(place.in_flight()), model))
+            .collect();
+        used.sort();
+        used.into_iter().map(|(_, model)| model.clone()).collect()
+    }
+}
+
+impl Planner {
+    /// Engines with many requests, and their number. Others have room.
+    pub fn busy(&self) -> Vec<(ServerName, u32)> {
+        let engines = self.engines.iter();
+        let busy = engines.filter(|(_, engine)| engine.is_fuller_than(BUSY_PERCENT));
+        busy.map(|(server, engine)| (server.clone(), engine.occupied()))
+            .collect()
+    }
+
+    /// Orders copies of the most used adapters of crowded engines, one for each engine at a time.
+    pub(super) fn relieve(&mut self, now: MonoMs, actions: &mut Vec<SlotAction>) {
+        let is_due =
+            |engine: &Engine| engine.is_crowded() && now.since(engine.relieved) >= RELIEVE_EVERY_MS;
+        let crowded: Vec<ServerName> = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| is_due(engine))
+            .map(|(server, _)| server.clone())
+            .collect();
+        for server in crowded {
+            let models = self.engines[&server].busiest();
+            let model = models.into_iter().find(|model| self.needs_copy(model, now));
+            let Some(action) = model.and_then(|model| self.copy(&model, now)) else {
+                continue;
+            };
+            let is_load = matches!(&action, SlotAction::Order(order) if order.load);
+            if let Some(engine) = self.engines.get_mut(&server).filter(|_| is_load) {
+                engine.relieved = now;
+            }
+            actions.push(action);
+        }
+    }
+
+    /// Whether all engines that hold `model` are crowded and none is loading it.
+    pub(super) fn needs_copy(&self, model: &ModelName, now: MonoMs) -> bool {
+        self.engines.values().all(|engine| {
+            let place = engine.places.get(model);
+            place.is_none_or(|place| match place.phase {
+                Phase::Ready => engine.is_crowded(),
+                Phase::Loading { ready } => ready <= now && engine.is_crowded(),
+                Phase::Retiring | Phase::Unloading => true,
+            })
+        })
+    }
+
+    /// The next order towards a copy of `model` on the engine with the fewest requests.
+    fn copy(&mut self, model: &ModelName, now: MonoMs) -> Option<SlotAction> {
+        let mut candidates: Vec<(u32, ServerName)> = self
+            .engines
+            .iter()
+            .filter(|(server, engine)| {
+                self.is_candidate(server, model) && !engine.is_fuller_than(ROOM_PERCENT)
+            })
+            .map(|(server, engine)| (engine.occupied(), server.clone()))
+            .collect();
+        candidates.sort();
+        let names: Vec<ServerName> = candidates.into_iter().map(|(_, server)| server).collect();
+        self.make_room_on(&names, model, now)
+    }
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -219,6 +219,7 @@
         model: Some(&model),
         version: None,
         tried,
+        lot: 1,
     };
     board.choose(&need, now)
 }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -80,6 +80,7 @@
             let info = EngineInfo {
                 started_unix_ms: 1,
                 adapter_slots: PLACES,
+                run_slots: 16,
                 bases: vec![ModelName::from("base")],
                 loadable: vec![ModelName::from("base")],
             };
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -45,6 +45,7 @@
         let info = EngineInfo {
             started_unix_ms,
             adapter_slots,
+            run_slots: 16,
             bases: vec![ModelName::from("base")],
             loadable: vec![ModelName::from("base")],
         };
@@ -288,6 +289,7 @@
     let info = EngineInfo {
         started_unix_ms: 2,
         adapter_slots: 2,
+        run_slots: 16,
         bases: Vec::new(),
         loadable: vec![ModelName::from("base")],
     };
@@ -318,6 +320,7 @@
         let info = EngineInfo {
             started_unix_ms: 1,
             adapter_slots: 2,
+            run_slots: 16,
             bases: Vec::new(),
             loadable: vec![ModelName::from("base")],
         };
