--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -213,7 +213,7 @@
     pub(super) fn status(&self) -> ControlStatus {
         let log = self.log.status();
         let is_fresh = log.quorum_contact_age_ms <= QUORUM_FRESH_MS;
-        let port = self.config.link_address.port();
+        let port = self.config.link_port;
         let members = log.voters.iter().chain(&log.learners);
         let holds = self.desk.active(self.now());
         let state = self.state();
@@ -258,7 +258,7 @@
         let log = self.log.status();
         let members = log.voters.into_iter().chain(log.learners).map(|id| id.vm);
         let all = members.chain(self.config.contacts.iter().cloned());
-        let port = self.config.link_address.port();
+        let port = self.config.link_port;
         let others = all.filter(|vm| *vm != self.config.hello.vm);
         let targets = others.filter_map(|vm| link_address(&vm, port)).collect();
         self.links.set_targets(targets);
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -67,8 +67,10 @@
     pub hello: Hello,
     /// Clock of the process.
     pub clock: Clock,
-    /// Where links are listened for, on every controller at this port.
+    /// Where links are listened for.
     pub link_address: SocketAddr,
+    /// Port at which the links of every controller are reached.
+    pub link_port: u16,
     /// Where the operator and backend servers reach it, on every controller at this port.
     pub operator_address: SocketAddr,
     /// Controllers that are known at the start.
