fix(quota): accounts go on at their former rate while no bucket is kept

Cause: without the fleet's bucket each VM handed out an equal part of 40% of the rate from a bucket of its own. With 75 VMs that bucket holds less than one request: (40,000 x 0.4 + 12,000) / 75 = 373 tokens against about 900, so that it never served any.

Ruled out: too low limits (the quotas are 1.8 times the usual demand and few requests were refused before); the time of the election (no leader existed).

Change: a VM goes on at 90% of the rate at which the bucket granted it tokens, or with an equal part of 40% if that is more and the account was not at its limit. It begins with a part of one request by chance, so that the requests of all VMs add up to the parts, and at most one request in advance. While others may still reach the bucket (a leader is known, or only few controllers are linked) 40% of the own rate.

The tests of the decision are in tests/outage.rs; they use the new types, so that they do not build on the former code.

--- a/src/fleet/borrow.rs
+++ b/src/fleet/borrow.rs
@@ -39,11 +39,12 @@
 }
 
 impl Borrowers {
-    /// Sets the link to the leader.
-    pub(super) fn set_leader(&self, leader: Option<Session>, now: MonoMs) {
+    /// Sets the link to the leader. Without one, `is_alone` tells whether there is none anywhere.
+    pub(super) fn set_leader(&self, leader: Option<Session>, is_alone: bool, now: MonoMs) {
         if leader.is_none() {
             self.reach.set(false);
         }
+        self.reach.set_alone(leader.is_none() && is_alone, now);
         let mut state = self.lock();
         let old = state.leader.as_ref().map(Session::id);
         let new = leader.as_ref().map(Session::id);
--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -187,7 +187,7 @@
             *current = targets;
             is_changed
         });
-        self.borrowers.set_leader(state.leader(), self.clock.mono());
+        self.update_leader(&state);
         let version = self.gateway().deployment().map_or(0, |d| d.version);
         let was_pulled = state.pulled.is_some_and(|(pulled, at)| {
             pulled >= status.document_version && now.since(at) < PULL_AGAIN_MS
@@ -200,6 +200,12 @@
         self.gateway().quota.set_entry_vms(status.entry_vms);
     }
 
+    fn update_leader(&self, state: &State) {
+        let now = self.clock.mono();
+        self.borrowers
+            .set_leader(state.leader(), state.sees_no_leader(), now);
+    }
+
     fn on_document(&self, session: &Session, news: &DocumentNews) {
         let error = match self.dialect.decode(&news.body) {
             Ok(deployment) => {
@@ -277,6 +283,15 @@
 }
 
 impl State {
+    /// Whether the log has no leader anywhere, as far as this VM can tell: most controllers are
+    /// linked and none leads, or none is linked. A VM with few links may be cut off from the leader.
+    fn sees_no_leader(&self) -> bool {
+        let statuses = self.links.values().filter_map(|link| link.status.as_ref());
+        let known = statuses.map(|status| status.controllers.len()).max();
+        self.leader().is_none()
+            && (self.links.is_empty() || self.links.len() * 2 > known.unwrap_or(0))
+    }
+
     /// The link to the leader of the newest term.
     fn leader(&self) -> Option<Session> {
         let leading = self.links.values().filter_map(|link| {
@@ -333,7 +348,7 @@
     fn closed(&self, session: &Session, reason: &str) {
         let mut state = self.lock();
         state.links.shift_remove(&session.id());
-        self.borrowers.set_leader(state.leader(), self.clock.mono());
+        self.update_leader(&state);
         drop(state);
         self.events.emit(&LinkChange {
             peer: session.peer().vm.clone(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod board;
+pub mod carry;
 pub mod deployment;
 pub mod pool;
 
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -1,7 +1,7 @@
 //! Token limits of the client accounts, from the fleet's one bucket per account.
 //!
-//! While the bucket cannot be reached, the VM hands out a small part of the rate by itself. All VMs
-//! together then stay within the tolerance that the operator grants on the rate.
+//! While the bucket cannot be reached, the VM hands out a part of the rate by itself ([`Carry`]). All
+//! VMs together then stay within the tolerance that the operator grants on the rate.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -14,16 +14,15 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use rand::RngExt;
+
 use crate::limits::BorrowPeers;
 use crate::limits::Client;
 use crate::limits::ClientConfig;
 use crate::limits::History;
 use crate::limits::LimitVersion;
-use crate::limits::NANO;
 use crate::limits::Reservation;
-use crate::limits::Share;
 use crate::limits::Shortage;
-use crate::limits::TokenBucket;
 use crate::limits::WHOLE_PPM;
 use crate::types::AccountName;
 use crate::types::Clock;
@@ -32,15 +31,13 @@
 use crate::types::Tokens;
 use crate::types::VmName;
 
+use super::carry::Carry;
+use super::carry::Others;
 use super::deployment::Account;
 use super::deployment::Deployment;
 
 /// Name under which the one bucket per account is kept.
 const FLEET: &str = "fleet";
-/// Part of an account's rate that all VMs together hand out without the bucket, in percent.
-const RESERVE_PERCENT: u64 = 40;
-/// Tokens that all VMs together hand out at once without the bucket.
-const RESERVE_BURST_TOKENS: u64 = 12_000;
 /// Time in which buckets that start empty fill far enough.
 const FILL_MS: u64 = 1_500;
 /// VMs assumed while their number is not known.
@@ -73,8 +70,8 @@
     Unlimited,
     /// From the fleet's bucket.
     Reserved(Reservation),
-    /// From the VM's own reserve.
-    FromReserve,
+    /// From the VM's own part.
+    Carried,
 }
 
 /// Whether the fleet's buckets can be reached. Shared with the code that carries the requests.
@@ -83,6 +80,10 @@
     is_reached: Arc<AtomicBool>,
     /// Uptime from which the buckets have filled since another VM has kept them.
     filled_ms: Arc<AtomicU64>,
+    /// Whether no VM keeps the buckets, as far as this one can tell.
+    is_alone: Arc<AtomicBool>,
+    /// Uptime since which that has been so.
+    alone_since_ms: Arc<AtomicU64>,
 }
 
 impl Reach {
@@ -97,6 +98,20 @@
         self.filled_ms.store(filled.0, Ordering::Relaxed);
     }
 
+    /// Notes whether no VM keeps the buckets.
+    pub fn set_alone(&self, is_alone: bool, now: MonoMs) {
+        if !self.is_alone.swap(is_alone, Ordering::Relaxed) {
+            self.alone_since_ms.store(now.0, Ordering::Relaxed);
+        }
+    }
+
+    fn others(&self) -> Others {
+        match self.is_alone.load(Ordering::Relaxed) {
+            true => Others::Alone(MonoMs(self.alone_since_ms.load(Ordering::Relaxed))),
+            false => Others::Beside,
+        }
+    }
+
     fn is_reached(&self, now: MonoMs) -> bool {
         let is_filled = now.0 >= self.filled_ms.load(Ordering::Relaxed);
         is_filled && self.is_reached.load(Ordering::Relaxed)
@@ -109,7 +124,7 @@
     clock: Clock,
     reach: Reach,
     entry_vms: AtomicU32,
-    reserves: Mutex<HashMap<AccountName, TokenBucket>>,
+    carries: Mutex<HashMap<AccountName, Carry>>,
 }
 
 impl Quota {
@@ -132,28 +147,33 @@
             clock,
             reach,
             entry_vms: AtomicU32::new(UNKNOWN_VMS),
-            reserves: Mutex::default(),
+            carries: Mutex::default(),
         }
     }
 
     /// Takes the limits of a configuration.
     pub fn set_deployment(&self, new: &Deployment, old: Option<&Deployment>) {
-        let now = self.clock.mono();
         for account in new.accounts.values() {
-            self.client
-                .set_limits(account.name.clone(), limits_of(account, new.version));
-            let share = self.reserve_share(account);
-            let mut reserves = self.reserves();
-            reserves
-                .entry(account.name.clone())
-                .or_insert_with(|| TokenBucket::full(share, now));
+            self.set_account(account, new.version);
         }
         let gone = old.into_iter().flat_map(|old| old.accounts.keys());
         for name in gone.filter(|name| !new.accounts.contains_key(*name)) {
             self.client.remove(name);
+            self.carries().remove(name);
         }
     }
 
+    /// Takes the limits of an account.
+    pub fn set_account(&self, account: &Account, revision: u64) {
+        let now = self.clock.mono();
+        self.client
+            .set_limits(account.name.clone(), limits_of(account, revision));
+        self.carries()
+            .entry(account.name.clone())
+            .or_insert_with(|| Carry::new(account.rate_per_s, now))
+            .set_rate(account.rate_per_s);
+    }
+
     /// Sets the number of VMs that share the limits.
     pub fn set_entry_vms(&self, count: u32) {
         self.entry_vms.store(count.max(1), Ordering::Relaxed);
@@ -173,14 +193,24 @@
             return Ok(Taken::Unlimited);
         }
         match self.client.reserve(&account.name, tokens).await {
-            Ok(reservation) => Ok(Taken::Reserved(reservation)),
+            Ok(reservation) => {
+                if let Some(carry) = self.carries().get_mut(&account.name) {
+                    carry.granted(tokens, self.clock.mono());
+                }
+                Ok(Taken::Reserved(reservation))
+            }
             Err(Shortage::TooLarge { .. }) if tokens <= account.burst => {
-                self.take_reserve(account, tokens)
+                self.take_carried(account, tokens)
             }
             Err(Shortage::Later { .. }) if !self.reach.is_reached(self.clock.mono()) => {
-                self.take_reserve(account, tokens)
+                self.take_carried(account, tokens)
+            }
+            Err(shortage) => {
+                if let Some(carry) = self.carries().get_mut(&account.name) {
+                    carry.refused(self.clock.mono());
+                }
+                Err(shortage)
             }
-            Err(shortage) => Err(shortage),
         }
     }
 
@@ -199,37 +229,20 @@
         }
     }
 
-    fn take_reserve(&self, account: &Account, tokens: Tokens) -> Result<Taken, Shortage> {
+    fn take_carried(&self, account: &Account, tokens: Tokens) -> Result<Taken, Shortage> {
         let now = self.clock.mono();
-        let share = self.reserve_share(account);
-        let mut reserves = self.reserves();
-        let bucket = reserves
+        let chance = rand::rng().random();
+        let mut carries = self.carries();
+        let carry = carries
             .entry(account.name.clone())
-            .or_insert_with(|| TokenBucket::full(share, now));
-        bucket.set_share(now, share);
-        if bucket.tokens(now) >= tokens {
-            bucket.take(now, tokens, 0);
-            return Ok(Taken::FromReserve);
-        }
-        let missing = tokens - bucket.tokens(now);
-        let per_ms = (share.refill_per_ms / NANO.max(1)).max(1) as u64;
-        Err(Shortage::Later {
-            retry_after_ms: missing / per_ms,
-        })
-    }
-
-    fn reserves(&self) -> MutexGuard<'_, HashMap<AccountName, TokenBucket>> {
-        self.reserves.lock().unwrap_or_else(PoisonError::into_inner)
+            .or_insert_with(|| Carry::new(account.rate_per_s, now));
+        let taken = carry.take(tokens, self.reach.others(), self.entry_vms(), chance, now);
+        taken
+            .map(|()| Taken::Carried)
+            .map_err(|retry_after_ms| Shortage::Later { retry_after_ms })
     }
 
-    fn reserve_share(&self, account: &Account) -> Share {
-        let vms = u128::from(self.entry_vms());
-        let rate = u128::from(account.rate_per_s * RESERVE_PERCENT / 100);
-        let burst = u128::from(account.burst * RESERVE_PERCENT / 100 + RESERVE_BURST_TOKENS);
-        Share {
-            refill_per_ms: rate * NANO / 1_000 / vms,
-            burst: burst * NANO / vms,
-            lifetime_ms: 0,
-        }
+    fn carries(&self) -> MutexGuard<'_, HashMap<AccountName, Carry>> {
+        self.carries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- /dev/null
+++ b/tests/outage.rs
@@ -0,0 +1,231 @@
+//! Token limits while nobody keeps the fleet's bucket: many VMs that each serve a small part of an
+//! account go on as before, and all together stay within its limit.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use medlarlift::gateway::Quota;
+use medlarlift::gateway::Reach;
+use medlarlift::gateway::carry::Carry;
+use medlarlift::gateway::carry::Others;
+use medlarlift::gateway::deployment::Account;
+use medlarlift::gateway::deployment::QuotaUnit;
+use medlarlift::gateway::fleet_share;
+use medlarlift::gateway::history_of;
+use medlarlift::lease::Held;
+use medlarlift::limits::BorrowPeers;
+use medlarlift::limits::BorrowReply;
+use medlarlift::limits::BorrowRequest;
+use medlarlift::limits::NoCoordinator;
+use medlarlift::limits::Server;
+use medlarlift::types::AccountName;
+use medlarlift::types::Clock;
+use medlarlift::types::DataCentre;
+use medlarlift::types::MonoMs;
+use medlarlift::types::VmName;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const VMS: usize = 75;
+const OUTAGE_MS: u64 = 8_000;
+const BEFORE_MS: u64 = 20_000;
+const MEAN_TOKENS: u64 = 900;
+
+/// Tokens handed out in an outage, as a part of those that were granted in as long a time before.
+fn part_in_outage(seed: u64, requests_per_s: f64, demand_factor: f64, is_pressed: bool) -> f64 {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let begin = MonoMs(100_000);
+    let others = Others::Alone(begin.plus(BEFORE_MS));
+    let asked_per_s = requests_per_s * MEAN_TOKENS as f64;
+    let limit = if is_pressed {
+        asked_per_s
+    } else {
+        1.8 * asked_per_s
+    };
+    let limit = limit as u64;
+    let mut vms: Vec<Carry> = (0..VMS).map(|_| Carry::new(limit, begin)).collect();
+    let mut taken = 0;
+    for ms in 0..BEFORE_MS + OUTAGE_MS {
+        let now = begin.plus(ms);
+        let is_out = ms >= BEFORE_MS;
+        let factor = if is_out { demand_factor } else { 1.0 };
+        if !rng.random_bool(requests_per_s * factor / 1_000.0) {
+            continue;
+        }
+        let vm = rng.random_range(0..VMS);
+        let tokens = rng.random_range(300..2 * MEAN_TOKENS - 300);
+        if !is_out {
+            vms[vm].granted(tokens, now);
+            if is_pressed {
+                vms[vm].refused(now);
+            }
+        } else {
+            let chance = rng.random();
+            let outcome = vms[vm].take(tokens, others, VMS as u32, chance, now);
+            if outcome.is_ok() {
+                taken += tokens;
+            }
+        }
+    }
+    let before = requests_per_s * MEAN_TOKENS as f64 * OUTAGE_MS as f64 / 1_000.0;
+    taken as f64 / before
+}
+
+fn mean_part(requests_per_s: f64, demand_factor: f64, is_pressed: bool) -> f64 {
+    let parts = (0..20).map(|seed| part_in_outage(seed, requests_per_s, demand_factor, is_pressed));
+    parts.sum::<f64>() / 20.0
+}
+
+#[test]
+fn most_of_an_account_is_served_while_nobody_keeps_its_bucket() {
+    // At the first rate most VMs get no request of the account or one.
+    for (requests_per_s, least) in [(8.0, 1.0 / 3.0), (30.0, 0.6), (100.0, 0.6)] {
+        let part = mean_part(requests_per_s, 1.0, false);
+        println!("{requests_per_s} requests/s: {part:.2}");
+        assert!(part > least, "{requests_per_s} requests/s: {part}");
+    }
+}
+
+/// An account that asks for seven times as much gets no more than before if it was at its limit, and
+/// some seconds' worth more if not.
+#[test]
+fn a_rush_in_an_outage_stays_within_the_limit() {
+    for requests_per_s in [8.0, 30.0, 100.0] {
+        let pressed = mean_part(requests_per_s, 7.0, true);
+        println!("{requests_per_s} requests/s: {pressed:.2}");
+        assert!(pressed < 1.0, "{requests_per_s} requests/s: {pressed}");
+        let free = mean_part(requests_per_s, 7.0, false);
+        println!("{requests_per_s} requests/s, with room: {free:.2}");
+        assert!(free < 1.8, "{requests_per_s} requests/s: {free}");
+    }
+}
+
+#[test]
+fn a_lower_rate_lowers_the_part() {
+    let begin = MonoMs(0);
+    let mut carry = Carry::new(10_000, begin);
+    for second in 0..30 {
+        carry.granted(10_000, begin.plus(second * 1_000));
+    }
+    carry.set_rate(1_000);
+    let now = begin.plus(30_000);
+    carry.refused(now);
+    let mut taken = 0;
+    for ms in 0..8_000 {
+        if carry
+            .take(100, Others::Alone(now), 1, 0.0, now.plus(ms))
+            .is_ok()
+        {
+            taken += 100;
+        }
+    }
+    assert!((5_000..9_000).contains(&taken), "{taken}");
+}
+
+/// A bucket that can be made unreachable.
+struct Peers {
+    server: Server,
+    reach: Reach,
+    is_up: Arc<AtomicBool>,
+}
+
+impl BorrowPeers for Peers {
+    fn borrow(
+        &self,
+        data_centre: DataCentre,
+        request: BorrowRequest,
+    ) -> BoxFuture<'static, Result<BorrowReply, NoCoordinator>> {
+        let is_up = self.is_up.load(Ordering::SeqCst);
+        self.reach.set(is_up);
+        let reply = is_up.then(|| self.server.receive(&request));
+        async move {
+            reply.ok_or(NoCoordinator {
+                data_centre,
+                reason: "down".to_owned(),
+            })
+        }
+        .boxed()
+    }
+}
+
+/// Guards against a part of each of many VMs that is smaller than one request, so that nothing is
+/// served in an outage.
+#[tokio::test]
+async fn one_of_many_vms_goes_on_when_the_bucket_is_lost() {
+    let clock = Clock::start();
+    let lease = move || {
+        Some(Held {
+            term: 1,
+            since: MonoMs(0),
+            deadline: clock.mono().plus(1_000),
+            required_index: 0,
+            settled_index: 0,
+        })
+    };
+    let account = Account {
+        name: AccountName::from("acme"),
+        rate_per_s: 40_000,
+        burst: 40_000,
+        priority: None,
+        unit: QuotaUnit::Tokens { plain_tokens: 200 },
+    };
+    let server = Server::spawn(fleet_share(), clock, Arc::new(lease));
+    server.set_history(account.name.clone(), history_of(&account, 1));
+    let reach = Reach::default();
+    let is_up = Arc::new(AtomicBool::new(true));
+    let peers = Arc::new(Peers {
+        server,
+        reach: reach.clone(),
+        is_up: Arc::clone(&is_up),
+    });
+    let quota = Quota::spawn(VmName::from("entry"), 1, clock, peers, reach.clone());
+    quota.set_entry_vms(VMS as u32);
+    quota.set_account(&account, 1);
+    let mut granted = 0;
+    for _ in 0..40 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        granted += u32::from(quota.take(&account, MEAN_TOKENS).await.is_ok());
+    }
+    assert!(granted > 10, "{granted}");
+    is_up.store(false, Ordering::SeqCst);
+    reach.set(false);
+    reach.set_alone(true, clock.mono());
+    let mut served = 0;
+    for _ in 0..40 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        served += u32::from(quota.take(&account, MEAN_TOKENS).await.is_ok());
+    }
+    println!("{granted} granted, then {served} served");
+    assert!(served >= 4, "{served}");
+}
+
+/// Guards against VMs without a history that refuse all in an outage, as after a start of everything.
+#[test]
+fn vms_that_have_just_started_serve_a_part() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let begin = MonoMs(10_000);
+    let mut vms: Vec<Carry> = (0..VMS).map(|_| Carry::new(36_000, begin)).collect();
+    let (mut asked, mut taken) = (0, 0);
+    for ms in 0..OUTAGE_MS {
+        let now = begin.plus(ms);
+        if !rng.random_bool(20.0 / 1_000.0) {
+            continue;
+        }
+        asked += MEAN_TOKENS;
+        let vm = rng.random_range(0..VMS);
+        let others = Others::Alone(begin);
+        let outcome = vms[vm].take(MEAN_TOKENS, others, VMS as u32, rng.random(), now);
+        if outcome.is_ok() {
+            taken += MEAN_TOKENS;
+        }
+    }
+    println!("{taken} of {asked} tokens");
+    assert!(taken * 2 > asked, "{taken} of {asked}");
+    // Rate and burst of the time, with the tolerance.
+    assert!(taken as f64 <= 36_000.0 * 9.0 * 1.1 + 17_000.0, "{taken}");
+}
