--- a/tests/hot.rs
+++ b/tests/hot.rs
@@ -2,6 +2,9 @@
 //! and choice together, in virtual time: many VMs that each send a small part, with the view that the
 //! VM that orders the engines gives them.
 
+#[path = "overload/popularity.rs"]
+mod popularity;
+
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
@@ -25,6 +28,7 @@
 use medlarlift::types::ServerName;
 use medlarlift::types::ServiceName;
 use medlarlift::types::VmName;
+use popularity::Popularity;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -34,8 +38,6 @@
 const PLACES: usize = 13;
 const ENTRY_VMS: usize = 12;
 const ADAPTERS: usize = 150;
-/// Popularity of the n-th adapter is proportional to n to this power.
-const SKEW: f64 = -1.2;
 const RUN_MS: u64 = 1_600;
 const REQUESTS_PER_S: f64 = 60.0;
 const STEP_MS: u64 = 10;
@@ -59,7 +61,7 @@
     uses: Vec<HashMap<(ServerName, ModelName), (u32, u32)>>,
     waiting: Vec<(MonoMs, usize, ModelName)>,
     rng: StdRng,
-    shares: Vec<f64>,
+    popularity: Popularity,
     /// Time from a request's arrival to the start of its run.
     delays_ms: Vec<u64>,
 }
@@ -82,13 +84,6 @@
             }
             engines.insert(server, Engine::default());
         }
-        let weights: Vec<f64> = (1..=ADAPTERS).map(|n| (n as f64).powf(SKEW)).collect();
-        let total: f64 = weights.iter().sum();
-        let mut sum = 0.0;
-        let shares = weights.iter().map(|weight| {
-            sum += weight / total;
-            sum
-        });
         Self {
             planner,
             boards,
@@ -96,7 +91,7 @@
             uses: vec![HashMap::new(); ENTRY_VMS],
             waiting: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
-            shares: shares.collect(),
+            popularity: Popularity::new(ADAPTERS),
             delays_ms: Vec::new(),
         }
     }
@@ -107,10 +102,8 @@
             let now = begin.plus(step * STEP_MS);
             let expected = REQUESTS_PER_S * STEP_MS as f64 / 1_000.0;
             if self.rng.random_bool(expected.min(1.0)) {
-                let at: f64 = self.rng.random();
-                let rank = self.shares.partition_point(|share| *share < at);
+                let model = self.popularity.draw(&mut self.rng);
                 let vm = self.rng.random_range(0..ENTRY_VMS);
-                let model = ModelName::from(format!("base/a{rank}"));
                 self.waiting.push((now, vm, model));
             }
             for (asked, vm, model) in std::mem::take(&mut self.waiting) {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -1,6 +1,8 @@
 //! Replays of load at its worst against the placement decisions, in virtual time: a cold start with
 //! more adapters asked for than the weight store can bring.
 
+#[path = "overload/popularity.rs"]
+mod popularity;
 #[path = "overload/store.rs"]
 mod store;
 
@@ -17,6 +19,7 @@
 use medlarlift::types::MonoMs;
 use medlarlift::types::ServerName;
 use medlarlift::types::VmName;
+use popularity::Popularity;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -26,8 +29,6 @@
 const ENGINES: usize = 3;
 const PLACES: usize = 30;
 const ADAPTERS: usize = 3_000;
-/// Popularity of the n-th adapter is proportional to n to this power.
-const SKEW: f64 = -1.2;
 /// Patience of a request that waits for its adapter.
 const PATIENCE_MS: u64 = 1_800;
 /// Time of a run.
@@ -64,7 +65,7 @@
     planner: Planner,
     fleet: Fleet,
     rng: StdRng,
-    shares: Vec<f64>,
+    popularity: Popularity,
     waiting: Vec<(ModelName, MonoMs)>,
     running: Vec<(ServerName, ModelName, MonoMs)>,
     outcome: Outcome,
@@ -86,37 +87,24 @@
             };
             planner.set_engine(server, info);
         }
-        let weights: Vec<f64> = (1..=ADAPTERS).map(|n| (n as f64).powf(SKEW)).collect();
-        let total: f64 = weights.iter().sum();
-        let mut sum = 0.0;
-        let shares = weights.iter().map(|weight| {
-            sum += weight / total;
-            sum
-        });
         Self {
             planner,
             fleet: Fleet::new(&servers, PLACES),
             rng: StdRng::seed_from_u64(seed),
-            shares: shares.collect(),
+            popularity: Popularity::new(ADAPTERS),
             waiting: Vec::new(),
             running: Vec::new(),
             outcome: Outcome::default(),
         }
     }
 
-    fn draw(&mut self) -> ModelName {
-        let at: f64 = self.rng.random();
-        let rank = self.shares.partition_point(|share| *share < at);
-        ModelName::from(format!("base/a{rank}"))
-    }
-
     fn run(mut self, requests_per_s: f64, seconds: u64) -> Outcome {
         let mut now = MonoMs(100_000);
         let end = now.plus(seconds * 1_000);
         while now < end {
             let expected = requests_per_s * STEP_MS as f64 / 1_000.0;
             if self.rng.random_bool(expected.min(1.0)) {
-                let model = self.draw();
+                let model = self.popularity.draw(&mut self.rng);
                 self.outcome.asked += 1;
                 let count = self.outcome.by_adapter.entry(model.clone());
                 *count.or_default() += 1;
--- /dev/null
+++ b/tests/overload/popularity.rs
@@ -0,0 +1,37 @@
+//! How often each of many adapters is asked for.
+
+use medlarlift::types::ModelName;
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+/// Popularity of the n-th adapter is proportional to n to this power.
+const SKEW: f64 = -1.2;
+
+/// Adapters of one base model; the popularity of the n-th falls with n.
+pub struct Popularity {
+    /// Share of the requests that the first adapters have, for each number of them.
+    shares: Vec<f64>,
+}
+
+impl Popularity {
+    /// Popularity of `adapters` adapters.
+    pub fn new(adapters: usize) -> Self {
+        let weights: Vec<f64> = (1..=adapters).map(|n| (n as f64).powf(SKEW)).collect();
+        let total: f64 = weights.iter().sum();
+        let mut sum = 0.0;
+        let shares = weights.iter().map(|weight| {
+            sum += weight / total;
+            sum
+        });
+        Self {
+            shares: shares.collect(),
+        }
+    }
+
+    /// An adapter that is asked for.
+    pub fn draw(&self, rng: &mut StdRng) -> ModelName {
+        let at: f64 = rng.random();
+        let rank = self.shares.partition_point(|share| *share < at);
+        ModelName::from(format!("base/a{rank}"))
+    }
+}
