refactor: one way to take connections, no unread fields

- Connections were accepted by six loops; accept::next_connection serves all of them but the stand-ins'.
A failed accept is waited out for 20 ms everywhere (it was 50 ms on links and for callers of the own interface).
The metrics page goes on after a failed accept, where it stopped for good.
- CallerHead::prompt_parts was parsed for each request and read nowhere.
- ControlStatus carried leader_address and applied_index to every VM twice a second; no VM read them.
Board::servers had no caller.
- relay took a reply apart in two places; Source::new does it.
- Since when a VM is alone is one value instead of a flag and a time beside it.

--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -221,12 +221,7 @@
         ControlStatus {
             leads: log.is_leader && log.quorum_contact_age_ms <= LEADER_FRESH_MS,
             term: log.term,
-            leader_address: log
-                .leader
-                .as_ref()
-                .and_then(|leader| link_address(leader, self.config.operator_address.port())),
             document_version: fleet.document().map_or(0, |document| document.version),
-            applied_index: log.applied_index,
             holds: if is_fresh { holds } else { Vec::new() },
             controllers: members
                 .filter_map(|id| link_address(&id.vm, port))
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -29,9 +29,8 @@
 use super::context::Gateway;
 use super::deployment::CallerLimits;
 use super::exchange;
+use crate::accept::next_connection;
 
-/// Pause after a failure to accept, such as a lack of descriptors.
-const ACCEPT_PAUSE_MS: u64 = 20;
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// Idle time beyond the one told to callers, so that they close first.
@@ -62,10 +61,7 @@
         let shared = Arc::clone(&gateway);
         let accepting = tokio::spawn(async move {
             loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
-                    continue;
-                };
+                let stream = next_connection(&listener).await;
                 let serving = serve(
                     stream,
                     Arc::clone(&gateway),
@@ -176,10 +172,7 @@
         let shared = Arc::clone(&ready);
         let answering = tokio::spawn(async move {
             loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
-                    continue;
-                };
+                let stream = next_connection(&listener).await;
                 tokio::spawn(answer_readiness(stream, Arc::clone(&shared)));
             }
         });
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -41,6 +41,8 @@
 const VERIFY_MS: u64 = 400;
 /// Service time assumed before the first answer.
 const FIRST_SERVICE_MS: f64 = 100.0;
+/// Delay by chance, so that VMs with the same view do not all choose the same server.
+const LOT_MS: f64 = 12.0;
 
 /// How far a data centre is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -144,9 +146,6 @@
     }
 }
 
-/// Delay by chance, so that VMs with the same view do not all choose the same server.
-const LOT_MS: f64 = 12.0;
-
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -242,11 +241,6 @@
         self.servers.get(server)
     }
 
-    /// All servers.
-    pub fn servers(&self) -> impl Iterator<Item = &ServerView> {
-        self.servers.values()
-    }
-
     /// Data centres with an engine that takes work, in the order in which `model` should be loaded
     /// there: those of the engines that it prefers, or with `near` the nearest first.
     pub fn homes(&self, model: &ModelName, near: bool) -> Vec<DataCentre> {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -36,8 +36,6 @@
     pub prompt_tokens: Option<Tokens>,
     /// Most tokens of the answer.
     pub output_tokens: Option<Tokens>,
-    /// Parts of the prompt, in order, with their tokens.
-    pub prompt_parts: Vec<(u64, Tokens)>,
     /// Last event that the caller of a resumed stream has.
     pub last_event: Option<u64>,
 }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -80,10 +80,8 @@
     is_reached: Arc<AtomicBool>,
     /// Uptime from which the buckets have filled since another VM has kept them.
     filled_ms: Arc<AtomicU64>,
-    /// Whether no VM keeps the buckets, as far as this one can tell.
-    is_alone: Arc<AtomicBool>,
-    /// Uptime since which that has been so.
-    alone_since_ms: Arc<AtomicU64>,
+    /// Since when no VM keeps the buckets, as far as this one can tell.
+    alone_since: Arc<Mutex<Option<MonoMs>>>,
 }
 
 impl Reach {
@@ -100,16 +98,17 @@
 
     /// Notes whether no VM keeps the buckets.
     pub fn set_alone(&self, is_alone: bool, now: MonoMs) {
-        if !self.is_alone.swap(is_alone, Ordering::Relaxed) {
-            self.alone_since_ms.store(now.0, Ordering::Relaxed);
-        }
+        let mut since = self.alone_since();
+        *since = is_alone.then(|| since.unwrap_or(now));
+    }
+
+    fn alone_since(&self) -> MutexGuard<'_, Option<MonoMs>> {
+        let locked = self.alone_since.lock();
+        locked.unwrap_or_else(PoisonError::into_inner)
     }
 
     fn others(&self) -> Others {
-        match self.is_alone.load(Ordering::Relaxed) {
-            true => Others::Alone(MonoMs(self.alone_since_ms.load(Ordering::Relaxed))),
-            false => Others::Beside,
-        }
+        self.alone_since().map_or(Others::Beside, Others::Alone)
     }
 
     fn is_reached(&self, now: MonoMs) -> bool {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,10 +7,13 @@
 use bytes::BytesMut;
 use futures::stream;
 use http::Response;
+use http::response::Parts;
 use http_body::Frame;
 use http_body_util::BodyExt;
+use http_body_util::Full;
 use http_body_util::StreamBody;
 use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -19,9 +22,11 @@
 use super::attempt;
 use super::attempt::Ended;
 use super::attempt::Next;
+use super::dialect::AnswerHead;
 use super::exchange::Exchange;
 use super::exchange::Read;
 use super::exchange::elapsed_ms;
+use super::forward::InFlight;
 use super::forward::Reply;
 use super::record::RequestRecord;
 
@@ -35,19 +40,9 @@
     first: Bytes,
     mut record: RequestRecord,
 ) -> Response<Body> {
-    let Reply {
-        response,
-        head,
-        sender,
-        guard,
-    } = reply;
-    let (mut parts, body) = response.into_parts();
+    let (mut parts, source) = Source::new(reply);
     record.status = parts.status.as_u16();
     strip_connection_headers(&mut parts.headers);
-    let source = Source {
-        body,
-        reply_rest: Some((head, sender, guard)),
-    };
     let mut relay = Relay {
         record: Some(record),
         source,
@@ -65,16 +60,36 @@
     Response::from_parts(parts, StreamBody::new(chunks).boxed_unsync())
 }
 
-type Rest = (
-    super::dialect::AnswerHead,
-    hyper::client::conn::http1::SendRequest<http_body_util::Full<Bytes>>,
-    super::forward::InFlight,
-);
-
 /// Where the events come from.
 struct Source {
     body: Incoming,
-    reply_rest: Option<Rest>,
+    /// What is used once the body has ended.
+    rest: Option<Rest>,
+}
+
+/// A reply without its response.
+struct Rest {
+    head: AnswerHead,
+    sender: SendRequest<Full<Bytes>>,
+    guard: InFlight,
+}
+
+impl Source {
+    fn new(reply: Reply) -> (Parts, Self) {
+        let Reply {
+            response,
+            head,
+            sender,
+            guard,
+        } = reply;
+        let (parts, body) = response.into_parts();
+        let rest = Some(Rest {
+            head,
+            sender,
+            guard,
+        });
+        (parts, Self { body, rest })
+    }
 }
 
 struct Relay {
@@ -139,7 +154,7 @@
 
     /// Lets the stream go on at another server, after the last event that was passed on.
     async fn go_on(&mut self, broken: &'static str) -> io::Result<()> {
-        self.source.reply_rest = None;
+        self.source.rest = None;
         if let Some(record) = &mut self.record {
             record.sends.push(broken);
         }
@@ -157,16 +172,7 @@
         self.record = Some(record);
         match obtained {
             Ok(Ok(Read::Stream(reply, first))) => {
-                let Reply {
-                    response,
-                    head,
-                    sender,
-                    guard,
-                } = *reply;
-                self.source = Source {
-                    body: response.into_body(),
-                    reply_rest: Some((head, sender, guard)),
-                };
+                (_, self.source) = Source::new(*reply);
                 self.ready = self.accept(&first);
                 Ok(())
             }
@@ -185,12 +191,12 @@
 
     fn finish(&mut self) -> Option<io::Result<Bytes>> {
         self.is_over = true;
-        if let Some((head, sender, guard)) = self.source.reply_rest.take()
-            && !head.closes
+        if let Some(rest) = self.source.rest.take()
+            && !rest.head.closes
         {
-            let address = guard.target.address;
+            let address = rest.guard.target.address;
             let mut pool = self.exchange.gateway.pool();
-            pool.put(address, sender, head.keep_idle);
+            pool.put(address, rest.sender, rest.head.keep_idle);
         }
         self.exchange.took_whole();
         self.log_end();
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -24,12 +24,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+
+use crate::accept::next_connection;
 
 /// Longest time in which a caller must have sent the head of a request.
 const HEAD_TIMEOUT_MS: u64 = 10_000;
-/// Wait after a failed accept, such as one without a free file descriptor.
-const ACCEPT_RETRY_MS: u64 = 50;
 
 /// Body of an answer.
 pub type Body = UnsyncBoxBody<Bytes, Infallible>;
@@ -94,13 +93,7 @@
     let graceful = GracefulShutdown::new();
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((socket, _)) => serve(socket, handler.clone(), &graceful),
-                Err(error) => {
-                    debug!("caller: a connection could not be accepted: {error}");
-                    sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
-                }
-            },
+            socket = next_connection(&listener) => serve(socket, handler.clone(), &graceful),
             _ = &mut stopped => break,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! Medlarlift serves very many LoRA adapters through a small fleet of entry VMs.
 
+pub mod accept;
 pub mod backend;
 pub mod commands;
 pub mod configs;
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -52,12 +52,8 @@
     pub leads: bool,
     /// Its term of the log.
     pub term: u64,
-    /// Where callers reach the leader's operator interface.
-    pub leader_address: Option<SocketAddr>,
     /// Version of the document that it has applied, 0 for none.
     pub document_version: u64,
-    /// Highest log index that it has applied.
-    pub applied_index: u64,
     /// Data centres whose engines it gives orders to, with the fence.
     pub holds: Vec<(DataCentre, u64)>,
     /// Addresses of the controllers' links.
--- a/src/link/listener.rs
+++ b/src/link/listener.rs
@@ -3,19 +3,15 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
 
 use super::dialer::next_id;
 use super::frame::Hello;
 use super::session;
 use super::session::Handler;
-
-/// Pause after a failure to accept, such as a lack of descriptors.
-const ACCEPT_PAUSE_MS: u64 = 50;
+use crate::accept::next_connection;
 
 /// A running listener. Stops accepting when dropped.
 #[derive(Debug)]
@@ -38,10 +34,7 @@
         let local_address = listener.local_addr()?;
         let accepting = tokio::spawn(async move {
             loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
-                    continue;
-                };
+                let stream = next_connection(&listener).await;
                 let own = own.clone();
                 let handler = Arc::clone(&handler);
                 tokio::spawn(async move {
--- a/src/metrics_page.rs
+++ b/src/metrics_page.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::accept::next_connection;
 use crate::consensus::Status;
 
 /// Upper bounds of the histograms' buckets, in milliseconds.
@@ -155,7 +156,8 @@
         let listener = TcpListener::bind(address).await?;
         let local_address = listener.local_addr()?;
         let serving = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let stream = next_connection(&listener).await;
                 let meters = meters.clone();
                 let service = service_fn(move |_: Request<Incoming>| {
                     let page = Full::new(Bytes::from(meters.text()));
