--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -8,9 +8,11 @@
 use indexmap::IndexMap;
 
 use super::dialect::ServerLoad;
+use super::homes;
+use super::homes::EngineSite;
+use super::homes::LastHeld;
 use crate::registry::Announcement;
 use crate::registry::ServerState;
-use crate::scheduling::slots::ranked;
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::MonoMs;
@@ -56,7 +58,8 @@
 }
 
 impl Distance {
-    fn delay_ms(self) -> f64 {
+    /// Expected delay of a send, in milliseconds.
+    pub(super) fn delay_ms(self) -> f64 {
         match self {
             Self::Near => NEAR_MS,
             Self::SameRegion => SAME_REGION_MS,
@@ -198,6 +201,7 @@
     servers: IndexMap<ServerName, ServerView>,
     distances: HashMap<DataCentre, Distance>,
     service_ms: HashMap<ServiceName, f64>,
+    last_held: LastHeld,
 }
 
 impl Board {
@@ -241,30 +245,22 @@
         self.servers.get(server)
     }
 
-    /// Data centres with an engine that takes work, in the order in which `model` should be loaded
-    /// there: those of the engines that it prefers, or with `near` the nearest first.
+    /// Data centres with an engine that takes work, in the order in which they are asked to load
+    /// `model`: with `near` the nearest first, else that of the engine that had it last comes first.
     pub fn homes(&self, model: &ModelName, near: bool) -> Vec<DataCentre> {
-        let engines: Vec<&Announcement> = self
-            .servers
-            .values()
-            .map(|view| &view.announcement)
-            .filter(|server| server.state == ServerState::Ready && !server.models.is_empty())
+        let engines = self.servers.iter().filter(|(_, view)| {
+            let server = &view.announcement;
+            server.state == ServerState::Ready && !server.models.is_empty()
+        });
+        let sites: Vec<EngineSite<'_>> = engines
+            .map(|(server, view)| EngineSite {
+                server,
+                data_centre: &view.announcement.data_centre,
+                distance: view.distance,
+            })
             .collect();
-        let names = engines.iter().map(|server| &server.server);
-        let mut homes: Vec<DataCentre> = Vec::new();
-        for name in ranked(model, names) {
-            let data_centre = &self.servers[name].announcement.data_centre;
-            if !homes.contains(data_centre) {
-                homes.push(data_centre.clone());
-            }
-        }
-        if near {
-            homes.sort_by(|a, b| {
-                let delay_ms = |centre| self.distance(centre).delay_ms();
-                delay_ms(a).total_cmp(&delay_ms(b))
-            });
-        }
-        homes
+        let last = self.last_held.get(model).filter(|_| !near);
+        homes::in_order(model, &sites, last)
     }
 
     /// Replaces the residency of all engines of a data centre.
@@ -297,6 +293,7 @@
                     ready: postponed.unwrap_or(ready),
                 };
                 view.residency.insert(model.clone(), present);
+                self.last_held.note(model, server);
             }
             None => {
                 view.residency.remove(model);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod dialect;
 mod exchange;
 mod forward;
+mod homes;
 mod open_record;
 mod quota;
 mod record;
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -401,7 +401,8 @@
             .collect();
         candidates.sort_by_key(|name| {
             let engine = &self.engines[name];
-            (engine.is_crowded(), !engine.recent.contains(model))
+            let is_new = !engine.recent.contains(model);
+            (engine.is_crowded(), is_new, engine.quarters_taken())
         });
         self.make_room_on(&candidates, model, now)
     }
--- a/src/scheduling/slots/spread.rs
+++ b/src/scheduling/slots/spread.rs
@@ -31,6 +31,11 @@
         self.is_fuller_than(CROWDED_PERCENT)
     }
 
+    /// Quarters of its places that are taken. Engines that differ by less are equally good for a load.
+    pub(super) fn quarters_taken(&self) -> u32 {
+        self.occupied() * 4 / self.info.run_slots.max(1)
+    }
+
     /// Its adapters that are in use, the most used first.
     fn busiest(&self) -> Vec<ModelName> {
         let places = self.places.iter();
--- /dev/null
+++ b/tests/homes.rs
@@ -0,0 +1,167 @@
+//! Where rarely used adapters are loaded: three regions with two data centres each, and callers whose
+//! objective a far load would use up.
+
+use std::collections::HashMap;
+
+use medlarlift::gateway::board::Board;
+use medlarlift::gateway::board::Distance;
+use medlarlift::registry::Announcement;
+use medlarlift::registry::ServerState;
+use medlarlift::scheduling::slots::EngineInfo;
+use medlarlift::scheduling::slots::EngineReport;
+use medlarlift::scheduling::slots::Planner;
+use medlarlift::scheduling::slots::SlotAction;
+use medlarlift::scheduling::slots::SlotsConfig;
+use medlarlift::scheduling::slots::Use;
+use medlarlift::scheduling::slots::Wanted;
+use medlarlift::types::DataCentre;
+use medlarlift::types::ModelName;
+use medlarlift::types::MonoMs;
+use medlarlift::types::ServerName;
+use medlarlift::types::ServiceName;
+use medlarlift::types::VmName;
+
+const NOW: MonoMs = MonoMs(100_000);
+const CENTRES: [(&str, Distance); 6] = [
+    ("own", Distance::Near),
+    ("neighbour", Distance::SameRegion),
+    ("far-1", Distance::Far),
+    ("far-2", Distance::Far),
+    ("far-3", Distance::Far),
+    ("far-4", Distance::Far),
+];
+const ENGINES_PER_CENTRE: usize = 15;
+
+fn announcement(server: &str, data_centre: &str) -> Announcement {
+    Announcement {
+        server: ServerName::from(server),
+        started_unix_ms: 1,
+        sequence: 1,
+        service: ServiceName::from("models"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: DataCentre::from(data_centre),
+        slots: 16,
+        state: ServerState::Ready,
+        cold_ms: 0,
+        models: vec![ModelName::from("base")],
+    }
+}
+
+fn board() -> Board {
+    let distances = CENTRES
+        .iter()
+        .map(|(name, distance)| (DataCentre::from(*name), *distance));
+    let mut board = Board::new(HashMap::from_iter(distances));
+    for (centre, _) in CENTRES {
+        for number in 0..ENGINES_PER_CENTRE {
+            board.set_server(announcement(&format!("{centre}-{number}"), centre));
+        }
+    }
+    board
+}
+
+fn adapter(number: usize) -> ModelName {
+    ModelName::from(format!("base/a{number}"))
+}
+
+fn first_home(board: &Board, model: &ModelName, near: bool) -> String {
+    board.homes(model, near)[0].as_str().to_owned()
+}
+
+#[test]
+fn a_rare_adapter_is_loaded_near_its_callers() {
+    let board = board();
+    for number in 0..200 {
+        let homes = board.homes(&adapter(number), false);
+        assert_eq!(homes.len(), CENTRES.len());
+        assert_eq!(homes[0].as_str(), "own");
+        assert_eq!(homes[1].as_str(), "neighbour");
+    }
+}
+
+#[test]
+fn an_adapter_returns_to_the_engine_that_had_it() {
+    let mut board = board();
+    let model = adapter(1);
+    let engine = ServerName::from("far-3-7");
+    board.set_residency(&engine, &model, 1, Some(NOW));
+    board.set_residency(&engine, &model, 1, None);
+    assert_eq!(first_home(&board, &model, false), "far-3");
+    assert_eq!(first_home(&board, &model, true), "own");
+    board.remove_server(&engine);
+    assert_eq!(first_home(&board, &model, false), "own");
+}
+
+/// The far centres share the adapters that neither own centre can load, so that all VMs ask the same.
+#[test]
+fn far_centres_share_what_the_region_cannot_load() {
+    let board = board();
+    let mut asked: HashMap<String, usize> = HashMap::new();
+    for number in 0..400 {
+        let third = board.homes(&adapter(number), false)[2].clone();
+        *asked.entry(third.as_str().to_owned()).or_default() += 1;
+    }
+    assert_eq!(asked.len(), 4);
+    assert!(asked.values().all(|count| *count > 60), "{asked:?}");
+}
+
+/// A load takes a place in an engine's batch soon after, so it goes where few requests run.
+#[test]
+fn a_load_goes_to_an_engine_with_few_requests() {
+    let mut planner = Planner::new(SlotsConfig::default());
+    let busy = ModelName::from("base/busy");
+    let vm = VmName::from("entry-1");
+    for number in 0..ENGINES_PER_CENTRE {
+        let server = ServerName::from(format!("own-{number}"));
+        planner.set_engine(&server, info());
+        let adapters = vec![(busy.clone(), 0)];
+        planner.on_report(&server, &report(adapters), MonoMs(0), MonoMs(0));
+        let used = Use {
+            in_flight: if number < 4 { 2 } else { 9 },
+            sent: 1,
+            early_age_ms: None,
+            is_answered: true,
+        };
+        planner.note_use(&server, &busy, &vm, used, NOW);
+    }
+    for number in 0..8 {
+        let wanted = Wanted {
+            waiting: 1,
+            priority: 0,
+            copy: false,
+        };
+        planner.want(&adapter(number), &vm, wanted, NOW);
+    }
+    let actions = planner.plan(NOW);
+    let loads: Vec<&ServerName> = actions
+        .iter()
+        .filter_map(|action| match action {
+            SlotAction::Order(order) if order.load => Some(&order.server),
+            _ => None,
+        })
+        .collect();
+    assert!(!loads.is_empty());
+    for server in loads {
+        let number: usize = server.as_str()["own-".len()..].parse().unwrap();
+        assert!(number < 4, "{server} has 9 requests");
+    }
+}
+
+fn info() -> EngineInfo {
+    EngineInfo {
+        started_unix_ms: 1,
+        adapter_slots: 13,
+        run_slots: 16,
+        bases: vec![ModelName::from("base")],
+        loadable: vec![ModelName::from("base")],
+    }
+}
+
+fn report(adapters: Vec<(ModelName, u64)>) -> EngineReport {
+    EngineReport {
+        sequence: 0,
+        bases: vec![ModelName::from("base")],
+        adapters,
+        ..EngineReport::default()
+    }
+}
