--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use rand::RngExt;
 use tokio::time::Instant;
+use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
 use super::answer::Refusal;
@@ -26,8 +27,9 @@
 use super::dialect::CallerHead;
 use super::exchange::Exchange;
 use super::exchange::LEAVING_RETRY_MS;
-use super::exchange::LOOK_MS;
+use super::exchange::elapsed_ms;
 use super::forward::Template;
+use super::grace;
 use super::quota::Taken;
 use super::record::RequestRecord;
 use crate::limits::Shortage;
@@ -35,6 +37,8 @@
 
 /// Time to come back while the VM knows no configuration.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
+/// Time to come back while the VM does not know the limits of an account.
+const UNKNOWN_RETRY_MS: u64 = 100;
 
 /// Finds the route and the account, reads the body and reserves the tokens.
 pub(super) async fn begin(
@@ -49,7 +53,8 @@
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
     }
-    let deployment = gateway.deployment().ok_or_else(|| {
+    let grace = grace::deadline(begun, caller.wait_ms);
+    let deployment = gateway.first_deployment(grace).await.ok_or_else(|| {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         Refusal::not_run(status, "no_configuration", UNCONFIGURED_RETRY_MS)
     })?;
@@ -61,7 +66,8 @@
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
     let deadline = begun + Duration::from_millis(wait_ms.min(route.timeout_ms));
     let body = read_body(&deployment, body, deadline).await?;
-    let taken = take_tokens(gateway, account.as_deref(), &caller).await?;
+    let taken = take_tokens(gateway, account.as_deref(), &caller, grace).await?;
+    record.waited_ms = elapsed_ms(begun);
     let service = route.target(rand::rng().random()).clone();
     gateway.count_request(&service);
     let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
@@ -143,27 +149,52 @@
     }
 }
 
+/// Takes the tokens of a request. While the fleet's buckets cannot be reached, it tries again until
+/// `grace`: most requests are within their account's rate, and the buckets are back soon.
 async fn take_tokens(
     gateway: &Gateway,
     account: Option<&Account>,
     caller: &CallerHead,
+    grace: Instant,
 ) -> Result<Taken, Refusal> {
     let Some(account) = account else {
         return Ok(Taken::Unlimited);
     };
     let tokens = account.cost(caller.tokens());
+    let mut permit = None;
+    loop {
+        let shortage = match gateway.quota.take(account, tokens).await {
+            Ok(taken) => return Ok(taken),
+            Err(shortage) => shortage,
+        };
+        if permit.is_none() {
+            permit = gateway.short_wait();
+        }
+        match next_try(gateway, shortage, grace) {
+            Some(next) if permit.is_some() => sleep_until(next).await,
+            _ => return Err(over_limit(shortage)),
+        }
+    }
+}
+
+fn next_try(gateway: &Gateway, shortage: Shortage, grace: Instant) -> Option<Instant> {
+    match shortage {
+        Shortage::Later { retry_after_ms } if !gateway.quota.is_reached() => {
+            grace::next_try(Instant::now(), grace, retry_after_ms)
+        }
+        _ => None,
+    }
+}
+
+fn over_limit(shortage: Shortage) -> Refusal {
     let status = StatusCode::TOO_MANY_REQUESTS;
-    gateway
-        .quota
-        .take(account, tokens)
-        .await
-        .map_err(|shortage| match shortage {
-            Shortage::Later { retry_after_ms } => {
-                Refusal::not_run(status, "over_rate", retry_after_ms.max(1))
-            }
-            Shortage::TooLarge { .. } => Refusal::new(status, "over_burst"),
-            Shortage::UnknownAccount => Refusal::not_run(status, "limits_unknown", LOOK_MS),
-        })
+    match shortage {
+        Shortage::Later { retry_after_ms } => {
+            Refusal::not_run(status, "over_rate", retry_after_ms.max(1))
+        }
+        Shortage::TooLarge { .. } => Refusal::new(status, "over_burst"),
+        Shortage::UnknownAccount => Refusal::not_run(status, "limits_unknown", UNKNOWN_RETRY_MS),
+    }
 }
 
 /// Drops the headers that concern only the caller's connection.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -9,7 +9,11 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
+use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use super::board::Board;
 use super::board::Distance;
@@ -17,6 +21,7 @@
 use super::demand::Demand;
 use super::deployment::Deployment;
 use super::dialect::Dialect;
+use super::grace;
 use super::pool::Pool;
 use super::quota::Quota;
 use super::record::RequestRecord;
@@ -64,7 +69,9 @@
     pub quota: Quota,
     /// Requests that wait for adapters.
     pub waits: Waits,
-    deployment: Mutex<Option<Arc<Deployment>>>,
+    deployment: watch::Sender<Option<Arc<Deployment>>>,
+    /// Permits of requests that wait for what the VM lacks.
+    short_waits: Semaphore,
     board: Mutex<Board>,
     pool: Mutex<Pool>,
     uses: Mutex<Uses>,
@@ -92,7 +99,8 @@
             config,
             quota,
             waits: Waits::default(),
-            deployment: Mutex::default(),
+            deployment: watch::Sender::default(),
+            short_waits: Semaphore::new(grace::MAX_WAITING),
             pool: Mutex::default(),
             uses: Mutex::default(),
             budgets: Mutex::default(),
@@ -151,20 +159,44 @@
 
     /// The configuration in force.
     pub fn deployment(&self) -> Option<Arc<Deployment>> {
-        lock(&self.deployment).clone()
+        self.deployment.borrow().clone()
+    }
+
+    /// The configuration in force, or the first one if it comes until `deadline`.
+    pub(super) async fn first_deployment(&self, deadline: Instant) -> Option<Arc<Deployment>> {
+        let known = self.deployment();
+        if known.is_some() {
+            return known;
+        }
+        let _permit = self.short_wait()?;
+        let mut changes = self.deployment.subscribe();
+        let coming = changes.wait_for(Option::is_some);
+        let come = timeout_at(deadline, coming).await.ok()?.ok()?;
+        come.clone()
+    }
+
+    /// Permits a request to wait for what the VM lacks, unless too many do.
+    pub(super) fn short_wait(&self) -> Option<SemaphorePermit<'_>> {
+        self.short_waits.try_acquire().ok()
+    }
+
+    /// Whether the VM started so lately that it may not know all servers.
+    pub(super) fn is_young(&self) -> bool {
+        self.now().0 < grace::YOUNG_MS
     }
 
     /// Puts a configuration in force, unless it is older than the present one.
     pub fn set_deployment(&self, deployment: Deployment) -> bool {
-        let mut current = lock(&self.deployment);
-        let version = current.as_ref().map_or(0, |current| current.version);
-        if current.is_some() && deployment.version <= version {
-            return false;
-        }
-        self.quota.set_deployment(&deployment, current.as_deref());
-        self.config.meters.deployment_version(deployment.version);
-        *current = Some(Arc::new(deployment));
-        true
+        self.deployment.send_if_modified(|current| {
+            let version = current.as_ref().map_or(0, |current| current.version);
+            if current.is_some() && deployment.version <= version {
+                return false;
+            }
+            self.quota.set_deployment(&deployment, current.as_deref());
+            self.config.meters.deployment_version(deployment.version);
+            *current = Some(Arc::new(deployment));
+            true
+        })
     }
 
     /// The servers as this VM sees them.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,7 +10,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use rand::RngExt;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -24,8 +23,6 @@
 use super::attempt::Next;
 use super::attempt::Past;
 use super::begin::begin;
-use super::board::Choice;
-use super::board::Need;
 use super::board::is_adapter;
 use super::context::Gateway;
 use super::deployment::Account;
@@ -45,16 +42,8 @@
 
 /// Time to come back, to another VM, when this one leaves.
 pub(super) const LEAVING_RETRY_MS: u64 = 20;
-/// Time to come back when a service has no server.
-const NO_SERVER_RETRY_MS: u64 = 500;
 /// Time to come back when all servers are full.
-const BUSY_RETRY_MS: u64 = 400;
-/// Longest wait between two looks at the servers.
-pub(super) const LOOK_MS: u64 = 100;
-/// Part of the time that is left which may be spent on waiting for an adapter, in percent.
-const WAIT_PERCENT: u64 = 60;
-/// Longest wait for an adapter, in objectives of the route; callers leave a little later.
-const MAX_WAIT_TARGETS: u32 = 3;
+pub(super) const BUSY_RETRY_MS: u64 = 400;
 /// Least time after which a repeatable request goes to another server.
 const MIN_PATIENCE_MS: u64 = 900;
 /// Largest answer that is kept in memory before it is passed on.
@@ -248,97 +237,7 @@
         }
     }
 
-    /// Waits for a server that can take the request.
-    async fn pick(&self, record: &mut RequestRecord) -> Result<ServerName, Refusal> {
-        let began = Instant::now();
-        let mut waiting = None;
-        loop {
-            let choice = self.choose();
-            let now = self.gateway.now();
-            let wait_ms = match choice {
-                Choice::Send {
-                    server,
-                    delay_ms,
-                    is_full,
-                    is_far,
-                } => {
-                    let target_ms = self.route.target_latency_ms;
-                    let refused = admission::refuse_for(delay_ms, target_ms, self.priority());
-                    if let Some(retry_after_ms) = refused.filter(|_| self.past.runs == 0) {
-                        let status = StatusCode::SERVICE_UNAVAILABLE;
-                        return Err(Refusal::not_run(status, "servers_busy", retry_after_ms));
-                    }
-                    if is_full || is_far && self.is_popular {
-                        self.ask_for_copy();
-                    }
-                    record.waited_ms += elapsed_ms(began);
-                    return Ok(server);
-                }
-                Choice::NoServer => {
-                    let status = StatusCode::SERVICE_UNAVAILABLE;
-                    return Err(Refusal::not_run(status, "no_server", NO_SERVER_RETRY_MS));
-                }
-                Choice::WaitUntil(ready) => ready.since(now).clamp(1, LOOK_MS),
-                Choice::NotPresent => LOOK_MS,
-            };
-            let adapter = self.caller.model.as_ref().filter(|model| is_adapter(model));
-            let Some(adapter) = adapter else {
-                let status = StatusCode::SERVICE_UNAVAILABLE;
-                return Err(Refusal::not_run(status, "model_absent", NO_SERVER_RETRY_MS));
-            };
-            if self.gateway.must_answer() {
-                let status = StatusCode::SERVICE_UNAVAILABLE;
-                return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
-            }
-            if self.has_waited_enough(began) {
-                record.waited_ms += elapsed_ms(began);
-                let status = StatusCode::SERVICE_UNAVAILABLE;
-                return Err(Refusal::not_run(status, "adapter_absent", BUSY_RETRY_MS));
-            }
-            let guard = waiting.get_or_insert_with(|| {
-                let priority = self.priority();
-                let (guard, is_first) = self.gateway.waits.join(adapter, priority);
-                if is_first {
-                    self.gateway.ask_now(adapter, priority, false);
-                }
-                guard
-            });
-            let wait = Duration::from_millis(wait_ms);
-            let _ = tokio::time::timeout(wait, guard.changed()).await;
-        }
-    }
-
-    fn choose(&self) -> Choice {
-        let model = self.caller.model.as_ref().filter(|_| self.is_engine);
-        let version = model.and_then(|model| self.gateway.required_version(model));
-        let need = Need {
-            service: &self.service,
-            model,
-            version,
-            tried: &self.tried,
-            lot: rand::rng().random(),
-        };
-        let now = self.gateway.now();
-        self.gateway.board().choose(&need, now)
-    }
-
-    fn ask_for_copy(&self) {
-        let model = self.caller.model.as_ref();
-        if let Some(model) = model.filter(|model| self.is_engine && is_adapter(model)) {
-            self.gateway.ask_now(model, self.priority(), true);
-        }
-    }
-
-    fn has_waited_enough(&self, began: Instant) -> bool {
-        let left = self.deadline.saturating_duration_since(began);
-        let target = Duration::from_millis(self.route.target_latency_ms);
-        let allowed = left
-            .mul_f64(WAIT_PERCENT as f64 / 100.0)
-            .min(target * MAX_WAIT_TARGETS);
-        began.elapsed() >= allowed
-    }
-
-    fn priority(&self) -> u8 {
+    pub(super) fn priority(&self) -> u8 {
         let account = self.account.as_ref();
         let of_account = account.and_then(|account| account.priority);
         of_account.unwrap_or(self.route.priority)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,14 +2,15 @@
 //! are opaque, and what decides about them stands in their heads and in the operator's
 //! configuration.
 //!
-//! Decisions ([`admission`], [`attempt`], [`board`], [`deployment`]) are values in, values out; input and output
-//! are in [`accept`], [`exchange`], [`forward`], [`pool`] and [`relay`].
+//! Decisions ([`admission`], [`attempt`], [`board`], [`carry`], [`deployment`], [`grace`]) are values in,
+//! values out; input and output are in [`accept`], [`exchange`], [`forward`], [`pool`] and [`relay`].
 
 pub mod admission;
 pub mod attempt;
 pub mod board;
 pub mod carry;
 pub mod deployment;
+pub mod grace;
 pub mod pool;
 
 mod accept;
@@ -22,6 +23,7 @@
 mod forward;
 mod homes;
 mod open_record;
+mod pick;
 mod quota;
 mod record;
 mod relay;
--- /dev/null
+++ b/src/gateway/pick.rs
@@ -0,0 +1,166 @@
+//! Waits until a backend server can take a request.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use rand::RngExt;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::admission;
+use super::answer::Refusal;
+use super::board::Choice;
+use super::board::Need;
+use super::board::is_adapter;
+use super::exchange::BUSY_RETRY_MS;
+use super::exchange::Exchange;
+use super::exchange::LEAVING_RETRY_MS;
+use super::exchange::elapsed_ms;
+use super::record::RequestRecord;
+use super::waits::WaitGuard;
+use crate::types::ModelName;
+use crate::types::ServerName;
+
+/// Time to come back when a service has no server.
+const NO_SERVER_RETRY_MS: u64 = 500;
+/// Longest wait between two looks at the servers.
+const LOOK_MS: u64 = 100;
+/// Part of the time that is left which may be spent on waiting for an adapter, in percent.
+const WAIT_PERCENT: u64 = 60;
+/// Longest wait for an adapter, in objectives of the route; callers leave a little later.
+const MAX_WAIT_TARGETS: u32 = 3;
+
+/// Why a request has no server yet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Lack {
+    /// No engine has the adapter so far.
+    Adapter,
+    /// The service has no server.
+    Server,
+    /// No server of the service has the base model.
+    Model,
+}
+
+impl Lack {
+    /// The final answer to a request that is not kept waiting.
+    fn refusal(self) -> Refusal {
+        let (reason, retry_after_ms) = match self {
+            Self::Adapter => ("adapter_absent", BUSY_RETRY_MS),
+            Self::Server => ("no_server", NO_SERVER_RETRY_MS),
+            Self::Model => ("model_absent", NO_SERVER_RETRY_MS),
+        };
+        Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms)
+    }
+}
+
+impl Exchange {
+    /// Waits for a server that can take the request.
+    pub(super) async fn pick(&self, record: &mut RequestRecord) -> Result<ServerName, Refusal> {
+        let began = Instant::now();
+        let picked = self.wait_for_server(began).await;
+        record.waited_ms += elapsed_ms(began);
+        picked
+    }
+
+    async fn wait_for_server(&self, began: Instant) -> Result<ServerName, Refusal> {
+        let mut waiting = None;
+        loop {
+            let (wait_ms, lack) = match self.choose() {
+                Choice::Send {
+                    server,
+                    delay_ms,
+                    is_full,
+                    is_far,
+                } => {
+                    self.check_admission(delay_ms)?;
+                    if is_full || is_far && self.is_popular {
+                        self.ask_for_copy();
+                    }
+                    return Ok(server);
+                }
+                Choice::NoServer => (LOOK_MS, Lack::Server),
+                Choice::WaitUntil(ready) => {
+                    let left_ms = ready.since(self.gateway.now());
+                    (left_ms.clamp(1, LOOK_MS), Lack::Adapter)
+                }
+                Choice::NotPresent if self.adapter().is_some() => (LOOK_MS, Lack::Adapter),
+                Choice::NotPresent => (LOOK_MS, Lack::Model),
+            };
+            // A VM that has just started has not heard of all servers yet.
+            let may_come = lack == Lack::Adapter || self.gateway.is_young();
+            if !may_come || self.has_waited_enough(began) {
+                return Err(lack.refusal());
+            }
+            if self.gateway.must_answer() {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
+            }
+            let wait = Duration::from_millis(wait_ms);
+            match self.adapter() {
+                Some(adapter) => {
+                    let guard = waiting.get_or_insert_with(|| self.join_wait(adapter));
+                    // Without news the servers are looked at again all the same.
+                    let _ = timeout(wait, guard.changed()).await;
+                }
+                None => sleep(wait).await,
+            }
+        }
+    }
+
+    fn check_admission(&self, delay_ms: u64) -> Result<(), Refusal> {
+        let target_ms = self.route.target_latency_ms;
+        let refused = admission::refuse_for(delay_ms, target_ms, self.priority());
+        match refused.filter(|_| self.past.runs == 0) {
+            Some(retry_after_ms) => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                Err(Refusal::not_run(status, "servers_busy", retry_after_ms))
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn adapter(&self) -> Option<&ModelName> {
+        let model = self.caller.model.as_ref();
+        model.filter(|model| self.is_engine && is_adapter(model))
+    }
+
+    /// Registers the request as waiting for `adapter`; the first one asks for it.
+    fn join_wait(&self, adapter: &ModelName) -> WaitGuard {
+        let priority = self.priority();
+        let (guard, is_first) = self.gateway.waits.join(adapter, priority);
+        if is_first {
+            self.gateway.ask_now(adapter, priority, false);
+        }
+        guard
+    }
+
+    fn choose(&self) -> Choice {
+        let model = self.caller.model.as_ref().filter(|_| self.is_engine);
+        let version = model.and_then(|model| self.gateway.required_version(model));
+        let need = Need {
+            service: &self.service,
+            model,
+            version,
+            tried: &self.tried,
+            lot: rand::rng().random(),
+        };
+        let now = self.gateway.now();
+        self.gateway.board().choose(&need, now)
+    }
+
+    fn ask_for_copy(&self) {
+        if let Some(model) = self.adapter() {
+            self.gateway.ask_now(model, self.priority(), true);
+        }
+    }
+
+    fn has_waited_enough(&self, began: Instant) -> bool {
+        let left = self.deadline.saturating_duration_since(began);
+        let target = Duration::from_millis(self.route.target_latency_ms);
+        let allowed = left
+            .mul_f64(WAIT_PERCENT as f64 / 100.0)
+            .min(target * MAX_WAIT_TARGETS);
+        began.elapsed() >= allowed
+    }
+}
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -183,6 +183,11 @@
         self.entry_vms.load(Ordering::Relaxed)
     }
 
+    /// Whether the fleet's buckets are reached and have filled, so that their refusal is final.
+    pub fn is_reached(&self) -> bool {
+        self.reach.is_reached(self.clock.mono())
+    }
+
     /// Takes `tokens` of an account.
     ///
     /// # Errors
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -31,7 +31,7 @@
     pub status: u16,
     /// Why, if no backend server's answer was passed on whole.
     pub reason: Option<&'static str>,
-    /// Time spent on waiting for an adapter or a server.
+    /// Time spent on waiting for the configuration, tokens, an adapter or a server.
     pub waited_ms: u64,
     /// Time until the head of the answer.
     pub first_ms: u64,
--- /dev/null
+++ b/tests/grace.rs
@@ -0,0 +1,37 @@
+//! How long requests wait for what their VM lacks for a moment.
+
+use std::time::Duration;
+
+use medlarlift::gateway::grace;
+use tokio::time::Instant;
+
+fn wait_ms(caller_ms: Option<u64>) -> u128 {
+    let begun = Instant::now();
+    (grace::deadline(begun, caller_ms) - begun).as_millis()
+}
+
+#[test]
+fn a_wait_leaves_most_of_the_callers_time() {
+    assert_eq!(wait_ms(Some(3_000)), 600);
+    assert_eq!(wait_ms(Some(500)), 100);
+    assert_eq!(wait_ms(Some(0)), 0);
+    assert_eq!(wait_ms(None), 400);
+}
+
+/// Callers leave a stream whose first event does not come within two seconds.
+#[test]
+fn a_wait_ends_before_callers_of_streams_leave() {
+    assert_eq!(wait_ms(Some(15_000)), 1_200);
+    assert_eq!(wait_ms(Some(600_000)), 1_200);
+}
+
+#[test]
+fn tokens_are_asked_for_again_only_within_the_wait() {
+    let begun = Instant::now();
+    let deadline = begun + Duration::from_millis(300);
+    let after = |ms| begun + Duration::from_millis(ms);
+    assert_eq!(grace::next_try(begun, deadline, 120), Some(after(120)));
+    assert_eq!(grace::next_try(begun, deadline, 1), Some(after(50)));
+    assert_eq!(grace::next_try(begun, deadline, 60_000), Some(after(200)));
+    assert_eq!(grace::next_try(after(200), deadline, 120), None);
+}
