--- a/benches/policies/run.rs
+++ b/benches/policies/run.rs
@@ -1,14 +1,15 @@
 //! One run of a policy over a trace.
 
+mod dispatch;
+mod report;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::fmt;
 
 use medlarlift::scheduling::fair_queue::FairQueue;
 use medlarlift::scheduling::fair_queue::FairQueueConfig;
 use medlarlift::scheduling::fair_queue::QueueItem;
-use medlarlift::scheduling::fair_queue::Verdict;
 use medlarlift::scheduling::placement::EngineOrder;
 use medlarlift::scheduling::placement::OrderResult;
 use medlarlift::scheduling::placement::Planner;
@@ -20,16 +21,11 @@
 use medlarlift::scheduling::residency::ResidencyView;
 use medlarlift::scheduling::residency::Use;
 use medlarlift::scheduling::residency::WaitingAdapter;
-use medlarlift::scheduling::routing;
-use medlarlift::scheduling::routing::Choice;
 use medlarlift::scheduling::routing::Fleet;
 use medlarlift::scheduling::routing::LoadReport;
 use medlarlift::scheduling::routing::Policy;
 use medlarlift::scheduling::routing::PrefixIndex;
 use medlarlift::scheduling::routing::RouteConfig;
-use medlarlift::scheduling::routing::RouteRequest;
-use medlarlift::scheduling::routing::RouteTarget;
-use medlarlift::scheduling::routing::RouteView;
 use medlarlift::scheduling::routing::ServerInfo;
 use medlarlift::scheduling::routing::ServerKind;
 use medlarlift::types::AccountName;
@@ -41,11 +37,11 @@
 use medlarlift::types::VmName;
 
 use crate::engines::Engine;
-use crate::engines::Job;
 use crate::engines::POSITIONS;
 use crate::trace::ACCOUNTS;
 use crate::trace::Arrival;
 use crate::trace::TraceConfig;
+pub use report::Report;
 
 pub const ENGINES: usize = 9;
 const STEP_MS: u64 = 5;
@@ -61,44 +57,6 @@
 const RESTART_MS: u64 = 5_000;
 const SUMMARY_MS: u64 = 2_000;
 
-/// Measures of a run.
-pub struct Report {
-    urgent: usize,
-    stalled: usize,
-    stall_p99_ms: u64,
-    late_urgent: usize,
-    late_patient: usize,
-    loads: usize,
-    fill: f64,
-    fill_resident: f64,
-    accounts: Vec<f64>,
-    absent: usize,
-    reasons: Vec<(&'static str, u64)>,
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let worst = self.accounts.iter().copied().fold(f64::INFINITY, f64::min);
-        write!(
-            f,
-            "stalled {} of {} urgent ({:.1}%), wait p99 {} ms, late {} urgent {} patient, \
-             loads {}, fill {:.2} while work waits, {:.2} while work for resident adapters waits, \
-             worst account {worst:.3}, absent {}, loads by reason {:?}",
-            self.stalled,
-            self.urgent,
-            100.0 * self.stalled as f64 / self.urgent as f64,
-            self.stall_p99_ms,
-            self.late_urgent,
-            self.late_patient,
-            self.loads,
-            self.fill,
-            self.fill_resident,
-            self.absent,
-            self.reasons,
-        )
-    }
-}
-
 #[derive(Clone, Copy, Default)]
 struct Progress {
     stalled: bool,
@@ -406,104 +364,6 @@
         );
     }
 
-    fn dispatch(&mut self, now_ms: u64) {
-        let now = MonoMs(now_ms);
-        loop {
-            let mut blocked: BTreeSet<AdapterRef> = BTreeSet::new();
-            let mut target = None;
-            let (fleet, residency) = (&self.fleet, &self.view);
-            let (prefixes, config) = (&self.prefixes, &self.route_config);
-            let (policy, assigned) = (self.policy, &mut self.assigned);
-            let popped = self.queue.pop(now, |item| {
-                let view = RouteView {
-                    fleet,
-                    residency,
-                    prefixes,
-                    config,
-                    now,
-                };
-                let request = RouteRequest {
-                    target: RouteTarget::Adapter(&item.adapter),
-                    class: item.class,
-                    prompt_tokens: item.tokens / 2,
-                    prefix: &[],
-                    suspect: false,
-                    assigned: assigned.get(&item.adapter),
-                    nonce: item.payload as u64,
-                };
-                match routing::choose(&request, &view, policy) {
-                    Choice::Dispatch { server, .. } => {
-                        target = Some(server);
-                        Verdict::Take
-                    }
-                    Choice::WaitForLoad { server, .. } => {
-                        blocked.insert(item.adapter.clone());
-                        if let Some(server) = server {
-                            assigned.insert(item.adapter.clone(), server);
-                        }
-                        Verdict::SkipAdapter
-                    }
-                    Choice::Busy { .. } => Verdict::SkipAdapter,
-                    Choice::Nowhere => Verdict::Stop,
-                }
-            });
-            self.mark_stalled(&blocked);
-            match (popped, target) {
-                (Some(item), Some(server)) => self.send(&item, &server, now_ms),
-                _ => break,
-            }
-        }
-    }
-
-    fn mark_stalled(&mut self, blocked: &BTreeSet<AdapterRef>) {
-        for request in &self.queued_urgent {
-            let adapter = &self.adapters[self.arrivals[*request].adapter as usize];
-            if blocked.contains(adapter) {
-                self.progress[*request].stalled = true;
-            }
-        }
-    }
-
-    fn send(&mut self, item: &QueueItem<usize>, server: &ServerName, now_ms: u64) {
-        let now = MonoMs(now_ms);
-        let request = item.payload;
-        let arrival = self.arrivals[request];
-        self.queued_urgent.remove(&request);
-        self.progress[request].dispatched = true;
-        self.progress[request].wait_ms = now_ms - arrival.at_ms;
-        let index = self
-            .engines
-            .iter()
-            .position(|engine| engine.name == *server);
-        let index = index.expect("known engine");
-        let engine = &mut self.engines[index];
-        let used = self.view.begin(server, &item.adapter, now);
-        let used = used.expect("routing named a resident adapter");
-        if now_ms < engine.down_until_ms || engine.incarnation != used.incarnation {
-            // The connection is refused; the request stays repeatable.
-            self.view.finish(used);
-            self.fleet.remove(server);
-            self.planner.remove_engine(server, now);
-            self.push(request, now_ms);
-            self.pull(now_ms);
-            return;
-        }
-        if !engine.resident.contains(&item.adapter) {
-            self.absent += 1;
-        }
-        engine.accept(
-            Job {
-                patient: arrival.class == Patience::Patient,
-                sent_ms: now_ms,
-                request,
-                service_ms: arrival.service_ms,
-            },
-            now_ms,
-        );
-        self.fleet.sent(server, false, arrival.tokens, now);
-        self.uses.insert(request, (used, index));
-    }
-
     fn sample_fill(&mut self, now_ms: u64) {
         let waiting = self.queue.waiting(MonoMs(now_ms));
         let positions = ENGINES * POSITIONS;
