--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -420,6 +420,7 @@
         OrderOutcome::Holds => "holds",
         OrderOutcome::Conflict => "conflict",
         OrderOutcome::Refused => "refused",
+        OrderOutcome::Outranked => "outranked",
         OrderOutcome::Unknown => "unknown",
     }
 }
--- a/src/scheduling/slots/engine.rs
+++ b/src/scheduling/slots/engine.rs
@@ -78,6 +78,9 @@
     pub(super) is_confirmed: bool,
     /// When its load was ordered.
     pub(super) ordered: MonoMs,
+    /// Whether the engine said that it carries the order out. Without that the load may begin much
+    /// later, and its time tells nothing of the store.
+    pub(super) is_accepted: bool,
     /// Whether the load under way replaces an older version, which stays if the order fails.
     pub(super) is_replaced: bool,
     /// Whether its load came from the weight store.
@@ -99,6 +102,7 @@
             version,
             is_confirmed: false,
             ordered: now,
+            is_accepted: false,
             is_replaced: false,
             is_from_store: false,
             is_doubted: false,
@@ -127,6 +131,11 @@
         matches!(self.phase, Phase::Loading { ready } if now < ready)
     }
 
+    /// Whether the time of its load is that of a load from the store.
+    pub(super) fn tells_store_time(&self) -> bool {
+        self.is_from_store && self.is_accepted
+    }
+
     /// Time from which requests may use it, if they may.
     pub(super) fn ready(&self) -> Option<MonoMs> {
         match self.phase {
@@ -263,7 +272,7 @@
             };
             if *version >= place.version && !place.is_confirmed {
                 place.is_confirmed = true;
-                if place.is_from_store {
+                if place.tells_store_time() {
                     pace.at_most(asked.since(place.ordered));
                 }
             }
@@ -272,7 +281,7 @@
         let shown = MonoMs(asked.0.saturating_sub(REPORT_AGE_MS));
         for (model, _) in &report.loading {
             let place = self.places.get(model);
-            if let Some(place) = place.filter(|place| place.is_from_store) {
+            if let Some(place) = place.filter(|place| place.tells_store_time()) {
                 pace.at_least(shown.since(place.ordered));
             }
         }
--- a/src/scheduling/slots/orders.rs
+++ b/src/scheduling/slots/orders.rs
@@ -43,6 +43,7 @@
         place.phase = phase;
         place.version = version;
         place.is_confirmed = false;
+        place.is_accepted = false;
         place.is_from_store = is_from_store;
         place.ordered = now;
         place.is_doubted = false;
@@ -101,6 +102,11 @@
         }
         engine.has_open_order = false;
         let was_unresolved = engine.unresolved.take().is_some();
+        if engine.sequence.is_none() {
+            // Known anew since the order was given: only a report tells what it holds.
+            engine.needs_report = true;
+            return;
+        }
         if !order.model.as_str().contains('/') {
             let pause_ms = self.config.empty_every_ms;
             return on_base_order(engine, order, outcome, now.plus(pause_ms));
@@ -115,6 +121,7 @@
                 engine.unresolved = Some(order.clone());
                 engine.pause_until = now.plus(self.config.report_lag_ms * 2);
                 engine.needs_report = true;
+                self.announce_load(order, now);
             }
             OrderOutcome::Conflict => {
                 engine.conflicts += 1;
@@ -127,7 +134,7 @@
                 engine.needs_report |= is_out_of_step;
                 self.undo(order);
             }
-            OrderOutcome::Refused => {
+            OrderOutcome::Refused | OrderOutcome::Outranked => {
                 engine.sequence = None;
                 engine.needs_report = true;
                 self.undo(order);
@@ -135,7 +142,6 @@
             OrderOutcome::Unknown => {
                 engine.unresolved = Some(order.clone());
                 engine.pause_until = now.plus(self.config.conflict_pause_ms);
-                self.announce_load(order, now);
             }
         }
     }
@@ -175,18 +181,22 @@
             _ => now,
         };
         engine.remember(&order.model);
-        if let Some(place) = engine.places.get_mut(&order.model) {
-            place.phase = Phase::Loading { ready };
-            // An order that had to be repeated counts from its acceptance.
-            place.ordered = now;
-            let version = place.version;
-            self.news.push((
-                order.server.clone(),
-                order.model.clone(),
-                version,
-                Some(ready),
-            ));
-        }
+        let phase = Phase::Loading { ready };
+        let place = engine
+            .places
+            .entry(order.model.clone())
+            .or_insert_with(|| Place::new(phase, order.version, now));
+        place.phase = phase;
+        // An order that had to be repeated counts from its acceptance.
+        place.ordered = now;
+        place.is_accepted = outcome == OrderOutcome::Accepted;
+        let version = place.version;
+        self.news.push((
+            order.server.clone(),
+            order.model.clone(),
+            version,
+            Some(ready),
+        ));
     }
 
     /// The order was not and will not be carried out. The next report tells what holds.
@@ -232,7 +242,7 @@
         OrderOutcome::Accepted => engine.sequence = Some(order.expected_sequence + 1),
         OrderOutcome::Holds => engine.reported_bases.push(order.model.clone()),
         OrderOutcome::Conflict => {}
-        OrderOutcome::Refused => engine.sequence = None,
+        OrderOutcome::Refused | OrderOutcome::Outranked => engine.sequence = None,
         OrderOutcome::Unknown => engine.unresolved = Some(order.clone()),
     }
 }
--- a/src/scheduling/slots/pace.rs
+++ b/src/scheduling/slots/pace.rs
@@ -6,10 +6,11 @@
 
 use crate::types::MonoMs;
 
-/// Loads at once for each engine at the start.
-const LOADS_PER_ENGINE: f64 = 1.0;
+/// Loads at once for each engine at the start. More of them than the store serves at full speed bring
+/// no adapter sooner, and requests come before theirs.
+const LOADS_PER_ENGINE: f64 = 0.5;
 /// Smallest and largest change of that number.
-const FACTOR_RANGE: (f64, f64) = (0.5, 4.0);
+const FACTOR_RANGE: (f64, f64) = (0.5, 8.0);
 /// Smallest limit.
 const MIN_LIMIT: f64 = 2.0;
 /// Weight of a measured load in the expected time.
@@ -24,10 +25,10 @@
 const CROWDED: f64 = 2.0;
 /// Expected time, in shortest ones, up to which the store counts as free.
 const FREE: f64 = 1.3;
-/// Change of the limit while the store is crowded.
-const CROWDED_FACTOR: f64 = 0.9;
+/// Largest change of the limit in one step while the store is crowded.
+const CROWDED_FACTOR: f64 = 0.7;
 /// Change of the limit while loads wait and the store is free.
-const FREE_FACTOR: f64 = 1.05;
+const FREE_FACTOR: f64 = 1.1;
 /// Interval of changes of the limit.
 const STEP_MS: u64 = 1_000;
 /// Rise of the shortest time at each step, so that it follows a store that has become slower.
@@ -95,7 +96,8 @@
         self.floor_ms *= FLOOR_RISE;
         let (least, most) = FACTOR_RANGE;
         if self.load_ms > self.floor_ms * CROWDED {
-            self.factor = (self.factor * CROWDED_FACTOR).max(least);
+            let excess = self.load_ms / (self.floor_ms * FREE);
+            self.factor = (self.factor * CROWDED_FACTOR.max(1.0 / excess)).max(least);
         } else if is_waited_for && self.load_ms < self.floor_ms * FREE {
             self.factor = (self.factor * FREE_FACTOR).min(most);
         }
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -26,6 +26,13 @@
 /// Time that a load is expected to last that an engine says has not ended yet.
 const LOAD_AGAIN_MS: u64 = 40;
 
+/// Time after which an engine that has not answered an order counts as one that may not: more than a
+/// connection and a round trip to another region.
+const ANSWER_DUE_MS: u64 = 150;
+/// Time for which an adapter that another data centre began to load is not loaded here too. A VM that
+/// still asks for it afterwards cannot use it there.
+const ELSEWHERE_MS: u64 = 1_500;
+
 #[derive(Clone, Debug)]
 pub(super) struct Want {
     wanted: Wanted,
@@ -42,6 +49,8 @@
     pub(super) engines: IndexMap<ServerName, Engine>,
     pub(super) wants: IndexMap<ModelName, Want>,
     pub(super) versions: BTreeMap<ModelName, (u64, MonoMs)>,
+    /// When other data centres last began to load an adapter.
+    elsewhere: HashMap<ModelName, MonoMs>,
     pub(super) pace: Pace,
     /// When the last load of a base model was ordered.
     pub(super) base_ordered: Option<MonoMs>,
@@ -56,6 +65,7 @@
             engines: IndexMap::new(),
             wants: IndexMap::new(),
             versions: BTreeMap::new(),
+            elsewhere: HashMap::new(),
             pace: Pace::new(config.load_ms),
             base_ordered: None,
             news: Vec::new(),
@@ -121,6 +131,11 @@
         want.wanted.priority = want.wanted.priority.min(wanted.priority);
     }
 
+    /// Notes that another data centre loads `model`. The VMs that wait for it learn the same.
+    pub fn loads_elsewhere(&mut self, model: &ModelName, now: MonoMs) {
+        self.elsewhere.insert(model.clone(), now);
+    }
+
     /// Counts the use of an adapter by one VM.
     pub fn note_use(
         &mut self,
@@ -143,7 +158,7 @@
         }
         if used.is_answered {
             place.is_confirmed = true;
-            if place.is_from_store {
+            if place.tells_store_time() {
                 self.pace.at_most(now.since(place.ordered));
             }
             return;
@@ -155,7 +170,7 @@
         if refused_after_ms == 0 {
             return;
         }
-        if place.is_from_store {
+        if place.tells_store_time() {
             self.pace.at_least(refused_after_ms);
         }
         if place.phase == Phase::Ready {
@@ -345,7 +360,13 @@
             .collect();
         wants.sort_by_key(|(_, want)| self.urgency(want, now));
         self.pace.step(!wants.is_empty(), now);
+        self.elsewhere
+            .retain(|_, began| now.since(*began) < ELSEWHERE_MS);
         for (model, want) in wants {
+            if !want.wanted.copy && self.elsewhere.contains_key(&model) {
+                self.wants.shift_remove(&model);
+                continue;
+            }
             let holders = self.holders(&model);
             if holders > 0 && !(want.wanted.copy && self.needs_copy(&model, now)) {
                 self.wants.shift_remove(&model);
@@ -424,10 +445,13 @@
             if engine.pause_until > now {
                 continue;
             }
-            if engine.has_open_order {
+            if engine.has_open_order && now.since(engine.last_order) < ANSWER_DUE_MS {
                 // A round trip is shorter than a load somewhere else.
                 return None;
             }
+            if engine.has_open_order {
+                continue;
+            }
             if engine.unresolved.is_some() {
                 continue;
             }
--- a/src/scheduling/slots/types.rs
+++ b/src/scheduling/slots/types.rs
@@ -92,8 +92,10 @@
     Holds,
     /// Another order is in progress, or the sequence differs.
     Conflict,
-    /// The engine knows a higher fence, or is another process.
+    /// The engine is another process, or the order does not exist there.
     Refused,
+    /// The engine knows a higher fence.
+    Outranked,
     /// No answer; the order may be carried out now, later or never.
     Unknown,
 }
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -408,3 +408,136 @@
         assert!(early * 10 < loads, "{early} of {loads} at {load_ms} ms");
     }
 }
+
+/// An engine that was not heard of for a while is known anew before its answer to an order comes.
+#[test]
+fn an_answer_that_comes_after_the_engine_was_forgotten_tells_nothing_of_its_slots() {
+    let mut bench = Bench::new(1);
+    bench.want("a1");
+    let order = bench.orders().remove(0);
+    let server = bench.server.clone();
+    bench.planner.remove_engine(&server);
+    bench.add_engine(1, 1);
+    bench
+        .planner
+        .on_order(&order, OrderOutcome::Accepted, bench.now);
+    bench.want("a2");
+    assert!(bench.orders().is_empty());
+    bench.pass(1_000);
+    bench.report(Bench::held(&[("a1", 1)], 1));
+    bench.pass(400);
+    bench.want("a2");
+    assert_matches!(&bench.orders()[..], [order] if !order.load);
+}
+
+#[test]
+fn a_load_that_an_older_report_lacks_has_its_slot() {
+    let mut bench = Bench::new(1);
+    bench.want("a1");
+    let order = bench.orders().remove(0);
+    let server = bench.server.clone();
+    bench.planner.remove_engine(&server);
+    bench.add_engine(1, 1);
+    bench.report(EngineReport::default());
+    bench
+        .planner
+        .on_order(&order, OrderOutcome::Accepted, bench.now);
+    bench.want("a2");
+    assert!(bench.orders().is_empty());
+}
+
+/// Callers in several regions ask for the same adapter before the first load is known everywhere.
+#[test]
+fn an_adapter_that_another_data_centre_loads_is_not_loaded_here_too() {
+    let mut bench = Bench::new(4);
+    bench.want("a1");
+    bench.want("a2");
+    bench.planner.loads_elsewhere(&model("a1"), bench.now);
+    let orders = bench.orders();
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].model, model("a2"));
+    bench
+        .planner
+        .on_order(&orders[0], OrderOutcome::Accepted, bench.now);
+    assert!(bench.orders().is_empty());
+    // A VM that still asks cannot use it there.
+    bench.pass(1_600);
+    bench.want("a1");
+    assert_eq!(bench.orders().len(), 1);
+}
+
+#[test]
+fn a_copy_is_loaded_although_another_data_centre_has_the_adapter() {
+    let mut bench = Bench::new(4);
+    bench.planner.loads_elsewhere(&model("a1"), bench.now);
+    let copy = Wanted {
+        copy: true,
+        ..WANTED
+    };
+    let vm = VmName::from("entry");
+    bench.planner.want(&model("a1"), &vm, copy, bench.now);
+    assert_eq!(bench.orders().len(), 1);
+}
+
+/// Engines that leave orders without an answer carry them out seconds later.
+#[test]
+fn an_order_without_an_answer_does_not_make_loads_seem_slow() {
+    let mut bench = Bench::new(4);
+    bench.load("a1", OrderOutcome::Unknown);
+    bench.pass(2_000);
+    let early = Use {
+        in_flight: 0,
+        sent: 1,
+        early_age_ms: Some(0),
+        is_answered: false,
+    };
+    bench.note("a1", early);
+    assert_eq!(bench.planner.summary(bench.now).load_ms, 250);
+}
+
+#[test]
+fn an_engine_that_leaves_an_order_without_an_answer_holds_up_no_other_load() {
+    let mut bench = Bench::new(4);
+    bench.want("a1");
+    let silent = bench.orders().remove(0);
+    bench.server = ServerName::from("e2");
+    bench.add_engine(4, 1);
+    bench.report(EngineReport::default());
+    for number in 2..8 {
+        bench.want(&format!("a{number}"));
+    }
+    bench.pass(160);
+    let orders = bench.orders();
+    assert!(!orders.is_empty());
+    assert!(orders.iter().all(|order| order.server != silent.server));
+}
+
+/// Loads that crowd each other take longer than expected, so that requests come before their adapter
+/// and use up the retries of all.
+#[test]
+fn a_rush_of_first_loads_does_not_crowd_the_store() {
+    const ENGINES: usize = 15;
+    // The part of one of six data centres of what the store serves at full speed.
+    const AT_FULL_SPEED: usize = 8;
+    let mut bench = Bench::new(13);
+    for number in 2..=ENGINES {
+        bench.server = ServerName::from(format!("e{number}"));
+        bench.add_engine(13, 1);
+        bench.report(EngineReport::default());
+    }
+    for number in 0..60 {
+        bench.want(&format!("a{number}"));
+    }
+    let mut loads = bench.orders();
+    for _ in 0..4 {
+        for order in loads.clone() {
+            bench
+                .planner
+                .on_order(&order, OrderOutcome::Accepted, bench.now);
+        }
+        loads = bench.orders();
+    }
+    let under_way = bench.planner.summary(bench.now).store_loads;
+    assert!(under_way <= AT_FULL_SPEED, "{under_way}");
+    assert!(under_way * 2 > AT_FULL_SPEED, "{under_way}");
+}
