--- a/src/fleet/borrow.rs
+++ b/src/fleet/borrow.rs
@@ -1,4 +1,4 @@
-//! Token requests of an entry VM, carried by its link to the log's leader.
+//! Token requests of an entry VM, carried by its link to the VM that keeps the buckets.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -31,27 +31,53 @@
     pub(super) reach: Reach,
 }
 
+/// Whom an entry VM asks for tokens.
+#[derive(Clone, Debug, Default)]
+pub(super) enum Keeper {
+    /// The leader of the log, which keeps the fleet's buckets.
+    Leader(Session),
+    /// A controller that hands out its own part, because there is no leader.
+    StandIn(Session),
+    /// Nobody. The leader may be out of this VM's reach only.
+    #[default]
+    Unknown,
+    /// Nobody: no controller is linked.
+    None,
+}
+
+impl Keeper {
+    fn session(&self) -> Option<&Session> {
+        match self {
+            Self::Leader(session) | Self::StandIn(session) => Some(session),
+            Self::Unknown | Self::None => None,
+        }
+    }
+}
+
 #[derive(Default)]
 struct State {
-    leader: Option<Session>,
+    keeper: Keeper,
     next: u64,
     open: HashMap<u64, oneshot::Sender<BorrowReply>>,
 }
 
 impl Borrowers {
-    /// Sets the link to the leader. Without one, `is_alone` tells whether there is none anywhere.
-    pub(super) fn set_leader(&self, leader: Option<Session>, is_alone: bool, now: MonoMs) {
-        if leader.is_none() {
+    /// Sets whom to ask.
+    pub(super) fn set_keeper(&self, keeper: Keeper, now: MonoMs) {
+        if !matches!(keeper, Keeper::Leader(_)) {
             self.reach.set(false);
         }
-        self.reach.set_alone(leader.is_none() && is_alone, now);
+        self.reach
+            .set_stood_in(matches!(keeper, Keeper::StandIn(_)));
+        self.reach.set_alone(matches!(keeper, Keeper::None), now);
         let mut state = self.lock();
-        let old = state.leader.as_ref().map(Session::id);
-        let new = leader.as_ref().map(Session::id);
-        if new.is_some() && new != old {
-            self.reach.moved(now);
+        if let Keeper::Leader(leader) = &keeper {
+            let old = state.keeper.session().map(Session::id);
+            if old != Some(leader.id()) {
+                self.reach.moved(now);
+            }
         }
-        state.leader = leader;
+        state.keeper = keeper;
     }
 
     /// Passes a reply to its request.
@@ -67,14 +93,18 @@
         let mut state = self.lock();
         let number = state.next;
         state.next += 1;
-        let leader = state.leader.clone()?;
-        if !leader.send(&Frame::Borrow(number, request)) {
+        let keeper = state.keeper.session()?;
+        if !keeper.send(&Frame::Borrow(number, request)) {
             return None;
         }
         state.open.insert(number, sender);
         Some((number, receiver))
     }
 
+    fn is_led(&self) -> bool {
+        matches!(self.lock().keeper, Keeper::Leader(_))
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -90,13 +120,13 @@
         };
         let Some((number, receiver)) = self.start(request) else {
             self.reach.set(false);
-            return Err(failed("the log's leader is not linked"));
+            return Err(failed("no VM that keeps the buckets is linked"));
         };
         let reply = timeout(Duration::from_millis(BORROW_MS), receiver).await;
         self.lock().open.remove(&number);
         match reply {
             Ok(Ok(reply)) => {
-                self.reach.set(reply.coordinating);
+                self.reach.set(reply.coordinating && self.is_led());
                 Ok(reply)
             }
             _ => {
--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -16,6 +16,7 @@
 use super::log_line::DocumentChange;
 use super::log_line::ServerChange;
 use super::order_desk::OrderDesk;
+use super::stand_in::StandIn;
 use crate::consensus;
 use crate::consensus::Handle;
 use crate::control::Command;
@@ -24,6 +25,8 @@
 use crate::gateway::deployment::Deployment;
 use crate::gateway::history_of;
 use crate::limits;
+use crate::limits::BorrowReply;
+use crate::limits::BorrowRequest;
 use crate::link::ControlStatus;
 use crate::link::DocumentNews;
 use crate::link::Frame;
@@ -58,6 +61,7 @@
     pub(super) links: Arc<Links>,
     pub(super) desk: OrderDesk,
     pub(super) quota: limits::Server,
+    pub(super) stand_in: StandIn,
     pub(super) heard: Mutex<Heard>,
     /// Backend servers of all controllers.
     pub(super) merged: Mutex<Table>,
@@ -212,7 +216,6 @@
 
     pub(super) fn status(&self) -> ControlStatus {
         let log = self.log.status();
-        let is_fresh = log.quorum_contact_age_ms <= QUORUM_FRESH_MS;
         let port = self.config.link_port;
         let members = log.voters.iter().chain(&log.learners);
         let holds = self.desk.active(self.now());
@@ -222,10 +225,11 @@
             leads: log.is_leader && log.quorum_contact_age_ms <= LEADER_FRESH_MS,
             term: log.term,
             document_version: fleet.document().map_or(0, |document| document.version),
-            holds: if is_fresh { holds } else { Vec::new() },
+            holds,
             controllers: members
                 .filter_map(|id| link_address(&id.vm, port))
                 .collect(),
+            stands_in: self.stand_in.is_active(),
             entry_vms: self.links.entry_vms(),
         }
     }
@@ -237,6 +241,7 @@
             told.leads != status.leads
                 || told.document_version != status.document_version
                 || told.holds != status.holds
+                || told.stands_in != status.stands_in
                 || told.controllers != status.controllers
         });
         if !is_new && !is_due {
@@ -328,16 +333,24 @@
                 self.desk.wanted(session, &data_centre, &wants, self.now());
                 self.desk.work(self);
             }
+            Frame::Residency(news) => self.desk.loads_elsewhere(&news, self.now()),
             Frame::Leaving => self.links.left(&session.peer().vm),
             Frame::Uses(uses) => self.desk.used(&session.peer().vm, &uses, self.now()),
             Frame::Borrow(number, request) => {
-                let reply = self.quota.receive(&request);
-                session.send(&Frame::Borrowed(number, reply));
+                session.send(&Frame::Borrowed(number, self.lend(&request)));
             }
             _ => {}
         }
     }
 
+    fn lend(&self, request: &BorrowRequest) -> BorrowReply {
+        let reply = self.quota.receive(request);
+        match reply.coordinating {
+            true => reply,
+            false => self.stand_in.receive(request),
+        }
+    }
+
     pub(super) fn lost(&self, session: &Session) {
         self.desk.forget_vm(&session.peer().vm);
     }
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -21,8 +21,10 @@
 use super::control_links::Links;
 use super::control_links::LogTransport;
 use super::duties;
+use super::holding::Fencing;
 use super::log_line::Lifecycle;
 use super::order_desk::OrderDesk;
+use super::stand_in::StandIn;
 use crate::consensus;
 use crate::consensus::Handle;
 use crate::consensus::VoterConfig;
@@ -79,8 +81,8 @@
     pub may_found: bool,
     /// Folder that outlives the process.
     pub data_folder: PathBuf,
-    /// Time between the orders of two holders to one engine.
-    pub order_lease_ms: u64,
+    /// How engines tell the orders of two holders apart.
+    pub fencing: Fencing,
     /// Reads configurations.
     pub dialect: Arc<dyn Dialect>,
     /// Speaks with engines.
@@ -130,6 +132,7 @@
         let state = SharedControl::default();
         let log = open_log(&config, &state, &links)?;
         let quota = open_quota(&config, &log);
+        let stand_in = StandIn::spawn(config.hello.vm.clone(), config.clock, &log);
         let desk = OrderDesk::new(&config);
         let handler = Arc::new(ControlHandler {
             links: Arc::clone(&links),
@@ -145,6 +148,7 @@
             links,
             desk,
             quota,
+            stand_in,
             heard: Mutex::default(),
             merged: Mutex::default(),
             deployment: Mutex::default(),
@@ -286,6 +290,7 @@
         ticks.tick().await;
         count += 1;
         core.update_deployment();
+        core.stand_in.update(core.deployment().as_deref());
         core.update_targets();
         core.tell_status(count.is_multiple_of(STATUS_TICKS));
         core.update_desk();
--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -13,6 +13,8 @@
 use tokio::sync::watch;
 
 use super::borrow::Borrowers;
+use super::borrow::Keeper;
+use super::keeper;
 use super::log_line::DocumentChange;
 use super::log_line::LinkChange;
 use super::log_line::ServerChange;
@@ -25,6 +27,7 @@
 use crate::link::DocumentNews;
 use crate::link::Frame;
 use crate::link::Handler;
+use crate::link::Hello;
 use crate::link::ResidencyNews;
 use crate::link::ServerNews;
 use crate::link::Session;
@@ -35,6 +38,7 @@
 use crate::types::DataCentre;
 use crate::types::MonoMs;
 use crate::types::ServerName;
+use crate::types::VmName;
 
 /// Time without news after which a backend server counts as gone.
 const SERVER_SILENT_MS: u64 = 7_000;
@@ -46,6 +50,7 @@
 
 /// The controllers' news.
 pub(super) struct EntryFeed {
+    own: Hello,
     clock: Clock,
     events: EventLog,
     dialect: Arc<dyn Dialect>,
@@ -73,6 +78,7 @@
 
 impl EntryFeed {
     pub(super) fn new(
+        own: Hello,
         clock: Clock,
         events: EventLog,
         dialect: Arc<dyn Dialect>,
@@ -80,6 +86,7 @@
         contacts: BTreeSet<SocketAddr>,
     ) -> Self {
         Self {
+            own,
             clock,
             events,
             dialect,
@@ -187,7 +194,7 @@
             *current = targets;
             is_changed
         });
-        self.update_leader(&state);
+        self.update_keeper(&state);
         let version = self.gateway().deployment().map_or(0, |d| d.version);
         let was_pulled = state.pulled.is_some_and(|(pulled, at)| {
             pulled >= status.document_version && now.since(at) < PULL_AGAIN_MS
@@ -200,10 +207,9 @@
         self.gateway().quota.set_entry_vms(status.entry_vms);
     }
 
-    fn update_leader(&self, state: &State) {
-        let now = self.clock.mono();
-        self.borrowers
-            .set_leader(state.leader(), state.sees_no_leader(), now);
+    fn update_keeper(&self, state: &State) {
+        let keeper = state.keeper(&self.own);
+        self.borrowers.set_keeper(keeper, self.clock.mono());
     }
 
     fn on_document(&self, session: &Session, news: &DocumentNews) {
@@ -283,6 +289,29 @@
 }
 
 impl State {
+    /// Whom `own` asks for tokens.
+    fn keeper(&self, own: &Hello) -> Keeper {
+        if let Some(leader) = self.leader() {
+            return Keeper::Leader(leader);
+        }
+        if !self.sees_no_leader() {
+            return Keeper::Unknown;
+        }
+        let active = self.links.values().filter(|link| {
+            let status = link.status.as_ref();
+            status.is_some_and(|status| status.stands_in)
+        });
+        let sessions: Vec<&Session> = active.map(|link| &link.session).collect();
+        let peers = sessions.iter().map(|session| session.peer());
+        let candidates: Vec<(VmName, DataCentre)> = peers
+            .map(|peer| (peer.vm.clone(), peer.data_centre.clone()))
+            .collect();
+        match keeper::choose(&own.vm, &own.data_centre, &candidates) {
+            Some(chosen) => Keeper::StandIn(sessions[chosen].clone()),
+            None => Keeper::None,
+        }
+    }
+
     /// Whether the log has no leader anywhere, as far as this VM can tell: most controllers are
     /// linked and none leads, or none is linked. A VM with few links may be cut off from the leader.
     fn sees_no_leader(&self) -> bool {
@@ -348,7 +377,7 @@
     fn closed(&self, session: &Session, reason: &str) {
         let mut state = self.lock();
         state.links.shift_remove(&session.id());
-        self.update_leader(&state);
+        self.update_keeper(&state);
         drop(state);
         self.events.emit(&LinkChange {
             peer: session.peer().vm.clone(),
--- a/src/fleet/entry_vm.rs
+++ b/src/fleet/entry_vm.rs
@@ -79,8 +79,14 @@
             Arc::new(borrowers.clone()),
             borrowers.reach.clone(),
         );
-        let feed = EntryFeed::new(clock, events.clone(), dialect, borrowers, config.contacts);
-        let feed = Arc::new(feed);
+        let feed = Arc::new(EntryFeed::new(
+            config.hello.clone(),
+            clock,
+            events.clone(),
+            dialect,
+            borrowers,
+            config.contacts,
+        ));
         let asker: Arc<dyn Asker> = Arc::clone(&feed) as Arc<dyn Asker>;
         let gateway = Arc::new(Gateway::new(config.gateway, quota, asker));
         feed.set_gateway(Arc::clone(&gateway));
--- a/src/fleet/held.rs
+++ b/src/fleet/held.rs
@@ -30,6 +30,8 @@
     /// Time from which orders may be given.
     pub(super) from: MonoMs,
     pub(super) planner: Planner,
+    /// Whether an engine has seen a higher fence.
+    pub(super) is_outranked: bool,
     /// Whether the entry VMs know that this VM holds the data centre.
     pub(super) is_told: bool,
     pub(super) addresses: HashMap<ServerName, SocketAddr>,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,6 +1,9 @@
 //! The two programs of a deployment without a list of VMs: controllers, which keep the replicated
 //! log and learn of the backend servers, and entry VMs, which serve callers.
 
+pub mod holding;
+pub mod keeper;
+
 mod borrow;
 mod control_core;
 mod control_links;
@@ -11,6 +14,7 @@
 mod held;
 mod log_line;
 mod order_desk;
+mod stand_in;
 
 pub use control_vm::ControlConfig;
 pub use control_vm::ControlVm;
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -17,11 +17,11 @@
 use tokio::time::timeout;
 
 use super::control_core::Core;
-use super::control_core::QUORUM_FRESH_MS;
 use super::control_links::Links;
 use super::control_vm::ControlConfig;
-use super::duties::HOLDER_SILENT_MS;
 use super::held::Held;
+use super::holding::Fencing;
+use super::holding::Standing;
 use super::log_line::HoldChange;
 use super::log_line::OrderDone;
 use super::log_line::SlotState;
@@ -33,6 +33,7 @@
 use crate::gateway::pool::Pool;
 use crate::link::AdapterUse;
 use crate::link::Frame;
+use crate::link::ResidencyNews;
 use crate::link::Role;
 use crate::link::Session;
 use crate::link::Want;
@@ -52,15 +53,13 @@
 
 /// Longest wait for the answer to an order or a question.
 const ANSWER_MS: u64 = 350;
-/// Time added to the wait for a former holder's last order.
-const TAKEOVER_MARGIN_MS: u64 = 200;
 /// Longest time to open a connection to an engine.
 const CONNECT_MS: u64 = 300;
 
 /// The data centres that this VM holds.
 pub(super) struct OrderDesk {
     vm: VmName,
-    order_lease_ms: u64,
+    fencing: Fencing,
     engines: Arc<dyn EngineDialect>,
     events: EventLog,
     state: Mutex<State>,
@@ -80,7 +79,7 @@
     pub(super) fn new(config: &ControlConfig) -> Self {
         Self {
             vm: config.hello.vm.clone(),
-            order_lease_ms: config.order_lease_ms,
+            fencing: config.fencing,
             engines: Arc::clone(&config.engines),
             events: config.events.clone(),
             state: Mutex::default(),
@@ -111,20 +110,25 @@
         }
         let mine = |centre: &DataCentre| {
             let holder = holders.get(centre);
-            holder.filter(|holder| is_fresh && holder.vm == self.vm)
+            holder.filter(|holder| holder.vm == self.vm)
         };
         state.held.retain(|centre, held| {
-            let keeps = mine(centre).is_some_and(|holder| holder.fence == held.fence);
+            let is_assigned = mine(centre).is_some_and(|holder| holder.fence == held.fence);
+            let keeps = self.fencing.keeps(Standing {
+                is_assigned,
+                is_fresh,
+                is_outranked: held.is_outranked,
+            });
             if !keeps {
                 self.log_hold(centre, held.fence, false);
             }
             keeps
         });
         for (centre, holder) in holders {
-            if mine(centre).is_some() && !state.held.contains_key(centre) {
+            if is_fresh && mine(centre).is_some() && !state.held.contains_key(centre) {
                 let before = state.holders.get(centre);
                 let took_over = before.is_some_and(|before| before.vm != self.vm)
-                    || before.is_none() && now.0 < self.order_lease_ms && holder.fence > 0;
+                    || before.is_none() && now.0 < self.fencing.restart_ms() && holder.fence > 0;
                 let held = self.begin(holder, took_over, &state.versions, now);
                 state.held.insert(centre.clone(), held);
                 self.log_hold(centre, holder.fence, true);
@@ -143,7 +147,10 @@
         versions: &[(ModelName, u64)],
         now: MonoMs,
     ) -> Held {
-        let wait_ms = if took_over { self.takeover_ms() } else { 0 };
+        let wait_ms = match took_over {
+            true => self.fencing.takeover_ms(),
+            false => 0,
+        };
         let mut planner = Planner::new(SlotsConfig::default());
         let named = versions.iter().map(|(model, version)| (model, *version));
         planner.set_versions(named, now);
@@ -152,18 +159,12 @@
             from: now.plus(wait_ms),
             planner,
             is_told: false,
+            is_outranked: false,
             addresses: HashMap::new(),
             busy_told: (Vec::new(), MonoMs(0)),
         }
     }
 
-    /// Time after an assignment in which the former holder's last order is old enough: it stops
-    /// once it has not heard a quorum for a while, and was silent for longer when it was replaced.
-    fn takeover_ms(&self) -> u64 {
-        let last_order_ms = QUORUM_FRESH_MS + self.order_lease_ms + TAKEOVER_MARGIN_MS;
-        last_order_ms.saturating_sub(HOLDER_SILENT_MS)
-    }
-
     /// Data centres in which this VM gives orders now, with the fence.
     pub(super) fn active(&self, now: MonoMs) -> Vec<(DataCentre, u64)> {
         let state = self.lock();
@@ -254,6 +255,23 @@
         }
     }
 
+    /// Takes what another VM told of the engines that it orders.
+    pub(super) fn loads_elsewhere(&self, news: &ResidencyNews, now: MonoMs) {
+        if news.full {
+            return;
+        }
+        let mut state = self.lock();
+        let others = state
+            .held
+            .iter_mut()
+            .filter(|(centre, _)| **centre != news.data_centre);
+        for (_, held) in others {
+            for item in news.items.iter().filter(|item| item.ready_in_ms.is_some()) {
+                held.planner.loads_elsewhere(&item.model, now);
+            }
+        }
+    }
+
     /// Forgets what a VM used.
     pub(super) fn forget_vm(&self, vm: &VmName) {
         for held in self.lock().held.values_mut() {
@@ -302,9 +320,9 @@
             }
         }
         for item in news {
+            self.loads_elsewhere(&item, now);
             let frame = Frame::Residency(item).encode();
-            core.links
-                .broadcast(&frame, |session| session.peer().role == Role::Entry);
+            core.links.broadcast(&frame, |_| true);
         }
         for (centre, fence, address, action) in due {
             let core = Arc::clone(core);
@@ -362,6 +380,7 @@
         if let Some(held) = self.lock().held.get_mut(centre)
             && held.fence == fence
         {
+            held.is_outranked |= outcome == OrderOutcome::Outranked;
             held.planner.on_order(&order, outcome, now);
         }
     }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -78,6 +78,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
     is_reached: Arc<AtomicBool>,
+    /// Whether a controller hands out its own part meanwhile.
+    is_stood_in: Arc<AtomicBool>,
     /// Uptime from which the buckets have filled since another VM has kept them.
     filled_ms: Arc<AtomicU64>,
     /// Since when no VM keeps the buckets, as far as this one can tell.
@@ -90,6 +92,11 @@
         self.is_reached.store(is_reached, Ordering::Relaxed);
     }
 
+    /// Notes whether controllers hand out the rates in parts because nobody keeps the buckets.
+    pub fn set_stood_in(&self, is_stood_in: bool) {
+        self.is_stood_in.store(is_stood_in, Ordering::Relaxed);
+    }
+
     /// Notes that another VM keeps the buckets from `now` on; they are empty at first.
     pub fn moved(&self, now: MonoMs) {
         let filled = now.plus(FILL_MS);
@@ -111,6 +118,11 @@
         self.alone_since().map_or(Others::Beside, Others::Alone)
     }
 
+    /// Whether nobody hands out tokens to this VM.
+    fn is_lost(&self, now: MonoMs) -> bool {
+        !self.is_reached(now) && !self.is_stood_in.load(Ordering::Relaxed)
+    }
+
     fn is_reached(&self, now: MonoMs) -> bool {
         let is_filled = now.0 >= self.filled_ms.load(Ordering::Relaxed);
         is_filled && self.is_reached.load(Ordering::Relaxed)
@@ -206,7 +218,7 @@
             Err(Shortage::TooLarge { .. }) if tokens <= account.burst => {
                 self.take_carried(account, tokens)
             }
-            Err(Shortage::Later { .. }) if !self.reach.is_reached(self.clock.mono()) => {
+            Err(Shortage::Later { .. }) if self.reach.is_lost(self.clock.mono()) => {
                 self.take_carried(account, tokens)
             }
             Err(shortage) => {
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -58,6 +58,8 @@
     pub holds: Vec<(DataCentre, u64)>,
     /// Addresses of the controllers' links.
     pub controllers: Vec<SocketAddr>,
+    /// Whether it hands out its own part of the token rates because it hears of no leader.
+    pub stands_in: bool,
     /// Entry VMs that are connected to it.
     pub entry_vms: u32,
 }
--- /dev/null
+++ b/tests/keeper.rs
@@ -0,0 +1,149 @@
+//! Token limits while the log has no leader but controllers run: each hands out its part of the rate
+//! to the entry VMs that choose it.
+
+use std::collections::HashMap;
+
+use medlarlift::fleet::keeper;
+use medlarlift::gateway::deployment::Account;
+use medlarlift::gateway::deployment::QuotaUnit;
+use medlarlift::limits::Share;
+use medlarlift::limits::TokenBucket;
+use medlarlift::types::AccountName;
+use medlarlift::types::DataCentre;
+use medlarlift::types::MonoMs;
+use medlarlift::types::VmName;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const CENTRES: usize = 6;
+const VMS: usize = 75;
+const MEAN_TOKENS: u64 = 1_100;
+const OUTAGE_MS: u64 = 8_000;
+/// Time that requests wait for tokens.
+const WAIT_MS: u64 = 1_200;
+const WAIT_LOOK_MS: u64 = 200;
+const BEGIN: MonoMs = MonoMs(100_000);
+
+fn account(rate_per_s: u64) -> Account {
+    Account {
+        name: AccountName::from("acme"),
+        priority: None,
+        unit: QuotaUnit::Tokens { plain_tokens: 200 },
+        rate_per_s,
+        burst: rate_per_s,
+    }
+}
+
+fn centre(number: usize) -> DataCentre {
+    DataCentre::from(format!("centre-{}", number % CENTRES))
+}
+
+fn controllers() -> Vec<(VmName, DataCentre)> {
+    let all = (0..CENTRES).map(|n| (VmName::from(format!("controller-{n}")), centre(n)));
+    all.collect()
+}
+
+fn chosen(vm: usize, candidates: &[(VmName, DataCentre)]) -> usize {
+    let own = VmName::from(format!("entry-{vm}"));
+    keeper::choose(&own, &centre(vm), candidates).unwrap()
+}
+
+fn part(rate_per_s: u64) -> Share {
+    let limits = keeper::stand_in_limits(&account(rate_per_s), 1, CENTRES);
+    limits.share(&keeper::own_part())
+}
+
+/// Tokens that are served by `alive` controllers to a demand of `asked_per_s`, and those asked for.
+fn serve(seed: u64, rate_per_s: u64, asked_per_s: f64, alive: usize) -> (u64, u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let candidates = &controllers()[..alive];
+    let mut buckets: Vec<TokenBucket> = (0..alive)
+        .map(|_| TokenBucket::new(part(rate_per_s), BEGIN))
+        .collect();
+    let mut waiting: Vec<(u64, usize, u64)> = Vec::new();
+    let (mut asked, mut served) = (0, 0);
+    for ms in 0..OUTAGE_MS {
+        if rng.random_bool((asked_per_s / MEAN_TOKENS as f64 / 1_000.0).min(1.0)) {
+            let tokens = rng.random_range(400..2 * MEAN_TOKENS - 400);
+            let vm = rng.random_range(0..VMS);
+            asked += tokens;
+            waiting.push((ms, chosen(vm, candidates), tokens));
+        }
+        let now = BEGIN.plus(ms);
+        waiting.retain(|(came, keeper, tokens)| {
+            if !(ms - came).is_multiple_of(WAIT_LOOK_MS) {
+                return ms - came <= WAIT_MS;
+            }
+            if buckets[*keeper].tokens(now) < *tokens {
+                return ms - came <= WAIT_MS;
+            }
+            served += buckets[*keeper].take(now, *tokens, 0);
+            false
+        });
+    }
+    (served, asked)
+}
+
+fn served_part(seed: u64, rate_per_s: u64, asked_per_s: f64, alive: usize) -> f64 {
+    let (served, asked) = serve(seed, rate_per_s, asked_per_s, alive);
+    served as f64 / asked as f64
+}
+
+/// The operator's limits are 1.8 times what accounts usually ask for.
+#[test]
+fn nearly_all_of_an_account_is_served_by_its_parts() {
+    for asked_per_s in [20_000.0, 60_000.0, 200_000.0] {
+        let rate = (1.8 * asked_per_s) as u64;
+        let parts = (0..10).map(|seed| served_part(seed, rate, asked_per_s, CENTRES));
+        let mean = parts.sum::<f64>() / 10.0;
+        println!("{asked_per_s} tokens/s: {mean:.3}");
+        assert!(mean > 0.9, "{asked_per_s} tokens/s: {mean}");
+    }
+}
+
+#[test]
+fn four_of_six_controllers_serve_most_of_it() {
+    let parts = (0..10).map(|seed| served_part(seed, 108_000, 60_000.0, 4));
+    let mean = parts.sum::<f64>() / 10.0;
+    println!("{mean:.3}");
+    assert!(mean > 0.8, "{mean}");
+}
+
+/// Whatever callers ask for, all parts together stay within the rate.
+#[test]
+fn a_rush_gets_no_more_than_the_rate() {
+    for rate in [20_000, 200_000] {
+        let (served, asked) = serve(1, rate, 4.0 * rate as f64, CENTRES);
+        let limit = rate * OUTAGE_MS / 1_000;
+        assert!(asked > 3 * limit, "{asked}");
+        assert!(served <= limit, "{served} of {limit} tokens");
+    }
+}
+
+#[test]
+fn entry_vms_choose_their_own_centre_and_spread_without_it() {
+    let candidates = controllers();
+    for vm in 0..VMS {
+        assert_eq!(candidates[chosen(vm, &candidates)].1, centre(vm));
+    }
+    let mut counts: HashMap<usize, usize> = HashMap::new();
+    for vm in (0..VMS).filter(|vm| vm % CENTRES >= 3) {
+        *counts.entry(chosen(vm, &candidates[..3])).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count >= 5), "{counts:?}");
+    assert_eq!(
+        keeper::choose(&VmName::from("entry-1"), &centre(1), &[]),
+        None
+    );
+}
+
+#[test]
+fn terms_of_parts_differ_from_each_other_and_from_those_of_leaders() {
+    let one = keeper::stand_in_term(&VmName::from("controller-1"), 5_000);
+    let other = keeper::stand_in_term(&VmName::from("controller-2"), 5_000);
+    let later = keeper::stand_in_term(&VmName::from("controller-1"), 9_000);
+    assert_ne!(one, other);
+    assert_ne!(one, later);
+    assert!(one > u64::MAX / 2);
+}
