--- a/src/fleet/borrow.rs
+++ b/src/fleet/borrow.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use super::log_line::KeeperChange;
 use crate::gateway::Reach;
 use crate::limits::BorrowPeers;
 use crate::limits::BorrowReply;
@@ -46,6 +47,20 @@
 }
 
 impl Keeper {
+    /// What the log tells of it.
+    pub(super) fn as_event(&self) -> KeeperChange {
+        let kind = match self {
+            Self::Leader(_) => "leader",
+            Self::StandIn(_) => "stand_in",
+            Self::Unknown => "unknown",
+            Self::None => "none",
+        };
+        KeeperChange {
+            kind,
+            keeper: self.session().map(|session| session.peer().vm.clone()),
+        }
+    }
+
     fn session(&self) -> Option<&Session> {
         match self {
             Self::Leader(session) | Self::StandIn(session) => Some(session),
@@ -62,8 +77,8 @@
 }
 
 impl Borrowers {
-    /// Sets whom to ask.
-    pub(super) fn set_keeper(&self, keeper: Keeper, now: MonoMs) {
+    /// Sets whom to ask; returns what the log tells of it, if it has changed.
+    pub(super) fn set_keeper(&self, keeper: Keeper, now: MonoMs) -> Option<KeeperChange> {
         if !matches!(keeper, Keeper::Leader(_)) {
             self.reach.set(false);
         }
@@ -77,7 +92,9 @@
                 self.reach.moved(now);
             }
         }
+        let before = state.keeper.as_event();
         state.keeper = keeper;
+        Some(state.keeper.as_event()).filter(|change| *change != before)
     }
 
     /// Passes a reply to its request.
--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -6,6 +6,7 @@
 use std::sync::PoisonError;
 
 use indexmap::IndexSet;
+use tokio::sync::Notify;
 
 use super::control_links::Links;
 use super::control_links::link_address;
@@ -60,6 +61,8 @@
     pub(super) state: SharedControl,
     pub(super) links: Arc<Links>,
     pub(super) desk: OrderDesk,
+    /// Wakes the task that plans the orders.
+    pub(super) plan_due: Notify,
     pub(super) quota: limits::Server,
     pub(super) stand_in: StandIn,
     pub(super) heard: Mutex<Heard>,
@@ -331,7 +334,7 @@
             Frame::Servers(news) => self.on_servers(news),
             Frame::Wants(data_centre, wants) => {
                 self.desk.wanted(session, &data_centre, &wants, self.now());
-                self.desk.work(self);
+                self.plan_due.notify_one();
             }
             Frame::Residency(news) => self.desk.loads_elsewhere(&news, self.now()),
             Frame::Leaving => self.links.left(&session.peer().vm),
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -12,8 +12,10 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::MissedTickBehavior;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::control_core::Core;
@@ -54,6 +56,8 @@
 const STATUS_TICKS: u64 = 5;
 /// Ticks between two messages about servers that said nothing new.
 const ALIVE_TICKS: u64 = 10;
+/// Pause between two plans of orders.
+const PLAN_PAUSE_MS: u64 = 10;
 /// Age of a quorum's confirmation up to which the leader hands out tokens.
 pub(super) const LEADER_FRESH_MS: u64 = 700;
 /// Applied entries after which the log is compacted; documents may be large.
@@ -120,6 +124,7 @@
     _dialer: Dialer,
     regular: JoinHandle<()>,
     duties: JoinHandle<()>,
+    planning: JoinHandle<()>,
 }
 
 impl ControlVm {
@@ -147,6 +152,7 @@
             state,
             links,
             desk,
+            plan_due: Notify::new(),
             quota,
             stand_in,
             heard: Mutex::default(),
@@ -166,6 +172,7 @@
         Ok(Self {
             regular: tokio::spawn(work_regularly(Arc::clone(&core))),
             duties: tokio::spawn(duties::run(Arc::clone(&core))),
+            planning: tokio::spawn(plan_when_due(Arc::clone(&core))),
             core,
             _listener: listener,
             _dialer: dialer,
@@ -230,6 +237,7 @@
         let handing_over = self.core.log.shutdown();
         let _ = timeout(Duration::from_millis(SHUTDOWN_MS), handing_over).await;
         self.regular.abort();
+        self.planning.abort();
         let events = &self.core.config.events;
         events.emit(&Lifecycle {
             phase: "stopped",
@@ -282,6 +290,16 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Plans orders as soon as something has changed, with a pause in which further changes gather: after an
+/// outage wishes come by the thousand.
+async fn plan_when_due(core: Arc<Core>) {
+    loop {
+        core.plan_due.notified().await;
+        core.desk.work(&core);
+        sleep(Duration::from_millis(PLAN_PAUSE_MS)).await;
+    }
+}
+
 async fn work_regularly(core: Arc<Core>) {
     let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -209,7 +209,9 @@
 
     fn update_keeper(&self, state: &State) {
         let keeper = state.keeper(&self.own);
-        self.borrowers.set_keeper(keeper, self.clock.mono());
+        if let Some(change) = self.borrowers.set_keeper(keeper, self.clock.mono()) {
+            self.events.emit(&change);
+        }
     }
 
     fn on_document(&self, session: &Session, news: &DocumentNews) {
--- a/src/fleet/log_line.rs
+++ b/src/fleet/log_line.rs
@@ -43,6 +43,22 @@
     }
 }
 
+/// The VM asks another VM for tokens from now on, or none.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub(super) struct KeeperChange {
+    /// Whether that VM leads the log, hands out its own part, or why there is none.
+    pub(super) kind: &'static str,
+    pub(super) keeper: Option<VmName>,
+}
+
+impl Event for KeeperChange {
+    const KIND: &'static str = "token_keeper";
+
+    fn weight(&self) -> Weight {
+        Weight::Failure
+    }
+}
+
 /// A configuration came into force on this VM.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct DocumentChange {
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -337,7 +337,7 @@
                         core.desk.ask_report(&core, &centre, address, server).await;
                     }
                 }
-                core.desk.work(&core);
+                core.plan_due.notify_one();
             });
         }
     }
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -32,6 +32,8 @@
 /// Time for which an adapter that another data centre began to load is not loaded here too. A VM that
 /// still asks for it afterwards cannot use it there.
 const ELSEWHERE_MS: u64 = 1_500;
+/// Wishes that one plan looks at: several times the loads that may be under way in a data centre.
+const MAX_PLANNED_WISHES: usize = 96;
 
 #[derive(Clone, Debug)]
 pub(super) struct Want {
@@ -353,22 +355,17 @@
     fn serve_wants(&mut self, now: MonoMs, actions: &mut Vec<SlotAction>) {
         let want_ms = self.config.want_ms;
         self.wants.retain(|_, want| now.since(want.asked) < want_ms);
-        let mut wants: Vec<(ModelName, Want)> = self
-            .wants
-            .iter()
-            .map(|(model, want)| (model.clone(), want.clone()))
-            .collect();
-        wants.sort_by_key(|(_, want)| self.urgency(want, now));
+        let wants = self.most_urgent(now);
         self.pace.step(!wants.is_empty(), now);
         self.elsewhere
             .retain(|_, began| now.since(*began) < ELSEWHERE_MS);
-        for (model, want) in wants {
-            if !want.wanted.copy && self.elsewhere.contains_key(&model) {
+        for (model, wanted) in wants {
+            if !wanted.copy && self.elsewhere.contains_key(&model) {
                 self.wants.shift_remove(&model);
                 continue;
             }
             let holders = self.holders(&model);
-            if holders > 0 && !(want.wanted.copy && self.needs_copy(&model, now)) {
+            if holders > 0 && !(wanted.copy && self.needs_copy(&model, now)) {
                 self.wants.shift_remove(&model);
                 continue;
             }
@@ -381,6 +378,24 @@
         }
     }
 
+    /// The wishes that come first. The others would find no room behind them.
+    fn most_urgent(&self, now: MonoMs) -> Vec<(ModelName, Wanted)> {
+        let mut ranked: Vec<_> = self
+            .wants
+            .iter()
+            .map(|(model, want)| (self.urgency(want, now), model, want.wanted))
+            .collect();
+        if ranked.len() > MAX_PLANNED_WISHES {
+            ranked.select_nth_unstable_by_key(MAX_PLANNED_WISHES, |(urgency, ..)| *urgency);
+            ranked.truncate(MAX_PLANNED_WISHES);
+        }
+        ranked.sort_by_key(|(urgency, ..)| *urgency);
+        let wishes = ranked.into_iter();
+        wishes
+            .map(|(_, model, wanted)| (model.clone(), wanted))
+            .collect()
+    }
+
     /// Order in which wishes are served: by rank, then by the number of requests that one load
     /// serves, then those that may still be in time, the oldest first, and at last the others, the
     /// newest first.
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -1,6 +1,8 @@
 //! Adapter slots of engines: what is loaded where, what makes way, and what a late or lost answer to
 //! an order leaves behind.
 
+use std::time::Instant;
+
 use assert_matches::assert_matches;
 use medlarlift::scheduling::slots::EngineInfo;
 use medlarlift::scheduling::slots::EngineReport;
@@ -409,6 +411,37 @@
     }
 }
 
+/// After an outage thousands of adapters are wished for at once. A controller has 0.3 of a core, and a
+/// plan that takes longer than the pause between two plans leaves it no time for its links.
+#[test]
+fn a_plan_with_a_large_backlog_takes_little_time() {
+    const WISHES: usize = 2_000;
+    const PLANS: u32 = 50;
+    // The build for tests is many times slower than that for use.
+    const MOST_MS: u128 = 15;
+    let mut bench = Bench::new(13);
+    for number in 2..=15 {
+        bench.server = ServerName::from(format!("e{number}"));
+        bench.add_engine(13, 1);
+        bench.report(EngineReport::default());
+    }
+    for number in 0..WISHES {
+        bench.want(&format!("a{number}"));
+    }
+    for order in bench.orders() {
+        bench
+            .planner
+            .on_order(&order, OrderOutcome::Accepted, bench.now);
+    }
+    let began = Instant::now();
+    for _ in 0..PLANS {
+        bench.orders();
+    }
+    let mean_ms = began.elapsed().as_millis() / u128::from(PLANS);
+    println!("{mean_ms} ms");
+    assert!(mean_ms <= MOST_MS, "{mean_ms} ms");
+}
+
 /// An engine that was not heard of for a while is known anew before its answer to an order comes.
 #[test]
 fn an_answer_that_comes_after_the_engine_was_forgotten_tells_nothing_of_its_slots() {
