fix(fleet): a controller that stood in starts as leader with unfilled buckets

An entry VM compared the link to the new leader with the link to whatever kept the buckets before. Where the controller that had stood in became the leader the links were the same, the buckets did not count as filling, and the refusal of an empty bucket was final.

Change: only a former leader on the same link keeps its buckets.

--- a/src/fleet/borrow.rs
+++ b/src/fleet/borrow.rs
@@ -87,8 +87,9 @@
         self.reach.set_alone(matches!(keeper, Keeper::None), now);
         let mut state = self.lock();
         if let Keeper::Leader(leader) = &keeper {
-            let old = state.keeper.session().map(Session::id);
-            if old != Some(leader.id()) {
+            // A controller that stood in before keeps the fleet's buckets only from now on.
+            let led = matches!(&state.keeper, Keeper::Leader(old) if old.id() == leader.id());
+            if !led {
                 self.reach.moved(now);
             }
         }
