refactor: one lease and one set of accounts for token buckets, one hash, one end of a send

- The leader's buckets and those of a controller that stands in kept their lease and replaced their accounts with the same code twice. fleet::buckets has both.
StandIn kept the names of its accounts beside what it derives them from; it keeps the deployment now.
A controller's status read the log's state twice.
- The hash by which a key prefers a place stood in slots::rank, gateway::board and fleet::keeper; rank::weight serves all of them.
- relay and exchange each took a reply apart and kept its connection in the same way; Exchanged::finish does it.
- State::sees_no_leader asked again for the leader that its only caller had just looked for.
- Two comments still spoke of one home in the fleet for a rare adapter.

--- /dev/null
+++ b/src/fleet/buckets.rs
@@ -0,0 +1,60 @@
+//! What the token buckets of a controller have in common, whether it leads the log or stands in.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use super::control_vm::lock;
+use crate::consensus::Handle;
+use crate::consensus::Status;
+use crate::gateway::deployment::Account;
+use crate::gateway::deployment::Deployment;
+use crate::lease::Held;
+use crate::limits::History;
+use crate::limits::LeaseView;
+use crate::limits::Server;
+use crate::types::Clock;
+use crate::types::MonoMs;
+
+/// Time for which one look at the log's state counts.
+const LOOK_MS: u64 = 100;
+
+/// Tokens may be handed out while `term` names a term for the log's state; it is also told since when.
+pub(super) fn lease(
+    clock: Clock,
+    log: &Handle,
+    term: impl Fn(&Status, MonoMs) -> Option<u64> + Send + Sync + 'static,
+) -> LeaseView {
+    let log = log.clone();
+    let since: Mutex<Option<MonoMs>> = Mutex::new(None);
+    Arc::new(move || {
+        let status = log.status();
+        let mut since = lock(&since);
+        let now = clock.mono();
+        let began = since.unwrap_or(now);
+        let term = term(&status, began);
+        *since = term.map(|_| began);
+        Some(Held {
+            term: term?,
+            since: began,
+            deadline: now.plus(LOOK_MS),
+            required_index: 0,
+            settled_index: 0,
+        })
+    })
+}
+
+/// Gives `server` the accounts of `new` in place of those of `old`.
+pub(super) fn set_accounts(
+    server: &Server,
+    new: &Deployment,
+    old: Option<&Deployment>,
+    history: impl Fn(&Account) -> History,
+) {
+    for account in new.accounts.values() {
+        server.set_history(account.name.clone(), history(account));
+    }
+    let gone = old.into_iter().flat_map(|old| old.accounts.keys());
+    for name in gone.filter(|name| !new.accounts.contains_key(*name)) {
+        server.remove(name);
+    }
+}
--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexSet;
 use tokio::sync::Notify;
 
+use super::buckets;
 use super::control_links::Links;
 use super::control_links::link_address;
 use super::control_vm::ControlConfig;
@@ -17,6 +18,7 @@
 use super::log_line::DocumentChange;
 use super::log_line::ServerChange;
 use super::order_desk::OrderDesk;
+use super::stand_in;
 use super::stand_in::StandIn;
 use crate::consensus;
 use crate::consensus::Handle;
@@ -232,7 +234,7 @@
             controllers: members
                 .filter_map(|id| link_address(&id.vm, port))
                 .collect(),
-            stands_in: self.stand_in.is_active(),
+            stands_in: stand_in::is_alone(&log),
             entry_vms: self.links.entry_vms(),
         }
     }
@@ -293,14 +295,9 @@
         let old = lock(&self.deployment).replace(Arc::new(deployment));
         let new = self.deployment();
         let Some(new) = new else { return };
-        for account in new.accounts.values() {
-            let history = history_of(account, new.version);
-            self.quota.set_history(account.name.clone(), history);
-        }
-        let gone = old.iter().flat_map(|old| old.accounts.keys());
-        for name in gone.filter(|name| !new.accounts.contains_key(*name)) {
-            self.quota.remove(name);
-        }
+        buckets::set_accounts(&self.quota, &new, old.as_deref(), |account| {
+            history_of(account, new.version)
+        });
     }
 
     pub(super) fn update_versions(&self) {
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::buckets;
 use super::control_core::Core;
 use super::control_links::ControlHandler;
 use super::control_links::Links;
@@ -36,7 +37,6 @@
 use crate::gateway::Dialect;
 use crate::gateway::EngineDialect;
 use crate::gateway::fleet_share;
-use crate::lease::Held;
 use crate::limits;
 use crate::link::Dialer;
 use crate::link::Frame;
@@ -46,7 +46,6 @@
 use crate::node::SharedControl;
 use crate::registry::Announcement;
 use crate::types::Clock;
-use crate::types::MonoMs;
 use crate::types::ServerName;
 use crate::types::VmName;
 
@@ -263,27 +262,11 @@
 
 /// The token buckets; tokens are handed out while this VM leads the log.
 fn open_quota(config: &ControlConfig, log: &Handle) -> limits::Server {
-    let clock = config.clock;
-    let log = log.clone();
-    let since: Mutex<Option<(u64, MonoMs)>> = Mutex::new(None);
-    let lease = move || {
-        let status = log.status();
-        let mut since = lock(&since);
-        if !status.is_leader || status.quorum_contact_age_ms > LEADER_FRESH_MS {
-            *since = None;
-            return None;
-        }
-        let now = clock.mono();
-        let (_, began) = *since.get_or_insert((status.term, now));
-        Some(Held {
-            term: status.term,
-            since: began,
-            deadline: now.plus(TICK_MS),
-            required_index: 0,
-            settled_index: 0,
-        })
-    };
-    limits::Server::spawn(fleet_share(), clock, Arc::new(lease))
+    let lease = buckets::lease(config.clock, log, |status, _| {
+        let leads = status.is_leader && status.quorum_contact_age_ms <= LEADER_FRESH_MS;
+        leads.then_some(status.term)
+    });
+    limits::Server::spawn(fleet_share(), config.clock, lease)
 }
 
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -308,7 +291,7 @@
         ticks.tick().await;
         count += 1;
         core.update_deployment();
-        core.stand_in.update(core.deployment().as_deref());
+        core.stand_in.update(core.deployment());
         core.update_targets();
         core.tell_status(count.is_multiple_of(STATUS_TICKS));
         core.update_desk();
--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -296,7 +296,7 @@
         if let Some(leader) = self.leader() {
             return Keeper::Leader(leader);
         }
-        if !self.sees_no_leader() {
+        if !self.would_see_leader() {
             return Keeper::Unknown;
         }
         let active = self.links.values().filter(|link| {
@@ -314,13 +314,12 @@
         }
     }
 
-    /// Whether the log has no leader anywhere, as far as this VM can tell: most controllers are
-    /// linked and none leads, or none is linked. A VM with few links may be cut off from the leader.
-    fn sees_no_leader(&self) -> bool {
+    /// Whether a leader would be seen if there were one: most controllers are linked, or none is. A
+    /// VM with few links may be cut off from the leader.
+    fn would_see_leader(&self) -> bool {
         let statuses = self.links.values().filter_map(|link| link.status.as_ref());
         let known = statuses.map(|status| status.controllers.len()).max();
-        self.leader().is_none()
-            && (self.links.is_empty() || self.links.len() * 2 > known.unwrap_or(0))
+        self.links.is_empty() || self.links.len() * 2 > known.unwrap_or(0)
     }
 
     /// The link to the leader of the newest term.
@@ -391,7 +390,7 @@
 
 impl Asker for EntryFeed {
     fn ask(&self, want: Want, asked_before: u32) {
-        // An adapter that is rarely asked for is loaded once in the fleet.
+        // One that is rarely asked for goes back to the engine that had it, wherever that is.
         let near = self.gateway().is_popular(&want.model);
         let mut homes = self.gateway().board().homes(&want.model, near);
         if homes.is_empty() {
--- a/src/fleet/keeper.rs
+++ b/src/fleet/keeper.rs
@@ -7,13 +7,11 @@
 //! only now and then, and a part of the rate for each VM would refuse many of them.
 
 use std::collections::BTreeMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 
 use crate::gateway::deployment::Account;
 use crate::limits::LimitVersion;
 use crate::limits::WHOLE_PPM;
+use crate::scheduling::slots::weight;
 use crate::types::DataCentre;
 use crate::types::VmName;
 
@@ -57,10 +55,3 @@
     let best = ranks.enumerate().max_by_key(|(_, rank)| *rank);
     best.map(|(index, _)| index)
 }
-
-fn weight(vm: &VmName, other: &impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    vm.hash(&mut hasher);
-    other.hash(&mut hasher);
-    hasher.finish()
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod keeper;
 
 mod borrow;
+mod buckets;
 mod control_core;
 mod control_links;
 mod control_vm;
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -1,9 +1,6 @@
 //! What an entry VM believes of the backend servers, and the choice of one for a request.
 
 use std::collections::HashMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 
 use indexmap::IndexMap;
 
@@ -13,6 +10,7 @@
 use super::homes::LastHeld;
 use crate::registry::Announcement;
 use crate::registry::ServerState;
+use crate::scheduling::slots::weight;
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::MonoMs;
@@ -166,10 +164,8 @@
 
 impl Need<'_> {
     fn lot_ms(&self, view: &ServerView) -> f64 {
-        let mut hasher = DefaultHasher::new();
-        self.lot.hash(&mut hasher);
-        view.announcement.server.hash(&mut hasher);
-        LOT_MS * (hasher.finish() as f64 / u64::MAX as f64)
+        let drawn = weight(&self.lot, &view.announcement.server);
+        LOT_MS * (drawn as f64 / u64::MAX as f64)
     }
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -323,22 +323,13 @@
     }
 
     async fn read_whole(&self, reply: Reply) -> Result<Read, Miss> {
-        let Reply {
-            response,
-            head,
-            sender,
-            guard,
-        } = reply;
-        let (parts, body) = response.into_parts();
+        let (parts, body) = reply.response.into_parts();
         let limited = Limited::new(body, MAX_ANSWER_BYTES);
         let collected = limited.collect().await;
         let bytes = collected
             .map_err(|_| Miss::Lost("answer_cut_off"))?
             .to_bytes();
-        if !head.closes {
-            let address = guard.target.address;
-            self.gateway.pool().put(address, sender, head.keep_idle);
-        }
+        reply.exchanged.finish(&self.gateway);
         let mut answer = Response::from_parts(parts, bytes);
         strip_connection_headers(answer.headers_mut());
         Ok(Read::Whole(answer))
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -52,9 +52,27 @@
 /// A server's answer whose body is still to be read.
 pub(super) struct Reply {
     pub(super) response: Response<Incoming>,
-    pub(super) head: AnswerHead,
-    pub(super) sender: SendRequest<Full<Bytes>>,
-    pub(super) guard: InFlight,
+    pub(super) exchanged: Exchanged,
+}
+
+/// The connection of an answer whose body is still to be read, and the request's place at the server.
+pub(super) struct Exchanged {
+    head: AnswerHead,
+    sender: SendRequest<Full<Bytes>>,
+    guard: InFlight,
+}
+
+impl Exchanged {
+    /// Keeps the connection for later requests once the body has been read, unless the server closes
+    /// it.
+    pub(super) fn finish(self, gateway: &Gateway) {
+        if !self.head.closes {
+            let address = self.guard.target.address;
+            gateway
+                .pool()
+                .put(address, self.sender, self.head.keep_idle);
+        }
+    }
 }
 
 /// How a send ended without an answer.
@@ -156,9 +174,11 @@
     guard.answered();
     Ok(Reply {
         response,
-        head,
-        sender: connection.sender,
-        guard,
+        exchanged: Exchanged {
+            head,
+            sender: connection.sender,
+            guard,
+        },
     })
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,10 +10,8 @@
 use http::response::Parts;
 use http_body::Frame;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::StreamBody;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -22,11 +20,10 @@
 use super::attempt;
 use super::attempt::Ended;
 use super::attempt::Next;
-use super::dialect::AnswerHead;
 use super::exchange::Exchange;
 use super::exchange::Read;
 use super::exchange::elapsed_ms;
-use super::forward::InFlight;
+use super::forward::Exchanged;
 use super::forward::Reply;
 use super::record::RequestRecord;
 
@@ -64,30 +61,13 @@
 struct Source {
     body: Incoming,
     /// What is used once the body has ended.
-    rest: Option<Rest>,
-}
-
-/// A reply without its response.
-struct Rest {
-    head: AnswerHead,
-    sender: SendRequest<Full<Bytes>>,
-    guard: InFlight,
+    rest: Option<Exchanged>,
 }
 
 impl Source {
     fn new(reply: Reply) -> (Parts, Self) {
-        let Reply {
-            response,
-            head,
-            sender,
-            guard,
-        } = reply;
-        let (parts, body) = response.into_parts();
-        let rest = Some(Rest {
-            head,
-            sender,
-            guard,
-        });
+        let (parts, body) = reply.response.into_parts();
+        let rest = Some(reply.exchanged);
         (parts, Self { body, rest })
     }
 }
@@ -191,12 +171,8 @@
 
     fn finish(&mut self) -> Option<io::Result<Bytes>> {
         self.is_over = true;
-        if let Some(rest) = self.source.rest.take()
-            && !rest.head.closes
-        {
-            let address = rest.guard.target.address;
-            let mut pool = self.exchange.gateway.pool();
-            pool.put(address, rest.sender, rest.head.keep_idle);
+        if let Some(rest) = self.source.rest.take() {
+            rest.finish(&self.exchange.gateway);
         }
         self.exchange.took_whole();
         self.log_end();
--- a/src/scheduling/slots/mod.rs
+++ b/src/scheduling/slots/mod.rs
@@ -4,8 +4,8 @@
 //! not present and finish the runs of an adapter before they drop it. A wrong view then costs a
 //! refused send, so no lease on residency is needed and an order can follow a request at once.
 //!
-//! Each adapter has a home: its first choice among the engines by rendezvous hash. An engine loads
-//! what it held a short time ago much faster, so an adapter that returns goes home.
+//! An engine loads what it held a short time ago much faster, so an adapter that returns goes back
+//! there. Any other goes to an engine with few requests; equal ones are ordered by rendezvous hash.
 
 mod engine;
 mod orders;
@@ -20,6 +20,7 @@
 pub use engine::EngineReport;
 pub use planner::Planner;
 pub use rank::ranked;
+pub use rank::weight;
 pub use types::OrderOutcome;
 pub use types::SlotAction;
 pub use types::SlotOrder;
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -464,10 +464,7 @@
                 // A round trip is shorter than a load somewhere else.
                 return None;
             }
-            if engine.has_open_order {
-                continue;
-            }
-            if engine.unresolved.is_some() {
+            if engine.has_open_order || engine.unresolved.is_some() {
                 continue;
             }
             if engine.free_slots() > 0 {
--- a/src/scheduling/slots/rank.rs
+++ b/src/scheduling/slots/rank.rs
@@ -17,9 +17,10 @@
     weighted.into_iter().map(|(_, place)| place).collect()
 }
 
-fn weight(model: &ModelName, place: &impl Hash) -> u64 {
+/// How much `key` prefers `place`. All VMs agree on it.
+pub fn weight(key: &impl Hash, place: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
-    model.hash(&mut hasher);
+    key.hash(&mut hasher);
     place.hash(&mut hasher);
     hasher.finish()
 }
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -55,6 +55,23 @@
         self.planner.set_engine(&self.server, info);
     }
 
+    /// Adds engines up to `count` that have reported.
+    fn add_engines(&mut self, count: usize, adapter_slots: usize) {
+        for number in 2..=count {
+            self.server = ServerName::from(format!("e{number}"));
+            self.add_engine(adapter_slots, 1);
+            self.report(EngineReport::default());
+        }
+    }
+
+    /// Answers orders as accepted.
+    fn accept(&mut self, orders: &[SlotOrder]) {
+        for order in orders {
+            self.planner
+                .on_order(order, OrderOutcome::Accepted, self.now);
+        }
+    }
+
     fn report(&mut self, report: EngineReport) {
         self.planner
             .on_report(&self.server, &report, self.now, self.now);
@@ -428,19 +445,12 @@
     // The build for tests is many times slower than that for use.
     const MOST_MS: u128 = 15;
     let mut bench = Bench::new(13);
-    for number in 2..=15 {
-        bench.server = ServerName::from(format!("e{number}"));
-        bench.add_engine(13, 1);
-        bench.report(EngineReport::default());
-    }
+    bench.add_engines(15, 13);
     for number in 0..WISHES {
         bench.want(&format!("a{number}"));
     }
-    for order in bench.orders() {
-        bench
-            .planner
-            .on_order(&order, OrderOutcome::Accepted, bench.now);
-    }
+    let orders = bench.orders();
+    bench.accept(&orders);
     let began = processor_time();
     for _ in 0..PLANS {
         bench.orders();
@@ -541,9 +551,7 @@
     let mut bench = Bench::new(4);
     bench.want("a1");
     let silent = bench.orders().remove(0);
-    bench.server = ServerName::from("e2");
-    bench.add_engine(4, 1);
-    bench.report(EngineReport::default());
+    bench.add_engines(2, 4);
     for number in 2..8 {
         bench.want(&format!("a{number}"));
     }
@@ -561,21 +569,13 @@
     // The part of one of six data centres of what the store serves at full speed.
     const AT_FULL_SPEED: usize = 8;
     let mut bench = Bench::new(13);
-    for number in 2..=ENGINES {
-        bench.server = ServerName::from(format!("e{number}"));
-        bench.add_engine(13, 1);
-        bench.report(EngineReport::default());
-    }
+    bench.add_engines(ENGINES, 13);
     for number in 0..60 {
         bench.want(&format!("a{number}"));
     }
     let mut loads = bench.orders();
     for _ in 0..4 {
-        for order in loads.clone() {
-            bench
-                .planner
-                .on_order(&order, OrderOutcome::Accepted, bench.now);
-        }
+        bench.accept(&loads);
         loads = bench.orders();
     }
     let under_way = bench.planner.summary(bench.now).store_loads;
