refactor(tests): one announcement and one sheet of an engine

tests/gateway.rs, hot.rs and homes.rs wrote the same announcement, and hot.rs, homes.rs, overload.rs and slots.rs the same sheet of an engine. Each has one copy in tests/engines now.

--- /dev/null
+++ b/tests/engines/announcement.rs
@@ -0,0 +1,24 @@
+//! The announcement of an engine.
+
+use medlarlift::registry::Announcement;
+use medlarlift::registry::ServerState;
+use medlarlift::types::DataCentre;
+use medlarlift::types::ModelName;
+use medlarlift::types::ServerName;
+use medlarlift::types::ServiceName;
+
+/// An engine that takes work and holds the base model.
+pub fn announcement(name: &str, data_centre: &str, slots: u32) -> Announcement {
+    Announcement {
+        server: ServerName::from(name),
+        started_unix_ms: 1,
+        sequence: 1,
+        service: ServiceName::from("models"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: DataCentre::from(data_centre),
+        slots,
+        state: ServerState::Ready,
+        cold_ms: 0,
+        models: vec![ModelName::from("base")],
+    }
+}
--- /dev/null
+++ b/tests/engines/info.rs
@@ -0,0 +1,15 @@
+//! An engine as the planner of its slots knows it.
+
+use medlarlift::scheduling::slots::EngineInfo;
+use medlarlift::types::ModelName;
+
+/// An engine that holds the base model.
+pub fn info(started_unix_ms: u64, adapter_slots: usize, run_slots: u32) -> EngineInfo {
+    EngineInfo {
+        started_unix_ms,
+        adapter_slots,
+        run_slots,
+        bases: vec![ModelName::from("base")],
+        loadable: vec![ModelName::from("base")],
+    }
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,9 +1,13 @@
 //! Decisions of the gateway: routes and accounts of a configuration, the choice of a server, and what
 //! follows a send that brought no answer.
 
+#[path = "engines/announcement.rs"]
+mod announcement;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use announcement::announcement;
 use assert_matches::assert_matches;
 use medlarlift::gateway::ServerLoad;
 use medlarlift::gateway::admission;
@@ -24,7 +28,6 @@
 use medlarlift::gateway::deployment::Repeat;
 use medlarlift::gateway::deployment::Route;
 use medlarlift::gateway::deployment::Service;
-use medlarlift::registry::Announcement;
 use medlarlift::registry::ServerState;
 use medlarlift::types::AccountName;
 use medlarlift::types::DataCentre;
@@ -187,21 +190,6 @@
     );
 }
 
-fn announcement(name: &str, data_centre: &str, slots: u32) -> Announcement {
-    Announcement {
-        server: ServerName::from(name),
-        started_unix_ms: 1,
-        sequence: 1,
-        service: ServiceName::from("models"),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: DataCentre::from(data_centre),
-        slots,
-        state: ServerState::Ready,
-        cold_ms: 0,
-        models: vec![ModelName::from("base")],
-    }
-}
-
 fn board(servers: &[(&str, &str)]) -> Board {
     let near = DataCentre::from("near");
     let mut board = Board::new(HashMap::from([(near, Distance::Near)]));
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -1,13 +1,17 @@
 //! Where rarely used adapters are loaded: three regions with two data centres each, and callers whose
 //! objective a far load would use up.
 
+#[path = "engines/announcement.rs"]
+mod announcement;
+#[path = "engines/info.rs"]
+mod info;
+
 use std::collections::HashMap;
 
+use announcement::announcement;
+use info::info;
 use medlarlift::gateway::board::Board;
 use medlarlift::gateway::board::Distance;
-use medlarlift::registry::Announcement;
-use medlarlift::registry::ServerState;
-use medlarlift::scheduling::slots::EngineInfo;
 use medlarlift::scheduling::slots::EngineReport;
 use medlarlift::scheduling::slots::Planner;
 use medlarlift::scheduling::slots::SlotAction;
@@ -18,7 +22,6 @@
 use medlarlift::types::ModelName;
 use medlarlift::types::MonoMs;
 use medlarlift::types::ServerName;
-use medlarlift::types::ServiceName;
 use medlarlift::types::VmName;
 
 const NOW: MonoMs = MonoMs(100_000);
@@ -32,21 +35,6 @@
 ];
 const ENGINES_PER_CENTRE: usize = 15;
 
-fn announcement(server: &str, data_centre: &str) -> Announcement {
-    Announcement {
-        server: ServerName::from(server),
-        started_unix_ms: 1,
-        sequence: 1,
-        service: ServiceName::from("models"),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: DataCentre::from(data_centre),
-        slots: 16,
-        state: ServerState::Ready,
-        cold_ms: 0,
-        models: vec![ModelName::from("base")],
-    }
-}
-
 fn board() -> Board {
     let distances = CENTRES
         .iter()
@@ -54,7 +42,7 @@
     let mut board = Board::new(HashMap::from_iter(distances));
     for (centre, _) in CENTRES {
         for number in 0..ENGINES_PER_CENTRE {
-            board.set_server(announcement(&format!("{centre}-{number}"), centre));
+            board.set_server(announcement(&format!("{centre}-{number}"), centre, 16));
         }
     }
     board
@@ -113,7 +101,7 @@
     let vm = VmName::from("entry-1");
     for number in 0..ENGINES_PER_CENTRE {
         let server = ServerName::from(format!("own-{number}"));
-        planner.set_engine(&server, info());
+        planner.set_engine(&server, info(1, 13, 16));
         let adapters = vec![(busy.clone(), 0)];
         planner.on_report(&server, &report(adapters), MonoMs(0), MonoMs(0));
         let used = Use {
@@ -147,16 +135,6 @@
     }
 }
 
-fn info() -> EngineInfo {
-    EngineInfo {
-        started_unix_ms: 1,
-        adapter_slots: 13,
-        run_slots: 16,
-        bases: vec![ModelName::from("base")],
-        loadable: vec![ModelName::from("base")],
-    }
-}
-
 fn report(adapters: Vec<(ModelName, u64)>) -> EngineReport {
     EngineReport {
         sequence: 0,
--- a/tests/hot.rs
+++ b/tests/hot.rs
@@ -2,19 +2,22 @@
 //! and choice together, in virtual time: many VMs that each send a small part, with the view that the
 //! VM that orders the engines gives them.
 
+#[path = "engines/announcement.rs"]
+mod announcement;
+#[path = "engines/info.rs"]
+mod info;
 #[path = "overload/popularity.rs"]
 mod popularity;
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
+use announcement::announcement;
+use info::info;
 use medlarlift::gateway::board::Board;
 use medlarlift::gateway::board::Choice;
 use medlarlift::gateway::board::Distance;
 use medlarlift::gateway::board::Need;
-use medlarlift::registry::Announcement;
-use medlarlift::registry::ServerState;
-use medlarlift::scheduling::slots::EngineInfo;
 use medlarlift::scheduling::slots::EngineReport;
 use medlarlift::scheduling::slots::OrderOutcome;
 use medlarlift::scheduling::slots::Planner;
@@ -77,10 +80,10 @@
         let mut engines = HashMap::new();
         for number in 0..ENGINES {
             let server = ServerName::from(format!("e{number}"));
-            planner.set_engine(&server, info());
+            planner.set_engine(&server, info(1, PLACES, RUN_SLOTS));
             planner.on_report(&server, &report(0), MonoMs(0), MonoMs(0));
             for board in &mut boards {
-                board.set_server(announcement(&server, &near));
+                board.set_server(announcement(server.as_str(), near.as_str(), RUN_SLOTS));
             }
             engines.insert(server, Engine::default());
         }
@@ -224,16 +227,6 @@
     }
 }
 
-fn info() -> EngineInfo {
-    EngineInfo {
-        started_unix_ms: 1,
-        adapter_slots: PLACES,
-        run_slots: RUN_SLOTS,
-        bases: vec![ModelName::from("base")],
-        loadable: vec![ModelName::from("base")],
-    }
-}
-
 fn report(sequence: u64) -> EngineReport {
     EngineReport {
         sequence,
@@ -242,21 +235,6 @@
     }
 }
 
-fn announcement(server: &ServerName, near: &DataCentre) -> Announcement {
-    Announcement {
-        server: server.clone(),
-        started_unix_ms: 1,
-        sequence: 1,
-        service: ServiceName::from("models"),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: near.clone(),
-        slots: RUN_SLOTS,
-        state: ServerState::Ready,
-        cold_ms: 0,
-        models: vec![ModelName::from("base")],
-    }
-}
-
 fn vm_name(number: usize) -> VmName {
     VmName::from(format!("entry-{number}"))
 }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -1,6 +1,8 @@
 //! Replays of load at its worst against the placement decisions, in virtual time: a cold start with
 //! more adapters asked for than the weight store can bring.
 
+#[path = "engines/info.rs"]
+mod info;
 #[path = "overload/popularity.rs"]
 mod popularity;
 #[path = "overload/store.rs"]
@@ -8,7 +10,7 @@
 
 use std::collections::HashMap;
 
-use medlarlift::scheduling::slots::EngineInfo;
+use info::info;
 use medlarlift::scheduling::slots::OrderOutcome;
 use medlarlift::scheduling::slots::Planner;
 use medlarlift::scheduling::slots::SlotAction;
@@ -78,13 +80,7 @@
             .map(|n| ServerName::from(format!("e{n}")))
             .collect();
         for server in &servers {
-            let info = EngineInfo {
-                started_unix_ms: 1,
-                adapter_slots: PLACES,
-                run_slots: 16,
-                bases: vec![ModelName::from("base")],
-                loadable: vec![ModelName::from("base")],
-            };
+            let info = info(1, PLACES, 16);
             planner.set_engine(server, info);
         }
         Self {
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -1,10 +1,14 @@
 //! Adapter slots of engines: what is loaded where, what makes way, and what a late or lost answer to
 //! an order leaves behind.
 
+#[path = "engines/info.rs"]
+mod info;
+
 use std::fs;
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use info::info;
 use medlarlift::scheduling::slots::EngineInfo;
 use medlarlift::scheduling::slots::EngineReport;
 use medlarlift::scheduling::slots::OrderOutcome;
@@ -45,13 +49,7 @@
     }
 
     fn add_engine(&mut self, adapter_slots: usize, started_unix_ms: u64) {
-        let info = EngineInfo {
-            started_unix_ms,
-            adapter_slots,
-            run_slots: 16,
-            bases: vec![ModelName::from("base")],
-            loadable: vec![ModelName::from("base")],
-        };
+        let info = info(started_unix_ms, adapter_slots, 16);
         self.planner.set_engine(&self.server, info);
     }
 
