--- a/src/link/dialer.rs
+++ b/src/link/dialer.rs
@@ -18,10 +18,13 @@
 use super::session;
 use super::session::Handler;
 
+/// First time to open a connection: more than a round trip between regions. A VM that is still down
+/// leaves the opening packet unanswered, and the kernel sends it again only after a second.
+const MIN_CONNECT_MS: u64 = 150;
 /// Longest time to open a connection.
-const CONNECT_TIMEOUT_MS: u64 = 700;
-/// First pause after a link was lost; doubled after each failure.
-const MIN_PAUSE_MS: u64 = 100;
+const MAX_CONNECT_MS: u64 = 700;
+/// First pause after a link was lost.
+const MIN_PAUSE_MS: u64 = 50;
 /// Longest pause between two tries.
 const MAX_PAUSE_MS: u64 = 300;
 
@@ -87,16 +90,38 @@
 }
 
 async fn keep_open(own: Hello, address: SocketAddr, handler: Arc<dyn Handler>) {
-    let mut pause_ms = MIN_PAUSE_MS;
+    let mut patience = Patience::default();
     loop {
         let connecting = TcpStream::connect(address);
-        let connected = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await;
+        let connected = timeout(Duration::from_millis(patience.connect_ms), connecting).await;
         if let Ok(Ok(stream)) = connected {
             session::run(stream, &own, next_id(), &handler).await;
-            pause_ms = MIN_PAUSE_MS;
+            patience = Patience::default();
         } else {
-            pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
+            patience.grow();
         }
-        sleep(Duration::from_millis(pause_ms)).await;
+        sleep(Duration::from_millis(patience.pause_ms)).await;
+    }
+}
+
+/// How long a try to open a connection lasts and what follows it. Both are doubled after each failure.
+struct Patience {
+    connect_ms: u64,
+    pause_ms: u64,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Self {
+            connect_ms: MIN_CONNECT_MS,
+            pause_ms: MIN_PAUSE_MS,
+        }
+    }
+}
+
+impl Patience {
+    fn grow(&mut self) {
+        self.connect_ms = (self.connect_ms * 2).min(MAX_CONNECT_MS);
+        self.pause_ms = (self.pause_ms * 2).min(MAX_PAUSE_MS);
     }
 }
