--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -36,6 +36,7 @@
 use crate::link::Role;
 use crate::link::ServerNews;
 use crate::link::Session;
+use crate::mechanisms::Mechanism;
 use crate::node::ControlMachine;
 use crate::node::SharedControl;
 use crate::registry::Announcement;
@@ -234,7 +235,7 @@
             controllers: members
                 .filter_map(|id| link_address(&id.vm, port))
                 .collect(),
-            stands_in: stand_in::is_alone(&log),
+            stands_in: stand_in::is_alone(&log) && self.config.mechanisms.has(Mechanism::StandIn),
             entry_vms: self.links.entry_vms(),
         }
     }
@@ -321,7 +322,7 @@
             .update(&holders, is_fresh, deployment.as_deref(), &merged, now);
         drop(merged);
         self.desk.work(self);
-        self.desk.tell_busy(&self.links, now);
+        self.desk.tell_loads(&self.links, now);
     }
 
     pub(super) fn received(self: &Arc<Self>, session: &Session, frame: Frame) {
@@ -335,7 +336,10 @@
             }
             Frame::Residency(news) => self.desk.loads_elsewhere(&news, self.now()),
             Frame::Leaving => self.links.left(&session.peer().vm),
-            Frame::Uses(uses) => self.desk.used(&session.peer().vm, &uses, self.now()),
+            Frame::Uses(uses) => {
+                self.desk.used(&session.peer().vm, &uses, self.now());
+                self.plan_due.notify_one();
+            }
             Frame::Borrow(number, request) => {
                 session.send(&Frame::Borrowed(number, self.lend(&request)));
             }
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -43,6 +43,7 @@
 use crate::link::Handler;
 use crate::link::Hello;
 use crate::link::Listener;
+use crate::mechanisms::Mechanisms;
 use crate::node::SharedControl;
 use crate::registry::Announcement;
 use crate::types::Clock;
@@ -90,6 +91,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Speaks with engines.
     pub engines: Arc<dyn EngineDialect>,
+    /// Which decisions are at work.
+    pub mechanisms: Mechanisms,
     /// Structured log.
     pub events: EventLog,
 }
--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -28,12 +28,14 @@
 use crate::link::Frame;
 use crate::link::Handler;
 use crate::link::Hello;
+use crate::link::LoadNews;
 use crate::link::ResidencyNews;
 use crate::link::ServerNews;
 use crate::link::Session;
 use crate::link::Want;
 use crate::registry::Change;
 use crate::registry::Table;
+use crate::scheduling::slots::EngineWork;
 use crate::types::Clock;
 use crate::types::DataCentre;
 use crate::types::MonoMs;
@@ -157,16 +159,18 @@
         }
     }
 
-    fn send_uses(&self) {
+    /// Tells the holders which adapters are used and which are not any more.
+    pub(super) fn send_uses(&self) {
         let uses = self.gateway().uses().take(self.clock.mono());
         if uses.is_empty() {
             return;
         }
         let mut by_centre: IndexMap<DataCentre, Vec<AdapterUse>> = IndexMap::new();
         let board = self.gateway().board();
-        for used in uses {
+        for mut used in uses {
             if let Some(view) = board.get(&used.server) {
                 let data_centre = view.announcement.data_centre.clone();
+                used.token_us = board.token_us(&view.announcement.service);
                 by_centre.entry(data_centre).or_default().push(used);
             }
         }
@@ -281,6 +285,19 @@
         }
     }
 
+    fn on_loads(&self, news: &LoadNews) {
+        let loads = news.engines.iter().map(|load| EngineWork {
+            server: load.server.clone(),
+            occupied: load.occupied,
+            prompt_tokens: load.prompt_tokens.into(),
+        });
+        let loads: Vec<EngineWork> = loads.collect();
+        let now = self.clock.mono();
+        let mut board = self.gateway().board();
+        board.set_loads(&news.data_centre, &loads, now);
+        board.set_place_wait(&news.data_centre, news.place_wait_ms.into(), now);
+    }
+
     fn log_server(&self, server: &ServerName, started_unix_ms: u64, what: &'static str) {
         self.events.emit(&ServerChange {
             server: server.clone(),
@@ -366,10 +383,7 @@
             Frame::AdapterVersions(versions) => self.gateway().set_versions(&versions),
             Frame::Servers(news) => self.on_servers(news),
             Frame::Residency(news) => self.on_residency(session, &news),
-            Frame::Busy(data_centre, busy) => {
-                let now = self.clock.mono();
-                self.gateway().board().set_busy(&data_centre, &busy, now);
-            }
+            Frame::Loads(news) => self.on_loads(&news),
             Frame::Borrowed(number, reply) => self.borrowers.replied(number, reply),
             _ => {}
         }
@@ -392,7 +406,8 @@
     fn ask(&self, want: Want, asked_before: u32) {
         // One that is rarely asked for goes back to the engine that had it, wherever that is.
         let near = self.gateway().is_popular(&want.model);
-        let mut homes = self.gateway().board().homes(&want.model, near);
+        let now = self.clock.mono();
+        let mut homes = self.gateway().board().homes(&want.model, near, now);
         if homes.is_empty() {
             return;
         }
@@ -400,9 +415,9 @@
         let passed = (asked_before / ASKS_PER_HOME) as usize % homes.len();
         homes.rotate_left(passed);
         let state = self.lock();
-        for data_centre in homes {
-            if let Some(holder) = state.holder(&data_centre) {
-                holder.send(&Frame::Wants(data_centre, vec![want]));
+        for home in homes {
+            if let Some(holder) = state.holder(&home.data_centre) {
+                holder.send(&Frame::Wants(home.data_centre, vec![want]));
                 return;
             }
         }
--- a/src/fleet/entry_vm.rs
+++ b/src/fleet/entry_vm.rs
@@ -25,9 +25,12 @@
 use crate::link::Dialer;
 use crate::link::Handler;
 use crate::link::Hello;
+use crate::mechanisms::Mechanism;
 
 /// Interval of the regular work.
 const TICK_MS: u64 = 150;
+/// Time for which uses of adapters gather before they are told.
+const USES_PAUSE_MS: u64 = 10;
 /// Ticks between two repetitions of the wishes for adapters.
 const WANT_TICKS: u64 = 2;
 /// Ticks between two looks at idle connections.
@@ -60,6 +63,7 @@
     gateway: Arc<Gateway>,
     _dialer: Dialer,
     regular: JoinHandle<()>,
+    uses: JoinHandle<()>,
 }
 
 impl EntryVm {
@@ -72,6 +76,9 @@
         let events = config.gateway.events.clone();
         let clock = config.gateway.clock;
         let dialect = Arc::clone(&config.gateway.dialect);
+        if !config.gateway.mechanisms.has(Mechanism::Carry) {
+            borrowers.reach.only_granted();
+        }
         let quota = Quota::spawn(
             config.hello.vm.clone(),
             config.hello.incarnation,
@@ -95,6 +102,7 @@
         let targets = feed.targets();
         let handler: Arc<dyn Handler> = Arc::clone(&feed) as Arc<dyn Handler>;
         let dialer = Dialer::spawn(config.hello, targets, handler);
+        let uses = tell_uses(Arc::clone(&feed), Arc::clone(&gateway));
         let regular = work_regularly(feed, Arc::clone(&gateway), Arc::clone(&readiness));
         events.emit(&Lifecycle {
             phase: "started",
@@ -106,6 +114,7 @@
             gateway,
             _dialer: dialer,
             regular: tokio::spawn(regular),
+            uses: tokio::spawn(uses),
         })
     }
 
@@ -129,6 +138,7 @@
         let answered = last - Duration::from_millis(LAST_ANSWER_MS);
         self.gateway.answer_waiting_by(answered);
         let is_done = timeout_at(last, self.acceptor.drain()).await.is_ok();
+        self.uses.abort();
         let detail = if is_done {
             "all work ended"
         } else {
@@ -142,6 +152,17 @@
     }
 }
 
+/// Tells the holders at once of adapters that came into use or out of it, with a pause in which further
+/// ones gather.
+async fn tell_uses(feed: Arc<EntryFeed>, gateway: Arc<Gateway>) {
+    let turned = gateway.uses().turned();
+    loop {
+        turned.notified().await;
+        sleep(Duration::from_millis(USES_PAUSE_MS)).await;
+        feed.send_uses();
+    }
+}
+
 async fn work_regularly(feed: Arc<EntryFeed>, gateway: Arc<Gateway>, readiness: Arc<Readiness>) {
     let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/src/fleet/held.rs
+++ b/src/fleet/held.rs
@@ -6,6 +6,8 @@
 
 use crate::gateway::deployment::Deployment;
 use crate::gateway::deployment::EngineSheet;
+use crate::link::EngineLoad;
+use crate::link::LoadNews;
 use crate::link::Residency;
 use crate::link::ResidencyNews;
 use crate::registry::ServerState;
@@ -21,8 +23,8 @@
 /// Least loads of base models in a second.
 const MIN_BASE_LOADS_PER_S: f64 = 0.05;
 
-/// Time between two lists of busy engines.
-const BUSY_EVERY_MS: u64 = 300;
+/// Time between two messages of the engines' work.
+const LOADS_EVERY_MS: u64 = 100;
 
 /// One data centre that this VM holds.
 pub(super) struct Held {
@@ -35,8 +37,8 @@
     /// Whether the entry VMs know that this VM holds the data centre.
     pub(super) is_told: bool,
     pub(super) addresses: HashMap<ServerName, SocketAddr>,
-    /// Busy engines as the entry VMs were last told, and when.
-    pub(super) busy_told: (Vec<(ServerName, u32)>, MonoMs),
+    /// What the entry VMs were last told of the engines' work, and when.
+    pub(super) loads_told: Option<(LoadNews, MonoMs)>,
 }
 
 impl Held {
@@ -70,6 +72,7 @@
                 started_unix_ms: server.started_unix_ms,
                 adapter_slots: sheet.adapter_capacity(bases),
                 run_slots: server.slots,
+                target_latency_ms: deployment.shortest_target_ms(&server.service),
                 bases: server.models.clone(),
                 loadable,
             };
@@ -91,18 +94,29 @@
         }
     }
 
-    /// The busy engines, if the entry VMs are to be told. Told loads fade there, so they are repeated.
-    pub(super) fn busy_news(&mut self, now: MonoMs) -> Option<Vec<(ServerName, u32)>> {
-        let (told, at) = &self.busy_told;
-        if now.since(*at) < BUSY_EVERY_MS {
+    /// The work of the engines, if the entry VMs are to be told. Told loads fade there, so they are
+    /// repeated unless there are none.
+    pub(super) fn load_news(&mut self, centre: &DataCentre, now: MonoMs) -> Option<LoadNews> {
+        let told = self.loads_told.as_ref();
+        if told.is_some_and(|(_, at)| now.since(*at) < LOADS_EVERY_MS) {
             return None;
         }
-        let busy = self.planner.busy();
-        if busy.is_empty() && told.is_empty() {
+        let engines = self.planner.work().into_iter().map(|work| EngineLoad {
+            server: work.server,
+            occupied: work.occupied,
+            prompt_tokens: u32::try_from(work.prompt_tokens).unwrap_or(u32::MAX),
+        });
+        let news = LoadNews {
+            data_centre: centre.clone(),
+            place_wait_ms: self.planner.place_wait_ms(now),
+            engines: engines.collect(),
+        };
+        let is_idle = news.engines.is_empty() && news.place_wait_ms == 0;
+        if is_idle && told.is_none_or(|(told, _)| *told == news) {
             return None;
         }
-        self.busy_told = (busy.clone(), now);
-        Some(busy)
+        self.loads_told = Some((news.clone(), now));
+        Some(news)
     }
 
     pub(super) fn address(&self, action: &SlotAction) -> Option<SocketAddr> {
--- a/src/fleet/holding.rs
+++ b/src/fleet/holding.rs
@@ -33,12 +33,15 @@
     pub is_fresh: bool,
     /// Whether an engine has seen a higher fence.
     pub is_outranked: bool,
+    /// Whether it stops without a leader although engines check fences.
+    pub needs_leader: bool,
 }
 
 impl Fencing {
     /// Whether a holder goes on.
     pub fn keeps(self, standing: Standing) -> bool {
         let may_go_on = match self {
+            Self::Checked if standing.needs_leader => standing.is_fresh && !standing.is_outranked,
             Self::Checked => !standing.is_outranked,
             Self::Timed { .. } => standing.is_fresh,
         };
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -37,6 +37,8 @@
 use crate::link::Role;
 use crate::link::Session;
 use crate::link::Want;
+use crate::mechanisms::Mechanism;
+use crate::mechanisms::Mechanisms;
 use crate::registry::Table;
 use crate::scheduling::slots::OrderOutcome;
 use crate::scheduling::slots::Planner;
@@ -61,6 +63,7 @@
     vm: VmName,
     fencing: Fencing,
     engines: Arc<dyn EngineDialect>,
+    mechanisms: Mechanisms,
     events: EventLog,
     state: Mutex<State>,
     pool: Mutex<Pool>,
@@ -81,6 +84,7 @@
             vm: config.hello.vm.clone(),
             fencing: config.fencing,
             engines: Arc::clone(&config.engines),
+            mechanisms: config.mechanisms,
             events: config.events.clone(),
             state: Mutex::default(),
             pool: Mutex::default(),
@@ -117,6 +121,7 @@
             let keeps = self.fencing.keeps(Standing {
                 is_assigned,
                 is_fresh,
+                needs_leader: self.needs_leader(),
                 is_outranked: held.is_outranked,
             });
             if !keeps {
@@ -140,6 +145,10 @@
         }
     }
 
+    fn needs_leader(&self) -> bool {
+        !self.mechanisms.has(Mechanism::HoldWithoutLeader)
+    }
+
     fn begin(
         &self,
         holder: &OrderHolder,
@@ -151,7 +160,10 @@
             true => self.fencing.takeover_ms(),
             false => 0,
         };
-        let mut planner = Planner::new(SlotsConfig::default());
+        let mut planner = Planner::new(SlotsConfig {
+            mechanisms: self.mechanisms,
+            ..SlotsConfig::default()
+        });
         let named = versions.iter().map(|(model, version)| (model, *version));
         planner.set_versions(named, now);
         Held {
@@ -161,7 +173,7 @@
             is_told: false,
             is_outranked: false,
             addresses: HashMap::new(),
-            busy_told: (Vec::new(), MonoMs(0)),
+            loads_told: None,
         }
     }
 
@@ -242,6 +254,8 @@
             for used in uses {
                 let count = Use {
                     in_flight: used.in_flight,
+                    prompt_tokens: used.prompt_tokens,
+                    token_us: used.token_us,
                     sent: used.sent,
                     early_age_ms: used.early_age_ms,
                     is_answered: used.is_answered,
@@ -342,11 +356,11 @@
         }
     }
 
-    /// Tells the entry VMs which engines have many requests.
-    pub(super) fn tell_busy(&self, links: &Links, now: MonoMs) {
+    /// Tells the entry VMs the work of the engines.
+    pub(super) fn tell_loads(&self, links: &Links, now: MonoMs) {
         for (centre, held) in &mut self.lock().held {
-            if let Some(busy) = held.busy_news(now) {
-                let frame = Frame::Busy(centre.clone(), busy).encode();
+            if let Some(news) = held.load_news(centre, now) {
+                let frame = Frame::Loads(news).encode();
                 links.broadcast(&frame, |session| session.peer().role == Role::Entry);
             }
         }
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -33,6 +33,7 @@
 use super::quota::Taken;
 use super::record::RequestRecord;
 use crate::limits::Shortage;
+use crate::mechanisms::Mechanism;
 use crate::types::ServiceName;
 
 /// Time to come back while the VM knows no configuration.
@@ -53,7 +54,10 @@
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
     }
-    let grace = grace::deadline(begun, caller.wait_ms);
+    let grace = match gateway.has(Mechanism::Grace) {
+        true => grace::deadline(begun, caller.wait_ms),
+        false => begun,
+    };
     let deployment = gateway.first_deployment(grace).await.ok_or_else(|| {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         Refusal::not_run(status, "no_configuration", UNCONFIGURED_RETRY_MS)
@@ -79,6 +83,7 @@
         headers: end_to_end(&parts.headers),
         body,
         model: caller.model.clone(),
+        prompt_tokens: caller.prompt_tokens.unwrap_or(0),
         may_repeat: route.repeat.may_run_again(),
     };
     Ok(Exchange {
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -1,4 +1,4 @@
-//! What an entry VM believes of the backend servers, and the choice of one for a request.
+//! The choice of a backend server for a request, from what an entry VM believes of all of them.
 
 use std::collections::HashMap;
 
@@ -7,9 +7,17 @@
 use super::dialect::ServerLoad;
 use super::homes;
 use super::homes::EngineSite;
+pub use super::homes::Home;
 use super::homes::LastHeld;
+pub use super::server_view::Distance;
+use super::server_view::Present;
+pub use super::server_view::ServerView;
+use super::service_pace::ServicePace;
+use crate::mechanisms::Mechanism;
+use crate::mechanisms::Mechanisms;
 use crate::registry::Announcement;
 use crate::registry::ServerState;
+use crate::scheduling::slots::EngineWork;
 use crate::scheduling::slots::weight;
 use crate::types::DataCentre;
 use crate::types::ModelName;
@@ -17,136 +25,17 @@
 use crate::types::ServerName;
 use crate::types::ServiceName;
 
-/// Delay of a send within the data centre, in milliseconds.
-const NEAR_MS: f64 = 1.0;
-/// Delay of a send to another data centre of the region.
-const SAME_REGION_MS: f64 = 8.0;
-/// Delay of a send to another region; more than the round trip, because its bytes are paid for.
-const FAR_MS: f64 = 120.0;
-/// Time constant of the averages of answers.
-const AVERAGE_WEIGHT: f64 = 0.1;
-/// Expected delay by a server all of whose answers fail.
-const FAILING_MS: f64 = 4_000.0;
-/// Time after which half of a server's bad record is forgotten.
-const FORGIVE_HALF_MS: f64 = 2_000.0;
-/// Age at which the load told by a server counts half.
-const LOAD_HALF_MS: f64 = 1_000.0;
-/// Delay by a batch that is full but for one place, against an empty one.
-const FULL_BATCH_MS: f64 = 60.0;
 /// Time by which the load of an adapter may be late.
 const LOAD_LATE_MS: u64 = 1_500;
 /// Time after which an adapter that was not there yet is tried again.
 const LOOK_AGAIN_MS: u64 = 50;
 /// Time in which the presence of an adapter is verified.
 const VERIFY_MS: u64 = 400;
-/// Service time assumed before the first answer.
-const FIRST_SERVICE_MS: f64 = 100.0;
+/// Time for which a told wait for a place counts.
+const PLACE_WAIT_KEPT_MS: u64 = 600;
 /// Delay by chance, so that VMs with the same view do not all choose the same server.
 const LOT_MS: f64 = 12.0;
 
-/// How far a data centre is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Distance {
-    /// The own one.
-    Near,
-    /// Another one of the own region.
-    SameRegion,
-    /// One of another region.
-    Far,
-}
-
-impl Distance {
-    /// Expected delay of a send, in milliseconds.
-    pub(super) fn delay_ms(self) -> f64 {
-        match self {
-            Self::Near => NEAR_MS,
-            Self::SameRegion => SAME_REGION_MS,
-            Self::Far => FAR_MS,
-        }
-    }
-}
-
-/// Presence of an adapter.
-#[derive(Clone, Copy, Debug)]
-struct Present {
-    version: u64,
-    /// When the load was expected to end.
-    expected: MonoMs,
-    /// When it is worth to try.
-    ready: MonoMs,
-}
-
-/// One backend server.
-#[derive(Clone, Debug)]
-pub struct ServerView {
-    /// Its newest announcement.
-    pub announcement: Announcement,
-    /// How far it is.
-    pub distance: Distance,
-    /// Requests of this VM that it has.
-    pub in_flight: u32,
-    residency: HashMap<ModelName, Present>,
-    /// Requests of other VMs, when the server last told its load.
-    others: f64,
-    others_at: MonoMs,
-    failing: f64,
-    failing_at: MonoMs,
-    avoid_until: MonoMs,
-}
-
-impl ServerView {
-    fn new(announcement: Announcement, distance: Distance) -> Self {
-        Self {
-            announcement,
-            distance,
-            in_flight: 0,
-            residency: HashMap::new(),
-            others: 0.0,
-            others_at: MonoMs(0),
-            failing: 0.0,
-            failing_at: MonoMs(0),
-            avoid_until: MonoMs(0),
-        }
-    }
-
-    /// Requests that the server has, as far as this VM can tell.
-    pub fn occupied(&self, now: MonoMs) -> f64 {
-        let age_ms = now.since(self.others_at) as f64;
-        let others = self.others * (-age_ms / LOAD_HALF_MS).exp2();
-        others + f64::from(self.in_flight)
-    }
-
-    /// Part of recent requests that failed.
-    pub fn failing(&self, now: MonoMs) -> f64 {
-        let age_ms = now.since(self.failing_at) as f64;
-        self.failing * (-age_ms / FORGIVE_HALF_MS).exp2()
-    }
-
-    fn is_full(&self, now: MonoMs) -> bool {
-        self.occupied(now) + 1.0 > f64::from(self.announcement.slots.max(1))
-    }
-
-    /// Expected wait for a place, with requests that take `service_ms` each.
-    fn queueing_ms(&self, service_ms: f64, now: MonoMs) -> f64 {
-        let slots = f64::from(self.announcement.slots.max(1));
-        let beyond = (self.occupied(now) + 1.0 - slots).max(0.0);
-        beyond * service_ms / slots
-    }
-
-    fn expected_delay_ms(&self, service_ms: f64, now: MonoMs) -> f64 {
-        let slots = f64::from(self.announcement.slots.max(1));
-        let occupied = self.occupied(now);
-        let queueing_ms = self.queueing_ms(service_ms, now);
-        let batch_ms = (occupied / slots).min(1.0) * FULL_BATCH_MS;
-        let cold_ms = if self.announcement.cold_ms > 0 {
-            batch_ms
-        } else {
-            0.0
-        };
-        self.distance.delay_ms() + queueing_ms + batch_ms + cold_ms + self.failing(now) * FAILING_MS
-    }
-}
-
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -196,8 +85,11 @@
 pub struct Board {
     servers: IndexMap<ServerName, ServerView>,
     distances: HashMap<DataCentre, Distance>,
-    service_ms: HashMap<ServiceName, f64>,
+    paces: HashMap<ServiceName, ServicePace>,
     last_held: LastHeld,
+    /// Time until an adapter gets a place, by data centre, and when it was told.
+    place_waits: HashMap<DataCentre, (u64, MonoMs)>,
+    mechanisms: Mechanisms,
 }
 
 impl Board {
@@ -209,6 +101,11 @@
         }
     }
 
+    /// The same with other mechanisms at work.
+    pub fn with(self, mechanisms: Mechanisms) -> Self {
+        Self { mechanisms, ..self }
+    }
+
     /// Adds or updates a server.
     pub fn set_server(&mut self, announcement: Announcement) {
         let name = announcement.server.clone();
@@ -242,8 +139,9 @@
     }
 
     /// Data centres with an engine that takes work, in the order in which they are asked to load
-    /// `model`: with `near` the nearest first, else that of the engine that had it last comes first.
-    pub fn homes(&self, model: &ModelName, near: bool) -> Vec<DataCentre> {
+    /// `model`: where it can be used soonest comes first. With `near` it does not matter which engine
+    /// had it last.
+    pub fn homes(&self, model: &ModelName, near: bool, now: MonoMs) -> Vec<Home> {
         let engines = self.servers.iter().filter(|(_, view)| {
             let server = &view.announcement;
             server.state == ServerState::Ready && !server.models.is_empty()
@@ -253,10 +151,18 @@
                 server,
                 data_centre: &view.announcement.data_centre,
                 distance: view.distance,
+                place_wait_ms: self.place_wait_ms(&view.announcement.data_centre, now),
             })
             .collect();
-        let last = self.last_held.get(model).filter(|_| !near);
-        homes::in_order(model, &sites, last)
+        let goes_back = !near && self.mechanisms.has(Mechanism::LastEngine);
+        let had = match self.last_held.get(model) {
+            [.., last] if goes_back && !self.mechanisms.has(Mechanism::LoadMemory) => {
+                std::slice::from_ref(last)
+            }
+            had if goes_back => had,
+            _ => &[],
+        };
+        homes::in_order(model, &sites, had)
     }
 
     /// Replaces the residency of all engines of a data centre.
@@ -317,12 +223,28 @@
     }
 
     /// Counts a request that is sent.
-    pub fn sent(&mut self, server: &ServerName) {
+    pub fn sent(&mut self, server: &ServerName, prompt_tokens: u64) {
         if let Some(view) = self.servers.get_mut(server) {
             view.in_flight += 1;
+            view.prompt_tokens += prompt_tokens;
         }
     }
 
+    /// Counts the prompt of a request as read, or as never to be read.
+    pub fn prompt_done(&mut self, server: &ServerName, started_unix_ms: u64, prompt_tokens: u64) {
+        if let Some(view) = self.servers.get_mut(server)
+            && view.announcement.started_unix_ms == started_unix_ms
+        {
+            view.prompt_tokens = view.prompt_tokens.saturating_sub(prompt_tokens);
+        }
+    }
+
+    /// Prompt tokens that wait at a server, as far as this VM can tell.
+    pub fn waiting_tokens(&self, server: &ServerName, now: MonoMs) -> f64 {
+        let view = self.servers.get(server);
+        view.map_or(0.0, |view| view.waiting_tokens(now))
+    }
+
     /// Counts a request that ended.
     pub fn ended(&mut self, server: &ServerName, started_unix_ms: u64) {
         if let Some(view) = self.servers.get_mut(server)
@@ -341,22 +263,23 @@
         }
     }
 
-    /// Takes the engines of a data centre that have many requests, and how many, from the VM that
-    /// counts the requests of all VMs. Its other engines have room.
-    pub fn set_busy(&mut self, centre: &DataCentre, busy: &[(ServerName, u32)], now: MonoMs) {
+    /// Takes the work of a data centre's engines from the VM that counts the requests of all VMs.
+    /// Engines that are not listed have room.
+    pub fn set_loads(&mut self, centre: &DataCentre, loads: &[EngineWork], now: MonoMs) {
         for (server, view) in &mut self.servers {
             if view.announcement.data_centre != *centre {
                 continue;
             }
-            let listed = busy.iter().find(|(name, _)| name == server);
-            match listed {
-                Some((_, occupied)) => {
-                    view.others = f64::from(occupied.saturating_sub(view.in_flight));
+            match loads.iter().find(|load| load.server == *server) {
+                Some(load) => {
+                    view.others = f64::from(load.occupied.saturating_sub(view.in_flight));
                     view.others_at = now;
+                    view.set_prompts(load.prompt_tokens, now);
                 }
                 None => {
                     let room = f64::from(view.announcement.slots) / 2.0;
                     view.others = view.others.min(room);
+                    view.set_prompts(0, now);
                 }
             }
         }
@@ -365,15 +288,7 @@
     /// Counts how a request went at a server.
     pub fn judged(&mut self, server: &ServerName, failed: bool, now: MonoMs) {
         if let Some(view) = self.servers.get_mut(server) {
-            let before = view.failing(now);
-            let outcome = if failed { 1.0 } else { 0.0 };
-            let weight = if failed {
-                3.0 * AVERAGE_WEIGHT
-            } else {
-                AVERAGE_WEIGHT
-            };
-            view.failing = before + weight * (outcome - before);
-            view.failing_at = now;
+            view.judged(failed, now);
         }
     }
 
@@ -386,11 +301,29 @@
 
     /// Takes the time that a service needed for a request.
     pub fn took(&mut self, service: &ServiceName, took_ms: u64) {
-        let known = self
-            .service_ms
-            .entry(service.clone())
-            .or_insert(FIRST_SERVICE_MS);
-        *known += AVERAGE_WEIGHT * (took_ms as f64 - *known);
+        let pace = self.paces.entry(service.clone()).or_default();
+        pace.took(took_ms as f64);
+    }
+
+    /// Takes the time to the first event of an answer, sent when `tokens` waited at the server.
+    pub fn began(&mut self, service: &ServiceName, took_ms: u64, tokens: f64) {
+        let pace = self.paces.entry(service.clone()).or_default();
+        pace.began(took_ms as f64, tokens);
+    }
+
+    /// Takes the time until an adapter that is asked for gets a place in a data centre.
+    pub fn set_place_wait(&mut self, centre: &DataCentre, wait_ms: u64, now: MonoMs) {
+        self.place_waits.insert(centre.clone(), (wait_ms, now));
+    }
+
+    /// Time until an adapter that is asked for gets a place in a data centre.
+    fn place_wait_ms(&self, centre: &DataCentre, now: MonoMs) -> u64 {
+        if !self.mechanisms.has(Mechanism::PlaceForecast) {
+            return 0;
+        }
+        let told = self.place_waits.get(centre);
+        let told = told.filter(|(_, at)| now.since(*at) < PLACE_WAIT_KEPT_MS);
+        told.map_or(0, |(wait_ms, _)| *wait_ms)
     }
 
     /// Chooses a server for a request.
@@ -421,13 +354,13 @@
             let models = &view.announcement.models;
             need.model.is_none_or(|model| models.contains(model))
         };
-        let service_ms = self.service_ms(need.service);
+        let pace = self.pace(need.service);
         let scored = pool.iter().filter(has_model).map(|view| {
-            let delay_ms = view.expected_delay_ms(service_ms, now);
+            let delay_ms = view.expected_delay_ms(&pace, now);
             (delay_ms + need.lot_ms(view), *view)
         });
         match scored.min_by(|a, b| a.0.total_cmp(&b.0)) {
-            Some((_, view)) => send(view, service_ms, now),
+            Some((_, view)) => send(view, &pace, now),
             None => Choice::NotPresent,
         }
     }
@@ -439,7 +372,7 @@
         pool: &[&ServerView],
         now: MonoMs,
     ) -> Choice {
-        let service_ms = self.service_ms(need.service);
+        let pace = self.pace(need.service);
         let mut best: Option<(f64, MonoMs, &ServerView)> = None;
         for view in pool {
             let Some(present) = view.residency.get(model) else {
@@ -450,28 +383,36 @@
                 continue;
             }
             let wait_ms = present.ready.since(now) as f64;
-            let delay_ms = view.expected_delay_ms(service_ms, now) + wait_ms + need.lot_ms(view);
+            let delay_ms = view.expected_delay_ms(&pace, now) + wait_ms + need.lot_ms(view);
             if best.is_none_or(|(least_ms, ..)| delay_ms < least_ms) {
                 best = Some((delay_ms, present.ready, view));
             }
         }
         match best {
             Some((_, ready, _)) if ready > now => Choice::WaitUntil(ready),
-            Some((_, _, view)) => send(view, service_ms, now),
+            Some((_, _, view)) => send(view, &pace, now),
             None => Choice::NotPresent,
         }
     }
 
-    fn service_ms(&self, service: &ServiceName) -> f64 {
-        let known = self.service_ms.get(service).copied();
-        known.unwrap_or(FIRST_SERVICE_MS)
+    /// Time that servers of a service need to read a token of a prompt.
+    pub fn token_us(&self, service: &ServiceName) -> u32 {
+        (self.pace(service).token_ms * 1_000.0) as u32
+    }
+
+    fn pace(&self, service: &ServiceName) -> ServicePace {
+        let mut pace = self.paces.get(service).copied().unwrap_or_default();
+        if !self.mechanisms.has(Mechanism::PromptBacklog) {
+            pace.token_ms = 0.0;
+        }
+        pace
     }
 }
 
-fn send(view: &ServerView, service_ms: f64, now: MonoMs) -> Choice {
+fn send(view: &ServerView, pace: &ServicePace, now: MonoMs) -> Choice {
     Choice::Send {
         server: view.announcement.server.clone(),
-        delay_ms: view.queueing_ms(service_ms, now) as u64,
+        delay_ms: view.queueing_ms(pace.service_ms, now) as u64,
         is_full: view.is_full(now),
         is_far: view.distance == Distance::Far,
     }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -29,6 +29,8 @@
 use super::waits::Waits;
 use crate::events::EventLog;
 use crate::link::Want;
+use crate::mechanisms::Mechanism;
+use crate::mechanisms::Mechanisms;
 use crate::metrics_page::Meters;
 use crate::pipeline::RetryBudget;
 use crate::types::Clock;
@@ -56,6 +58,8 @@
     pub saved_retries: f64,
     /// Time after which a named adapter version is insisted on.
     pub version_grace_ms: u64,
+    /// Which decisions are at work.
+    pub mechanisms: Mechanisms,
     /// Structured log.
     pub events: EventLog,
     /// Counters and histograms.
@@ -95,7 +99,7 @@
     /// A gateway that knows no configuration and no servers.
     pub fn new(config: GatewayConfig, quota: Quota, asker: Arc<dyn Asker>) -> Self {
         Self {
-            board: Mutex::new(Board::new(config.distances.clone())),
+            board: Mutex::new(Board::new(config.distances.clone()).with(config.mechanisms)),
             config,
             quota,
             waits: Waits::default(),
@@ -152,6 +156,11 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
+    /// Whether a decision is at work.
+    pub(super) fn has(&self, mechanism: Mechanism) -> bool {
+        self.config.mechanisms.has(mechanism)
+    }
+
     /// Time now.
     pub fn now(&self) -> MonoMs {
         self.config.clock.mono()
@@ -241,16 +250,20 @@
 
     /// Whether an adapter is asked for so often that it is worth a place in the own data centre.
     pub fn is_popular(&self, model: &ModelName) -> bool {
-        lock(&self.demand).recent(model, self.now()) >= self.near_copy_requests()
+        let requests = lock(&self.demand).recent(model, self.now());
+        self.is_worth_a_copy(requests)
     }
 
     /// Counts a request for an adapter; returns whether it is popular now.
     pub(super) fn count_demand(&self, model: &ModelName) -> bool {
-        lock(&self.demand).count(model, self.now()) >= self.near_copy_requests()
+        let requests = lock(&self.demand).count(model, self.now());
+        self.is_worth_a_copy(requests)
     }
 
-    fn near_copy_requests(&self) -> f64 {
-        demand::near_copy_requests(self.quota.entry_vms(), self.config.distances.len())
+    fn is_worth_a_copy(&self, requests: f64) -> bool {
+        let data_centres = self.config.distances.len();
+        let least = demand::near_copy_requests(self.quota.entry_vms(), data_centres);
+        requests >= least && self.has(Mechanism::NearCopies)
     }
 
     /// Asks at once for an adapter, or for one more copy of it.
--- a/src/gateway/deployment.rs
+++ b/src/gateway/deployment.rs
@@ -82,6 +82,12 @@
 }
 
 impl Route {
+    /// Whether some of its requests go to a service.
+    fn has_target(&self, service: &ServiceName) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|(target, weight)| target == service && *weight > 0)
+    }
+
     /// The service for a request, drawn by weight with `draw` in 0..1.
     pub fn target(&self, draw: f64) -> &ServiceName {
         let total: u32 = self.targets.iter().map(|(_, weight)| weight).sum();
@@ -247,6 +253,14 @@
         }
     }
 
+    /// Shortest objective of the routes to a service; 0 if there are none.
+    pub fn shortest_target_ms(&self, service: &ServiceName) -> u64 {
+        let routes = self.routes.values().flatten();
+        let to_service = routes.filter(|route| route.has_target(service));
+        let targets = to_service.map(|route| route.target_latency_ms);
+        targets.min().unwrap_or(0)
+    }
+
     /// Adds a service.
     pub fn add_service(&mut self, name: ServiceName, service: Service) {
         self.services.insert(name, service);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -365,6 +365,7 @@
                 if let Ok(first) = frame.into_data()
                     && !first.is_empty()
                 {
+                    reply.exchanged.began();
                     return Ok(Read::Stream(Box::new(reply), first));
                 }
             }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -46,6 +46,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) model: Option<ModelName>,
+    /// Tokens of the prompt, as the caller tells them.
+    pub(super) prompt_tokens: u64,
     pub(super) may_repeat: bool,
 }
 
@@ -63,6 +65,11 @@
 }
 
 impl Exchanged {
+    /// Notes the first event of the answer.
+    pub(super) fn began(&mut self) {
+        self.guard.began();
+    }
+
     /// Keeps the connection for later requests once the body has been read, unless the server closes
     /// it.
     pub(super) fn finish(self, gateway: &Gateway) {
@@ -99,24 +106,58 @@
     gateway: Arc<Gateway>,
     pub(super) target: Announcement,
     model: Option<ModelName>,
+    /// Tokens of its prompt, until they have been read.
+    prompt_tokens: u64,
+    sent: Instant,
+    /// Prompt tokens that waited at the server when it was sent, its own included.
+    ahead_tokens: f64,
 }
 
 impl InFlight {
-    fn start(gateway: &Arc<Gateway>, target: Announcement, model: Option<&ModelName>) -> Self {
-        gateway.board().sent(&target.server);
+    fn start(gateway: &Arc<Gateway>, target: Announcement, template: &Template) -> Self {
+        let prompt_tokens = template.prompt_tokens;
+        let now = gateway.now();
+        let mut board = gateway.board();
+        board.sent(&target.server, prompt_tokens);
+        let ahead_tokens = board.waiting_tokens(&target.server, now);
+        drop(board);
+        let model = template.model.as_ref();
         let model = model.filter(|model| super::board::is_adapter(model));
         if let Some(model) = model {
-            gateway.uses().sent(&target.server, model);
+            gateway.uses().sent(&target.server, model, prompt_tokens);
         }
         Self {
             gateway: Arc::clone(gateway),
             model: model.cloned(),
             target,
+            prompt_tokens,
+            sent: Instant::now(),
+            ahead_tokens,
+        }
+    }
+
+    /// Notes the first event of the answer: the prompt has been read.
+    fn began(&mut self) {
+        let took_ms = self.sent.elapsed().as_millis() as u64;
+        let service = &self.target.service;
+        let mut board = self.gateway.board();
+        board.began(service, took_ms, self.ahead_tokens);
+        drop(board);
+        self.prompt_done();
+    }
+
+    /// The server reads the prompt no more.
+    fn prompt_done(&mut self) {
+        let tokens = std::mem::take(&mut self.prompt_tokens);
+        let server = &self.target.server;
+        let mut board = self.gateway.board();
+        board.prompt_done(server, self.target.started_unix_ms, tokens);
+        drop(board);
+        if let Some(model) = self.model.as_ref().filter(|_| tokens > 0) {
+            self.gateway.uses().prompt_done(server, model, tokens);
         }
     }
-}
 
-impl InFlight {
     fn answered(&self) {
         if let Some(model) = &self.model {
             self.gateway.uses().answered(&self.target.server, model);
@@ -126,6 +167,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.prompt_done();
         let server = &self.target.server;
         let mut board = self.gateway.board();
         board.ended(server, self.target.started_unix_ms);
@@ -153,7 +195,7 @@
     };
     let mut connection = connection(gateway, template, &target, distance).await?;
     let request = build(gateway, template, facts);
-    let guard = InFlight::start(gateway, target, template.model.as_ref());
+    let guard = InFlight::start(gateway, target, template);
     let answered = timeout_at(patience, connection.sender.send_request(request)).await;
     let response = match answered {
         Ok(Ok(response)) => response,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod board;
 pub mod carry;
 pub mod deployment;
+pub mod forecast;
 pub mod grace;
 pub mod pool;
 
@@ -27,6 +28,8 @@
 mod quota;
 mod record;
 mod relay;
+mod server_view;
+mod service_pace;
 mod uses;
 mod waits;
 
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -17,8 +17,10 @@
 use super::exchange::Exchange;
 use super::exchange::LEAVING_RETRY_MS;
 use super::exchange::elapsed_ms;
+use super::forecast;
 use super::record::RequestRecord;
 use super::waits::WaitGuard;
+use crate::mechanisms::Mechanism;
 use crate::types::ModelName;
 use crate::types::ServerName;
 
@@ -84,7 +86,12 @@
                     let left_ms = ready.since(self.gateway.now());
                     (left_ms.clamp(1, LOOK_MS), Lack::Adapter)
                 }
-                Choice::NotPresent if self.adapter().is_some() => (LOOK_MS, Lack::Adapter),
+                Choice::NotPresent if self.adapter().is_some() => {
+                    if waiting.is_none() {
+                        self.check_forecast(began)?;
+                    }
+                    (LOOK_MS, Lack::Adapter)
+                }
                 Choice::NotPresent => (LOOK_MS, Lack::Model),
             };
             // A VM that has just started has not heard of all servers yet.
@@ -111,7 +118,8 @@
     fn check_admission(&self, delay_ms: u64) -> Result<(), Refusal> {
         let target_ms = self.route.target_latency_ms;
         let refused = admission::refuse_for(delay_ms, target_ms, self.priority());
-        match refused.filter(|_| self.past.runs == 0) {
+        let may_refuse = self.past.runs == 0 && self.gateway.has(Mechanism::Admission);
+        match refused.filter(|_| may_refuse) {
             Some(retry_after_ms) => {
                 let status = StatusCode::SERVICE_UNAVAILABLE;
                 Err(Refusal::not_run(status, "servers_busy", retry_after_ms))
@@ -120,6 +128,30 @@
         }
     }
 
+    /// Refuses a request whose adapter would come too late, unless it is asked for already.
+    fn check_forecast(&self, began: Instant) -> Result<(), Refusal> {
+        let Some(adapter) = self
+            .adapter()
+            .filter(|model| !self.gateway.waits.has(model))
+        else {
+            return Ok(());
+        };
+        let homes = self
+            .gateway
+            .board()
+            .homes(adapter, false, self.gateway.now());
+        let waits = homes.iter().map(|home| home.coming.wait_ms());
+        let soonest = waits.min().unwrap_or(0);
+        let allowed_ms = self.allowed_wait(began).as_millis() as u64;
+        match forecast::refuse_for(soonest, allowed_ms) {
+            Some(retry_after_ms) if self.gateway.has(Mechanism::PlaceForecast) => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                Err(Refusal::not_run(status, "no_place_in_time", retry_after_ms))
+            }
+            _ => Ok(()),
+        }
+    }
+
     fn adapter(&self) -> Option<&ModelName> {
         let model = self.caller.model.as_ref();
         model.filter(|model| self.is_engine && is_adapter(model))
@@ -156,11 +188,14 @@
     }
 
     fn has_waited_enough(&self, began: Instant) -> bool {
+        began.elapsed() >= self.allowed_wait(began)
+    }
+
+    /// Longest wait for an adapter or a server.
+    fn allowed_wait(&self, began: Instant) -> Duration {
         let left = self.deadline.saturating_duration_since(began);
         let target = Duration::from_millis(self.route.target_latency_ms);
-        let allowed = left
-            .mul_f64(WAIT_PERCENT as f64 / 100.0)
-            .min(target * MAX_WAIT_TARGETS);
-        began.elapsed() >= allowed
+        left.mul_f64(WAIT_PERCENT as f64 / 100.0)
+            .min(target * MAX_WAIT_TARGETS)
     }
 }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -82,6 +82,8 @@
     is_stood_in: Arc<AtomicBool>,
     /// Uptime from which the buckets have filled since another VM has kept them.
     filled_ms: Arc<AtomicU64>,
+    /// Whether the VM hands out nothing by itself.
+    only_granted: Arc<AtomicBool>,
     /// Since when no VM keeps the buckets, as far as this one can tell.
     alone_since: Arc<Mutex<Option<MonoMs>>>,
 }
@@ -97,6 +99,11 @@
         self.is_stood_in.store(is_stood_in, Ordering::Relaxed);
     }
 
+    /// Makes the VM hand out only what it is granted.
+    pub fn only_granted(&self) {
+        self.only_granted.store(true, Ordering::Relaxed);
+    }
+
     /// Notes that another VM keeps the buckets from `now` on; they are empty at first.
     pub fn moved(&self, now: MonoMs) {
         let filled = now.plus(FILL_MS);
@@ -120,7 +127,9 @@
 
     /// Whether nobody hands out tokens to this VM.
     fn is_lost(&self, now: MonoMs) -> bool {
-        !self.is_reached(now) && !self.is_stood_in.load(Ordering::Relaxed)
+        let others_help = self.is_stood_in.load(Ordering::Relaxed);
+        let may_carry = !self.only_granted.load(Ordering::Relaxed);
+        !self.is_reached(now) && !others_help && may_carry
     }
 
     fn is_reached(&self, now: MonoMs) -> bool {
--- /dev/null
+++ b/src/gateway/server_view.rs
@@ -0,0 +1,165 @@
+//! What an entry VM believes of one backend server.
+
+use std::collections::HashMap;
+
+use super::service_pace::AVERAGE_WEIGHT;
+use super::service_pace::ServicePace;
+use crate::registry::Announcement;
+use crate::types::ModelName;
+use crate::types::MonoMs;
+
+/// Delay of a send within the data centre, in milliseconds.
+const NEAR_MS: f64 = 1.0;
+/// Delay of a send to another data centre of the region.
+const SAME_REGION_MS: f64 = 8.0;
+/// Delay of a send to another region; more than the round trip, because its bytes are paid for.
+const FAR_MS: f64 = 120.0;
+/// Expected delay by a server all of whose answers fail.
+const FAILING_MS: f64 = 4_000.0;
+/// Time after which half of a server's bad record is forgotten.
+const FORGIVE_HALF_MS: f64 = 2_000.0;
+/// Age at which the load told by a server counts half.
+const LOAD_HALF_MS: f64 = 1_000.0;
+/// Age at which told prompt tokens count half: they are read in a fraction of a second.
+const PROMPTS_HALF_MS: f64 = 300.0;
+/// Delay by a batch that is full but for one place, against an empty one.
+const FULL_BATCH_MS: f64 = 60.0;
+
+/// How far a data centre is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Distance {
+    /// The own one.
+    Near,
+    /// Another one of the own region.
+    SameRegion,
+    /// One of another region.
+    Far,
+}
+
+impl Distance {
+    /// Expected delay of a send, in milliseconds.
+    pub(super) fn delay_ms(self) -> f64 {
+        match self {
+            Self::Near => NEAR_MS,
+            Self::SameRegion => SAME_REGION_MS,
+            Self::Far => FAR_MS,
+        }
+    }
+}
+
+/// Presence of an adapter.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Present {
+    pub(super) version: u64,
+    /// When the load was expected to end.
+    pub(super) expected: MonoMs,
+    /// When it is worth to try.
+    pub(super) ready: MonoMs,
+}
+
+/// One backend server.
+#[derive(Clone, Debug)]
+pub struct ServerView {
+    /// Its newest announcement.
+    pub announcement: Announcement,
+    /// How far it is.
+    pub distance: Distance,
+    /// Requests of this VM that it has.
+    pub in_flight: u32,
+    /// Prompt tokens of those that have no answer yet.
+    pub(super) prompt_tokens: u64,
+    pub(super) residency: HashMap<ModelName, Present>,
+    /// Requests of other VMs, when the server last told its load.
+    pub(super) others: f64,
+    pub(super) others_at: MonoMs,
+    /// Prompt tokens of other VMs' requests without an answer, when they were last told.
+    other_prompts: f64,
+    other_prompts_at: MonoMs,
+    failing: f64,
+    failing_at: MonoMs,
+    pub(super) avoid_until: MonoMs,
+}
+
+impl ServerView {
+    pub(super) fn new(announcement: Announcement, distance: Distance) -> Self {
+        Self {
+            announcement,
+            distance,
+            in_flight: 0,
+            prompt_tokens: 0,
+            residency: HashMap::new(),
+            others: 0.0,
+            others_at: MonoMs(0),
+            other_prompts: 0.0,
+            other_prompts_at: MonoMs(0),
+            failing: 0.0,
+            failing_at: MonoMs(0),
+            avoid_until: MonoMs(0),
+        }
+    }
+
+    /// Requests that the server has, as far as this VM can tell.
+    pub fn occupied(&self, now: MonoMs) -> f64 {
+        let age_ms = now.since(self.others_at) as f64;
+        let others = self.others * (-age_ms / LOAD_HALF_MS).exp2();
+        others + f64::from(self.in_flight)
+    }
+
+    /// Part of recent requests that failed.
+    pub fn failing(&self, now: MonoMs) -> f64 {
+        let age_ms = now.since(self.failing_at) as f64;
+        self.failing * (-age_ms / FORGIVE_HALF_MS).exp2()
+    }
+
+    /// Prompt tokens that wait there, as far as this VM can tell.
+    pub(super) fn waiting_tokens(&self, now: MonoMs) -> f64 {
+        let age_ms = now.since(self.other_prompts_at) as f64;
+        let others = self.other_prompts * (-age_ms / PROMPTS_HALF_MS).exp2();
+        others + self.prompt_tokens as f64
+    }
+
+    /// Takes the prompt tokens that wait there for all VMs together.
+    pub(super) fn set_prompts(&mut self, total: u64, now: MonoMs) {
+        self.other_prompts = total.saturating_sub(self.prompt_tokens) as f64;
+        self.other_prompts_at = now;
+    }
+
+    /// Counts how a request went.
+    pub(super) fn judged(&mut self, failed: bool, now: MonoMs) {
+        let before = self.failing(now);
+        let (outcome, weight) = match failed {
+            true => (1.0, 3.0 * AVERAGE_WEIGHT),
+            false => (0.0, AVERAGE_WEIGHT),
+        };
+        self.failing = before + weight * (outcome - before);
+        self.failing_at = now;
+    }
+
+    pub(super) fn is_full(&self, now: MonoMs) -> bool {
+        self.occupied(now) + 1.0 > f64::from(self.announcement.slots.max(1))
+    }
+
+    /// Expected wait for a place, with requests that take `service_ms` each.
+    pub(super) fn queueing_ms(&self, service_ms: f64, now: MonoMs) -> f64 {
+        let slots = f64::from(self.announcement.slots.max(1));
+        let beyond = (self.occupied(now) + 1.0 - slots).max(0.0);
+        beyond * service_ms / slots
+    }
+
+    /// Expected time to the first event or answer, beyond that of an idle server nearby.
+    pub(super) fn expected_delay_ms(&self, pace: &ServicePace, now: MonoMs) -> f64 {
+        let service_ms = pace.service_ms;
+        let slots = f64::from(self.announcement.slots.max(1));
+        let occupied = self.occupied(now);
+        let queueing_ms = self.queueing_ms(service_ms, now);
+        let batch_ms = (occupied / slots).min(1.0) * FULL_BATCH_MS;
+        let cold_ms = if self.announcement.cold_ms > 0 {
+            batch_ms
+        } else {
+            0.0
+        };
+        let prompts_ms = self.waiting_tokens(now) * pace.token_ms;
+        let failing_ms = self.failing(now) * FAILING_MS;
+        self.distance.delay_ms() + queueing_ms + batch_ms + cold_ms + prompts_ms + failing_ms
+    }
+}
--- a/src/gateway/uses.rs
+++ b/src/gateway/uses.rs
@@ -1,6 +1,9 @@
 //! Use of adapters by this VM, for the VM that orders the engines.
 
 use std::collections::HashMap;
+use std::sync::Arc;
+
+use tokio::sync::Notify;
 
 use crate::link::AdapterUse;
 use crate::types::ModelName;
@@ -10,6 +13,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
     in_flight: u32,
+    prompt_tokens: u64,
     sent: u32,
     is_missing: bool,
     early: Option<MonoMs>,
@@ -21,20 +25,41 @@
 #[derive(Debug, Default)]
 pub struct Uses {
     counts: HashMap<(ServerName, ModelName), Count>,
+    /// Wakes the task that tells of uses: an adapter came into use, or none of this VM's requests uses
+    /// it any more, so that it can make way.
+    turned: Arc<Notify>,
 }
 
 impl Uses {
+    /// Wakes whoever tells the holder of the engines of uses that should not wait.
+    pub fn turned(&self) -> Arc<Notify> {
+        Arc::clone(&self.turned)
+    }
+
     /// Counts a request that is sent.
-    pub fn sent(&mut self, server: &ServerName, model: &ModelName) {
+    pub fn sent(&mut self, server: &ServerName, model: &ModelName, prompt_tokens: u64) {
         let count = self.count(server, model);
         count.in_flight += 1;
+        count.prompt_tokens += prompt_tokens;
         count.sent += 1;
+        if count.in_flight == 1 {
+            self.turned.notify_one();
+        }
+    }
+
+    /// Counts the prompt of a request as read, or as never to be read.
+    pub fn prompt_done(&mut self, server: &ServerName, model: &ModelName, prompt_tokens: u64) {
+        let count = self.count(server, model);
+        count.prompt_tokens = count.prompt_tokens.saturating_sub(prompt_tokens);
     }
 
     /// Counts a request that ended.
     pub fn ended(&mut self, server: &ServerName, model: &ModelName) {
         let count = self.count(server, model);
         count.in_flight = count.in_flight.saturating_sub(1);
+        if count.in_flight == 0 {
+            self.turned.notify_one();
+        }
     }
 
     /// Notes that the engine lacks the adapter.
@@ -63,6 +88,8 @@
                 server: server.clone(),
                 model: model.clone(),
                 in_flight: count.in_flight,
+                prompt_tokens: count.prompt_tokens,
+                token_us: 0,
                 sent: count.sent,
                 is_missing: count.is_missing,
                 early_age_ms: count.early.map(|early| age_ms(early, now)),
@@ -70,6 +97,7 @@
             });
             *count = Count {
                 in_flight: count.in_flight,
+                prompt_tokens: count.prompt_tokens,
                 ..Count::default()
             };
         }
--- a/src/gateway/waits.rs
+++ b/src/gateway/waits.rs
@@ -54,6 +54,11 @@
         (guard, entry.count == 1)
     }
 
+    /// Whether a request waits for `model`.
+    pub fn has(&self, model: &ModelName) -> bool {
+        self.lock().contains_key(model)
+    }
+
     /// Wakes the requests that wait for `model`.
     pub fn wake(&self, model: &ModelName) {
         if let Some(waiting) = self.lock().get(model) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lease;
 pub mod limits;
 pub mod link;
+pub mod mechanisms;
 pub mod membership;
 pub mod metrics;
 pub mod metrics_page;
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -19,7 +19,7 @@
 use crate::types::VmName;
 
 /// Version of the messages; links between different versions are refused.
-pub const LINK_FORMAT: u16 = 2;
+pub const LINK_FORMAT: u16 = 3;
 
 /// Part that a VM plays.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -132,6 +132,10 @@
     pub model: ModelName,
     /// Requests that run or wait there now.
     pub in_flight: u32,
+    /// Prompt tokens of those that have no answer yet.
+    pub prompt_tokens: u64,
+    /// Time that the engine needs to read a token, as the VM has measured it.
+    pub token_us: u32,
     /// Requests sent since the last report.
     pub sent: u32,
     /// Whether the engine refused a request because the adapter is not there.
@@ -142,6 +146,28 @@
     pub is_answered: bool,
 }
 
+/// Work of one engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineLoad {
+    /// The engine.
+    pub server: ServerName,
+    /// Requests that it runs or that wait there.
+    pub occupied: u32,
+    /// Prompt tokens of those that have no answer yet.
+    pub prompt_tokens: u32,
+}
+
+/// Work of the engines of a data centre, from the VM that counts the requests of all entry VMs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadNews {
+    /// The data centre of the engines.
+    pub data_centre: DataCentre,
+    /// Time until an adapter that is asked for now gets a place.
+    pub place_wait_ms: u32,
+    /// Engines with work that counts. The others have room.
+    pub engines: Vec<EngineLoad>,
+}
+
 /// A message.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Frame {
@@ -165,9 +191,8 @@
     Servers(ServerNews),
     /// Residency of adapters.
     Residency(ResidencyNews),
-    /// Engines of a data centre with many requests, from the VM that orders them. The others have
-    /// room.
-    Busy(DataCentre, Vec<(ServerName, u32)>),
+    /// Work of the engines of a data centre.
+    Loads(LoadNews),
     /// Adapters that requests wait for, on engines of a data centre.
     Wants(DataCentre, Vec<Want>),
     /// Adapters in use.
--- a/src/scheduling/slots/engine.rs
+++ b/src/scheduling/slots/engine.rs
@@ -5,9 +5,12 @@
 use indexmap::IndexSet;
 
 use super::pace::Pace;
+use super::types::EngineWork;
 use super::types::SlotOrder;
+use super::types::Use;
 use crate::types::ModelName;
 use crate::types::MonoMs;
+use crate::types::ServerName;
 use crate::types::VmName;
 
 /// Time constant of the average of uses, in milliseconds.
@@ -26,6 +29,8 @@
     pub adapter_slots: usize,
     /// Requests that it can run at once.
     pub run_slots: u32,
+    /// Shortest objective of its requests.
+    pub target_latency_ms: u64,
     /// Base models that it holds.
     pub bases: Vec<ModelName>,
     /// Base models that fit into it.
@@ -68,6 +73,14 @@
     }
 }
 
+/// Requests of one VM for an adapter.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct InFlight {
+    requests: u32,
+    /// Prompt tokens of those that have no answer yet.
+    prompt_tokens: u64,
+}
+
 /// One used slot.
 #[derive(Clone, Debug)]
 pub(super) struct Place {
@@ -90,7 +103,7 @@
     pub(super) last_used: MonoMs,
     /// When it got no new requests any more.
     pub(super) retired: MonoMs,
-    pub(super) in_flight: HashMap<VmName, u32>,
+    pub(super) in_flight: HashMap<VmName, InFlight>,
     use_score: f64,
     scored: MonoMs,
 }
@@ -114,16 +127,20 @@
         }
     }
 
-    pub(super) fn note_use(&mut self, vm: &VmName, in_flight: u32, sent: u32, now: MonoMs) {
-        if in_flight == 0 {
+    pub(super) fn note_use(&mut self, vm: &VmName, used: &Use, now: MonoMs) {
+        if used.in_flight == 0 {
             self.in_flight.remove(vm);
         } else {
+            let in_flight = InFlight {
+                requests: used.in_flight,
+                prompt_tokens: used.prompt_tokens,
+            };
             self.in_flight.insert(vm.clone(), in_flight);
         }
-        if sent > 0 || in_flight > 0 {
+        if used.sent > 0 || used.in_flight > 0 {
             self.last_used = now;
         }
-        self.use_score = self.score(now) + f64::from(sent);
+        self.use_score = self.score(now) + f64::from(used.sent);
         self.scored = now;
     }
 
@@ -147,7 +164,14 @@
 
     /// Requests that use it now.
     pub(super) fn in_flight(&self) -> u32 {
-        self.in_flight.values().sum()
+        let of_vms = self.in_flight.values();
+        of_vms.map(|in_flight| in_flight.requests).sum()
+    }
+
+    /// Prompt tokens of requests for it that have no answer yet.
+    fn prompt_tokens(&self) -> u64 {
+        let of_vms = self.in_flight.values();
+        of_vms.map(|in_flight| in_flight.prompt_tokens).sum()
     }
 
     pub(super) fn is_used(&self) -> bool {
@@ -161,6 +185,24 @@
     }
 }
 
+/// Time without use after which an adapter may make way. One that was used once is hardly asked for
+/// again, one that is used often may be at any moment.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct IdleTime {
+    /// For an adapter that was used once.
+    pub(super) least_ms: u64,
+    /// For one that is used all the time.
+    pub(super) most_ms: u64,
+}
+
+impl IdleTime {
+    /// The time for an adapter with this number of recent uses.
+    pub(super) fn of(&self, uses: f64) -> u64 {
+        let in_proportion_ms = (self.least_ms as f64 * uses) as u64;
+        in_proportion_ms.clamp(self.least_ms, self.most_ms)
+    }
+}
+
 /// State of one engine.
 #[derive(Clone, Debug)]
 pub(super) struct Engine {
@@ -185,6 +227,8 @@
     pub(super) reported_bases: Vec<ModelName>,
     /// When one of its adapters last got another engine.
     pub(super) relieved: MonoMs,
+    /// Time that it needs to read a token of a prompt.
+    pub(super) token_us: u32,
 }
 
 impl Engine {
@@ -203,6 +247,7 @@
             needs_report: true,
             reported_bases: Vec::new(),
             relieved: MonoMs(0),
+            token_us: 0,
         }
     }
 
@@ -212,6 +257,30 @@
         places.map(Place::in_flight).sum()
     }
 
+    /// Prompt tokens of requests that have no answer yet.
+    pub(super) fn prompt_tokens(&self) -> u64 {
+        self.places.values().map(Place::prompt_tokens).sum()
+    }
+
+    /// Time until the prompts that wait there have been read.
+    pub(super) fn prompts_ms(&self) -> u64 {
+        self.prompt_tokens() * u64::from(self.token_us) / 1_000
+    }
+
+    /// Whether reading the prompts that wait there takes more than `percent` of the objective.
+    pub(super) fn is_behind_by(&self, percent: u64) -> bool {
+        self.prompts_ms() * 100 > self.info.target_latency_ms * percent
+    }
+
+    /// Its work as `server`, for the VMs that choose an engine.
+    pub(super) fn work(&self, server: &ServerName) -> EngineWork {
+        EngineWork {
+            server: server.clone(),
+            occupied: self.occupied(),
+            prompt_tokens: self.prompt_tokens(),
+        }
+    }
+
     /// Whether more requests than `percent` of its places are taken.
     pub(super) fn is_fuller_than(&self, percent: u32) -> bool {
         self.occupied() * 100 > self.info.run_slots * percent
@@ -287,13 +356,13 @@
         }
     }
 
-    /// The least valuable adapter that no request uses and none has used for `idle_ms`.
-    pub(super) fn victim(&self, idle_ms: u64, now: MonoMs) -> Option<(ModelName, f64)> {
+    /// The least valuable adapter that no request uses and none has used for its idle time.
+    pub(super) fn victim(&self, idle: &IdleTime, now: MonoMs) -> Option<(ModelName, f64)> {
         self.places
             .iter()
             .filter(|(_, place)| place.phase == Phase::Ready && place.is_confirmed)
             .filter(|(_, place)| !place.is_used())
-            .filter(|(_, place)| now.since(place.last_used) >= idle_ms)
+            .filter(|(_, place)| now.since(place.last_used) >= idle.of(place.score(now)))
             .map(|(model, place)| (model, place.score(now), place.last_used))
             .min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)).then(a.0.cmp(b.0)))
             .map(|(model, score, _)| (model.clone(), score))
--- a/src/scheduling/slots/mod.rs
+++ b/src/scheduling/slots/mod.rs
@@ -14,6 +14,7 @@
 mod rank;
 mod reports;
 mod spread;
+mod turnover;
 mod types;
 
 pub use engine::EngineInfo;
@@ -21,6 +22,7 @@
 pub use planner::Planner;
 pub use rank::ranked;
 pub use rank::weight;
+pub use types::EngineWork;
 pub use types::OrderOutcome;
 pub use types::SlotAction;
 pub use types::SlotOrder;
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -8,9 +8,11 @@
 
 use super::engine::Engine;
 use super::engine::EngineInfo;
+use super::engine::IdleTime;
 use super::engine::Phase;
 use super::pace::Pace;
 use super::rank::ranked;
+use super::turnover::Turnover;
 use super::types::Presence;
 use super::types::SlotAction;
 use super::types::SlotOrder;
@@ -18,6 +20,7 @@
 use super::types::Summary;
 use super::types::Use;
 use super::types::Wanted;
+use crate::mechanisms::Mechanism;
 use crate::types::ModelName;
 use crate::types::MonoMs;
 use crate::types::ServerName;
@@ -44,6 +47,13 @@
     asked: MonoMs,
 }
 
+impl Want {
+    /// Whether only further copies are asked for.
+    pub(super) fn is_copy(&self) -> bool {
+        self.wanted.copy
+    }
+}
+
 /// The planner of one data centre's engines.
 #[derive(Debug)]
 pub struct Planner {
@@ -57,6 +67,7 @@
     /// When the last load of a base model was ordered.
     pub(super) base_ordered: Option<MonoMs>,
     pub(super) news: Vec<Presence>,
+    pub(super) turnover: Turnover,
 }
 
 impl Planner {
@@ -71,6 +82,7 @@
             pace: Pace::new(config.load_ms),
             base_ordered: None,
             news: Vec::new(),
+            turnover: Turnover::default(),
         }
     }
 
@@ -135,7 +147,9 @@
 
     /// Notes that another data centre loads `model`. The VMs that wait for it learn the same.
     pub fn loads_elsewhere(&mut self, model: &ModelName, now: MonoMs) {
-        self.elsewhere.insert(model.clone(), now);
+        if self.config.mechanisms.has(Mechanism::LoadsElsewhere) {
+            self.elsewhere.insert(model.clone(), now);
+        }
     }
 
     /// Counts the use of an adapter by one VM.
@@ -147,14 +161,14 @@
         used: Use,
         now: MonoMs,
     ) {
-        let place = self
-            .engines
-            .get_mut(server)
-            .and_then(|engine| engine.places.get_mut(model));
-        let Some(place) = place else {
+        let Some(engine) = self.engines.get_mut(server) else {
+            return;
+        };
+        engine.token_us = used.token_us;
+        let Some(place) = engine.places.get_mut(model) else {
             return;
         };
-        place.note_use(vm, used.in_flight, used.sent, now);
+        place.note_use(vm, &used, now);
         if place.is_confirmed || !place.phase.is_usable() {
             return;
         }
@@ -261,6 +275,8 @@
             for place in engine.places.values_mut() {
                 if matches!(place.phase, Phase::Loading { ready } if ready <= now) {
                     place.phase = Phase::Ready;
+                    // The requests that wait for it are on their way.
+                    place.last_used = now;
                 }
             }
         }
@@ -356,10 +372,19 @@
         let want_ms = self.config.want_ms;
         self.wants.retain(|_, want| now.since(want.asked) < want_ms);
         let wants = self.most_urgent(now);
-        self.pace.step(!wants.is_empty(), now);
+        if self.config.mechanisms.has(Mechanism::StorePace) {
+            self.pace.step(!wants.is_empty(), now);
+        }
+        if self.wants.is_empty() {
+            self.turnover.idle(now);
+        }
         self.elsewhere
             .retain(|_, began| now.since(*began) < ELSEWHERE_MS);
+        let lacks_places = self.lacks_places();
         for (model, wanted) in wants {
+            if wanted.copy && lacks_places {
+                continue;
+            }
             if !wanted.copy && self.elsewhere.contains_key(&model) {
                 self.wants.shift_remove(&model);
                 continue;
@@ -372,6 +397,7 @@
             if let Some(action) = self.make_room(&model, now) {
                 if matches!(&action, SlotAction::Order(order) if order.load) {
                     self.wants.shift_remove(&model);
+                    self.turnover.loads(now);
                 }
                 actions.push(action);
             }
@@ -409,9 +435,22 @@
             priority,
             copy,
         } = want.wanted;
+        let waiting = match self.config.mechanisms.has(Mechanism::ManyFirst) {
+            true => waiting,
+            false => 0,
+        };
         (priority, copy, Reverse(waiting), is_late, order)
     }
 
+    fn idle_time(&self) -> IdleTime {
+        let most_ms = self.config.victim_idle_ms;
+        let least_ms = match self.config.mechanisms.has(Mechanism::EarlyRelease) {
+            true => self.config.once_idle_ms,
+            false => most_ms,
+        };
+        IdleTime { least_ms, most_ms }
+    }
+
     /// Loads from the store that are under way.
     fn store_loads(&self, now: MonoMs) -> usize {
         let loads = self.engines.values().map(|engine| engine.store_loads(now));
@@ -435,14 +474,41 @@
             .filter(|name| self.is_candidate(name, model))
             .cloned()
             .collect();
+        if self.waits_to_return(model, now) {
+            candidates.retain(|name| self.had_lately(name, model));
+        }
         candidates.sort_by_key(|name| {
             let engine = &self.engines[name];
             let is_new = !engine.recent.contains(model);
-            (engine.is_crowded(), is_new, engine.quarters_taken())
+            let steps_behind = engine.steps_behind();
+            (
+                engine.is_crowded(),
+                is_new,
+                steps_behind,
+                engine.quarters_taken(),
+            )
         });
         self.make_room_on(&candidates, model, now)
     }
 
+    fn had_lately(&self, server: &ServerName, model: &ModelName) -> bool {
+        let engine = &self.engines[server];
+        engine.recent.contains(model)
+    }
+
+    /// Whether `model` waits for a place on an engine that had it lately: a load there is so much faster
+    /// that a short wait pays.
+    fn waits_to_return(&self, model: &ModelName, now: MonoMs) -> bool {
+        let is_young = self
+            .wants
+            .get(model)
+            .is_some_and(|want| now.since(want.since) < self.config.return_ms);
+        let mut candidates = self.engines.keys();
+        is_young
+            && self.config.mechanisms.has(Mechanism::LoadMemory)
+            && candidates.any(|name| self.is_candidate(name, model) && self.had_lately(name, model))
+    }
+
     /// The next order towards having `model` on the first of `candidates` that can take it.
     pub(super) fn make_room_on(
         &mut self,
@@ -470,7 +536,7 @@
             if engine.free_slots() > 0 {
                 return self.order_load(server, model, now);
             }
-            if let Some((victim, _)) = engine.victim(self.config.victim_idle_ms, now) {
+            if let Some((victim, _)) = engine.victim(&self.idle_time(), now) {
                 return self.order_unload(server, &victim, now);
             }
         }
--- a/src/scheduling/slots/spread.rs
+++ b/src/scheduling/slots/spread.rs
@@ -9,7 +9,9 @@
 use super::engine::Engine;
 use super::engine::Phase;
 use super::planner::Planner;
+use super::types::EngineWork;
 use super::types::SlotAction;
+use crate::mechanisms::Mechanism;
 use crate::types::ModelName;
 use crate::types::MonoMs;
 use crate::types::ServerName;
@@ -20,15 +22,33 @@
 const ROOM_PERCENT: u32 = 40;
 /// Part of an engine's places from which the VMs that send requests are told its load.
 const BUSY_PERCENT: u32 = 50;
+/// Prompts that wait, as a part of the objective, from which an engine's adapters may get another one.
+const BEHIND_PERCENT: u64 = 25;
+/// Prompts that wait, as a part of the objective, up to which an engine takes a copy.
+const CLEAR_PERCENT: u64 = 8;
+/// Parts of the objective by which engines differ for a load.
+const BEHIND_STEP_PERCENT: u64 = 10;
 /// Least requests for an adapter on a crowded engine for which a copy is worth its load.
 const MIN_IN_FLIGHT: u32 = 2;
 /// Time between two copies because of one engine; a copy takes up work only after its load.
 const RELIEVE_EVERY_MS: u64 = 400;
 
 impl Engine {
-    /// Whether it has so many requests that others should not get onto it if that can be helped.
+    /// Whether it has so much work that others should not get onto it if that can be helped.
     pub(super) fn is_crowded(&self) -> bool {
-        self.is_fuller_than(CROWDED_PERCENT)
+        self.is_fuller_than(CROWDED_PERCENT) || self.is_behind_by(BEHIND_PERCENT)
+    }
+
+    /// Whether it has room for the work of another adapter.
+    fn has_room(&self) -> bool {
+        !self.is_fuller_than(ROOM_PERCENT) && !self.is_behind_by(CLEAR_PERCENT)
+    }
+
+    /// Steps by which the prompts that wait there delay a request. Engines that differ by less are
+    /// equally good for a load.
+    pub(super) fn steps_behind(&self) -> u64 {
+        let step_ms = self.info.target_latency_ms * BEHIND_STEP_PERCENT / 100;
+        self.prompts_ms() / step_ms.max(1)
     }
 
     /// Quarters of its places that are taken. Engines that differ by less are equally good for a load.
@@ -49,16 +69,22 @@
 }
 
 impl Planner {
-    /// Engines with many requests, and their number. Others have room.
-    pub fn busy(&self) -> Vec<(ServerName, u32)> {
-        let engines = self.engines.iter();
-        let busy = engines.filter(|(_, engine)| engine.is_fuller_than(BUSY_PERCENT));
-        busy.map(|(server, engine)| (server.clone(), engine.occupied()))
+    /// Work of the engines that have many requests or prompts to read. Others have room.
+    pub fn work(&self) -> Vec<EngineWork> {
+        let counts =
+            |engine: &Engine| engine.is_fuller_than(BUSY_PERCENT) || engine.prompts_ms() > 0;
+        let engines = self.engines.iter().filter(|(_, engine)| counts(engine));
+        engines
+            .map(|(server, engine)| engine.work(server))
             .collect()
     }
 
     /// Orders copies of the most used adapters of crowded engines, one for each engine at a time.
     pub(super) fn relieve(&mut self, now: MonoMs, actions: &mut Vec<SlotAction>) {
+        let may_copy = self.config.mechanisms.has(Mechanism::CrowdedCopies);
+        if !may_copy || self.lacks_places() {
+            return;
+        }
         let is_due =
             |engine: &Engine| engine.is_crowded() && now.since(engine.relieved) >= RELIEVE_EVERY_MS;
         let crowded: Vec<ServerName> = self
@@ -81,6 +107,12 @@
         }
     }
 
+    /// Whether adapters that no engine has wait for places. A copy would take one of them.
+    pub(super) fn lacks_places(&self) -> bool {
+        let is_scarce = self.wants.values().any(|want| !want.is_copy());
+        is_scarce && self.config.mechanisms.has(Mechanism::ScarceCopies)
+    }
+
     /// Whether all engines that hold `model` are crowded and none is loading it.
     pub(super) fn needs_copy(&self, model: &ModelName, now: MonoMs) -> bool {
         self.engines.values().all(|engine| {
@@ -95,16 +127,14 @@
 
     /// The next order towards a copy of `model` on the engine with the fewest requests.
     fn copy(&mut self, model: &ModelName, now: MonoMs) -> Option<SlotAction> {
-        let mut candidates: Vec<(u32, ServerName)> = self
+        let mut candidates: Vec<(u64, u32, ServerName)> = self
             .engines
             .iter()
-            .filter(|(server, engine)| {
-                self.is_candidate(server, model) && !engine.is_fuller_than(ROOM_PERCENT)
-            })
-            .map(|(server, engine)| (engine.occupied(), server.clone()))
+            .filter(|(server, engine)| self.is_candidate(server, model) && engine.has_room())
+            .map(|(server, engine)| (engine.prompts_ms(), engine.occupied(), server.clone()))
             .collect();
         candidates.sort();
-        let names: Vec<ServerName> = candidates.into_iter().map(|(_, server)| server).collect();
+        let names: Vec<ServerName> = candidates.into_iter().map(|(.., server)| server).collect();
         self.make_room_on(&names, model, now)
     }
 }
--- a/src/scheduling/slots/types.rs
+++ b/src/scheduling/slots/types.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use crate::mechanisms::Mechanisms;
 use crate::types::ModelName;
 use crate::types::MonoMs;
 use crate::types::ServerName;
@@ -15,10 +16,14 @@
     pub load_ms: u64,
     /// Expected time of a load of an adapter that the engine held recently.
     pub reload_ms: u64,
-    /// Time without use after which an adapter may make way.
+    /// Time without use after which an adapter may make way that is used often.
     pub victim_idle_ms: u64,
+    /// The same for an adapter that was used once: longer than a use takes to be told.
+    pub once_idle_ms: u64,
     /// Time after which nobody waits any more for an adapter that was asked for.
     pub want_ms: u64,
+    /// Age up to which a wish waits for a place on an engine that had the adapter lately.
+    pub return_ms: u64,
     /// Age up to which a wish comes before older ones: its requests may still be answered in time.
     pub prompt_ms: u64,
     /// Time between two reports of a quiet engine.
@@ -35,6 +40,8 @@
     pub empty_every_ms: u64,
     /// Time after which all VMs know that an adapter gets no new requests, and have told its use.
     pub retire_ms: u64,
+    /// Which decisions are at work.
+    pub mechanisms: Mechanisms,
 }
 
 impl Default for SlotsConfig {
@@ -44,7 +51,9 @@
             load_ms: 250,
             reload_ms: 25,
             victim_idle_ms: 300,
+            once_idle_ms: 60,
             want_ms: 800,
+            return_ms: 300,
             prompt_ms: 350,
             report_every_ms: 4_000,
             confirm_every_ms: 250,
@@ -53,6 +62,7 @@
             base_every_ms: 1_000,
             empty_every_ms: 300,
             retire_ms: 400,
+            mechanisms: Mechanisms::default(),
         }
     }
 }
@@ -112,10 +122,14 @@
 }
 
 /// Use of an adapter as a VM reports it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Use {
     /// Requests in flight now.
     pub in_flight: u32,
+    /// Prompt tokens of those that have no answer yet.
+    pub prompt_tokens: u64,
+    /// Time that the engine needs to read a token.
+    pub token_us: u32,
     /// Requests sent since the last report.
     pub sent: u32,
     /// Age of the latest refusal of one that came before the adapter was there.
@@ -124,6 +138,17 @@
     pub is_answered: bool,
 }
 
+/// Work of an engine, for the VMs that choose one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineWork {
+    /// The engine.
+    pub server: ServerName,
+    /// Requests that it runs or that wait there.
+    pub occupied: u32,
+    /// Prompt tokens of those that have no answer yet.
+    pub prompt_tokens: u64,
+}
+
 /// A change of residency: engine, adapter, version and the time from which it can be used.
 pub type Presence = (ServerName, ModelName, u64, Option<MonoMs>);
 
--- /dev/null
+++ b/tests/backlog.rs
@@ -0,0 +1,220 @@
+//! Long prompts: engines that are compared by the prompts that wait there, copies for engines that are
+//! behind, and requests that are refused because no place comes free in time.
+
+#[path = "engines/announcement.rs"]
+mod announcement;
+#[path = "engines/info.rs"]
+mod info;
+
+use std::collections::HashMap;
+
+use announcement::announcement;
+use info::info;
+use medlarlift::gateway::board::Board;
+use medlarlift::gateway::board::Choice;
+use medlarlift::gateway::board::Distance;
+use medlarlift::gateway::board::Need;
+use medlarlift::gateway::forecast;
+use medlarlift::gateway::forecast::Coming;
+use medlarlift::mechanisms::Mechanism;
+use medlarlift::mechanisms::Mechanisms;
+use medlarlift::scheduling::slots::EngineReport;
+use medlarlift::scheduling::slots::EngineWork;
+use medlarlift::scheduling::slots::Planner;
+use medlarlift::scheduling::slots::SlotAction;
+use medlarlift::scheduling::slots::SlotOrder;
+use medlarlift::scheduling::slots::SlotsConfig;
+use medlarlift::scheduling::slots::Use;
+use medlarlift::scheduling::slots::Wanted;
+use medlarlift::types::DataCentre;
+use medlarlift::types::ModelName;
+use medlarlift::types::MonoMs;
+use medlarlift::types::ServerName;
+use medlarlift::types::ServiceName;
+use medlarlift::types::VmName;
+
+const NOW: MonoMs = MonoMs(100_000);
+const PROMPT_TOKENS: u64 = 2_400;
+/// Time to read a token at 20 tokens in a millisecond.
+const TOKEN_US: u32 = 50;
+
+fn adapter() -> ModelName {
+    ModelName::from("base/a1")
+}
+
+fn board(mechanisms: Mechanisms) -> Board {
+    let near = DataCentre::from("near");
+    let mut board = Board::new(HashMap::from([(near, Distance::Near)])).with(mechanisms);
+    for engine in ["e1", "e2"] {
+        board.set_server(announcement(engine, "near", 64));
+        let ready = Some(MonoMs(0));
+        board.set_residency(&ServerName::from(engine), &adapter(), 1, ready);
+    }
+    board
+}
+
+fn chosen(board: &Board, lot: u64) -> ServerName {
+    let need = Need {
+        service: &ServiceName::from("models"),
+        model: Some(&adapter()),
+        version: None,
+        tried: &[],
+        lot,
+    };
+    match board.choose(&need, NOW) {
+        Choice::Send { server, .. } => server,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Requests that go to the engine behind which five long prompts wait, of 100.
+fn sent_behind_prompts(mechanisms: Mechanisms) -> usize {
+    let mut board = board(mechanisms);
+    let e1 = ServerName::from("e1");
+    let work = EngineWork {
+        server: e1.clone(),
+        occupied: 5,
+        prompt_tokens: 5 * PROMPT_TOKENS,
+    };
+    board.set_loads(&DataCentre::from("near"), &[work], NOW);
+    (0..100).filter(|lot| chosen(&board, *lot) == e1).count()
+}
+
+/// Five prompts of 2,400 tokens delay a request by half a second although 59 of 64 places are free.
+#[test]
+fn requests_go_where_few_prompts_wait() {
+    assert_eq!(sent_behind_prompts(Mechanisms::default()), 0);
+    let without = Mechanisms::default().without(Mechanism::PromptBacklog);
+    assert!(sent_behind_prompts(without) > 10);
+}
+
+#[test]
+fn the_own_prompts_count_until_they_have_been_read() {
+    let mut board = board(Mechanisms::default());
+    let e1 = ServerName::from("e1");
+    board.sent(&e1, PROMPT_TOKENS);
+    assert!((0..50).all(|lot| chosen(&board, lot).as_str() == "e2"));
+    board.prompt_done(&e1, 1, PROMPT_TOKENS);
+    assert!((0..50).any(|lot| chosen(&board, lot) == e1));
+    assert_eq!(board.waiting_tokens(&e1, NOW) as u64, 0);
+}
+
+/// A planner whose engine `e1` has the adapter and `waiting` prompts to read; `e2` is idle.
+fn planner(waiting: u64) -> Planner {
+    let mut planner = Planner::new(SlotsConfig::default());
+    for engine in ["e1", "e2"] {
+        let server = ServerName::from(engine);
+        planner.set_engine(&server, info(1, 5, 64));
+        let held = match engine {
+            "e1" => vec![(adapter(), 1)],
+            _ => Vec::new(),
+        };
+        let report = EngineReport {
+            bases: vec![ModelName::from("base")],
+            adapters: held,
+            ..EngineReport::default()
+        };
+        planner.on_report(&server, &report, MonoMs(0), MonoMs(0));
+    }
+    let used = Use {
+        in_flight: 6,
+        prompt_tokens: waiting * PROMPT_TOKENS,
+        token_us: TOKEN_US,
+        sent: 6,
+        is_answered: true,
+        ..Use::default()
+    };
+    let vm = VmName::from("entry-1");
+    planner.note_use(&ServerName::from("e1"), &adapter(), &vm, used, NOW);
+    planner
+}
+
+fn loads(planner: &mut Planner, now: MonoMs) -> Vec<SlotOrder> {
+    let actions = planner.plan(now).into_iter();
+    let orders = actions.filter_map(|action| match action {
+        SlotAction::Order(order) if order.load => Some(order),
+        _ => None,
+    });
+    orders.collect()
+}
+
+fn want(planner: &mut Planner, model: &str) {
+    let wanted = Wanted {
+        waiting: 1,
+        priority: 1,
+        copy: false,
+    };
+    planner.want(
+        &ModelName::from(model),
+        &VmName::from("entry-1"),
+        wanted,
+        NOW,
+    );
+}
+
+/// Three prompts take 360 ms to read, which is a third of the objective.
+#[test]
+fn an_engine_that_is_behind_gets_a_copy_elsewhere() {
+    let copies = loads(&mut planner(3), NOW);
+    assert_eq!(copies.len(), 1);
+    assert_eq!(copies[0].server.as_str(), "e2");
+    assert_eq!(copies[0].model, adapter());
+    assert!(loads(&mut planner(1), NOW).is_empty());
+}
+
+/// A copy would take the place of an adapter that no engine has.
+#[test]
+fn no_copy_is_made_while_adapters_wait_for_places() {
+    let mut planner = planner(3);
+    for number in 10..30 {
+        want(&mut planner, &format!("base/a{number}"));
+    }
+    let ordered = loads(&mut planner, NOW);
+    assert!(!ordered.is_empty());
+    assert!(ordered.iter().all(|order| order.model != adapter()));
+}
+
+#[test]
+fn the_wait_for_a_place_grows_with_the_queue() {
+    let mut planner = planner(0);
+    assert_eq!(planner.place_wait_ms(NOW), 0);
+    loads(&mut planner, NOW);
+    for number in 10..30 {
+        want(&mut planner, &format!("base/a{number}"));
+    }
+    loads(&mut planner, NOW);
+    let later = NOW.plus(200);
+    let long = planner.place_wait_ms(later);
+    assert!(long > 1_000, "{long}");
+    assert!(planner.place_wait_ms(NOW.plus(400)) > long);
+}
+
+#[test]
+fn a_request_is_refused_at_once_if_its_adapter_comes_too_late() {
+    let coming = Coming {
+        place_wait_ms: 4_000,
+        delay_ms: 120,
+        is_recent: true,
+    };
+    assert_eq!(coming.wait_ms(), 4_145);
+    assert_eq!(forecast::refuse_for(coming.wait_ms(), 2_000), Some(3_000));
+    assert_eq!(forecast::refuse_for(2_500, 2_000), None);
+    assert_eq!(forecast::refuse_for(0, 0), None);
+}
+
+#[test]
+fn mechanisms_are_switched_off_by_name() {
+    let off: Mechanisms = "early_release, place_forecast".parse().unwrap();
+    assert!(!off.has(Mechanism::EarlyRelease));
+    assert!(!off.has(Mechanism::PlaceForecast));
+    assert!(off.has(Mechanism::PromptBacklog));
+    let names = Mechanism::ALL.map(Mechanism::name).join(",");
+    let none: Mechanisms = names.parse().unwrap();
+    assert!(
+        Mechanism::ALL
+            .into_iter()
+            .all(|mechanism| !none.has(mechanism))
+    );
+    let error = "early_release,fast".parse::<Mechanisms>().unwrap_err();
+    assert!(error.to_string().contains("\"fast\""), "{error}");
+}
--- a/tests/engines/info.rs
+++ b/tests/engines/info.rs
@@ -9,6 +9,7 @@
         started_unix_ms,
         adapter_slots,
         run_slots,
+        target_latency_ms: 1_000,
         bases: vec![ModelName::from("base")],
         loadable: vec![ModelName::from("base")],
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -330,7 +330,7 @@
         };
         match admission::refuse_for(delay_ms, 600, 0) {
             Some(_) => refused += 1,
-            None => board.sent(&a),
+            None => board.sent(&a, 0),
         }
     }
     let occupied = board.get(&a).map(|view| view.in_flight).unwrap();
--- a/tests/holding.rs
+++ b/tests/holding.rs
@@ -8,6 +8,7 @@
     is_assigned: true,
     is_fresh: false,
     is_outranked: false,
+    needs_leader: false,
 };
 
 /// The core is cut in two equal halves: nobody can assign the orders anew.
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -12,6 +12,8 @@
 use info::info;
 use medlarlift::gateway::board::Board;
 use medlarlift::gateway::board::Distance;
+use medlarlift::mechanisms::Mechanism;
+use medlarlift::mechanisms::Mechanisms;
 use medlarlift::scheduling::slots::EngineReport;
 use medlarlift::scheduling::slots::Planner;
 use medlarlift::scheduling::slots::SlotAction;
@@ -53,17 +55,18 @@
 }
 
 fn first_home(board: &Board, model: &ModelName, near: bool) -> String {
-    board.homes(model, near)[0].as_str().to_owned()
+    let homes = board.homes(model, near, NOW);
+    homes[0].data_centre.as_str().to_owned()
 }
 
 #[test]
 fn a_rare_adapter_is_loaded_near_its_callers() {
     let board = board();
     for number in 0..200 {
-        let homes = board.homes(&adapter(number), false);
+        let homes = board.homes(&adapter(number), false, NOW);
         assert_eq!(homes.len(), CENTRES.len());
-        assert_eq!(homes[0].as_str(), "own");
-        assert_eq!(homes[1].as_str(), "neighbour");
+        assert_eq!(homes[0].data_centre.as_str(), "own");
+        assert_eq!(homes[1].data_centre.as_str(), "neighbour");
     }
 }
 
@@ -80,14 +83,33 @@
     assert_eq!(first_home(&board, &model, false), "own");
 }
 
+/// An adapter that was loaded in two places returns to the nearer one, which is hardly farther away in
+/// time than an engine nearby that has to load it from the store.
+#[test]
+fn all_engines_that_had_an_adapter_are_remembered() {
+    let mut board = board();
+    let model = adapter(1);
+    for engine in ["neighbour-2", "far-3-7"] {
+        let engine = ServerName::from(engine);
+        board.set_residency(&engine, &model, 1, Some(NOW));
+        board.set_residency(&engine, &model, 1, None);
+    }
+    assert_eq!(first_home(&board, &model, false), "neighbour");
+    let mechanisms = Mechanisms::default().without(Mechanism::LoadMemory);
+    let board = board.with(mechanisms);
+    assert_eq!(first_home(&board, &model, false), "far-3");
+}
+
 /// The far centres share the adapters that neither own centre can load, so that all VMs ask the same.
 #[test]
 fn far_centres_share_what_the_region_cannot_load() {
     let board = board();
     let mut asked: HashMap<String, usize> = HashMap::new();
     for number in 0..400 {
-        let third = board.homes(&adapter(number), false)[2].clone();
-        *asked.entry(third.as_str().to_owned()).or_default() += 1;
+        let third = board.homes(&adapter(number), false, NOW)[2].clone();
+        *asked
+            .entry(third.data_centre.as_str().to_owned())
+            .or_default() += 1;
     }
     assert_eq!(asked.len(), 4);
     assert!(asked.values().all(|count| *count > 60), "{asked:?}");
@@ -109,6 +131,7 @@
             sent: 1,
             early_age_ms: None,
             is_answered: true,
+            ..Use::default()
         };
         planner.note_use(&server, &busy, &vm, used, NOW);
     }
--- a/tests/hot.rs
+++ b/tests/hot.rs
@@ -119,9 +119,9 @@
             self.plan(now);
             if step.is_multiple_of(BUSY_STEPS) {
                 let near = DataCentre::from("near");
-                let busy = self.planner.busy();
+                let busy = self.planner.work();
                 for board in &mut self.boards {
-                    board.set_busy(&near, &busy, now);
+                    board.set_loads(&near, &busy, now);
                 }
             }
         }
@@ -143,7 +143,7 @@
             if is_full {
                 self.want(vm, &model, true, now);
             }
-            self.boards[vm].sent(&server);
+            self.boards[vm].sent(&server, 0);
             let used = self.uses[vm].entry((server.clone(), model.clone()));
             let (in_flight, sent) = used.or_default();
             *in_flight += 1;
@@ -197,6 +197,7 @@
                     sent: std::mem::take(sent),
                     early_age_ms: None,
                     is_answered: *in_flight > 0,
+                    ..Use::default()
                 };
                 self.planner
                     .note_use(server, model, &vm_name(vm), used, now);
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -8,9 +8,11 @@
 #[path = "overload/store.rs"]
 mod store;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use info::info;
+use medlarlift::mechanisms::Mechanism;
+use medlarlift::mechanisms::Mechanisms;
 use medlarlift::scheduling::slots::OrderOutcome;
 use medlarlift::scheduling::slots::Planner;
 use medlarlift::scheduling::slots::SlotAction;
@@ -35,6 +37,9 @@
 const PATIENCE_MS: u64 = 1_800;
 /// Time of a run.
 const RUN_MS: u64 = 1_500;
+/// Places of an engine that has few, and requests in a second for which they are too few.
+const FEW_PLACES: usize = 5;
+const FEW_PLACES_PER_S: f64 = 22.0;
 /// Time between two steps of the replay.
 const STEP_MS: u64 = 10;
 
@@ -45,7 +50,9 @@
     in_time: u32,
     late: u32,
     given_up: u32,
-    by_adapter: HashMap<ModelName, u32>,
+    /// Loads from the weight store.
+    from_store: u32,
+    by_adapter: BTreeMap<ModelName, u32>,
 }
 
 impl Outcome {
@@ -64,6 +71,7 @@
 }
 
 struct Replay {
+    patience_ms: u64,
     planner: Planner,
     fleet: Fleet,
     rng: StdRng,
@@ -75,17 +83,25 @@
 
 impl Replay {
     fn new(seed: u64) -> Self {
-        let mut planner = Planner::new(SlotsConfig::default());
+        Self::with(seed, PLACES, Mechanisms::default())
+    }
+
+    fn with(seed: u64, places: usize, mechanisms: Mechanisms) -> Self {
+        let mut planner = Planner::new(SlotsConfig {
+            mechanisms,
+            ..SlotsConfig::default()
+        });
         let servers: Vec<ServerName> = (0..ENGINES)
             .map(|n| ServerName::from(format!("e{n}")))
             .collect();
         for server in &servers {
-            let info = info(1, PLACES, 16);
+            let info = info(1, places, 16);
             planner.set_engine(server, info);
         }
         Self {
+            patience_ms: PATIENCE_MS,
             planner,
-            fleet: Fleet::new(&servers, PLACES),
+            fleet: Fleet::new(&servers, places),
             rng: StdRng::seed_from_u64(seed),
             popularity: Popularity::new(ADAPTERS),
             waiting: Vec::new(),
@@ -112,11 +128,12 @@
             self.serve(now);
             now = now.plus(STEP_MS);
         }
+        self.outcome.from_store = self.fleet.from_store();
         self.outcome
     }
 
     fn ask(&mut self, now: MonoMs) {
-        let mut counts: HashMap<ModelName, u32> = HashMap::new();
+        let mut counts: BTreeMap<ModelName, u32> = BTreeMap::new();
         for (model, _) in &self.waiting {
             *counts.entry(model.clone()).or_default() += 1;
         }
@@ -175,7 +192,7 @@
                     .push((server.clone(), model.clone(), now.plus(RUN_MS)));
                 let used = self.use_of(&server, &model, 1);
                 self.planner.note_use(&server, &model, &vm, used, now);
-            } else if waited_ms > PATIENCE_MS {
+            } else if waited_ms > self.patience_ms {
                 self.outcome.given_up += 1;
             } else {
                 self.waiting.push((model, since));
@@ -189,10 +206,58 @@
             sent,
             early_age_ms: None,
             is_answered: sent > 0,
+            ..Use::default()
         }
     }
 }
 
+/// Five places an engine and requests for more adapters at once than there are places.
+fn few_places(seed: u64, mechanisms: Mechanisms) -> Outcome {
+    Replay::with(seed, FEW_PLACES, mechanisms).run(FEW_PLACES_PER_S, 40)
+}
+
+/// Places that come free when their only request has ended serve more requests than places that wait
+/// for another one.
+#[test]
+fn few_places_serve_more_when_adapters_used_once_make_way() {
+    let without = Mechanisms::default().without(Mechanism::EarlyRelease);
+    let served = |mechanisms: Mechanisms| -> (u32, u32) {
+        let outcomes = (0..4).map(|seed| few_places(seed, mechanisms));
+        outcomes.fold((0, 0), |(in_time, served), outcome| {
+            (
+                in_time + outcome.in_time,
+                served + outcome.in_time + outcome.late,
+            )
+        })
+    };
+    let (early, late) = (served(Mechanisms::default()), served(without));
+    println!("in time and in all: {early:?}, without {late:?}");
+    assert!(early.0 > late.0 && early.1 > late.1, "{early:?} {late:?}");
+}
+
+/// With few places an adapter comes back often. On the engine that had it the load takes a tenth of the
+/// time and nothing from the store.
+#[test]
+fn few_places_load_less_from_the_store_when_adapters_return() {
+    let without = Mechanisms::default().without(Mechanism::LoadMemory);
+    let mut returning = (0, 0);
+    let mut anywhere = (0, 0);
+    for seed in 0..4 {
+        let outcome = few_places(seed, Mechanisms::default());
+        returning = (
+            returning.0 + outcome.from_store,
+            returning.1 + outcome.in_time,
+        );
+        let outcome = few_places(seed, without);
+        anywhere = (
+            anywhere.0 + outcome.from_store,
+            anywhere.1 + outcome.in_time,
+        );
+    }
+    println!("loads from the store and requests in time: {returning:?}, without {anywhere:?}");
+    assert!(returning.0 < anywhere.0, "{returning:?} {anywhere:?}");
+}
+
 /// The store brings 32 adapters a second; a third of the fleet has a third of the requests.
 #[test]
 fn a_cold_start_within_the_stores_rate_serves_nearly_all() {
--- a/tests/overload/store.rs
+++ b/tests/overload/store.rs
@@ -1,7 +1,7 @@
 //! Engines and a weight store as the planner sees them: the store serves some loads at full speed and
 //! more of them in proportion slower.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use medlarlift::scheduling::slots::EngineReport;
 use medlarlift::scheduling::slots::OrderOutcome;
@@ -22,16 +22,17 @@
 
 #[derive(Default)]
 struct Engine {
-    held: HashMap<ModelName, u32>,
-    coming: HashMap<ModelName, (f64, bool)>,
+    held: BTreeMap<ModelName, u32>,
+    coming: BTreeMap<ModelName, (f64, bool)>,
     before: Vec<ModelName>,
     sequence: u64,
 }
 
 /// The engines of one data centre.
 pub struct Fleet {
-    engines: HashMap<ServerName, Engine>,
+    engines: BTreeMap<ServerName, Engine>,
     places: usize,
+    from_store: u32,
 }
 
 impl Fleet {
@@ -41,9 +42,15 @@
         Self {
             engines: engines.collect(),
             places,
+            from_store: 0,
         }
     }
 
+    /// Loads from the store so far.
+    pub fn from_store(&self) -> u32 {
+        self.from_store
+    }
+
     /// Lets the loads go on.
     pub fn pass(&mut self, ms: u64) {
         let loads = self.engines.values().flat_map(|e| e.coming.values());
@@ -90,6 +97,7 @@
         }
         let is_reload = engine.before.contains(&order.model);
         let left_ms = if is_reload { RELOAD_MS } else { LOAD_MS };
+        self.from_store += u32::from(!is_reload);
         engine
             .coming
             .insert(order.model.clone(), (left_ms, !is_reload));
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -107,6 +107,7 @@
             sent,
             early_age_ms: None,
             is_answered: sent > 0,
+            ..Use::default()
         };
         self.note(name, used);
     }
@@ -308,6 +309,7 @@
         started_unix_ms: 2,
         adapter_slots: 2,
         run_slots: 16,
+        target_latency_ms: 1_000,
         bases: Vec::new(),
         loadable: vec![ModelName::from("base")],
     };
@@ -339,6 +341,7 @@
             started_unix_ms: 1,
             adapter_slots: 2,
             run_slots: 16,
+            target_latency_ms: 1_000,
             bases: Vec::new(),
             loadable: vec![ModelName::from("base")],
         };
@@ -393,6 +396,7 @@
             sent: 1,
             early_age_ms: None,
             is_answered: false,
+            ..Use::default()
         };
         bench.note(&name, unanswered);
     }
@@ -420,6 +424,7 @@
                 sent: 1,
                 early_age_ms: is_early.then_some(100),
                 is_answered: !is_early,
+                ..Use::default()
             };
             bench.note(&name, used);
         }
@@ -539,6 +544,7 @@
         sent: 1,
         early_age_ms: Some(0),
         is_answered: false,
+        ..Use::default()
     };
     bench.note("a1", early);
     assert_eq!(bench.planner.summary(bench.now).load_ms, 250);
