--- a/src/fleet/holding.rs
+++ b/src/fleet/holding.rs
@@ -48,6 +48,12 @@
         standing.is_assigned && may_go_on
     }
 
+    /// Whether a holder begins under an assignment that its own disk shows, before it has heard a
+    /// quorum since its start. An engine that knows a later holder turns it away.
+    pub fn resumes(self, is_first_quorum_awaited: bool, has_been_outranked: bool) -> bool {
+        self == Self::Checked && is_first_quorum_awaited && !has_been_outranked
+    }
+
     /// Time from an assignment to the first order of a holder that took over from another one. The
     /// former holder stops once it has not heard a quorum for a while, and was silent for longer when
     /// it was replaced.
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -1,6 +1,7 @@
 //! Carries out the orders to the engines of the data centres that this VM holds.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -75,6 +76,10 @@
     /// The last holder seen of each data centre.
     holders: BTreeMap<DataCentre, OrderHolder>,
     versions: Vec<(ModelName, u64)>,
+    /// Whether a quorum has been heard since the start of the process.
+    has_heard_quorum: bool,
+    /// Data centres whose engines knew a later holder.
+    outranked: BTreeSet<DataCentre>,
     is_stopped: bool,
 }
 
@@ -112,11 +117,18 @@
         if state.is_stopped {
             return;
         }
+        state.has_heard_quorum |= is_fresh;
         let mine = |centre: &DataCentre| {
             let holder = holders.get(centre);
             holder.filter(|holder| holder.vm == self.vm)
         };
-        state.held.retain(|centre, held| {
+        let State {
+            held, outranked, ..
+        } = &mut *state;
+        held.retain(|centre, held| {
+            if held.is_outranked {
+                outranked.insert(centre.clone());
+            }
             let is_assigned = mine(centre).is_some_and(|holder| holder.fence == held.fence);
             let keeps = self.fencing.keeps(Standing {
                 is_assigned,
@@ -130,7 +142,11 @@
             keeps
         });
         for (centre, holder) in holders {
-            if is_fresh && mine(centre).is_some() && !state.held.contains_key(centre) {
+            let is_outranked = state.outranked.contains(centre);
+            let resumes =
+                !self.needs_leader() && self.fencing.resumes(!state.has_heard_quorum, is_outranked);
+            let may_begin = is_fresh || resumes;
+            if may_begin && mine(centre).is_some() && !state.held.contains_key(centre) {
                 let before = state.holders.get(centre);
                 let took_over = before.is_some_and(|before| before.vm != self.vm)
                     || before.is_none() && now.0 < self.fencing.restart_ms() && holder.fence > 0;
--- a/tests/holding.rs
+++ b/tests/holding.rs
@@ -18,6 +18,24 @@
     assert!(!TIMED.keeps(CUT_OFF));
 }
 
+/// After a restart of all controllers the log has no leader for most of a second.
+#[test]
+fn a_holder_resumes_from_its_disk_where_engines_check_fences() {
+    assert!(Fencing::Checked.resumes(true, false));
+    assert!(!TIMED.resumes(true, false));
+    assert!(!Fencing::Checked.resumes(false, false));
+    assert!(!Fencing::Checked.resumes(true, true));
+}
+
+#[test]
+fn without_that_a_holder_needs_a_leader() {
+    let needs_leader = Standing {
+        needs_leader: true,
+        ..CUT_OFF
+    };
+    assert!(!Fencing::Checked.keeps(needs_leader));
+}
+
 #[test]
 fn a_holder_stops_when_an_engine_has_seen_a_higher_fence() {
     let outranked = Standing {
