fix(gateway): bytes without end from a backend server end their connection

A report without end was collected for 350 ms without a bound on its size, and an event without end was collected until the deadline. Ruled out: a head without end, which the parser bounds by itself.

What became of an order or a question for a report is a typed outcome and a log line (answer_lost).

--- /dev/null
+++ b/src/fleet/engine_call.rs
@@ -0,0 +1,112 @@
+//! Orders and questions to engines, with answers of bounded size and time.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use tokio::time::timeout;
+
+use crate::gateway::pool;
+use crate::gateway::pool::Pool;
+
+/// Longest wait for the answer to an order or a question.
+const ANSWER_MS: u64 = 350;
+/// Longest time to open a connection to an engine.
+const CONNECT_MS: u64 = 300;
+/// Largest answer to an order or a question. A report lists some hundred adapters and runs.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// Result of a call.
+pub(super) type Result<T> = std::result::Result<T, LostAnswer>;
+
+/// Connections to engines.
+#[derive(Default)]
+pub(super) struct EngineCalls {
+    pool: Mutex<Pool>,
+}
+
+impl EngineCalls {
+    fn pool(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks the engine at `address`.
+    ///
+    /// # Errors
+    /// Not the whole answer came, or it is larger than any that is expected.
+    pub(super) async fn ask(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+    ) -> Result<(StatusCode, Bytes)> {
+        let kept = self.pool().take(address, false);
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => {
+                let wait = Duration::from_millis(CONNECT_MS);
+                let connecting = pool::connect(address, wait).await;
+                connecting.map_err(|_| LostAnswer::Unreachable)?
+            }
+        };
+        let request = request.map(Full::new);
+        let answering = async {
+            let sent = connection.sender.send_request(request).await;
+            let response = sent.map_err(|_| LostAnswer::Broken)?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            let body = body.collect().await.map_err(LostAnswer::of_body)?;
+            Ok((status, body.to_bytes()))
+        };
+        let answered = timeout(Duration::from_millis(ANSWER_MS), answering).await;
+        let answer = answered.map_err(|_| LostAnswer::TimedOut)??;
+        self.pool().put(address, connection, None);
+        Ok(answer)
+    }
+}
+
+/// Why an engine's answer is missing. The connection is closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum LostAnswer {
+    /// No connection was opened.
+    Unreachable,
+    /// Not the whole answer came in time.
+    TimedOut,
+    /// The connection broke, or what came is no answer.
+    Broken,
+    /// The answer is larger than any that is expected.
+    TooLarge,
+    /// The engine refused the question.
+    Refused,
+    /// The body cannot be read.
+    Unreadable,
+}
+
+impl LostAnswer {
+    fn of_body(error: Box<dyn Error + Send + Sync>) -> Self {
+        match error.is::<LengthLimitError>() {
+            true => Self::TooLarge,
+            false => Self::Broken,
+        }
+    }
+
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::TimedOut => "timed_out",
+            Self::Broken => "broken",
+            Self::TooLarge => "too_large",
+            Self::Refused => "refused",
+            Self::Unreadable => "unreadable",
+        }
+    }
+}
--- a/src/fleet/log_line.rs
+++ b/src/fleet/log_line.rs
@@ -115,6 +115,23 @@
     }
 }
 
+/// An engine's answer to an order or a question for its report is missing.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct AnswerLost {
+    pub(super) server: ServerName,
+    /// What it was asked for.
+    pub(super) asked: &'static str,
+    pub(super) reason: &'static str,
+}
+
+impl Event for AnswerLost {
+    const KIND: &'static str = "answer_lost";
+
+    fn weight(&self) -> Weight {
+        Weight::Failure
+    }
+}
+
 /// This VM starts or stops ordering the engines of a data centre.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct HoldChange {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod control_links;
 mod control_vm;
 mod duties;
+mod engine_call;
 mod entry_feed;
 mod entry_vm;
 mod held;
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -8,21 +8,16 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
-
-use bytes::Bytes;
-use http::Request;
-use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use tokio::time::timeout;
 
 use super::control_core::Core;
 use super::control_links::Links;
 use super::control_vm::ControlConfig;
+use super::engine_call::EngineCalls;
+use super::engine_call::LostAnswer;
 use super::held::Held;
 use super::holding::Fencing;
 use super::holding::Standing;
+use super::log_line::AnswerLost;
 use super::log_line::HoldChange;
 use super::log_line::OrderDone;
 use super::log_line::SlotState;
@@ -30,8 +25,6 @@
 use crate::events::EventLog;
 use crate::gateway::EngineDialect;
 use crate::gateway::deployment::Deployment;
-use crate::gateway::pool;
-use crate::gateway::pool::Pool;
 use crate::link::AdapterUse;
 use crate::link::Frame;
 use crate::link::ResidencyNews;
@@ -54,11 +47,6 @@
 use crate::types::ServerName;
 use crate::types::VmName;
 
-/// Longest wait for the answer to an order or a question.
-const ANSWER_MS: u64 = 350;
-/// Longest time to open a connection to an engine.
-const CONNECT_MS: u64 = 300;
-
 /// The data centres that this VM holds.
 pub(super) struct OrderDesk {
     vm: VmName,
@@ -67,7 +55,7 @@
     mechanisms: Mechanisms,
     events: EventLog,
     state: Mutex<State>,
-    pool: Mutex<Pool>,
+    calls: EngineCalls,
 }
 
 #[derive(Default)]
@@ -92,7 +80,7 @@
             mechanisms: config.mechanisms,
             events: config.events.clone(),
             state: Mutex::default(),
-            pool: Mutex::default(),
+            calls: EngineCalls::default(),
         }
     }
 
@@ -100,10 +88,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn pool(&self) -> MutexGuard<'_, Pool> {
-        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Takes the assignments and the engines as they are now.
     pub(super) fn update(
         &self,
@@ -392,9 +376,12 @@
     ) {
         let began = core.now();
         let request = self.engines.order(&order, &self.vm, fence);
-        let outcome = match self.call(address, request).await {
-            Some((status, _)) => self.engines.read_order(&order, status),
-            None => OrderOutcome::Unknown,
+        let outcome = match self.calls.ask(address, request).await {
+            Ok((status, _)) => self.engines.read_order(&order, status),
+            Err(lost) => {
+                self.log_lost(&order.server, "order", lost);
+                OrderOutcome::Unknown
+            }
         };
         let now = core.now();
         self.events.emit(&OrderDone {
@@ -423,12 +410,17 @@
         server: ServerName,
     ) {
         let asked = core.now();
-        let answer = self.call(address, self.engines.report()).await;
-        let report = answer
-            .filter(|(status, _)| status.is_success())
-            .and_then(|(_, body)| self.engines.read_report(&body));
-        let Some(report) = report else {
-            return;
+        let report = match self.calls.ask(address, self.engines.report()).await {
+            Ok((status, body)) if status.is_success() => self
+                .engines
+                .read_report(&body)
+                .ok_or(LostAnswer::Unreadable),
+            Ok(_) => Err(LostAnswer::Refused),
+            Err(lost) => Err(lost),
+        };
+        let report = match report {
+            Ok(report) => report,
+            Err(lost) => return self.log_lost(&server, "report", lost),
         };
         let now = core.now();
         if let Some(held) = self.lock().held.get_mut(centre) {
@@ -436,30 +428,12 @@
         }
     }
 
-    async fn call(
-        &self,
-        address: SocketAddr,
-        request: Request<Bytes>,
-    ) -> Option<(StatusCode, Bytes)> {
-        let kept = self.pool().take(address, false);
-        let mut connection = match kept {
-            Some(connection) => connection,
-            None => {
-                let wait = Duration::from_millis(CONNECT_MS);
-                pool::connect(address, wait).await.ok()?
-            }
-        };
-        let request = request.map(Full::new);
-        let answering = async {
-            let response = connection.sender.send_request(request).await.ok()?;
-            let status = response.status();
-            let body = response.into_body().collect().await.ok()?.to_bytes();
-            Some((status, body))
-        };
-        let answered = timeout(Duration::from_millis(ANSWER_MS), answering).await;
-        let answer = answered.ok().flatten()?;
-        self.pool().put(address, connection.sender, None);
-        Some(answer)
+    fn log_lost(&self, server: &ServerName, asked: &'static str, lost: LostAnswer) {
+        self.events.emit(&AnswerLost {
+            server: server.clone(),
+            asked,
+            reason: lost.name(),
+        });
     }
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! One request from its head to its final answer.
 
+use std::error::Error;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -47,7 +49,7 @@
 /// Least time after which a repeatable request goes to another server.
 const MIN_PATIENCE_MS: u64 = 900;
 /// Largest answer that is kept in memory before it is passed on.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
 /// Rank of a request at an engine for each rank of its route.
 const ENGINE_PRIORITY_STEP: u8 = 2;
 /// Lowest rank at an engine.
@@ -324,11 +326,18 @@
 
     async fn read_whole(&self, reply: Reply) -> Result<Read, Miss> {
         let (parts, body) = reply.response.into_parts();
-        let limited = Limited::new(body, MAX_ANSWER_BYTES);
+        let meter = reply.exchanged.meter();
+        let counted = body.map_frame(move |frame| {
+            meter.delivered(frame.data_ref().map_or(0, Bytes::len));
+            frame
+        });
+        let limited = Limited::new(counted, MAX_ANSWER_BYTES);
         let collected = limited.collect().await;
-        let bytes = collected
-            .map_err(|_| Miss::Lost("answer_cut_off"))?
-            .to_bytes();
+        let lost = |error: Box<dyn Error + Send + Sync>| match error.is::<LengthLimitError>() {
+            true => Miss::Lost("answer_too_large"),
+            false => Miss::Lost("answer_cut_off"),
+        };
+        let bytes = collected.map_err(lost)?.to_bytes();
         reply.exchanged.finish(&self.gateway);
         let mut answer = Response::from_parts(parts, bytes);
         strip_connection_headers(answer.headers_mut());
@@ -365,6 +374,7 @@
                 if let Ok(first) = frame.into_data()
                     && !first.is_empty()
                 {
+                    reply.exchanged.meter().delivered(first.len());
                     reply.exchanged.began();
                     return Ok(Read::Stream(Box::new(reply), first));
                 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -12,7 +12,6 @@
 use http::Uri;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -20,6 +19,7 @@
 use super::context::Gateway;
 use super::dialect::AnswerHead;
 use super::dialect::SendFacts;
+use super::meter::Meter;
 use super::pool;
 use crate::registry::Announcement;
 use crate::types::ModelName;
@@ -60,11 +60,16 @@
 /// The connection of an answer whose body is still to be read, and the request's place at the server.
 pub(super) struct Exchanged {
     head: AnswerHead,
-    sender: SendRequest<Full<Bytes>>,
+    connection: pool::Connection,
     guard: InFlight,
 }
 
 impl Exchanged {
+    /// Counts bytes of the body.
+    pub(super) fn meter(&self) -> Meter {
+        self.connection.meter.clone()
+    }
+
     /// Notes the first event of the answer.
     pub(super) fn began(&mut self) {
         self.guard.began();
@@ -77,7 +82,7 @@
             let address = self.guard.target.address;
             gateway
                 .pool()
-                .put(address, self.sender, self.head.keep_idle);
+                .put(address, self.connection, self.head.keep_idle);
         }
     }
 }
@@ -218,7 +223,7 @@
         response,
         exchanged: Exchanged {
             head,
-            sender: connection.sender,
+            connection,
             guard,
         },
     })
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod exchange;
 mod forward;
 mod homes;
+mod meter;
 mod open_record;
 mod pick;
 mod quota;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -16,6 +16,9 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use super::meter::Meter;
+use super::meter::Metered;
+
 /// Time for which a connection is kept if the server does not tell its own limit.
 const DEFAULT_IDLE_MS: u64 = 900;
 /// Longest time for which a connection is kept.
@@ -33,6 +36,8 @@
 pub struct Connection {
     /// Sends one request at a time.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Counts the bytes of its answer.
+    pub(crate) meter: Meter,
 }
 
 /// No connection to a backend server.
@@ -50,7 +55,7 @@
 
 #[derive(Debug)]
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     since: Instant,
     until: Instant,
 }
@@ -69,32 +74,27 @@
         while let Some(candidate) = idle.pop() {
             let fresh = now.duration_since(candidate.since).as_millis() as u64;
             let is_fit = may_repeat || fresh <= UNREPEATABLE_IDLE_MS;
-            if now < candidate.until && is_fit && candidate.sender.is_ready() {
-                return Some(Connection {
-                    sender: candidate.sender,
-                });
+            let is_open = candidate.connection.sender.is_ready();
+            if now < candidate.until && is_fit && is_open {
+                candidate.connection.meter.begin();
+                return Some(candidate.connection);
             }
         }
         None
     }
 
     /// Keeps a connection whose answer was read to its end.
-    pub fn put(
-        &mut self,
-        address: SocketAddr,
-        sender: SendRequest<Full<Bytes>>,
-        keep: Option<Duration>,
-    ) {
+    pub fn put(&mut self, address: SocketAddr, connection: Connection, keep: Option<Duration>) {
         let now = Instant::now();
         let keep = keep.map_or(Duration::from_millis(DEFAULT_IDLE_MS), |told| {
             told.mul_f64(0.8).min(Duration::from_millis(MAX_IDLE_MS))
         });
         let idle = self.idle.entry(address).or_default();
-        if sender.is_closed() || idle.len() >= MAX_IDLE_CONNECTIONS {
+        if connection.sender.is_closed() || idle.len() >= MAX_IDLE_CONNECTIONS {
             return;
         }
         idle.push(Idle {
-            sender,
+            connection,
             since: now,
             until: now + keep,
         });
@@ -104,7 +104,7 @@
     pub fn prune(&mut self) {
         let now = Instant::now();
         self.idle.retain(|_, idle| {
-            idle.retain(|one| now < one.until && !one.sender.is_closed());
+            idle.retain(|one| now < one.until && !one.connection.sender.is_closed());
             !idle.is_empty()
         });
     }
@@ -127,6 +127,8 @@
         .map_err(|error| failed(error.to_string()))?;
     let _ = stream.set_nodelay(true);
     watch_peer(&stream);
+    let meter = Meter::default();
+    let stream = Metered::new(stream, meter.clone());
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| failed(error.to_string()))?;
@@ -134,7 +136,7 @@
         // How the connection ended shows in the request that it carries.
         let _ = connection.await;
     });
-    Ok(Connection { sender })
+    Ok(Connection { sender, meter })
 }
 
 /// Makes the kernel notice a peer that is gone without a reset.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -27,6 +27,8 @@
 use super::forward::Reply;
 use super::record::RequestRecord;
 
+/// Largest event that is kept until it is complete. An event holds some tokens.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// End of an event.
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -72,6 +74,14 @@
     }
 }
 
+impl Source {
+    fn delivered(&self, bytes: usize) {
+        if let Some(rest) = &self.rest {
+            rest.meter().delivered(bytes);
+        }
+    }
+}
+
 struct Relay {
     exchange: Exchange,
     record: Option<RequestRecord>,
@@ -97,9 +107,13 @@
             let broken = match timeout_at(deadline, self.source.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
+                        self.source.delivered(data.len());
                         self.ready = self.accept(&data);
                     }
-                    continue;
+                    if self.pending.len() <= MAX_EVENT_BYTES {
+                        continue;
+                    }
+                    "event_too_large"
                 }
                 Ok(None) if self.pending.is_empty() => return self.finish(),
                 Ok(None) => "stream_ends_in_event",
