feat(cli): losses and explain read the structured logs of several processes

Lost and late requests by reason, state of the adapter, route, account and second, with what was waited; damaged and truncated lines are counted. The request line tells the objective.

--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod ask;
 pub mod check;
+pub mod losses;
 pub mod serve;
 pub mod standin;
 
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -65,6 +65,7 @@
     record.deployment_version = deployment.version;
     let route = find_route(&deployment, parts)?;
     record.route = Some(route.name.clone());
+    record.target_ms = route.target_latency_ms;
     let account = find_account(&deployment, &route, &caller)?;
     record.account = account.as_ref().map(|account| account.name.clone());
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
@@ -76,16 +77,7 @@
     gateway.count_request(&service);
     let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
     let is_popular = adapter.is_some_and(|model| gateway.count_demand(model));
-    let template = Template {
-        request_id: caller.request_id.clone(),
-        method: parts.method.clone(),
-        uri: parts.uri.clone(),
-        headers: end_to_end(&parts.headers),
-        body,
-        model: caller.model.clone(),
-        prompt_tokens: caller.prompt_tokens.unwrap_or(0),
-        may_repeat: route.repeat.may_run_again(),
-    };
+    let template = template(parts, body, &caller, &route);
     Ok(Exchange {
         past: Past {
             repeat: route.repeat,
@@ -108,6 +100,19 @@
     })
 }
 
+fn template(parts: &Parts, body: Bytes, caller: &CallerHead, route: &Route) -> Template {
+    Template {
+        request_id: caller.request_id.clone(),
+        method: parts.method.clone(),
+        uri: parts.uri.clone(),
+        headers: end_to_end(&parts.headers),
+        body,
+        model: caller.model.clone(),
+        prompt_tokens: caller.prompt_tokens.unwrap_or(0),
+        may_repeat: route.repeat.may_run_again(),
+    }
+}
+
 fn is_engine(deployment: &Deployment, service: &ServiceName) -> bool {
     let known = deployment.services.get(service);
     known.is_some_and(|service| service.engine.is_some())
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -19,6 +19,8 @@
     pub route: Option<Arc<str>>,
     /// Version of the configuration that decided.
     pub deployment_version: u64,
+    /// Objective of the route; 0 before it is known.
+    pub target_ms: u64,
     /// Client account.
     pub account: Option<AccountName>,
     /// Model or adapter.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lease;
 pub mod limits;
 pub mod link;
+pub mod losses;
 pub mod mechanisms;
 pub mod membership;
 pub mod metrics;
--- /dev/null
+++ b/src/losses/tables.rs
@@ -0,0 +1,160 @@
+//! Lost and late requests, counted by what they have in common.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use super::adapters::Loads;
+use super::log_lines::Lines;
+use super::log_lines::RequestLine;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    /// Answered within its objective.
+    InTime,
+    /// Answered later.
+    Late,
+    /// Refused: it has not run.
+    Refused,
+    /// Anything else.
+    Failed,
+}
+
+impl Fate {
+    /// How `request` ended.
+    pub fn of(request: &RequestLine) -> Self {
+        let is_late = request.target_ms > 0 && request.first_ms > request.target_ms;
+        match (request.status, request.reason.is_some()) {
+            (200..=299, false) if is_late => Self::Late,
+            (200..=299, false) => Self::InTime,
+            (429 | 503, _) => Self::Refused,
+            _ => Self::Failed,
+        }
+    }
+}
+
+/// Requests that have one thing in common.
+#[derive(Clone, Debug, Default)]
+struct Group {
+    in_time: usize,
+    late: usize,
+    refused: usize,
+    failed: usize,
+    /// Waits of those that were not answered in time.
+    waited_ms: Vec<u64>,
+}
+
+impl Group {
+    fn add(&mut self, request: &RequestLine) {
+        match Fate::of(request) {
+            Fate::InTime => return self.in_time += 1,
+            Fate::Late => self.late += 1,
+            Fate::Refused => self.refused += 1,
+            Fate::Failed => self.failed += 1,
+        }
+        self.waited_ms.push(request.waited_ms);
+    }
+
+    fn lost(&self) -> usize {
+        self.late + self.refused + self.failed
+    }
+
+    /// The wait that a part of the lost and late requests did not reach.
+    fn wait_ms(&self, part: f64) -> u64 {
+        let mut sorted = self.waited_ms.clone();
+        sorted.sort_unstable();
+        let at = (sorted.len() as f64 * part) as usize;
+        let last = sorted.len().saturating_sub(1);
+        sorted.get(at.min(last)).copied().unwrap_or(0)
+    }
+}
+
+/// Groups of requests under one heading, those with most losses first.
+#[derive(Clone, Debug)]
+pub struct Table {
+    heading: &'static str,
+    rows: Vec<(String, Group)>,
+}
+
+impl Table {
+    /// Names of the groups.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.rows.iter().map(|(name, _)| name.as_str())
+    }
+
+    /// Lost and late requests of a group.
+    pub fn lost(&self, name: &str) -> usize {
+        let row = self.rows.iter().find(|(other, _)| other == name);
+        row.map_or(0, |(_, group)| group.lost())
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            out,
+            "{:<32} {:>8} {:>8} {:>8} {:>8} {:>12} {:>12}",
+            self.heading, "in time", "late", "refused", "failed", "wait p50 ms", "wait p90 ms"
+        )?;
+        for (name, group) in &self.rows {
+            writeln!(
+                out,
+                "{name:<32} {:>8} {:>8} {:>8} {:>8} {:>12} {:>12}",
+                group.in_time,
+                group.late,
+                group.refused,
+                group.failed,
+                group.wait_ms(0.5),
+                group.wait_ms(0.9)
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// Tables by reason, adapter, route, account and second.
+pub fn tables(lines: &Lines) -> Vec<Table> {
+    let loads = Loads::new(&lines.orders);
+    let begin = lines.requests.iter().map(RequestLine::arrived_unix_ms);
+    let begin = begin.min().unwrap_or(0);
+    let by = |heading, name: &dyn Fn(&RequestLine) -> String| {
+        let mut groups: BTreeMap<String, Group> = BTreeMap::new();
+        for request in &lines.requests {
+            groups.entry(name(request)).or_default().add(request);
+        }
+        let rows = groups.into_iter().collect();
+        Table { heading, rows }
+    };
+    let unknown = || "unknown".to_owned();
+    let mut all = vec![
+        by(
+            "reason",
+            &|request| match (&request.reason, request.status) {
+                (Some(reason), _) => reason.clone(),
+                (None, 200..=299) => "answered".to_owned(),
+                (None, status) => format!("status {status} of a server"),
+            },
+        ),
+        by("adapter", &|request| {
+            let model = request.model.as_ref();
+            let state = loads.state(model, request.arrived_unix_ms(), request.at_unix_ms);
+            state.name().to_owned()
+        }),
+        by("route", &|request| {
+            request.route.clone().unwrap_or_else(unknown)
+        }),
+        by("account", &|request| {
+            let account = request.account.as_ref();
+            account.map_or_else(unknown, |account| account.as_str().to_owned())
+        }),
+    ];
+    for table in &mut all {
+        table
+            .rows
+            .sort_by_key(|(_, group)| std::cmp::Reverse(group.lost()));
+    }
+    all.push(by("second", &|request| {
+        format!("{:>6}", (request.arrived_unix_ms() - begin) / 1_000)
+    }));
+    all
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,6 +19,8 @@
         .subcommand(commands::admin::command())
         .subcommand(commands::ask::command())
         .subcommand(commands::check::command())
+        .subcommand(commands::losses::explain_command())
+        .subcommand(commands::losses::losses_command())
         .subcommand(commands::serve::command())
         .subcommand(commands::standin::command())
 }
@@ -43,6 +45,8 @@
         Some(("admin", arguments)) => commands::admin::run(arguments).await,
         Some(("serve", arguments)) => commands::serve::run(arguments).await,
         Some(("check", arguments)) => commands::check::run(arguments),
+        Some(("explain", arguments)) => commands::losses::explain(arguments),
+        Some(("losses", arguments)) => commands::losses::losses(arguments),
         Some(("standin", arguments)) => commands::standin::run(arguments).await,
         _ => ExitCode::FAILURE,
     }
--- a/src/scheduling/slots/mod.rs
+++ b/src/scheduling/slots/mod.rs
@@ -16,6 +16,7 @@
 mod spread;
 mod turnover;
 mod types;
+mod wishes;
 
 pub use engine::EngineInfo;
 pub use engine::EngineReport;
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -128,7 +128,7 @@
             self.serve(now);
             now = now.plus(STEP_MS);
         }
-        self.outcome.from_store = self.fleet.from_store();
+        self.outcome.from_store = self.fleet.store_loads();
         self.outcome
     }
 
--- a/tests/overload/store.rs
+++ b/tests/overload/store.rs
@@ -47,7 +47,7 @@
     }
 
     /// Loads from the store so far.
-    pub fn from_store(&self) -> u32 {
+    pub fn store_loads(&self) -> u32 {
         self.from_store
     }
 
