--- a/src/fleet/entry_feed.rs
+++ b/src/fleet/entry_feed.rs
@@ -183,6 +183,25 @@
         }
     }
 
+    /// Withdraws the wishes that no request waits for any more, wherever they were made.
+    pub(super) fn withdraw_wishes(&self) {
+        let left = self.gateway().waits.take_left();
+        if left.is_empty() {
+            return;
+        }
+        let wants: Vec<Want> = left.into_iter().map(Want::withdrawn).collect();
+        let state = self.lock();
+        let statuses = state
+            .links
+            .values()
+            .filter_map(|link| link.status.as_ref().map(|status| (&link.session, status)));
+        for (session, status) in statuses {
+            for (data_centre, _) in &status.holds {
+                session.send(&Frame::Wants(data_centre.clone(), wants.clone()));
+            }
+        }
+    }
+
     fn on_status(&self, session: &Session, status: ControlStatus) {
         let now = self.clock.mono();
         let mut state = self.lock();
--- a/src/fleet/entry_vm.rs
+++ b/src/fleet/entry_vm.rs
@@ -64,6 +64,7 @@
     _dialer: Dialer,
     regular: JoinHandle<()>,
     uses: JoinHandle<()>,
+    wishes: JoinHandle<()>,
 }
 
 impl EntryVm {
@@ -103,6 +104,7 @@
         let handler: Arc<dyn Handler> = Arc::clone(&feed) as Arc<dyn Handler>;
         let dialer = Dialer::spawn(config.hello, targets, handler);
         let uses = tell_uses(Arc::clone(&feed), Arc::clone(&gateway));
+        let wishes = withdraw_wishes(Arc::clone(&feed), Arc::clone(&gateway));
         let regular = work_regularly(feed, Arc::clone(&gateway), Arc::clone(&readiness));
         events.emit(&Lifecycle {
             phase: "started",
@@ -115,6 +117,7 @@
             _dialer: dialer,
             regular: tokio::spawn(regular),
             uses: tokio::spawn(uses),
+            wishes: tokio::spawn(wishes),
         })
     }
 
@@ -139,6 +142,7 @@
         self.gateway.answer_waiting_by(answered);
         let is_done = timeout_at(last, self.acceptor.drain()).await.is_ok();
         self.uses.abort();
+        self.wishes.abort();
         let detail = if is_done {
             "all work ended"
         } else {
@@ -163,6 +167,16 @@
     }
 }
 
+/// Withdraws wishes that no request waits for any more, with a pause in which further ones gather.
+async fn withdraw_wishes(feed: Arc<EntryFeed>, gateway: Arc<Gateway>) {
+    let ceased = gateway.waits.ceased();
+    while gateway.has(Mechanism::WishWithdrawal) {
+        ceased.notified().await;
+        sleep(Duration::from_millis(USES_PAUSE_MS)).await;
+        feed.withdraw_wishes();
+    }
+}
+
 async fn work_regularly(feed: Arc<EntryFeed>, gateway: Arc<Gateway>, readiness: Arc<Readiness>) {
     let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -230,7 +230,7 @@
         };
         let present: Vec<_> = wants
             .iter()
-            .filter(|want| !want.copy)
+            .filter(|want| !want.copy && want.waiting > 0)
             .flat_map(|want| held.planner.presence(&want.model))
             .collect();
         if !present.is_empty() {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -157,7 +157,7 @@
     }
 
     /// Whether a decision is at work.
-    pub(super) fn has(&self, mechanism: Mechanism) -> bool {
+    pub fn has(&self, mechanism: Mechanism) -> bool {
         self.config.mechanisms.has(mechanism)
     }
 
--- a/src/gateway/waits.rs
+++ b/src/gateway/waits.rs
@@ -24,6 +24,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Waits {
     waiting: Arc<Mutex<HashMap<ModelName, Waiting>>>,
+    /// Adapters that requests have ceased to wait for.
+    left: Arc<Mutex<Vec<ModelName>>>,
+    /// Wakes whoever withdraws the wishes for them.
+    ceased: Arc<Notify>,
 }
 
 /// One waiting request. It stops waiting when dropped.
@@ -54,6 +58,23 @@
         (guard, entry.count == 1)
     }
 
+    /// Wakes whoever withdraws wishes that no request waits for any more.
+    pub fn ceased(&self) -> Arc<Notify> {
+        Arc::clone(&self.ceased)
+    }
+
+    /// Adapters that requests have ceased to wait for since the last call, and that none waits for now.
+    pub fn take_left(&self) -> Vec<ModelName> {
+        let mut left = std::mem::take(&mut *self.lock_left());
+        let waiting = self.lock();
+        left.retain(|model| !waiting.contains_key(model));
+        left
+    }
+
+    fn lock_left(&self) -> MutexGuard<'_, Vec<ModelName>> {
+        self.left.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether a request waits for `model`.
     pub fn has(&self, model: &ModelName) -> bool {
         self.lock().contains_key(model)
@@ -108,6 +129,9 @@
             entry.count -= 1;
             if entry.count == 0 {
                 waiting.remove(&self.model);
+                drop(waiting);
+                self.waits.lock_left().push(self.model.clone());
+                self.waits.ceased.notify_one();
             }
         }
     }
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -115,7 +115,7 @@
 pub struct Want {
     /// The adapter.
     pub model: ModelName,
-    /// Requests that wait.
+    /// Requests that wait; 0 if none does any more.
     pub waiting: u32,
     /// Rank of the most urgent one, 0 first.
     pub priority: u8,
@@ -123,6 +123,18 @@
     pub copy: bool,
 }
 
+impl Want {
+    /// Tells that no request waits for `model` any more.
+    pub fn withdrawn(model: ModelName) -> Self {
+        Self {
+            model,
+            waiting: 0,
+            priority: u8::MAX,
+            copy: false,
+        }
+    }
+}
+
 /// Use of one adapter on one engine by one entry VM.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AdapterUse {
--- a/src/mechanisms.rs
+++ b/src/mechanisms.rs
@@ -18,6 +18,8 @@
     LoadMemory,
     /// No copies are made while adapters that no engine has wait for places.
     ScarceCopies,
+    /// A wish is withdrawn as soon as no request waits for it.
+    WishWithdrawal,
     /// Crowded engines get copies of their most used adapters elsewhere.
     CrowdedCopies,
     /// Data centres get copies of adapters that their callers often send far for.
@@ -44,12 +46,13 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::EarlyRelease,
         Self::PromptBacklog,
         Self::PlaceForecast,
         Self::LoadMemory,
         Self::ScarceCopies,
+        Self::WishWithdrawal,
         Self::CrowdedCopies,
         Self::NearCopies,
         Self::LastEngine,
@@ -71,6 +74,7 @@
             Self::PlaceForecast => "place_forecast",
             Self::LoadMemory => "load_memory",
             Self::ScarceCopies => "scarce_copies",
+            Self::WishWithdrawal => "wish_withdrawal",
             Self::CrowdedCopies => "crowded_copies",
             Self::NearCopies => "near_copies",
             Self::LastEngine => "last_engine",
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -26,7 +26,7 @@
 const LOAD_AGAIN_MS: u64 = 40;
 
 /// The planner of one data centre's engines.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Planner {
     pub(super) config: SlotsConfig,
     pub(super) engines: IndexMap<ServerName, Engine>,
--- a/src/scheduling/slots/types.rs
+++ b/src/scheduling/slots/types.rs
@@ -113,7 +113,7 @@
 /// An adapter that requests wait for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Wanted {
-    /// Requests that wait.
+    /// Requests that wait; 0 if none does any more.
     pub waiting: u32,
     /// Rank of the most urgent one, 0 first.
     pub priority: u8,
--- a/src/scheduling/slots/wishes.rs
+++ b/src/scheduling/slots/wishes.rs
@@ -43,6 +43,9 @@
 impl Planner {
     /// Notes that requests of a VM wait for `model`.
     pub fn want(&mut self, model: &ModelName, vm: &VmName, wanted: Wanted, now: MonoMs) {
+        if wanted.waiting == 0 {
+            return self.withdraw(model, vm);
+        }
         let want = self.wants.entry(model.clone()).or_insert_with(|| Want {
             wanted,
             waiting: HashMap::new(),
@@ -56,6 +59,18 @@
         want.wanted.priority = want.wanted.priority.min(wanted.priority);
     }
 
+    /// Drops the wish of a VM, and the adapter's if no other VM has one.
+    fn withdraw(&mut self, model: &ModelName, vm: &VmName) {
+        let Some(want) = self.wants.get_mut(model) else {
+            return;
+        };
+        want.waiting.remove(vm);
+        want.wanted.waiting = want.waiting.values().sum();
+        if want.waiting.is_empty() {
+            self.wants.shift_remove(model);
+        }
+    }
+
     /// Notes that another data centre loads `model`. The VMs that wait for it learn the same.
     pub fn loads_elsewhere(&mut self, model: &ModelName, now: MonoMs) {
         if self.config.mechanisms.has(Mechanism::LoadsElsewhere) {
--- a/tests/backlog.rs
+++ b/tests/backlog.rs
@@ -174,6 +174,27 @@
     assert!(ordered.iter().all(|order| order.model != adapter()));
 }
 
+/// Its request was answered by another data centre or has left: a load would take a place for nobody.
+#[test]
+fn a_withdrawn_wish_is_not_loaded() {
+    let mut planner = planner(0);
+    let model = ModelName::from("base/a10");
+    let others = VmName::from("entry-2");
+    want(&mut planner, model.as_str());
+    let mut wanted = Wanted {
+        waiting: 1,
+        priority: 1,
+        copy: false,
+    };
+    planner.want(&model, &others, wanted, NOW);
+    wanted.waiting = 0;
+    planner.want(&model, &others, wanted, NOW);
+    let mut still_wanted = planner.clone();
+    assert_eq!(loads(&mut still_wanted, NOW).len(), 1);
+    planner.want(&model, &VmName::from("entry-1"), wanted, NOW);
+    assert!(loads(&mut planner, NOW).is_empty());
+}
+
 #[test]
 fn the_wait_for_a_place_grows_with_the_queue() {
     let mut planner = planner(0);
