--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -222,10 +222,12 @@
     fn finish_loads(&mut self, now: MonoMs) {
         for engine in self.engines.values_mut() {
             for place in engine.places.values_mut() {
-                if matches!(place.phase, Phase::Loading { ready } if ready <= now) {
+                if let Phase::Loading { ready } = place.phase
+                    && ready <= now
+                {
                     place.phase = Phase::Ready;
                     // The requests that wait for it are on their way.
-                    place.last_used = now;
+                    place.last_used = place.last_used.max(ready);
                 }
             }
         }
