--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -34,6 +34,7 @@
 use super::forward::Reply;
 use super::forward::SendFailure;
 use super::forward::Template;
+use super::framing::Framing;
 use super::quota::TokenGrant;
 use super::record::RequestRecord;
 use super::record_guard::RecordGuard;
@@ -163,7 +164,7 @@
                 Err(refusal) => return self.fallback_answer(failure, refusal),
             };
             record.servers.push(server.clone());
-            let sent = self.send_once(&server, last_event).await;
+            let sent = self.send_once(&server, last_event, record).await;
             let ended = match sent {
                 Ok(Answer::Complete(response)) if response.status().is_server_error() => {
                     record.sends.push("server_error");
@@ -252,6 +253,7 @@
         &mut self,
         server: &ServerName,
         last_event: Option<u64>,
+        record: &mut RequestRecord,
     ) -> Result<Answer, SendFailure> {
         let metadata = self.metadata(server, last_event);
         let answer_deadline = self.answer_deadline(server);
@@ -264,6 +266,7 @@
             Ok(reply) => reply,
             Err(send_failure) => return Err(self.count_send_failure(send_failure)),
         };
+        record.framing = Some(Framing::of(reply.response.headers()));
         if let Some(taken) = self.taken.take() {
             self.gateway.quota.settle(taken);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod dialect;
 mod exchange;
 mod forward;
+mod framing;
 mod limited_servers;
 mod load_targets;
 mod meter;
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+use super::framing::Framing;
 use crate::events::Event;
 use crate::events::Severity;
 use crate::types::AccountName;
@@ -41,6 +42,10 @@
     pub total_ms: u64,
     /// Events of a stream that were passed on.
     pub events: u64,
+    /// How the end of the last answer was marked.
+    pub framing: Option<Framing>,
+    /// Whether a stream ended inside an event.
+    pub ends_in_event: bool,
 }
 
 impl Event for RequestRecord {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -46,6 +46,7 @@
         record: Some(record),
         source,
         pending: BytesMut::new(),
+        tail: [0; EVENT_END.len()],
         ready: None,
         last_event: None,
         is_over: false,
@@ -88,6 +89,8 @@
     source: Source,
     /// Bytes after the last complete event.
     pending: BytesMut,
+    /// Last bytes received, to tell whether an event is complete.
+    tail: [u8; EVENT_END.len()],
     ready: Option<Bytes>,
     last_event: Option<u64>,
     is_over: bool,
@@ -133,6 +136,10 @@
 
     /// Bytes that can be passed on now.
     fn accept(&mut self, data: &Bytes) -> Option<Bytes> {
+        for byte in data {
+            self.tail.rotate_left(1);
+            self.tail[EVENT_END.len() - 1] = *byte;
+        }
         if !self.is_resumable() {
             return Some(data.clone());
         }
@@ -197,6 +204,7 @@
     fn log_end(&mut self) {
         if let Some(mut record) = self.record.take() {
             record.total_ms = elapsed_ms(self.exchange.started);
+            record.ends_in_event = self.tail != EVENT_END;
             self.exchange.gateway.log_request(&record);
         }
     }
