--- a/tests/path/answers.rs
+++ b/tests/path/answers.rs
@@ -152,3 +152,23 @@
         check_fault(&deployment, "cut", 3),
     );
 }
+
+/// Guards against an answer that its engine broke off inside an event and that looks complete,
+/// because the end of its connection is the end of its body.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_ends_inside_an_event_ends_with_an_error() {
+    let deployment = Builder::new(1).engines(1, |_| {}).start().await;
+    let _fake = FakeEngine::start(&deployment).await;
+    let unframed = completion(FAKE_MODEL, "unframed", 4);
+    let reply = deployment
+        .eventually(|| call(deployment.callers[0], NORTH, &unframed))
+        .await;
+    let value = reply.value();
+    let text = caller_api::completion_text(&value);
+    assert_eq!(text, Some("own own own own "));
+    tokio::join!(
+        check_fault(&deployment, "cut_in_event", 0),
+        check_fault(&deployment, "cut_in_event", 1),
+        check_fault(&deployment, "cut_in_event", 3),
+    );
+}
--- a/tests/path/fake_engine.rs
+++ b/tests/path/fake_engine.rs
@@ -10,6 +10,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use hyper::body::Incoming;
 use medlarlift::standin::client::Call;
 use medlarlift::standin::client::HttpClient;
@@ -145,14 +146,30 @@
             if index == at && fault == "cut" {
                 return Some(server::events(stream::iter(frames)));
             }
+            if index == at && fault == "cut_in_event" {
+                let mut part = frame(completion, index, "good");
+                part.truncate(part.len() - 1);
+                frames.push(part);
+                return Some(ends_with_connection(frames));
+            }
             let fault = if index == at { fault } else { "good" };
             frames.push(frame(completion, index, fault));
         }
         frames.push(Bytes::from_static(b"data: [DONE]\n\n"));
-        Some(server::events(stream::iter(frames)))
+        Some(match fault {
+            "unframed" => ends_with_connection(frames),
+            _ => server::events(stream::iter(frames)),
+        })
     }
 }
 
+/// A response that has neither a length nor chunks and ends with its connection, as in HTTP/1.0.
+fn ends_with_connection(frames: Vec<Bytes>) -> Response<Body> {
+    let mut response = server::events(stream::iter(frames));
+    *response.version_mut() = Version::HTTP_10;
+    response
+}
+
 fn frame(completion: &Completion, index: u64, fault: &str) -> Bytes {
     let last = index + 1 == completion.max_tokens;
     let mut chunk = json!({
@@ -171,7 +188,7 @@
         "index" => id += 1,
         _ => {}
     }
-    if fault != "good" {
+    if !matches!(fault, "good" | "unframed") {
         chunk["choices"][0]["text"] = json!(FOREIGN);
     }
     Bytes::from(format!("id: {id}\ndata: {chunk}\n\n"))
