fix(gateway): a stream that ends inside an event has been broken off

Cause: the relay held back partial events only of resumable streams. It passed all other bytes on as they came and took the end of the body for the end of the stream. An answer with neither a length nor chunks ends with its connection, so the close by a crash looked like its end.

Evidence: both requests are logged as status 200, reason null, one send 'answered', while the crashed streams whose framing shows the break are logged as stream_cut_off. Ruled out by these lines: a break that was noticed and lost on the way to the caller.

Change: all streams are passed on in complete events (src/event_stream.rs, LF, CRLF or CR), and a rest after the last event at the end is a break, whatever the framing. The same holds for collected answers that declare a stream of events, on both request paths. Answers of the product's own engines were told complete by their last event already.

--- a/src/backend/service_http.rs
+++ b/src/backend/service_http.rs
@@ -18,6 +18,7 @@
 use super::NamedLimits;
 use super::Result;
 use super::via;
+use crate::event_stream;
 use crate::types::VmName;
 
 /// Maximum size of an answer, in bytes.
@@ -80,22 +81,24 @@
         }
     })?;
     limits.on_answer(to, &response, sent);
-    let status = response.status();
-    let content_type = response
-        .headers()
-        .get(http::header::CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok())
-        .map(str::to_owned);
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES)
         .collect()
         .await
         .map_err(|error| BackendError::Lost {
             message: error.to_string(),
         })?
         .to_bytes();
+    if event_stream::is_broken_off(&head.headers, &body) {
+        return Err(BackendError::Lost {
+            message: "the stream ends inside an event".to_owned(),
+        });
+    }
+    let content_type = head.headers.get(http::header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
     Ok(ServiceReply {
-        status,
-        content_type,
+        status: head.status,
+        content_type: content_type.map(str::to_owned),
         body,
     })
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -40,6 +40,7 @@
 use super::record_guard::RecordGuard;
 use super::relay;
 use super::server_table::is_adapter;
+use crate::event_stream;
 use crate::types::ServerName;
 use crate::types::ServiceName;
 
@@ -347,6 +348,9 @@
             false => SendFailure::Lost("answer_cut_off"),
         };
         let bytes = collected.map_err(lost)?.to_bytes();
+        if event_stream::is_broken_off(&parts.headers, &bytes) {
+            return Err(SendFailure::Lost("stream_ends_in_event"));
+        }
         reply.connection.finish(&self.gateway);
         let mut answer = Response::from_parts(parts, bytes);
         strip_connection_headers(answer.headers_mut());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,10 +1,10 @@
-//! Passes event streams on to callers. A resumable stream is passed on in complete events and is
-//! resumed on another server when it breaks.
+//! Passes event streams on to callers in complete events. A stream that ends inside an event has been
+//! broken off: it is resumed on another server if it may be, and its caller's connection is closed
+//! otherwise.
 
 use std::io;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures::stream;
 use http::Response;
 use http::response::Parts;
@@ -26,11 +26,10 @@
 use super::forward::AnswerConnection;
 use super::forward::Reply;
 use super::record::RequestRecord;
+use crate::event_stream::EventBuffer;
 
 /// Largest event that is buffered until it is complete. An event holds a few tokens.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
-/// Separator between events.
-const EVENT_END: &[u8] = b"\n\n";
 
 /// Starts to pass a stream on.
 pub(super) fn start(
@@ -45,8 +44,7 @@
     let mut relay = Relay {
         record: Some(record),
         source,
-        pending: BytesMut::new(),
-        tail: [0; EVENT_END.len()],
+        events: EventBuffer::default(),
         ready: None,
         last_event: None,
         is_over: false,
@@ -87,10 +85,7 @@
     exchange: Exchange,
     record: Option<RequestRecord>,
     source: Source,
-    /// Bytes after the last complete event.
-    pending: BytesMut,
-    /// Last bytes received, to tell whether an event is complete.
-    tail: [u8; EVENT_END.len()],
+    events: EventBuffer,
     ready: Option<Bytes>,
     last_event: Option<u64>,
     is_over: bool,
@@ -114,12 +109,12 @@
                         self.source.delivered(data.len());
                         self.ready = self.accept(&data);
                     }
-                    if self.pending.len() <= MAX_EVENT_BYTES {
+                    if self.events.partial_bytes() <= MAX_EVENT_BYTES {
                         continue;
                     }
                     "event_too_large"
                 }
-                Ok(None) if self.pending.is_empty() => return self.finish(),
+                Ok(None) if self.events.partial_bytes() == 0 => return self.finish(),
                 Ok(None) => "stream_ends_in_event",
                 Ok(Some(Err(_))) => "stream_cut_off",
                 Err(_) => "stream_overdue",
@@ -130,28 +125,15 @@
         }
     }
 
-    fn is_resumable(&self) -> bool {
-        self.exchange.route.repeat.may_run_again()
-    }
-
-    /// Bytes that can be passed on now.
+    /// Events that can be passed on now.
     fn accept(&mut self, data: &Bytes) -> Option<Bytes> {
-        for byte in data {
-            self.tail.rotate_left(1);
-            self.tail[EVENT_END.len() - 1] = *byte;
-        }
-        if !self.is_resumable() {
-            return Some(data.clone());
-        }
-        self.pending.extend_from_slice(data);
-        let end = last_event_end(&self.pending)?;
-        let events = self.pending.split_to(end).freeze();
+        let complete = self.events.push(data)?;
         let dialect = &self.exchange.gateway.config.dialect;
-        self.last_event = dialect.last_event(&events).or(self.last_event);
+        self.last_event = dialect.last_event(&complete.bytes).or(self.last_event);
         if let Some(record) = &mut self.record {
-            record.events += 1;
+            record.events += complete.count;
         }
-        Some(events)
+        Some(complete.bytes)
     }
 
     /// Resumes the stream on another server after the last event that was passed on.
@@ -166,7 +148,7 @@
         if !may_resume || !self.exchange.take_retry() {
             return Err(self.fail(cause));
         }
-        self.pending.clear();
+        self.events.restart();
         let deadline = self.exchange.deadline;
         let mut record = self.record.take().unwrap_or_default();
         let answering = self.exchange.obtain_answer(self.last_event, &mut record);
@@ -204,7 +186,7 @@
     fn log_end(&mut self) {
         if let Some(mut record) = self.record.take() {
             record.total_ms = elapsed_ms(self.exchange.started);
-            record.ends_in_event = self.tail != EVENT_END;
+            record.ends_in_event = self.events.partial_bytes() > 0;
             self.exchange.gateway.log_request(&record);
         }
     }
@@ -218,10 +200,3 @@
         self.log_end();
     }
 }
-
-/// Position after the last complete event.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let windows = bytes.windows(EVENT_END.len());
-    let at = windows.rev().position(|window| window == EVENT_END)?;
-    Some(bytes.len() - at)
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod configs;
 pub mod consensus;
 pub mod control;
+pub mod event_stream;
 pub mod events;
 pub mod fleet;
 pub mod gateway;
