--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
+use http::Version;
 use http::header;
 use http::request::Parts;
 use http_body_util::BodyExt;
@@ -69,6 +70,11 @@
     let route = find_route(&deployment, parts)?;
     record.route = Some(route.name.clone());
     record.target_ms = route.target_latency_ms;
+    if route.repeat.is_stream() && parts.version == Version::HTTP_10 {
+        // In HTTP/1.0 a stream that breaks off ends like a complete one.
+        let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
+        return Err(Refusal::new(status, "stream_over_http_1_0"));
+    }
     let account = find_account(&deployment, &route, &caller)?;
     record.account = account.as_ref().map(|account| account.name.clone());
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
