feat(gateway): log what requests have in common whose connections broke before an event

The logs did not show which parts of a prompt the requests had that ran when an engine crashed. No decision changes.

--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -35,6 +35,8 @@
 use super::server_table::is_adapter;
 use crate::limits::Shortage;
 use crate::mechanisms::Mechanism;
+use crate::types::Feature;
+use crate::types::RequestFeatures;
 use crate::types::ServiceName;
 
 /// Retry delay returned while the VM has no configuration.
@@ -86,6 +88,7 @@
     gateway.count_request(&service);
     let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
     let is_popular = adapter.is_some_and(|model| gateway.record_demand(model));
+    let features = features(parts, &body, &caller, account.as_deref());
     let template = template(parts, body, &caller, &route);
     Ok(Exchange {
         history: AttemptHistory {
@@ -100,6 +103,7 @@
         route,
         account,
         caller,
+        features,
         service,
         template,
         started,
@@ -122,6 +126,28 @@
     }
 }
 
+/// Features that may be the cause if a server crashes. A caller's repeats have their own ids.
+fn features(
+    parts: &Parts,
+    body: &Bytes,
+    caller: &CallerHead,
+    account: Option<&Account>,
+) -> RequestFeatures {
+    let path = parts.uri.path_and_query();
+    let path = path.map_or("", |path| path.as_str());
+    let account = account.map_or("", |account| account.name.as_str());
+    let method = parts.method.as_str();
+    RequestFeatures {
+        request: Feature::of_request(&[
+            method.as_bytes(),
+            path.as_bytes(),
+            account.as_bytes(),
+            body,
+        ]),
+        parts: caller.shared_parts.clone(),
+    }
+}
+
 fn is_engine(deployment: &Deployment, service: &ServiceName) -> bool {
     let known = deployment.services.get(service);
     known.is_some_and(|service| service.engine.is_some())
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -16,6 +16,7 @@
 use crate::scheduling::slots::OrderOutcome;
 use crate::scheduling::slots::SlotOrder;
 use crate::types::AccountName;
+use crate::types::Feature;
 use crate::types::ModelName;
 use crate::types::RequestRate;
 use crate::types::ServerName;
@@ -37,6 +38,8 @@
     pub prompt_tokens: Option<Tokens>,
     /// Upper limit on the tokens of the answer.
     pub output_tokens: Option<Tokens>,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: Vec<Feature>,
     /// Last event that the caller of a resumed stream received.
     pub last_event: Option<u64>,
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -41,6 +41,7 @@
 use super::relay;
 use super::server_table::is_adapter;
 use crate::event_stream;
+use crate::types::RequestFeatures;
 use crate::types::ServerName;
 use crate::types::ServiceName;
 
@@ -96,6 +97,7 @@
     pub(super) deadline: Instant,
     pub(super) account: Option<Arc<Account>>,
     pub(super) caller: CallerHead,
+    pub(super) features: RequestFeatures,
     pub(super) service: ServiceName,
     pub(super) is_engine: bool,
     /// Whether the adapter is requested often enough to be loaded in the own data centre.
@@ -180,6 +182,10 @@
                     record.sends.push(send_failure.reason());
                     match send_failure {
                         SendFailure::Lost(_) => AttemptOutcome::Lost,
+                        SendFailure::Broken { .. } => {
+                            record.broken = Some(self.features.clone());
+                            AttemptOutcome::Lost
+                        }
                         SendFailure::NotSent(_) | SendFailure::NotRun(_) => AttemptOutcome::NotRun,
                     }
                 }
@@ -291,7 +297,7 @@
                 self.history.runs -= 1;
                 self.history.refusals += 1;
             }
-            SendFailure::Lost(_) => {
+            SendFailure::Lost(_) | SendFailure::Broken { .. } => {
                 if let Some(taken) = self.taken.take() {
                     self.gateway.quota.settle(taken);
                 }
@@ -345,11 +351,11 @@
         let collected = limited.collect().await;
         let lost = |error: Box<dyn Error + Send + Sync>| match error.is::<LengthLimitError>() {
             true => SendFailure::Lost("answer_too_large"),
-            false => SendFailure::Lost("answer_cut_off"),
+            false => SendFailure::broken_in_answer("answer_cut_off"),
         };
         let bytes = collected.map_err(lost)?.to_bytes();
         if event_stream::is_broken_off(&parts.headers, &bytes) {
-            return Err(SendFailure::Lost("stream_ends_in_event"));
+            return Err(SendFailure::broken_in_answer("stream_ends_in_event"));
         }
         reply.connection.finish(&self.gateway);
         let mut answer = Response::from_parts(parts, bytes);
@@ -392,8 +398,8 @@
                     return Ok(Answer::Stream(Box::new(reply), first));
                 }
             }
-            Ok(Some(Err(_))) => return Err(SendFailure::Lost("stream_cut_off")),
-            Ok(None) => return Err(SendFailure::Lost("stream_empty")),
+            Ok(Some(Err(_))) => return Err(SendFailure::broken_in_answer("stream_cut_off")),
+            Ok(None) => return Err(SendFailure::broken_in_answer("stream_empty")),
             Err(_) => return Err(SendFailure::Lost("no_event_in_time")),
         }
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -98,12 +98,29 @@
     NotRun(&'static str),
     /// The request was sent and may have run.
     Lost(&'static str),
+    /// The same, as the connection broke: the server may have crashed.
+    Broken {
+        reason: &'static str,
+        /// Whether the answer had begun.
+        has_head: bool,
+    },
 }
 
 impl SendFailure {
     pub(super) fn reason(self) -> &'static str {
         match self {
-            Self::NotSent(reason) | Self::NotRun(reason) | Self::Lost(reason) => reason,
+            Self::NotSent(reason)
+            | Self::NotRun(reason)
+            | Self::Lost(reason)
+            | Self::Broken { reason, .. } => reason,
+        }
+    }
+
+    /// The connection broke after the head of the answer.
+    pub(super) fn broken_in_answer(reason: &'static str) -> Self {
+        Self::Broken {
+            reason,
+            has_head: true,
         }
     }
 }
@@ -296,7 +313,10 @@
         return SendFailure::NotSent("connection_closed");
     }
     record_outcome(gateway, guard, true);
-    SendFailure::Lost("connection_broken")
+    SendFailure::Broken {
+        reason: "connection_broken",
+        has_head: false,
+    }
 }
 
 /// Rejects answers that are not a verified answer of the server to this request.
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -9,6 +9,7 @@
 use crate::events::Severity;
 use crate::types::AccountName;
 use crate::types::ModelName;
+use crate::types::RequestFeatures;
 use crate::types::ServerName;
 
 /// Outcome of a request and the reasons for it.
@@ -46,6 +47,8 @@
     pub framing: Option<Framing>,
     /// Whether a stream ended inside an event.
     pub ends_in_event: bool,
+    /// Features of the request if a connection broke before its first complete event.
+    pub broken: Option<RequestFeatures>,
 }
 
 impl Event for RequestRecord {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -141,6 +141,9 @@
         self.source.connection = None;
         if let Some(record) = &mut self.record {
             record.sends.push(cause);
+            if record.events == 0 {
+                record.broken = Some(self.exchange.features.clone());
+            }
         }
         let is_overdue = Instant::now() >= self.exchange.deadline;
         let next = attempt::next(&self.exchange.history, AttemptOutcome::Lost);
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -5,6 +5,7 @@
 mod name;
 mod patience;
 mod refusal;
+mod request_features;
 mod request_rate;
 
 pub use adapter::AdapterRef;
@@ -23,6 +24,8 @@
 pub use refusal::Refusal;
 pub use refusal::RefusalCode;
 pub use refusal::RunState;
+pub use request_features::Feature;
+pub use request_features::RequestFeatures;
 pub use request_rate::RequestRate;
 
 /// A number of tokens; prompt and output tokens count the same.
