fix(gateway): requests that crash servers are told from the others and no longer sent

Cause: no VM related a crash to what ran on the server, and none heard of the crashes that others saw, so such a request was sent like any other. Class: what one VM learns about a request protects only that VM, or nobody.

Ruled out: crashes by load (the part is the same in each), and resends (at most one for a request).

Change: scheduling::crash_evidence, without input, output and clock. A request whose answer had not begun when its server crashed may be the cause, with each part of its prompt; a begun answer clears them. Requests that were being answered weigh more than those that waited, crashes at the same moment count once for the latter. A request is refused (503, quarantined) if it has all that may have caused the same crashes, two while answering. Entry VMs check that the server is down, report to all controllers, and these pass on reports and what is cleared.

Links have format 5: builds before and after are not linked to each other.

--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -15,6 +15,7 @@
 use super::control_vm::ControlConfig;
 use super::control_vm::LEADER_CONTACT_MAX_AGE_MS;
 use super::control_vm::lock;
+use super::crash_reports::CrashReports;
 use super::failover_server;
 use super::failover_server::FailoverServer;
 use super::log_line::DocumentChange;
@@ -71,6 +72,8 @@
     pub(super) failover: FailoverServer,
     /// Limits of backend servers on their requests.
     pub(super) server_limits: ServerLimits,
+    /// Crashes of backend servers.
+    pub(super) crashes: CrashReports,
     pub(super) heartbeats: Mutex<Heartbeats>,
     /// Backend servers known to any controller.
     pub(super) servers: Mutex<Table>,
@@ -210,6 +213,7 @@
         drop(heartbeats);
         session.send(&Frame::Servers(update));
         session.send(&Frame::AdapterVersions(self.adapter_versions()));
+        session.send(&Frame::Crashes(self.crash_reports()));
         if session.peer().role == Role::Entry {
             self.orders.send_residency(session, self.now());
             session.send(&Frame::ServerLimits(
@@ -352,6 +356,8 @@
             }
             Frame::Residency(update) => self.orders.on_remote_residency(&update, self.now()),
             Frame::ServerLimits(limits) => self.on_server_limits(session, limits),
+            Frame::Crashes(reports) => self.on_crash_reports(session, reports),
+            Frame::CrashCleared(cleared) => self.on_crash_cleared(session, cleared),
             Frame::Leaving => self.links.mark_leaving(&session.peer().vm),
             Frame::Uses(uses) => {
                 self.orders.on_uses(&session.peer().vm, &uses, self.now());
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -23,6 +23,7 @@
 use super::control_links::ControlHandler;
 use super::control_links::Links;
 use super::control_links::LogTransport;
+use super::crash_reports::CrashReports;
 use super::failover_server::FailoverServer;
 use super::fencing::Fencing;
 use super::leader_tasks;
@@ -160,6 +161,7 @@
             quota,
             failover,
             server_limits: ServerLimits::default(),
+            crashes: CrashReports::default(),
             heartbeats: Mutex::default(),
             servers: Mutex::default(),
             deployment: Mutex::default(),
--- a/src/fleet/controller_client.rs
+++ b/src/fleet/controller_client.rs
@@ -37,6 +37,8 @@
 use crate::link::Session;
 use crate::registry::Change;
 use crate::registry::Table;
+use crate::scheduling::crash_evidence::ClearedFeature;
+use crate::scheduling::crash_evidence::CrashReport;
 use crate::scheduling::slots::EngineWork;
 use crate::types::Clock;
 use crate::types::DataCentre;
@@ -214,7 +216,11 @@
         if limits.is_empty() {
             return;
         }
-        let frame = Frame::ServerLimits(limits).encode();
+        self.send_to_all(&Frame::ServerLimits(limits));
+    }
+
+    fn send_to_all(&self, frame: &Frame) {
+        let frame = frame.encode();
         for link in self.lock().links.values() {
             link.session.send_encoded(frame.clone());
         }
@@ -410,6 +416,7 @@
         };
         self.lock().links.insert(session.id(), link);
         session.send(&Frame::ServerLimits(self.gateway().server_limits()));
+        session.send(&Frame::Crashes(self.gateway().crash_reports()));
         self.events.emit(&LinkChange {
             peer: session.peer().vm.clone(),
             is_open: true,
@@ -430,6 +437,8 @@
                     self.gateway().set_server_limit(limit);
                 }
             }
+            Frame::Crashes(reports) => self.gateway().apply_crash_reports(&reports),
+            Frame::CrashCleared(cleared) => self.gateway().apply_cleared(&cleared),
             Frame::Borrowed(number, reply) => self.borrow_client.on_reply(number, reply),
             _ => {}
         }
@@ -453,6 +462,14 @@
         self.send_server_limits(vec![limit]);
     }
 
+    fn report_crashes(&self, reports: Vec<CrashReport>) {
+        self.send_to_all(&Frame::Crashes(reports));
+    }
+
+    fn report_cleared(&self, cleared: Vec<ClearedFeature>) {
+        self.send_to_all(&Frame::CrashCleared(cleared));
+    }
+
     fn request_adapter(&self, demand: AdapterDemand, asked_before: u32) {
         // An unpopular adapter is loaded again on the engine that had it, in whichever data centre.
         let near = self.gateway().is_popular(&demand.model);
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -88,8 +88,8 @@
     gateway.count_request(&service);
     let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
     let is_popular = adapter.is_some_and(|model| gateway.record_demand(model));
-    let features = features(parts, &body, &caller, account.as_deref());
-    let template = template(parts, body, &caller, &route);
+    let features = Arc::new(features(parts, &body, &caller, account.as_deref()));
+    let template = template(parts, body, &caller, &route, features);
     Ok(Exchange {
         history: AttemptHistory {
             repeat: route.repeat,
@@ -103,7 +103,6 @@
         route,
         account,
         caller,
-        features,
         service,
         template,
         started,
@@ -113,7 +112,13 @@
     })
 }
 
-fn template(parts: &Parts, body: Bytes, caller: &CallerHead, route: &Route) -> Template {
+fn template(
+    parts: &Parts,
+    body: Bytes,
+    caller: &CallerHead,
+    route: &Route,
+    features: Arc<RequestFeatures>,
+) -> Template {
     Template {
         request_id: caller.request_id.clone(),
         method: parts.method.clone(),
@@ -123,6 +128,7 @@
         model: caller.model.clone(),
         prompt_tokens: caller.prompt_tokens.unwrap_or(0),
         may_repeat: route.repeat.may_run_again(),
+        features,
     }
 }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -17,6 +17,7 @@
 
 use super::adapter_usage::AdapterUsage;
 use super::adapter_waits::AdapterWaits;
+use super::crashes::Crashes;
 use super::demand;
 use super::demand::Demand;
 use super::deployment::Deployment;
@@ -34,6 +35,8 @@
 use crate::mechanisms::Mechanisms;
 use crate::metrics_page::Meters;
 use crate::pipeline::RetryBudget;
+use crate::scheduling::crash_evidence::ClearedFeature;
+use crate::scheduling::crash_evidence::CrashReport;
 use crate::types::Clock;
 use crate::types::DataCentre;
 use crate::types::ModelName;
@@ -84,6 +87,7 @@
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     versions: Mutex<HashMap<ModelName, (u64, MonoMs)>>,
     demand: Mutex<Demand>,
+    pub(super) crashes: Crashes,
     pub(super) controllers: Arc<dyn ControllerRequests>,
     is_leaving: AtomicBool,
     /// Time from which requests that wait for a server are refused, set when the VM shuts down.
@@ -98,6 +102,12 @@
 
     /// Reports to all controllers what a server stated about its limit.
     fn report_server_limit(&self, limit: ServerLimit);
+
+    /// Reports crashes to all controllers.
+    fn report_crashes(&self, reports: Vec<CrashReport>);
+
+    /// Reports to all controllers what did not cause crashes.
+    fn report_cleared(&self, cleared: Vec<ClearedFeature>);
 }
 
 impl Gateway {
@@ -121,6 +131,7 @@
             budgets: Mutex::default(),
             versions: Mutex::default(),
             demand: Mutex::default(),
+            crashes: Crashes::default(),
             controllers,
             is_leaving: AtomicBool::new(false),
             wait_deadline: OnceLock::new(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -31,6 +31,7 @@
 use super::dialect::CallerHead;
 use super::dialect::ForwardMetadata;
 use super::forward;
+use super::forward::AnswerConnection;
 use super::forward::Reply;
 use super::forward::SendFailure;
 use super::forward::Template;
@@ -41,7 +42,6 @@
 use super::relay;
 use super::server_table::is_adapter;
 use crate::event_stream;
-use crate::types::RequestFeatures;
 use crate::types::ServerName;
 use crate::types::ServiceName;
 
@@ -97,7 +97,6 @@
     pub(super) deadline: Instant,
     pub(super) account: Option<Arc<Account>>,
     pub(super) caller: CallerHead,
-    pub(super) features: RequestFeatures,
     pub(super) service: ServiceName,
     pub(super) is_engine: bool,
     /// Whether the adapter is requested often enough to be loaded in the own data centre.
@@ -182,8 +181,8 @@
                     record.sends.push(send_failure.reason());
                     match send_failure {
                         SendFailure::Lost(_) => AttemptOutcome::Lost,
-                        SendFailure::Broken { .. } => {
-                            record.broken = Some(self.features.clone());
+                        SendFailure::Broken(_) => {
+                            record.broken = Some(Arc::clone(&self.template.features));
                             AttemptOutcome::Lost
                         }
                         SendFailure::NotSent(_) | SendFailure::NotRun(_) => AttemptOutcome::NotRun,
@@ -297,7 +296,7 @@
                 self.history.runs -= 1;
                 self.history.refusals += 1;
             }
-            SendFailure::Lost(_) | SendFailure::Broken { .. } => {
+            SendFailure::Lost(_) | SendFailure::Broken(_) => {
                 if let Some(taken) = self.taken.take() {
                     self.gateway.quota.settle(taken);
                 }
@@ -342,7 +341,8 @@
 
     async fn read_complete(&self, reply: Reply) -> Result<Answer, SendFailure> {
         let (parts, body) = reply.response.into_parts();
-        let meter = reply.connection.meter();
+        let mut connection = reply.connection;
+        let meter = connection.meter();
         let counted = body.map_frame(move |frame| {
             meter.delivered(frame.data_ref().map_or(0, Bytes::len));
             frame
@@ -351,13 +351,14 @@
         let collected = limited.collect().await;
         let lost = |error: Box<dyn Error + Send + Sync>| match error.is::<LengthLimitError>() {
             true => SendFailure::Lost("answer_too_large"),
-            false => SendFailure::broken_in_answer("answer_cut_off"),
+            false => broken_off(&connection, "answer_cut_off"),
         };
         let bytes = collected.map_err(lost)?.to_bytes();
         if event_stream::is_broken_off(&parts.headers, &bytes) {
-            return Err(SendFailure::broken_in_answer("stream_ends_in_event"));
+            return Err(broken_off(&connection, "stream_ends_in_event"));
         }
-        reply.connection.finish(&self.gateway);
+        connection.record_begun();
+        connection.finish(&self.gateway);
         let mut answer = Response::from_parts(parts, bytes);
         strip_connection_headers(answer.headers_mut());
         Ok(Answer::Complete(answer))
@@ -384,6 +385,11 @@
     )
 }
 
+fn broken_off(connection: &AnswerConnection, reason: &'static str) -> SendFailure {
+    connection.record_broken();
+    SendFailure::Broken(reason)
+}
+
 /// Waits for the first bytes of a stream.
 async fn read_first(mut reply: Reply, answer_deadline: Instant) -> Result<Answer, SendFailure> {
     loop {
@@ -398,8 +404,8 @@
                     return Ok(Answer::Stream(Box::new(reply), first));
                 }
             }
-            Ok(Some(Err(_))) => return Err(SendFailure::broken_in_answer("stream_cut_off")),
-            Ok(None) => return Err(SendFailure::broken_in_answer("stream_empty")),
+            Ok(Some(Err(_))) => return Err(broken_off(&reply.connection, "stream_cut_off")),
+            Ok(None) => return Err(broken_off(&reply.connection, "stream_empty")),
             Err(_) => return Err(SendFailure::Lost("no_event_in_time")),
         }
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout_at;
 
 use super::context::Gateway;
+use super::crashes;
 use super::dialect::AnswerHead;
 use super::dialect::ForwardMetadata;
 use super::meter::Meter;
@@ -23,8 +24,10 @@
 use super::server_limits;
 use super::server_table::Distance;
 use crate::registry::Announcement;
+use crate::scheduling::crash_evidence::Progress;
 use crate::types::ModelName;
 use crate::types::MonoMs;
+use crate::types::RequestFeatures;
 use crate::types::ServerName;
 
 /// Connection timeout within the region.
@@ -50,6 +53,7 @@
     /// Tokens of the prompt as stated by the caller.
     pub(super) prompt_tokens: u64,
     pub(super) may_repeat: bool,
+    pub(super) features: Arc<RequestFeatures>,
 }
 
 /// Answer of a server whose body has not been read.
@@ -72,11 +76,21 @@
         self.connection.meter.clone()
     }
 
-    /// Records the first event of the answer.
+    /// Records the first bytes of a stream.
     pub(super) fn record_first_event(&mut self) {
         self.guard.record_first_event();
     }
 
+    /// Records that the answer is complete, or has a complete event.
+    pub(super) fn record_begun(&mut self) {
+        self.guard.record_begun();
+    }
+
+    /// Records that the connection broke within the answer.
+    pub(super) fn record_broken(&self) {
+        self.guard.record_broken(Progress::Answering);
+    }
+
     /// Returns the connection to the pool after the body has been read, unless the server closes
     /// it.
     pub(super) fn finish(self, gateway: &Gateway) {
@@ -99,11 +113,7 @@
     /// The request was sent and may have run.
     Lost(&'static str),
     /// The same, as the connection broke: the server may have crashed.
-    Broken {
-        reason: &'static str,
-        /// Whether the answer had begun.
-        has_head: bool,
-    },
+    Broken(&'static str),
 }
 
 impl SendFailure {
@@ -112,15 +122,7 @@
             Self::NotSent(reason)
             | Self::NotRun(reason)
             | Self::Lost(reason)
-            | Self::Broken { reason, .. } => reason,
-        }
-    }
-
-    /// The connection broke after the head of the answer.
-    pub(super) fn broken_in_answer(reason: &'static str) -> Self {
-        Self::Broken {
-            reason,
-            has_head: true,
+            | Self::Broken(reason) => reason,
         }
     }
 }
@@ -130,6 +132,8 @@
     gateway: Arc<Gateway>,
     pub(super) target: Announcement,
     model: Option<ModelName>,
+    features: Arc<RequestFeatures>,
+    has_begun: bool,
     /// Prompt tokens that have not been processed.
     prompt_tokens: u64,
     sent_at: Instant,
@@ -157,6 +161,8 @@
         Self {
             gateway: Arc::clone(gateway),
             model: model.cloned(),
+            features: Arc::clone(&template.features),
+            has_begun: false,
             target,
             prompt_tokens,
             sent_at: Instant::now(),
@@ -189,6 +195,20 @@
         }
     }
 
+    fn record_begun(&mut self) {
+        if !self.has_begun {
+            self.has_begun = true;
+            self.gateway.record_begun(&self.features);
+        }
+    }
+
+    /// Records that the connection broke. Once its answer has begun, a request is not the cause.
+    fn record_broken(&self, progress: Progress) {
+        if !self.has_begun {
+            crashes::on_broken(&self.gateway, &self.target, &self.features, progress);
+        }
+    }
+
     fn answered(&self) {
         if let Some(model) = &self.model {
             self.gateway
@@ -313,10 +333,8 @@
         return SendFailure::NotSent("connection_closed");
     }
     record_outcome(gateway, guard, true);
-    SendFailure::Broken {
-        reason: "connection_broken",
-        has_head: false,
-    }
+    guard.record_broken(Progress::Waiting);
+    SendFailure::Broken("connection_broken")
 }
 
 /// Rejects answers that are not a verified answer of the server to this request.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod answer;
 mod begin;
 mod context;
+mod crashes;
 mod demand;
 mod dialect;
 mod exchange;
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -8,6 +8,7 @@
 use crate::events::Event;
 use crate::events::Severity;
 use crate::types::AccountName;
+use crate::types::Feature;
 use crate::types::ModelName;
 use crate::types::RequestFeatures;
 use crate::types::ServerName;
@@ -48,7 +49,11 @@
     /// Whether a stream ended inside an event.
     pub ends_in_event: bool,
     /// Features of the request if a connection broke before its first complete event.
-    pub broken: Option<RequestFeatures>,
+    pub broken: Option<Arc<RequestFeatures>>,
+    /// Feature because of which the request was refused.
+    pub quarantined: Option<Feature>,
+    /// Crashes that it may have caused.
+    pub crashes: usize,
 }
 
 impl Event for RequestRecord {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,6 +3,7 @@
 //! otherwise.
 
 use std::io;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures::stream;
@@ -128,6 +129,9 @@
     /// Events that can be passed on now.
     fn accept(&mut self, data: &Bytes) -> Option<Bytes> {
         let complete = self.events.push(data)?;
+        if let Some(connection) = &mut self.source.connection {
+            connection.record_begun();
+        }
         let dialect = &self.exchange.gateway.config.dialect;
         self.last_event = dialect.last_event(&complete.bytes).or(self.last_event);
         if let Some(record) = &mut self.record {
@@ -138,11 +142,13 @@
 
     /// Resumes the stream on another server after the last event that was passed on.
     async fn resume(&mut self, cause: &'static str) -> io::Result<()> {
-        self.source.connection = None;
+        if let Some(connection) = self.source.connection.take() {
+            connection.record_broken();
+        }
         if let Some(record) = &mut self.record {
             record.sends.push(cause);
             if record.events == 0 {
-                record.broken = Some(self.exchange.features.clone());
+                record.broken = Some(Arc::clone(&self.exchange.template.features));
             }
         }
         let is_overdue = Instant::now() >= self.exchange.deadline;
--- a/src/gateway/select_server.rs
+++ b/src/gateway/select_server.rs
@@ -81,15 +81,21 @@
         record: &mut RequestRecord,
     ) -> Result<ServerName, Refusal> {
         let wait_started = Instant::now();
-        let selected = self.wait_for_server(wait_started).await;
+        let selected = self.wait_for_server(wait_started, record).await;
         record.waited_ms += elapsed_ms(wait_started);
         selected
     }
 
-    async fn wait_for_server(&self, wait_started: Instant) -> Result<ServerName, Refusal> {
+    async fn wait_for_server(
+        &self,
+        wait_started: Instant,
+        record: &mut RequestRecord,
+    ) -> Result<ServerName, Refusal> {
         let mut waiting = None;
         let mut permit_wait = None;
         loop {
+            self.gateway
+                .check_quarantine(&self.template.features, record)?;
             let (wait_ms, cause) = match self.choose() {
                 Choice::Send {
                     server,
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -13,6 +13,8 @@
 use crate::limits::BorrowReply;
 use crate::limits::BorrowRequest;
 use crate::registry::Announcement;
+use crate::scheduling::crash_evidence::ClearedFeature;
+use crate::scheduling::crash_evidence::CrashReport;
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::RequestRate;
@@ -20,7 +22,7 @@
 use crate::types::VmName;
 
 /// Version of the message format. Links between different versions are refused.
-pub const LINK_FORMAT: u16 = 4;
+pub const LINK_FORMAT: u16 = 5;
 
 /// Role of a VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -221,6 +223,10 @@
     Loads(LoadUpdate),
     /// Limits of backend servers.
     ServerLimits(Vec<ServerLimit>),
+    /// Crashes of backend servers and what may have caused them.
+    Crashes(Vec<CrashReport>),
+    /// Features that did not cause crashes.
+    CrashCleared(Vec<ClearedFeature>),
     /// Demand for adapters on the engines of a data centre.
     #[serde(rename = "Wants")]
     AdapterDemands(DataCentre, Vec<AdapterDemand>),
--- a/src/mechanisms.rs
+++ b/src/mechanisms.rs
@@ -45,11 +45,13 @@
     QuotaFailover,
     /// Controllers continue to send orders to engines while there is no leader.
     OrdersWithoutLeader,
+    /// Requests that crash servers are refused.
+    CrashQuarantine,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::EarlyRelease,
         Self::PromptBacklog,
         Self::SlotWaitForecast,
@@ -67,6 +69,7 @@
         Self::OutageAllowance,
         Self::QuotaFailover,
         Self::OrdersWithoutLeader,
+        Self::CrashQuarantine,
     ];
 
     /// Name on the command line.
@@ -89,6 +92,7 @@
             Self::OutageAllowance => "carry",
             Self::QuotaFailover => "stand_in",
             Self::OrdersWithoutLeader => "hold_without_leader",
+            Self::CrashQuarantine => "crash_quarantine",
         }
     }
 }
--- /dev/null
+++ b/src/scheduling/crash_evidence.rs
@@ -0,0 +1,330 @@
+//! Finds out what crashes servers from the requests that ran on them.
+//!
+//! Load pattern: a few requests have something in common that crashes each server that begins to
+//! answer them, otherwise they are all different and arrive at any VM. Requests without it share
+//! everything else with them and arrive far more often.
+//!
+//! A request whose answer had not begun when its server crashed may be the cause, and so may each
+//! feature that it shares with others. A feature of a request whose answer begins is no cause. What
+//! remains after several crashes is. A request is refused if it has all features that may have
+//! caused the same crashes; while it lacks one of them, its own outcome tells them apart.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::types::Feature;
+use crate::types::MonoMs;
+use crate::types::RequestFeatures;
+use crate::types::ServerName;
+
+/// Time before a crash in which the begin of an answer clears the features of its request.
+const CLEARING_MS: u64 = 30_000;
+/// Time after a crash for which requests are refused because of it.
+const QUARANTINE_MS: u64 = 10 * 60_000;
+/// Weight of the crashes of a feature from which on its requests are refused.
+const QUARANTINE_WEIGHT: u64 = 6;
+/// Weight of a crash for requests whose answer had a head but no complete event.
+const ANSWERING_WEIGHT: u64 = 3;
+/// Weight of a crash for requests that waited for their answer. Many do when a server crashes by
+/// itself.
+const WAITING_WEIGHT: u64 = 1;
+/// Time in which crashes with waiting requests only count once: servers that share a power supply
+/// or a network crash together.
+const SEPARATE_CRASHES_MS: u64 = 1_000;
+/// Crashes that are kept.
+const MAX_CRASHES: usize = 128;
+/// Features that are kept of one crash, for answering and for waiting requests each.
+const MAX_FEATURES: usize = 128;
+/// Features of begun answers that are kept.
+const MAX_BEGUN: usize = 16_384;
+
+/// How far a request was when its server crashed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Progress {
+    /// Nothing of its answer had arrived.
+    Waiting,
+    /// The head of its answer had arrived, but no complete event.
+    Answering,
+}
+
+/// A crash of a server and features of the requests that may have caused it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashReport {
+    /// The server.
+    pub server: ServerName,
+    /// Start time of the process that crashed, in Unix milliseconds.
+    pub started_unix_ms: u64,
+    /// Time since the crash.
+    pub age_ms: u64,
+    /// Progress of the requests.
+    pub progress: Progress,
+    /// Features of the requests.
+    pub features: Vec<Feature>,
+}
+
+/// A feature of a request whose answer has begun.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClearedFeature {
+    /// The feature.
+    pub feature: Feature,
+    /// Time since then.
+    pub age_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Crash {
+    at: MonoMs,
+    answering: BTreeSet<Feature>,
+    waiting: BTreeSet<Feature>,
+}
+
+impl Crash {
+    /// Features that may have caused the crash, and their weight.
+    fn causes(&self) -> (&BTreeSet<Feature>, u64) {
+        match self.answering.is_empty() {
+            true => (&self.waiting, WAITING_WEIGHT),
+            false => (&self.answering, ANSWERING_WEIGHT),
+        }
+    }
+
+    fn may_be_caused_by(&self, feature: Feature) -> bool {
+        self.causes().0.contains(&feature)
+    }
+
+    fn features(&mut self, progress: Progress) -> &mut BTreeSet<Feature> {
+        match progress {
+            Progress::Waiting => &mut self.waiting,
+            Progress::Answering => &mut self.answering,
+        }
+    }
+
+    fn is_explained(&self) -> bool {
+        self.answering.is_empty() && self.waiting.is_empty()
+    }
+}
+
+/// Refusal of requests that have everything in common with requests that crashed servers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Quarantined {
+    /// A feature that crashes servers.
+    pub feature: Feature,
+    /// Number of servers that crashed.
+    pub crashes: usize,
+    /// End of the refusals.
+    pub until: MonoMs,
+}
+
+/// Crashes that are not explained yet, and what is known to be no cause.
+#[derive(Clone, Debug, Default)]
+pub struct CrashEvidence {
+    crashes: IndexMap<(ServerName, u64), Crash>,
+    /// Last begin of an answer, by feature.
+    begun: HashMap<Feature, MonoMs>,
+}
+
+impl CrashEvidence {
+    /// Adds a report. Returns whether it brought anything new, and the features in it that are known
+    /// to be no cause, which others may not know.
+    pub fn record_crash(
+        &mut self,
+        report: &CrashReport,
+        now: MonoMs,
+    ) -> (bool, Vec<ClearedFeature>) {
+        self.expire(now);
+        let at = MonoMs(now.0.saturating_sub(report.age_ms));
+        let key = (report.server.clone(), report.started_unix_ms);
+        let crash_at = self.crashes.get(&key).map_or(at, |crash| crash.at.min(at));
+        let clears = |feature: &Feature| self.begun_for(*feature, crash_at);
+        let cleared: Vec<ClearedFeature> = report
+            .features
+            .iter()
+            .filter_map(|feature| {
+                let begun = clears(feature)?;
+                Some(ClearedFeature {
+                    feature: *feature,
+                    age_ms: now.since(begun),
+                })
+            })
+            .collect();
+        let is_cleared = |feature: &&Feature| clears(feature).is_none();
+        let left: Vec<Feature> = report.features.iter().filter(is_cleared).copied().collect();
+        if left.is_empty() {
+            return (false, cleared);
+        }
+        let crash = self.crashes.entry(key).or_insert_with(|| Crash {
+            at: crash_at,
+            answering: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+        });
+        crash.at = crash_at;
+        let features = crash.features(report.progress);
+        let known = features.len();
+        let room = MAX_FEATURES.saturating_sub(known);
+        features.extend(left.into_iter().take(room));
+        let is_new = features.len() > known;
+        self.limit_crashes();
+        (is_new, cleared)
+    }
+
+    /// Records that the answer to a request has begun. Returns its features that counted as possible
+    /// causes until now.
+    pub fn record_begun(&mut self, features: &RequestFeatures, now: MonoMs) -> Vec<ClearedFeature> {
+        let mut cleared = Vec::new();
+        for feature in &features.parts {
+            if self.clear(*feature, now) {
+                cleared.push(*feature);
+            }
+            self.begun.insert(*feature, now);
+        }
+        // Few requests are repeated, so the begin of each is not worth remembering.
+        if self.clear(features.request, now) {
+            cleared.push(features.request);
+        }
+        self.limit_begun(now);
+        let cleared = cleared.into_iter();
+        cleared
+            .map(|feature| ClearedFeature { feature, age_ms: 0 })
+            .collect()
+    }
+
+    /// Applies what another VM knows to be no cause. Returns whether it changed anything.
+    pub fn apply_cleared(&mut self, cleared: &ClearedFeature, now: MonoMs) -> bool {
+        let at = MonoMs(now.0.saturating_sub(cleared.age_ms));
+        let begun = self.begun.entry(cleared.feature).or_insert(at);
+        *begun = at.max(*begun);
+        self.clear(cleared.feature, at)
+    }
+
+    /// Whether a request must not be sent.
+    pub fn quarantine(&self, features: &RequestFeatures, now: MonoMs) -> Option<Quarantined> {
+        if self.crashes.is_empty() {
+            return None;
+        }
+        let own: Vec<Feature> = features
+            .parts
+            .iter()
+            .copied()
+            .chain([features.request])
+            .collect();
+        own.iter()
+            .find_map(|feature| self.quarantined_for(*feature, &own, now))
+    }
+
+    /// All reports, for a VM that may not know them.
+    pub fn reports(&self, now: MonoMs) -> Vec<CrashReport> {
+        let reports = self.crashes.iter().flat_map(|((server, started), crash)| {
+            let by_progress = [
+                (Progress::Answering, &crash.answering),
+                (Progress::Waiting, &crash.waiting),
+            ];
+            let known = by_progress
+                .into_iter()
+                .filter(|(_, known)| !known.is_empty());
+            known.map(|(progress, known)| CrashReport {
+                server: server.clone(),
+                started_unix_ms: *started,
+                age_ms: now.since(crash.at),
+                progress,
+                features: known.iter().copied().collect(),
+            })
+        });
+        reports.collect()
+    }
+
+    /// Refuses requests that have `feature`, if it may have caused enough crashes, and all other
+    /// features that may have caused each of these.
+    fn quarantined_for(
+        &self,
+        feature: Feature,
+        own: &[Feature],
+        now: MonoMs,
+    ) -> Option<Quarantined> {
+        let counts =
+            |crash: &&Crash| now.since(crash.at) < QUARANTINE_MS && crash.may_be_caused_by(feature);
+        let crashes: Vec<&Crash> = self.crashes.values().filter(counts).collect();
+        if weight(&crashes) < QUARANTINE_WEIGHT {
+            return None;
+        }
+        let (first, others) = crashes.split_first()?;
+        let is_in_all = |cause: &&Feature| {
+            let mut others = others.iter();
+            others.all(|crash| crash.may_be_caused_by(**cause))
+        };
+        let mut causes = first.causes().0.iter().filter(is_in_all);
+        if !causes.all(|cause| own.contains(cause)) {
+            return None;
+        }
+        let last = crashes.iter().map(|crash| crash.at).max()?;
+        Some(Quarantined {
+            feature,
+            crashes: crashes.len(),
+            until: last.plus(QUARANTINE_MS),
+        })
+    }
+
+    /// Last begin of an answer that shows that `feature` did not cause a crash at `crash_at`.
+    fn begun_for(&self, feature: Feature, crash_at: MonoMs) -> Option<MonoMs> {
+        let begun = self.begun.get(&feature).copied()?;
+        (begun.plus(CLEARING_MS) > crash_at).then_some(begun)
+    }
+
+    fn clear(&mut self, feature: Feature, begun: MonoMs) -> bool {
+        let mut is_changed = false;
+        self.crashes.retain(|_, crash| {
+            if begun.plus(CLEARING_MS) > crash.at {
+                is_changed |= crash.answering.remove(&feature);
+                is_changed |= crash.waiting.remove(&feature);
+            }
+            !crash.is_explained()
+        });
+        is_changed
+    }
+
+    fn expire(&mut self, now: MonoMs) {
+        self.crashes
+            .retain(|_, crash| now.since(crash.at) < QUARANTINE_MS);
+    }
+
+    /// Removes old features, and younger ones while there are too many.
+    fn limit_begun(&mut self, now: MonoMs) {
+        let mut max_age_ms = CLEARING_MS;
+        while self.begun.len() > MAX_BEGUN {
+            self.begun.retain(|_, at| now.since(*at) < max_age_ms);
+            max_age_ms /= 2;
+        }
+    }
+
+    /// Removes the oldest crash, those without a request that was being answered first.
+    fn limit_crashes(&mut self) {
+        if self.crashes.len() <= MAX_CRASHES {
+            return;
+        }
+        let age = |(_, crash): &(usize, &Crash)| (!crash.answering.is_empty(), crash.at);
+        let oldest = self.crashes.values().enumerate().min_by_key(age);
+        if let Some((index, _)) = oldest {
+            self.crashes.shift_remove_index(index);
+        }
+    }
+}
+
+/// Weight of crashes that may have the same cause.
+fn weight(crashes: &[&Crash]) -> u64 {
+    let answering = crashes.iter().filter(|crash| !crash.answering.is_empty());
+    let answering = answering.count() as u64;
+    let waiting = crashes.iter().filter(|crash| crash.answering.is_empty());
+    let mut times: Vec<MonoMs> = waiting.map(|crash| crash.at).collect();
+    times.sort_unstable();
+    let mut last = None;
+    let mut separate = 0;
+    for at in times {
+        if last.is_none_or(|last: MonoMs| at.since(last) >= SEPARATE_CRASHES_MS) {
+            separate += 1;
+            last = Some(at);
+        }
+    }
+    answering * ANSWERING_WEIGHT + separate * WAITING_WEIGHT
+}
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The code here performs no I/O and reads no clock: the current time is an argument.
 
+pub mod crash_evidence;
 pub mod fair_queue;
 pub mod placement;
 pub mod popularity;
