--- a/tests/path/crashes.rs
+++ b/tests/path/crashes.rs
@@ -1,5 +1,7 @@
 //! Requests that crash the engines that run them.
 
+use std::time::Duration;
+
 use http::StatusCode;
 use medlarlift::standin::answer;
 use medlarlift::standin::caller_api;
@@ -20,6 +22,13 @@
 /// Output tokens of a concurrent request, which takes about 400 ms.
 const NEIGHBOUR_TOKENS: u64 = 200;
 
+/// Requests with a line that crashes engines.
+const CRASHING_REQUESTS: usize = 30;
+/// Crashes that one line may cause.
+const MAX_CRASHES: u64 = 8;
+const SOUND_REQUESTS: usize = 100;
+const SOUND_PAUSE: Duration = Duration::from_millis(50);
+
 fn builder() -> Builder {
     Builder::new(3).engines(4, |engine| {
         engine.crash_marker = Some(CRASH_MARKER.to_owned())
@@ -96,3 +105,41 @@
     );
     check_neighbour(&deployment, 0).await;
 }
+
+/// Sends a request that shares all lines of its prompt but the last one with others.
+async fn send_with_lines(deployment: &Deployment, number: usize, lines: &str) -> Reply {
+    let prompt = format!("system\nsession\n{lines}question {number}");
+    let body = completion(&model(1 + number % 4), &prompt, 5);
+    deployment.complete(number % 3, NORTH, &body).await
+}
+
+/// Guards against requests that have one line of their prompts in common, which crashes each engine
+/// that runs them, and are otherwise all different.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_line_of_prompts_that_crashes_engines_is_not_sent_on() {
+    let deployment = builder().start().await;
+    let crashing = async {
+        for number in 0..CRASHING_REQUESTS {
+            let reply = send_with_lines(&deployment, number, "poison\n").await;
+            assert_ne!(reply.status, StatusCode::OK, "{reply:?}");
+        }
+    };
+    let sound = async {
+        let mut served = 0;
+        for number in 0..SOUND_REQUESTS {
+            let reply = send_with_lines(&deployment, number, "").await;
+            served += usize::from(reply.status == StatusCode::OK);
+            tokio::time::sleep(SOUND_PAUSE).await;
+        }
+        served
+    };
+    let ((), served) = tokio::join!(crashing, sound);
+    let crashes = deployment.crashes();
+    println!("{crashes} crashes, {served} of {SOUND_REQUESTS} sound requests served");
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
+    assert!(10 * served >= 9 * SOUND_REQUESTS, "{served} served");
+    let reply = send_with_lines(&deployment, CRASHING_REQUESTS, "poison\n").await;
+    let quarantined = StatusCode::UNPROCESSABLE_ENTITY;
+    assert_refused(&reply, quarantined, "quarantined", "not_run");
+    assert_eq!(deployment.crashes(), crashes);
+}
