fix(pipeline): what different requests have in common and crashes engines is no longer sent

The product's own interface told only one request and its repeats from others. 30 requests that share one line of their prompts crashed engines 60 times.

Cause: as on the platform's path, nothing related crashes to what their requests share. Both paths now call scheduling::crash_evidence. Here the shared parts are the lines of a prompt but the last one, such as messages of a chat; what may be the cause and what is cleared travels by gossip, with alerts as for crash reports. The quarantine of single requests stays as it was.

The evidence itself changes in two points: nothing is refused while no answer begins, so that an outage leaves no quarantine behind, and crashes of waiting requests weigh 2 in place of 1, as engines may crash before a head.

Gossip has format 2.

--- a/src/membership/broadcast.rs
+++ b/src/membership/broadcast.rs
@@ -1,9 +1,10 @@
-//! Broadcast records: crash reports, quarantine lifts and local key withdrawals. They are added and
-//! expire, but never change.
+//! Broadcast records: crash reports, what may have caused crashes and what did not, quarantine lifts
+//! and local key withdrawals. They are added and expire, but never change.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use super::crash_records::CrashRecords;
 use super::hash::stable_hash;
 use super::message::BroadcastRecord;
 use super::quarantine::Quarantine;
@@ -31,6 +32,8 @@
             Self::Crash(report) => report.at.plus(REPORT_LIFETIME_MS),
             Self::Lift(lift) => lift.at.plus(REPORT_LIFETIME_MS),
             Self::Withdrawal(withdrawal) => withdrawal.expires,
+            Self::Causes(causes) => causes.expires(),
+            Self::Cleared(cleared) => cleared.expires(),
         }
     }
 
@@ -39,6 +42,8 @@
             Self::Crash(report) => report.at,
             Self::Lift(lift) => lift.at,
             Self::Withdrawal(_) => now,
+            Self::Causes(causes) => causes.at,
+            Self::Cleared(cleared) => cleared.at,
         };
         at.since(now) <= MAX_SKEW_MS && now < self.expires()
     }
@@ -93,11 +98,24 @@
         records
             .filter_map(|record| match record {
                 BroadcastRecord::Withdrawal(withdrawal) => Some(withdrawal.key_hash),
-                BroadcastRecord::Crash(_) | BroadcastRecord::Lift(_) => None,
+                _ => None,
             })
             .collect()
     }
 
+    /// Records of what crashes servers.
+    pub fn crash_records(&self) -> CrashRecords {
+        let mut crashes = CrashRecords::default();
+        for record in self.records.keys() {
+            match record {
+                BroadcastRecord::Causes(causes) => crashes.causes.push(causes.clone()),
+                BroadcastRecord::Cleared(cleared) => crashes.cleared.push(*cleared),
+                _ => {}
+            }
+        }
+        crashes
+    }
+
     /// The quarantine that follows from the crash reports and lifts.
     pub fn quarantine(&self) -> Quarantine {
         let mut quarantine = Quarantine::default();
@@ -105,7 +123,7 @@
             match record {
                 BroadcastRecord::Crash(report) => quarantine.report(report),
                 BroadcastRecord::Lift(lift) => quarantine.lift(lift),
-                BroadcastRecord::Withdrawal(_) => {}
+                _ => {}
             }
         }
         quarantine
--- a/src/membership/driver.rs
+++ b/src/membership/driver.rs
@@ -10,6 +10,8 @@
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
+use super::crash_records::ClearedCause;
+use super::crash_records::CrashCauses;
 use super::entry::Announcement;
 use super::entry::VmPayload;
 use super::entry::VmStatus;
@@ -201,6 +203,16 @@
         self.add_record(BroadcastRecord::Crash(report));
     }
 
+    /// Reports what may have caused the crash of a backend server.
+    pub fn report_causes(&self, causes: CrashCauses) {
+        self.add_record(BroadcastRecord::Causes(causes));
+    }
+
+    /// Reports what did not cause crashes.
+    pub fn report_cleared(&self, cleared: ClearedCause) {
+        self.add_record(BroadcastRecord::Cleared(cleared));
+    }
+
     /// Lifts the quarantine of a request on behalf of an operator.
     pub fn lift_quarantine(&self, fingerprint: Fingerprint) {
         let at = self.shared.clock.unix();
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -5,6 +5,8 @@
 use serde::Serialize;
 use snafu::Snafu;
 
+use super::crash_records::ClearedCause;
+use super::crash_records::CrashCauses;
 use super::entry::Member;
 use super::entry::ServerPayload;
 use super::entry::VmPayload;
@@ -16,7 +18,7 @@
 use crate::types::VmName;
 
 /// Format version of [`Digest`] and [`Delta`].
-pub const GOSSIP_FORMAT: u8 = 1;
+pub const GOSSIP_FORMAT: u8 = 2;
 
 /// A gossip request: updates for the peer, and hashes by which the peer determines which entries
 /// the sender lacks.
@@ -147,6 +149,10 @@
     Lift(Lift),
     /// A key was withdrawn by a VM that could not reach the replicated log.
     Withdrawal(Withdrawal),
+    /// What may have caused the crash of a backend server.
+    Causes(CrashCauses),
+    /// What did not cause crashes.
+    Cleared(ClearedCause),
 }
 
 /// A key withdrawn outside the replicated log.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,6 +3,7 @@
 
 mod broadcast;
 mod bucket_hashes;
+mod crash_records;
 mod directory;
 mod driver;
 mod entry;
@@ -12,6 +13,9 @@
 mod quarantine;
 mod table;
 
+pub use crash_records::ClearedCause;
+pub use crash_records::CrashCauses;
+pub use crash_records::CrashRecords;
 pub use directory::Change;
 pub use driver::Config;
 pub use driver::Handle;
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -11,6 +11,7 @@
 
 use super::broadcast::BroadcastRecords;
 use super::bucket_hashes::bucket_of;
+use super::crash_records::CrashRecords;
 use super::directory::Change;
 use super::directory::Directory;
 use super::directory::encoded_len;
@@ -93,10 +94,20 @@
     pub servers: BTreeMap<ServerName, View<ServerPayload>>,
     /// Quarantine of requests that crash backend servers.
     pub quarantine: Arc<Quarantine>,
+    /// Records of what crashes backend servers.
+    pub crashes: Arc<CrashRecords>,
     /// SHA-256 hashes of keys withdrawn outside the replicated log.
     pub withdrawn: Arc<BTreeSet<[u8; 32]>>,
 }
 
+/// What the broadcast records say, for readers.
+#[derive(Clone, Debug, Default)]
+struct RecordViews {
+    quarantine: Arc<Quarantine>,
+    crashes: Arc<CrashRecords>,
+    withdrawn: Arc<BTreeSet<[u8; 32]>>,
+}
+
 /// The membership table of one VM.
 #[derive(Debug)]
 pub struct Table {
@@ -111,7 +122,7 @@
     vm_schedule: HeartbeatSchedule,
     server_schedule: HeartbeatSchedule,
     records: BroadcastRecords,
-    record_views: (Arc<Quarantine>, Arc<BTreeSet<[u8; 32]>>),
+    record_views: RecordViews,
     contacts: Vec<Contact>,
     next_bucket: u8,
     joined: bool,
@@ -135,7 +146,7 @@
             vms: Directory::new(),
             servers: Directory::new(),
             records: BroadcastRecords::default(),
-            record_views: Default::default(),
+            record_views: RecordViews::default(),
             contacts: Vec::new(),
             next_bucket: 0,
             joined: false,
@@ -312,12 +323,17 @@
 
     /// A copy of the table for readers.
     pub fn snapshot(&self) -> Snapshot {
-        let (quarantine, withdrawn) = &self.record_views;
+        let RecordViews {
+            quarantine,
+            crashes,
+            withdrawn,
+        } = self.record_views.clone();
         Snapshot {
             vms: self.vms.views(&self.vm_schedule),
             servers: self.servers.views(&self.server_schedule),
-            quarantine: Arc::clone(quarantine),
-            withdrawn: Arc::clone(withdrawn),
+            quarantine,
+            crashes,
+            withdrawn,
         }
     }
 
@@ -362,9 +378,11 @@
     }
 
     fn update_record_views(&mut self) {
-        let quarantine = Arc::new(self.records.quarantine());
-        let withdrawn = Arc::new(self.records.withdrawn());
-        self.record_views = (quarantine, withdrawn);
+        self.record_views = RecordViews {
+            quarantine: Arc::new(self.records.quarantine()),
+            crashes: Arc::new(self.records.crash_records()),
+            withdrawn: Arc::new(self.records.withdrawn()),
+        };
     }
 
     /// Live contacts, and contacts that are unreachable or not in the table.
--- a/src/node/directories.rs
+++ b/src/node/directories.rs
@@ -6,15 +6,11 @@
 use crate::control::KeyHash;
 use crate::control::Parameters;
 use crate::membership;
-use crate::membership::CrashReport;
-use crate::membership::Fingerprint;
 use crate::membership::Liveness;
-use crate::membership::Verdict;
 use crate::node::server_names::announced_name;
 use crate::node::state_machine::SharedControlState;
 use crate::node::state_machine::lock;
 use crate::pipeline::KeyDirectory;
-use crate::pipeline::Quarantine;
 use crate::pipeline::ServerDirectory;
 use crate::types::AccountName;
 use crate::types::Clock;
@@ -58,30 +54,3 @@
         Some((address, view.incarnation))
     }
 }
-
-/// Quarantine of requests, based on the crash reports in the membership table.
-pub struct MembershipQuarantine {
-    /// Cluster membership.
-    pub members: membership::Handle,
-    /// Clock of this VM.
-    pub clock: Clock,
-}
-
-impl Quarantine for MembershipQuarantine {
-    fn verdict(&self, fingerprint: &Fingerprint) -> Verdict {
-        let snapshot = self.members.snapshot();
-        snapshot.quarantine.verdict(fingerprint, self.clock.unix())
-    }
-
-    fn report(&self, fingerprint: Fingerprint, server: &ServerName, incarnation: u64) {
-        log::warn!(
-            "quarantine: server {server} crashed while it ran a request; reporting the request"
-        );
-        self.members.report_crash(CrashReport {
-            fingerprint,
-            server: server.clone(),
-            incarnation,
-            at: self.clock.unix(),
-        });
-    }
-}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod leader_tasks;
 mod membership_sync;
 mod proposer;
+mod quarantine;
 mod replicated_log;
 mod self_entry;
 mod server_names;
--- a/src/node/vm.rs
+++ b/src/node/vm.rs
@@ -17,12 +17,12 @@
 use super::control_plane::VmControlPlane;
 use super::control_sync::RevisionIndex;
 use super::directories::ControlKeyDirectory;
-use super::directories::MembershipQuarantine;
 use super::directories::MembershipServerDirectory;
 use super::handler::VmHandler;
 use super::health::Phase;
 use super::health::VmHealth;
 use super::jobs::JobRunner;
+use super::quarantine::MembershipQuarantine;
 use super::replicated_log::NodeLog;
 use super::self_entry::SelfEntry;
 use super::suspect_reserver::CoordinatorSuspectReserver;
@@ -282,10 +282,10 @@
             members: components.members.clone(),
             clock: components.clock,
         }),
-        quarantine: Arc::new(MembershipQuarantine {
-            members: components.members.clone(),
-            clock: components.clock,
-        }),
+        quarantine: Arc::new(MembershipQuarantine::new(
+            components.members.clone(),
+            components.clock,
+        )),
         suspects: Arc::new(CoordinatorSuspectReserver {
             vm: settings.vm.clone(),
             lease: components.lease.clone(),
--- a/src/pipeline/admit.rs
+++ b/src/pipeline/admit.rs
@@ -111,11 +111,16 @@
 /// `Quarantined` with the time until the quarantine ends.
 pub(super) fn check_quarantine(cx: &Context, request: &ClassifiedRequest) -> Result<()> {
     let verdict = cx.quarantine.verdict(&Fingerprint(request.fingerprint));
-    let Verdict::Quarantined { until } = verdict else {
+    let until = match verdict {
+        Verdict::Quarantined { until } => Some(until),
+        Verdict::Clear | Verdict::Suspect => cx.quarantine.refused_until(&request.features),
+    };
+    let Some(until) = until else {
         return Ok(());
     };
     let retry_after_ms = until.since(cx.clock.unix());
-    let message = "the request was running on backend servers that crashed and is quarantined";
+    let message = "the request, or requests that share a part of its prompt, was running on backend \
+                   servers that crashed and is quarantined";
     Err(Refusal::not_run(RefusalCode::Quarantined, message).with_retry_after_ms(retry_after_ms))
 }
 
--- a/src/pipeline/classify.rs
+++ b/src/pipeline/classify.rs
@@ -12,9 +12,11 @@
 use super::authenticate::Caller;
 use super::request_id::RequestId;
 use crate::types::AdapterRef;
+use crate::types::Feature;
 use crate::types::Patience;
 use crate::types::Refusal;
 use crate::types::RefusalCode;
+use crate::types::RequestFeatures;
 use crate::types::Tokens;
 use crate::types::UnixMs;
 
@@ -25,6 +27,8 @@
 const DEFAULT_OUTPUT_TOKENS: Tokens = 256;
 /// Largest output limit that a request may name.
 const MAX_OUTPUT_TOKENS: Tokens = 32_768;
+/// Lines of a prompt that are compared with those of requests that crash engines.
+const MAX_SHARED_LINES: usize = 32;
 /// Bytes of prompt text estimated as one token until the engine reports its own count.
 const BYTES_PER_TOKEN: u64 = 3;
 /// Time to the deadline of an urgent request that names none.
@@ -65,6 +69,20 @@
         let prompt_bytes = u64::try_from(self.prompt.len()).unwrap_or(u64::MAX);
         prompt_bytes.div_ceil(BYTES_PER_TOKEN).max(1) + self.max_tokens
     }
+
+    /// Features of the request with the digest `fingerprint`. Requests share lines of their prompts, such
+    /// as messages of a chat; the last line is the request's own.
+    pub fn features(&self, fingerprint: &[u8; 32]) -> RequestFeatures {
+        let mut lines: Vec<&str> = self.prompt.lines().take(MAX_SHARED_LINES + 1).collect();
+        lines.pop();
+        let shared = lines.into_iter().filter(|line| !line.is_empty());
+        RequestFeatures {
+            request: Feature::of_request(&[fingerprint]),
+            parts: shared
+                .map(|line| Feature::of_part(line.as_bytes()))
+                .collect(),
+        }
+    }
 }
 
 /// A parsed and validated completion request.
@@ -83,6 +101,9 @@
     /// Digest of account, adapter and body, by which the quarantine recognises a request that
     /// crashes engines.
     pub fingerprint: [u8; 32],
+    /// What it has in common with other requests, by which it is recognised that this crashes
+    /// engines.
+    pub features: RequestFeatures,
 }
 
 /// Request body of both completion endpoints.
@@ -119,6 +140,7 @@
     let deadline = read_deadline(headers, patience, now)?;
     check_permissions(&caller, &completion, patience)?;
     let fingerprint = fingerprint(&caller, &completion);
+    let features = completion.features(&fingerprint);
     Ok(ClassifiedRequest {
         caller,
         request_id,
@@ -126,6 +148,7 @@
         patience,
         deadline,
         fingerprint,
+        features,
     })
 }
 
--- a/src/pipeline/context.rs
+++ b/src/pipeline/context.rs
@@ -16,9 +16,12 @@
 use crate::membership::Fingerprint;
 use crate::membership::Verdict;
 use crate::metrics::Metrics;
+use crate::scheduling::crash_evidence::Progress;
 use crate::types::Clock;
 use crate::types::Refusal;
+use crate::types::RequestFeatures;
 use crate::types::ServerName;
+use crate::types::UnixMs;
 
 /// Whether the VM may accept requests.
 pub trait Health: Send + Sync {
@@ -50,6 +53,22 @@
 
     /// Reports that a request was running on a server that crashed.
     fn report(&self, fingerprint: Fingerprint, server: &ServerName, incarnation: u64);
+
+    /// End of the time for which requests with everything that `features` and requests that crashed
+    /// servers have in common are refused.
+    fn refused_until(&self, features: &RequestFeatures) -> Option<UnixMs>;
+
+    /// Reports what may have caused the crash of a server: a request whose answer had not begun.
+    fn report_causes(
+        &self,
+        features: &RequestFeatures,
+        progress: Progress,
+        server: &ServerName,
+        incarnation: u64,
+    );
+
+    /// Records that the answer to a request has begun, so that it does not crash servers.
+    fn record_begun(&self, features: &RequestFeatures);
 }
 
 /// Reserves engines for suspects: requests that were running when an engine crashed.
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -28,6 +28,7 @@
 use crate::membership::Fingerprint;
 use crate::membership::Verdict;
 use crate::metrics::Timing;
+use crate::scheduling::crash_evidence::Progress;
 use crate::types::MonoMs;
 use crate::types::Patience;
 use crate::types::Refusal;
@@ -187,7 +188,10 @@
                 accepted,
             }))
         }
-        Err(error) => Ok(Err(handle_failure(cx, request, in_flight, error).await)),
+        Err((error, progress)) => {
+            let failed = handle_failure(cx, request, in_flight, error, progress).await;
+            Ok(Err(failed))
+        }
     }
 }
 
@@ -225,20 +229,23 @@
     }
 }
 
+/// Waits for the first token. A failure tells whether the answer had begun.
 async fn first_token(
     started: impl Future<Output = crate::backend::Result<TokenStream>>,
     run_deadline: Instant,
-) -> crate::backend::Result<(TokenFrame, TokenStream)> {
+) -> std::result::Result<(TokenFrame, TokenStream), (BackendError, Progress)> {
     let started = timeout_at(run_deadline, started).await;
-    let mut stream = started.map_err(|_| BackendError::TimedOut)??;
-    match timeout_at(run_deadline, stream.next()).await {
-        Ok(Some(Ok(frame))) => Ok((frame, stream)),
-        Ok(Some(Err(error))) => Err(error),
-        Ok(None) => Err(BackendError::Lost {
+    let started = started.unwrap_or(Err(BackendError::TimedOut));
+    let mut stream = started.map_err(|error| (error, Progress::Waiting))?;
+    let error = match timeout_at(run_deadline, stream.next()).await {
+        Ok(Some(Ok(frame))) => return Ok((frame, stream)),
+        Ok(Some(Err(error))) => error,
+        Ok(None) => BackendError::Lost {
             message: "the stream was empty".to_owned(),
-        }),
-        Err(_) => Err(BackendError::TimedOut),
-    }
+        },
+        Err(_) => BackendError::TimedOut,
+    };
+    Err((error, Progress::Answering))
 }
 
 /// Handles a failed dispatch: determines whether the server crashed, and if so reports the crash
@@ -248,6 +255,7 @@
     request: &ClassifiedRequest,
     in_flight: InFlight,
     error: BackendError,
+    progress: Progress,
 ) -> FailedDispatch {
     if error.is_connection_failure() {
         mark_failed(cx, &in_flight);
@@ -263,6 +271,9 @@
     let crashed = error.is_connection_failure() && has_lost_request(cx, &in_flight).await;
     let tokens = if crashed {
         report_crash(cx, request, &in_flight);
+        let incarnation = in_flight.assignment().incarnation();
+        cx.quarantine
+            .report_causes(&request.features, progress, in_flight.server(), incarnation);
         in_flight.not_run()
     } else {
         in_flight.lost()
@@ -385,6 +396,7 @@
 }
 
 fn record_first_token(cx: &Context, request: &ClassifiedRequest, accepted: MonoMs) {
+    cx.quarantine.record_begun(&request.features);
     let elapsed_ms = cx.clock.mono().since(accepted);
     let account = request.caller.account();
     cx.metrics
--- a/src/pipeline/job.rs
+++ b/src/pipeline/job.rs
@@ -78,6 +78,7 @@
     pub fn classified(self, job: &Job, caller: Caller) -> ClassifiedRequest {
         ClassifiedRequest {
             caller,
+            features: self.completion.features(&self.fingerprint),
             request_id: RequestId::random(),
             completion: self.completion,
             patience: Patience::Patient,
--- a/src/scheduling/crash_evidence.rs
+++ b/src/scheduling/crash_evidence.rs
@@ -7,7 +7,8 @@
 //! A request whose answer had not begun when its server crashed may be the cause, and so may each
 //! feature that it shares with others. A feature of a request whose answer begins is no cause. What
 //! remains after several crashes is. A request is refused if it has all features that may have
-//! caused the same crashes; while it lacks one of them, its own outcome tells them apart.
+//! caused the same crashes; while it lacks one of them, its own outcome tells them apart. Nothing is
+//! refused while no answer begins at all: the servers then crash for another reason.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -22,16 +23,16 @@
 use crate::types::ServerName;
 
 /// Time before a crash in which the begin of an answer clears the features of its request.
-const CLEARING_MS: u64 = 30_000;
+pub const CLEARING_MS: u64 = 30_000;
 /// Time after a crash for which requests are refused because of it.
-const QUARANTINE_MS: u64 = 10 * 60_000;
+pub const QUARANTINE_MS: u64 = 10 * 60_000;
 /// Weight of the crashes of a feature from which on its requests are refused.
 const QUARANTINE_WEIGHT: u64 = 6;
 /// Weight of a crash for requests whose answer had a head but no complete event.
 const ANSWERING_WEIGHT: u64 = 3;
 /// Weight of a crash for requests that waited for their answer. Many do when a server crashes by
 /// itself.
-const WAITING_WEIGHT: u64 = 1;
+const WAITING_WEIGHT: u64 = 2;
 /// Time in which crashes with waiting requests only count once: servers that share a power supply
 /// or a network crash together.
 const SEPARATE_CRASHES_MS: u64 = 1_000;
@@ -43,7 +44,7 @@
 const MAX_BEGUN: usize = 16_384;
 
 /// How far a request was when its server crashed.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Progress {
     /// Nothing of its answer had arrived.
     Waiting,
@@ -124,6 +125,8 @@
     crashes: IndexMap<(ServerName, u64), Crash>,
     /// Last begin of an answer, by feature.
     begun: HashMap<Feature, MonoMs>,
+    /// Last begin of any answer to a request with shared parts.
+    last_begun: Option<MonoMs>,
 }
 
 impl CrashEvidence {
@@ -174,6 +177,9 @@
     /// causes until now.
     pub fn record_begun(&mut self, features: &RequestFeatures, now: MonoMs) -> Vec<ClearedFeature> {
         let mut cleared = Vec::new();
+        if !features.parts.is_empty() {
+            self.last_begun = Some(now);
+        }
         for feature in &features.parts {
             if self.clear(*feature, now) {
                 cleared.push(*feature);
@@ -258,7 +264,11 @@
         if !causes.all(|cause| own.contains(cause)) {
             return None;
         }
+        let earliest = crashes.iter().map(|crash| crash.at).min()?;
         let last = crashes.iter().map(|crash| crash.at).max()?;
+        if self.last_begun.is_none_or(|begun| begun < earliest) {
+            return None;
+        }
         Some(Quarantined {
             feature,
             crashes: crashes.len(),
--- a/tests/orders_path.rs
+++ b/tests/orders_path.rs
@@ -56,6 +56,7 @@
 use medlarlift::pipeline::SuspectEngineReserver;
 use medlarlift::pipeline::SuspectReservation;
 use medlarlift::pipeline::run_service;
+use medlarlift::scheduling::crash_evidence::Progress;
 use medlarlift::scheduling::fair_queue::FairQueueConfig;
 use medlarlift::scheduling::routing::LoadReport;
 use medlarlift::scheduling::routing::Policy;
@@ -71,8 +72,10 @@
 use medlarlift::types::Patience;
 use medlarlift::types::Refusal;
 use medlarlift::types::RefusalCode;
+use medlarlift::types::RequestFeatures;
 use medlarlift::types::RunState;
 use medlarlift::types::ServerName;
+use medlarlift::types::UnixMs;
 use serde_json::json;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -268,6 +271,14 @@
     }
 
     fn report(&self, _: Fingerprint, _: &ServerName, _: u64) {}
+
+    fn refused_until(&self, _: &RequestFeatures) -> Option<UnixMs> {
+        None
+    }
+
+    fn report_causes(&self, _: &RequestFeatures, _: Progress, _: &ServerName, _: u64) {}
+
+    fn record_begun(&self, _: &RequestFeatures) {}
 }
 
 impl limits::BorrowPeers for Stubs {
