fix(crash-evidence): a crash that another part explains as well does not count

Change: a crash counts for a request only if nothing that the request lacks explains it as well; crashes while all requests waited decide only among parts that have no others. Four of those are needed in place of three. The test a_crash_by_chance_does_not_outweigh_the_cause fails on the code before.

--- a/src/scheduling/crash_evidence.rs
+++ b/src/scheduling/crash_evidence.rs
@@ -6,8 +6,8 @@
 //!
 //! A request whose answer had not begun when its server crashed may be the cause, and so may each
 //! feature that it shares with others. A feature of a request whose answer begins is no cause. What
-//! remains after several crashes is. A request is refused if it has all features that may have
-//! caused the same crashes; while it lacks one of them, its own outcome tells them apart. Nothing is
+//! remains after several crashes is. A request is refused for the crashes that nothing which it lacks
+//! explains as well; while it lacks something, its own outcome tells the causes apart. Nothing is
 //! refused while no answer begins at all: the servers then crash for another reason.
 
 use std::collections::BTreeSet;
@@ -26,13 +26,14 @@
 pub const CLEARING_MS: u64 = 30_000;
 /// Time after a crash for which requests are refused because of it.
 pub const QUARANTINE_MS: u64 = 10 * 60_000;
-/// Weight of the crashes of a feature from which on its requests are refused.
-const QUARANTINE_WEIGHT: u64 = 6;
+/// Weight of the crashes of a feature from which on its requests are refused: two crashes while
+/// requests were being answered, or four while all waited.
+const QUARANTINE_WEIGHT: u64 = 12;
 /// Weight of a crash for requests whose answer had a head but no complete event.
-const ANSWERING_WEIGHT: u64 = 3;
+const ANSWERING_WEIGHT: u64 = 6;
 /// Weight of a crash for requests that waited for their answer. Many do when a server crashes by
 /// itself.
-const WAITING_WEIGHT: u64 = 2;
+const WAITING_WEIGHT: u64 = 3;
 /// Time in which crashes with waiting requests only count once: servers that share a power supply
 /// or a network crash together.
 const SEPARATE_CRASHES_MS: u64 = 1_000;
@@ -93,18 +94,14 @@
 }
 
 impl Crash {
-    /// Features that may have caused the crash, and their weight.
-    fn causes(&self) -> (&BTreeSet<Feature>, u64) {
+    /// Features that may have caused the crash.
+    fn causes(&self) -> &BTreeSet<Feature> {
         match self.answering.is_empty() {
-            true => (&self.waiting, WAITING_WEIGHT),
-            false => (&self.answering, ANSWERING_WEIGHT),
+            true => &self.waiting,
+            false => &self.answering,
         }
     }
 
-    fn may_be_caused_by(&self, feature: Feature) -> bool {
-        self.causes().0.contains(&feature)
-    }
-
     fn features(&mut self, progress: Progress) -> &mut BTreeSet<Feature> {
         match progress {
             Progress::Waiting => &mut self.waiting,
@@ -259,27 +256,25 @@
         reports.collect()
     }
 
-    /// Refuses requests that have `feature`, if it may have caused enough crashes, and all other
-    /// features that may have caused each of these.
+    /// Refuses a request with the features `own` because of `feature`, if it may have caused enough
+    /// crashes that nothing which the request lacks explains as well.
     fn quarantined_for(
         &self,
         feature: Feature,
         own: &[Feature],
         now: MonoMs,
     ) -> Option<Quarantined> {
-        let counts =
-            |crash: &&Crash| now.since(crash.at) < QUARANTINE_MS && crash.may_be_caused_by(feature);
-        let crashes: Vec<&Crash> = self.crashes.values().filter(counts).collect();
-        if weight(&crashes) < QUARANTINE_WEIGHT {
+        let crashes = self.crashes_of(feature, now);
+        let support = Support::of(&crashes);
+        if support.weight() < QUARANTINE_WEIGHT {
             return None;
         }
-        let (first, others) = crashes.split_first()?;
-        let is_in_all = |cause: &&Feature| {
-            let mut others = others.iter();
-            others.all(|crash| crash.may_be_caused_by(**cause))
+        let explains_as_well = |cause: &Feature| {
+            !own.contains(cause) && Support::of(&self.crashes_of(*cause, now)).is_at_least(support)
         };
-        let mut causes = first.causes().0.iter().filter(is_in_all);
-        if !causes.all(|cause| own.contains(cause)) {
+        let is_unexplained = |crash: &&Crash| !crash.causes().iter().any(explains_as_well);
+        let crashes: Vec<&Crash> = crashes.into_iter().filter(is_unexplained).collect();
+        if Support::of(&crashes).weight() < QUARANTINE_WEIGHT {
             return None;
         }
         let earliest = crashes.iter().map(|crash| crash.at).min()?;
@@ -294,6 +289,14 @@
         })
     }
 
+    /// Crashes that `feature` may have caused.
+    fn crashes_of(&self, feature: Feature, now: MonoMs) -> Vec<&Crash> {
+        let counts = |crash: &&Crash| {
+            now.since(crash.at) < QUARANTINE_MS && crash.causes().contains(&feature)
+        };
+        self.crashes.values().filter(counts).collect()
+    }
+
     /// Last begin of an answer that shows that `feature` did not cause a crash at `crash_at`.
     fn begun_for(&self, feature: Feature, crash_at: MonoMs) -> Option<MonoMs> {
         let begun = self.begun.get(&feature).copied()?;
@@ -339,20 +342,45 @@
     }
 }
 
-/// Weight of crashes that may have the same cause.
-fn weight(crashes: &[&Crash]) -> u64 {
-    let answering = crashes.iter().filter(|crash| !crash.answering.is_empty());
-    let answering = answering.count() as u64;
-    let waiting = crashes.iter().filter(|crash| crash.answering.is_empty());
-    let mut times: Vec<MonoMs> = waiting.map(|crash| crash.at).collect();
-    times.sort_unstable();
-    let mut last = None;
-    let mut separate = 0;
-    for at in times {
-        if last.is_none_or(|last: MonoMs| at.since(last) >= SEPARATE_CRASHES_MS) {
-            separate += 1;
-            last = Some(at);
+/// Crashes that speak for one cause.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Support {
+    /// Crashes with requests that were being answered.
+    answering: u64,
+    /// Separate crashes with waiting requests only.
+    waiting: u64,
+}
+
+impl Support {
+    fn of(crashes: &[&Crash]) -> Self {
+        let (answering, waiting): (Vec<&Crash>, Vec<&Crash>) = crashes
+            .iter()
+            .partition(|crash| !crash.answering.is_empty());
+        let mut times: Vec<MonoMs> = waiting.iter().map(|crash| crash.at).collect();
+        times.sort_unstable();
+        let mut separate: Vec<MonoMs> = Vec::new();
+        for at in times {
+            let last = separate.last();
+            if last.is_none_or(|last| at.since(*last) >= SEPARATE_CRASHES_MS) {
+                separate.push(at);
+            }
+        }
+        Self {
+            answering: answering.len() as u64,
+            waiting: separate.len() as u64,
+        }
+    }
+
+    fn weight(self) -> u64 {
+        self.answering * ANSWERING_WEIGHT + self.waiting * WAITING_WEIGHT
+    }
+
+    /// Whether as many crashes speak for this cause as for `other`. Crashes with waiting requests only
+    /// decide if there are no others: they may be chance.
+    fn is_at_least(self, other: Self) -> bool {
+        match (self.answering, other.answering) {
+            (0, 0) => self.waiting >= other.waiting,
+            (own, others) => own >= others,
         }
     }
-    answering * ANSWERING_WEIGHT + separate * WAITING_WEIGHT
 }
--- a/tests/crash_evidence.rs
+++ b/tests/crash_evidence.rs
@@ -86,6 +86,26 @@
     assert_eq!(evidence.quarantine(&other, MonoMs(1)), None);
 }
 
+/// Guards against refusals of requests with a part that waited on one more server which crashed by
+/// itself than the part that is the cause.
+#[test]
+fn a_crash_by_chance_does_not_outweigh_the_cause() {
+    let mut evidence = CrashEvidence::default();
+    let waiting = request("waiting", &["session"]);
+    evidence.record_crash(&crash(0, Progress::Waiting, &[&waiting]), MonoMs(0));
+    for number in 1..3 {
+        let deadly = request(&format!("deadly-{number}"), &["session", "dead"]);
+        let at = MonoMs(number as u64 * 2_000);
+        evidence.record_crash(&crash(number, Progress::Answering, &[&deadly]), at);
+    }
+    let now = MonoMs(5_000);
+    evidence.record_begun(&request("unrelated", &["unrelated"]), now);
+    let sound = request("sound", &["session"]);
+    assert_eq!(evidence.quarantine(&sound, now), None);
+    let deadly = request("deadly-3", &["session", "dead"]);
+    assert!(evidence.quarantine(&deadly, now).is_some());
+}
+
 /// Guards against refusals because servers crash by themselves, at once or one after the other, while
 /// requests with popular and with rare parts wait for their answers.
 #[test]
