--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! Decides how to proceed after an attempt at a backend server that brought no successful answer.
 
 use super::deployment::RepeatPolicy;
+use super::deployment::Route;
 
 /// Outcome of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -29,6 +30,18 @@
     pub max_runs: u32,
 }
 
+impl AttemptHistory {
+    /// History of a request that has not been sent.
+    pub fn of(route: &Route) -> Self {
+        Self {
+            repeat: route.repeat,
+            runs: 0,
+            refusals: 0,
+            max_runs: route.max_attempts.max(1),
+        }
+    }
+}
+
 /// Step that follows an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NextStep {
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -72,11 +72,7 @@
     let route = find_route(&deployment, parts)?;
     record.route = Some(route.name.clone());
     record.target_ms = route.target_latency_ms;
-    if route.repeat.is_stream() && parts.version == Version::HTTP_10 {
-        // In HTTP/1.0 a stream that breaks off ends like a complete one.
-        let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
-        return Err(Refusal::new(status, "stream_over_http_1_0"));
-    }
+    check_http_version(&route, parts)?;
     let account = find_account(&deployment, &route, &caller)?;
     record.account = account.as_ref().map(|account| account.name.clone());
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
@@ -91,12 +87,7 @@
     let features = Arc::new(features(parts, &body, &caller, account.as_deref()));
     let template = template(parts, body, &caller, &route, features);
     Ok(Exchange {
-        history: AttemptHistory {
-            repeat: route.repeat,
-            runs: 0,
-            refusals: 0,
-            max_runs: route.max_attempts.max(1),
-        },
+        history: AttemptHistory::of(&route),
         gateway: Arc::clone(gateway),
         is_engine: is_engine(&deployment, &service),
         is_popular,
@@ -168,6 +159,15 @@
     route.ok_or_else(|| Refusal::new(StatusCode::NOT_FOUND, "no_route"))
 }
 
+/// Refuses a stream over HTTP/1.0, in which one that breaks off ends like a complete one.
+fn check_http_version(route: &Route, parts: &Parts) -> Result<(), Refusal> {
+    if !route.repeat.is_stream() || parts.version != Version::HTTP_10 {
+        return Ok(());
+    }
+    let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
+    Err(Refusal::new(status, "stream_over_http_1_0"))
+}
+
 fn find_account(
     deployment: &Deployment,
     route: &Route,
--- a/src/gateway/select_server.rs
+++ b/src/gateway/select_server.rs
@@ -133,14 +133,7 @@
                 }
                 Choice::NotPresent => (POLL_MS, Unavailable::Model),
             };
-            let may_appear = cause.may_end_soon(self.gateway.is_starting_up());
-            if !may_appear || self.wait_is_over(wait_started) {
-                return Err(cause.refusal());
-            }
-            if self.gateway.is_past_wait_deadline() {
-                let status = StatusCode::SERVICE_UNAVAILABLE;
-                return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
-            }
+            self.check_wait(cause, wait_started)?;
             let wait = Duration::from_millis(wait_ms);
             match self.adapter().filter(|_| cause == Unavailable::Adapter) {
                 Some(adapter) => {
@@ -153,6 +146,19 @@
         }
     }
 
+    /// Refuses a request that must not wait any longer.
+    fn check_wait(&self, cause: Unavailable, wait_started: Instant) -> Result<(), Refusal> {
+        let may_appear = cause.may_end_soon(self.gateway.is_starting_up());
+        if !may_appear || self.wait_is_over(wait_started) {
+            return Err(cause.refusal());
+        }
+        if self.gateway.is_past_wait_deadline() {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
+        }
+        Ok(())
+    }
+
     fn check_admission(&self, delay_ms: u64) -> Result<(), Refusal> {
         let target_ms = self.route.target_latency_ms;
         let refused = admission::retry_after_ms(delay_ms, target_ms, self.priority());
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -11,6 +11,7 @@
 mod heartbeat_schedule;
 mod message;
 mod quarantine;
+mod snapshot;
 mod table;
 
 pub use crash_records::ClearedCause;
@@ -50,7 +51,7 @@
 pub use quarantine::Quarantine;
 pub use quarantine::REPORT_LIFETIME_MS;
 pub use quarantine::Verdict;
+pub use snapshot::Snapshot;
 pub use table::Contact;
-pub use table::Snapshot;
 pub use table::Table;
 pub use table::TableConfig;
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -1,9 +1,5 @@
 //! The membership table of one VM.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::sync::Arc;
-
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -11,14 +7,12 @@
 
 use super::broadcast::BroadcastRecords;
 use super::bucket_hashes::bucket_of;
-use super::crash_records::CrashRecords;
 use super::directory::Change;
 use super::directory::Directory;
 use super::directory::encoded_len;
 use super::entry::Announcement;
 use super::entry::Liveness;
 use super::entry::ServerPayload;
-use super::entry::View;
 use super::entry::VmPayload;
 use super::entry::VmStatus;
 use super::heartbeat_schedule::HeartbeatSchedule;
@@ -32,7 +26,8 @@
 use super::message::Entry;
 use super::message::GOSSIP_FORMAT;
 use super::message::Updates;
-use super::quarantine::Quarantine;
+use super::snapshot::RecordViews;
+use super::snapshot::Snapshot;
 use crate::types::DataCentre;
 use crate::types::MonoMs;
 use crate::types::ServerName;
@@ -85,29 +80,6 @@
     pub address: String,
 }
 
-/// A copy of the table for readers, who evaluate liveness at use with [`View::liveness`].
-#[derive(Clone, Debug, Default)]
-pub struct Snapshot {
-    /// VMs, including this one.
-    pub vms: BTreeMap<VmName, View<VmPayload>>,
-    /// Backend servers.
-    pub servers: BTreeMap<ServerName, View<ServerPayload>>,
-    /// Quarantine of requests that crash backend servers.
-    pub quarantine: Arc<Quarantine>,
-    /// Records of what crashes backend servers.
-    pub crashes: Arc<CrashRecords>,
-    /// SHA-256 hashes of keys withdrawn outside the replicated log.
-    pub withdrawn: Arc<BTreeSet<[u8; 32]>>,
-}
-
-/// What the broadcast records say, for readers.
-#[derive(Clone, Debug, Default)]
-struct RecordViews {
-    quarantine: Arc<Quarantine>,
-    crashes: Arc<CrashRecords>,
-    withdrawn: Arc<BTreeSet<[u8; 32]>>,
-}
-
 /// The membership table of one VM.
 #[derive(Debug)]
 pub struct Table {
@@ -323,18 +295,9 @@
 
     /// A copy of the table for readers.
     pub fn snapshot(&self) -> Snapshot {
-        let RecordViews {
-            quarantine,
-            crashes,
-            withdrawn,
-        } = self.record_views.clone();
-        Snapshot {
-            vms: self.vms.views(&self.vm_schedule),
-            servers: self.servers.views(&self.server_schedule),
-            quarantine,
-            crashes,
-            withdrawn,
-        }
+        let vms = self.vms.views(&self.vm_schedule);
+        let servers = self.servers.views(&self.server_schedule);
+        Snapshot::new(vms, servers, &self.record_views)
     }
 
     fn update_own_entry(&mut self, now: MonoMs, changed: bool) {
@@ -378,11 +341,7 @@
     }
 
     fn update_record_views(&mut self) {
-        self.record_views = RecordViews {
-            quarantine: Arc::new(self.records.quarantine()),
-            crashes: Arc::new(self.records.crash_records()),
-            withdrawn: Arc::new(self.records.withdrawn()),
-        };
+        self.record_views = RecordViews::of(&self.records);
     }
 
     /// Live contacts, and contacts that are unreachable or not in the table.
