fix(crash-evidence): a cause is refused for a while also when no answer begins

The part was known after two crashes, but nothing was refused: no answer to a request with shared parts had begun since, as the requests that crash runners kept all three of them down.

Change: without a begin, requests are refused for 8 s after the last crash. That leaves nothing behind after an outage, and sound requests can begin.

--- a/src/scheduling/crash_evidence.rs
+++ b/src/scheduling/crash_evidence.rs
@@ -7,8 +7,9 @@
 //! A request whose answer had not begun when its server crashed may be the cause, and so may each
 //! feature that it shares with others. A feature of a request whose answer begins is no cause. What
 //! remains after several crashes is. A request is refused for the crashes that nothing which it lacks
-//! explains as well; while it lacks something, its own outcome tells the causes apart. Nothing is
-//! refused while no answer begins at all: the servers then crash for another reason.
+//! explains as well; while it lacks something, its own outcome tells the causes apart. Requests are
+//! refused for a short time only while no answer begins at all: the servers may crash for another
+//! reason.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -26,6 +27,9 @@
 pub const CLEARING_MS: u64 = 30_000;
 /// Time after a crash for which requests are refused because of it.
 pub const QUARANTINE_MS: u64 = 10 * 60_000;
+/// The same while no answer begins at all. Servers may then crash for another reason, but answers that
+/// could begin need servers that stay up.
+const OUTAGE_QUARANTINE_MS: u64 = 8_000;
 /// Weight of the crashes of a feature from which on its requests are refused: two crashes while
 /// requests were being answered, or four while all waited.
 const QUARANTINE_WEIGHT: u64 = 12;
@@ -279,13 +283,15 @@
         }
         let earliest = crashes.iter().map(|crash| crash.at).min()?;
         let last = crashes.iter().map(|crash| crash.at).max()?;
-        if self.last_begun.is_none_or(|begun| begun < earliest) {
-            return None;
-        }
-        Some(Quarantined {
+        let has_begun_since = self.last_begun.is_some_and(|begun| begun >= earliest);
+        let until = last.plus(match has_begun_since {
+            true => QUARANTINE_MS,
+            false => OUTAGE_QUARANTINE_MS,
+        });
+        (now < until).then_some(Quarantined {
             feature,
             crashes: crashes.len(),
-            until: last.plus(QUARANTINE_MS),
+            until,
         })
     }
 
