fix(crash-evidence): requests without shared parts are judged by answers to others without

On a deployment of plain services a request that crashes servers would have been refused for 8 s at a time, over and over. The new test requests_without_parts_are_told_from_others_without_parts fails on the code before.

--- a/src/scheduling/crash_evidence.rs
+++ b/src/scheduling/crash_evidence.rs
@@ -135,8 +135,10 @@
     crashes: IndexMap<(ServerName, u64), Crash>,
     /// Last begin of an answer, by feature.
     begun: HashMap<Feature, MonoMs>,
-    /// Last begin of any answer to a request with shared parts.
-    last_begun: Option<MonoMs>,
+    /// Last begin of an answer to any request with shared parts.
+    last_begun_with_parts: Option<MonoMs>,
+    /// Last begin of an answer to any other request. Servers that take these may not take the others.
+    last_begun_without: Option<MonoMs>,
 }
 
 impl CrashEvidence {
@@ -196,8 +198,9 @@
     /// causes until now.
     pub fn record_begun(&mut self, features: &RequestFeatures, now: MonoMs) -> Vec<ClearedFeature> {
         let mut cleared = Vec::new();
-        if !features.parts.is_empty() {
-            self.last_begun = Some(now);
+        match features.parts.is_empty() {
+            true => self.last_begun_without = Some(now),
+            false => self.last_begun_with_parts = Some(now),
         }
         for feature in &features.parts {
             if self.clear(*feature, now) {
@@ -283,7 +286,12 @@
         }
         let earliest = crashes.iter().map(|crash| crash.at).min()?;
         let last = crashes.iter().map(|crash| crash.at).max()?;
-        let has_begun_since = self.last_begun.is_some_and(|begun| begun >= earliest);
+        // A request alone, without parts, is its only feature.
+        let last_begun = match own.len() {
+            1 => self.last_begun_without,
+            _ => self.last_begun_with_parts,
+        };
+        let has_begun_since = last_begun.is_some_and(|begun| begun >= earliest);
         let until = last.plus(match has_begun_since {
             true => QUARANTINE_MS,
             false => OUTAGE_QUARANTINE_MS,
--- a/tests/crash_evidence.rs
+++ b/tests/crash_evidence.rs
@@ -146,6 +146,23 @@
     assert_eq!(evidence.quarantine(&sound, MonoMs(99_000 + 8_000)), None);
 }
 
+/// Guards against a service without shared parts whose requests are never refused for long, as no
+/// answer to a request with parts begins there.
+#[test]
+fn requests_without_parts_are_told_from_others_without_parts() {
+    let mut evidence = CrashEvidence::default();
+    let deadly = request("deadly", &[]);
+    for number in 0..2 {
+        evidence.record_crash(&crash(number, Progress::Answering, &[&deadly]), MonoMs(0));
+    }
+    evidence.record_begun(&request("sound", &[]), MonoMs(5_000));
+    assert!(evidence.quarantine(&deadly, MonoMs(60_000)).is_some());
+    assert_eq!(
+        evidence.quarantine(&request("sound", &[]), MonoMs(60_000)),
+        None
+    );
+}
+
 /// Guards against servers that are kept down by requests which crash them, so that no answer begins that
 /// would show which requests are sound.
 #[test]
