fix(crash-evidence): VMs learn from each other that answers begin again

Change: the first begin after a crash is passed on like a cleared feature, one message a VM and crash. The test a_vm_learns_from_others_that_answers_begin fails on the code before.

--- a/src/scheduling/crash_evidence.rs
+++ b/src/scheduling/crash_evidence.rs
@@ -194,16 +194,19 @@
         new
     }
 
-    /// Records that the answer to a request has begun. Returns its features that counted as possible
-    /// causes until now.
+    /// Records that the answer to a request has begun. Returns what the other VMs have to know: its
+    /// features that counted as possible causes until now, and one if answers begin again after a
+    /// crash.
     pub fn record_begun(&mut self, features: &RequestFeatures, now: MonoMs) -> Vec<ClearedFeature> {
         let mut cleared = Vec::new();
-        match features.parts.is_empty() {
-            true => self.last_begun_without = Some(now),
-            false => self.last_begun_with_parts = Some(now),
+        match features.parts.first() {
+            None => self.last_begun_without = Some(now),
+            // The others learn from it that answers begin again.
+            Some(first) if self.record_begin_after_crash(now) => cleared.push(*first),
+            Some(_) => {}
         }
         for feature in &features.parts {
-            if self.clear(*feature, now) {
+            if self.clear(*feature, now) && !cleared.contains(feature) {
                 cleared.push(*feature);
             }
             self.begun.insert(*feature, now);
@@ -219,12 +222,22 @@
             .collect()
     }
 
-    /// Applies what another VM knows to be no cause. Returns whether it changed anything.
+    /// Applies what another VM knows to be no cause. Returns whether it is worth passing on.
     pub fn apply_cleared(&mut self, cleared: &ClearedFeature, now: MonoMs) -> bool {
         let at = MonoMs(now.0.saturating_sub(cleared.age_ms));
         let begun = self.begun.entry(cleared.feature).or_insert(at);
         *begun = at.max(*begun);
-        self.clear(cleared.feature, at)
+        let is_first = self.record_begin_after_crash(at);
+        self.clear(cleared.feature, at) || is_first
+    }
+
+    /// Records that the answer to a request with shared parts has begun. Returns whether it is the
+    /// first one after a crash.
+    fn record_begin_after_crash(&mut self, begun: MonoMs) -> bool {
+        let newest = self.crashes.values().map(|crash| crash.at).max();
+        let last = self.last_begun_with_parts;
+        self.last_begun_with_parts = last.max(Some(begun));
+        newest.is_some_and(|newest| begun >= newest && last.is_none_or(|last| last < newest))
     }
 
     /// Whether a request must not be sent.
--- a/tests/crash_evidence.rs
+++ b/tests/crash_evidence.rs
@@ -163,6 +163,27 @@
     );
 }
 
+/// Guards against a VM that gets no sound requests with parts, and would not learn from the others that
+/// answers begin again after the crashes.
+#[test]
+fn a_vm_learns_from_others_that_answers_begin() {
+    let (mut vm, mut other) = (CrashEvidence::default(), CrashEvidence::default());
+    other.record_begun(&request("before", &["system"]), MonoMs(0));
+    for number in 0..2 {
+        let deadly = request(&format!("deadly-{number}"), &["dead"]);
+        let report = crash(number, Progress::Answering, &[&deadly]);
+        vm.record_crash(&report, MonoMs(100));
+        other.record_crash(&report, MonoMs(100));
+    }
+    let told = other.record_begun(&request("sound", &["system"]), MonoMs(1_000));
+    assert_eq!(told.len(), 1);
+    let again = other.record_begun(&request("sound", &["system"]), MonoMs(1_100));
+    assert!(again.is_empty(), "once is enough: {again:?}");
+    assert!(vm.apply_cleared(&told[0], MonoMs(1_050)));
+    let deadly = request("deadly-2", &["dead"]);
+    assert!(vm.quarantine(&deadly, MonoMs(60_000)).is_some());
+}
+
 /// Guards against servers that are kept down by requests which crash them, so that no answer begins that
 /// would show which requests are sound.
 #[test]
