feat(gateway): log line for each retry budget that is opened

The new line names the number of VMs among which the reserve was divided and the retries that the budget begins with. The budgets move to a file of their own; nothing is decided differently.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -26,6 +26,7 @@
 use super::pool::Pool;
 use super::quota::Quota;
 use super::record::RequestRecord;
+use super::retry_budgets::RetryBudgets;
 use super::server_table::Distance;
 use super::server_table::ServerTable;
 use crate::events::EventLog;
@@ -34,20 +35,12 @@
 use crate::mechanisms::Mechanism;
 use crate::mechanisms::Mechanisms;
 use crate::metrics_page::Meters;
-use crate::pipeline::RetryBudget;
 use crate::scheduling::crash_evidence::ClearedFeature;
 use crate::scheduling::crash_evidence::CrashReport;
 use crate::types::Clock;
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::MonoMs;
-use crate::types::ServiceName;
-
-/// Share of the fleet's retry reserve that is divided among the known VMs. The rest is kept for VMs
-/// that are not counted.
-const RETRY_RESERVE_SHARE: f64 = 0.7;
-/// Share of the allowed retries per request that is used.
-const RETRIES_SHARE: f64 = 0.9;
 
 /// Configuration of a gateway.
 pub struct GatewayConfig {
@@ -84,7 +77,7 @@
     server_table: Mutex<ServerTable>,
     pool: Mutex<Pool>,
     adapter_usage: Mutex<AdapterUsage>,
-    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    pub(super) retry_budgets: RetryBudgets,
     versions: Mutex<HashMap<ModelName, (u64, MonoMs)>>,
     demand: Mutex<Demand>,
     pub(super) crashes: Crashes,
@@ -128,7 +121,7 @@
             grace_permits: Semaphore::new(grace_period::MAX_WAITING),
             pool: Mutex::default(),
             adapter_usage: Mutex::default(),
-            budgets: Mutex::default(),
+            retry_budgets: RetryBudgets::default(),
             versions: Mutex::default(),
             demand: Mutex::default(),
             crashes: Crashes::default(),
@@ -300,30 +293,6 @@
         };
         self.controllers.request_adapter(demand, 0);
     }
-
-    /// Adds a request's share to the retry budget of its service.
-    pub(super) fn count_request(&self, service: &ServiceName) {
-        let mut budgets = lock(&self.budgets);
-        self.budget(&mut budgets, service).add_request();
-    }
-
-    /// Takes a retry from the budget of a service; false if it is used up.
-    pub(super) fn take_retry(&self, service: &ServiceName) -> bool {
-        let mut budgets = lock(&self.budgets);
-        self.budget(&mut budgets, service).take()
-    }
-
-    fn budget<'a>(
-        &self,
-        budgets: &'a mut HashMap<ServiceName, RetryBudget>,
-        service: &ServiceName,
-    ) -> &'a RetryBudget {
-        budgets.entry(service.clone()).or_insert_with(|| {
-            let vms = f64::from(self.quota.entry_vms());
-            let saved = self.config.retry_reserve * RETRY_RESERVE_SHARE / vms;
-            RetryBudget::new(self.config.retries_per_request * RETRIES_SHARE, saved)
-        })
-    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod record;
 mod record_guard;
 mod relay;
+mod retry_budgets;
 mod select_server;
 mod server_limits;
 mod server_view;
