fix(limits): restarted VMs make no more retries than the fleet may make

Callers saw nothing; backend servers got more repeats than the operator allows (BUDGET) after all entry VMs were killed at once while servers refused requests.

Cause: a new process began with its whole part of the fleet's retry reserve, and computed that part once, at its first request, from the links that a controller had at that moment. Right after the loss of all entry VMs that were 1 to 4 of 9: 10 to 41 retries each, 188 together where 41 were meant.

A budget now begins empty, saves up with admitted requests, and is capped by the VM's part, for the largest fleet seen in the last hours. VMs without savings take retries from one bucket of the fleet for each service. The own request path shares the budget: 64 retries over all VMs instead of each, and a repeat no longer counts as a request that pays for further repeats.

Ruled out: repeats that take nothing from the budget; the repeats in the log were covered by the parts.

--- a/src/fleet/buckets.rs
+++ b/src/fleet/buckets.rs
@@ -9,12 +9,16 @@
 use crate::consensus::Status;
 use crate::gateway::deployment::Account;
 use crate::gateway::deployment::Deployment;
+use crate::gateway::fleet_share;
 use crate::lease::HeldLease;
 use crate::limits::History;
 use crate::limits::LeaseView;
+use crate::limits::RetryLimit;
 use crate::limits::Server;
+use crate::limits::retry_bucket;
 use crate::types::Clock;
 use crate::types::MonoMs;
+use crate::types::ServiceName;
 
 /// Time for which a reading of the log's status is valid.
 const STATUS_MAX_AGE_MS: u64 = 100;
@@ -45,6 +49,23 @@
     })
 }
 
+/// Adds the retry buckets of services. Those of services that are `new` to the fleet are full. Buckets
+/// stay when a service is removed, since one that comes back would be full again.
+pub(super) fn add_services<'a>(
+    server: &Server,
+    services: impl Iterator<Item = &'a ServiceName>,
+    are_new: bool,
+    limit: &RetryLimit,
+) {
+    for service in services {
+        let history = History::new(limit.bucket_limits(fleet_share()));
+        match are_new {
+            true => server.add_new(retry_bucket(service), history),
+            false => server.set_history(retry_bucket(service), history),
+        }
+    }
+}
+
 /// Replaces the accounts of `old` on `server` by those of `new`.
 pub(super) fn set_accounts(
     server: &Server,
--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -46,6 +46,7 @@
 use crate::registry::Table;
 use crate::types::MonoMs;
 use crate::types::ServerName;
+use crate::types::ServiceName;
 
 /// Time without a heartbeat after which a controller removes a backend server.
 const SERVER_TIMEOUT_MS: u64 = 5_000;
@@ -248,6 +249,7 @@
             stands_in: failover_server::is_without_leader(&log)
                 && self.config.mechanisms.is_enabled(Mechanism::QuotaFailover),
             entry_vms: self.links.entry_vms(),
+            recent_entry_vms: self.links.recent_entry_vms(self.now()),
         }
     }
 
@@ -260,6 +262,7 @@
                 || last_status.holds != status.holds
                 || last_status.stands_in != status.stands_in
                 || last_status.controllers != status.controllers
+                || last_status.recent_entry_vms != status.recent_entry_vms
         });
         if !is_new && !is_due {
             return;
@@ -310,6 +313,14 @@
         buckets::set_accounts(&self.quota, &new, old.as_deref(), |account| {
             account_limit_history(account, new.version)
         });
+        // After a restart, the first configuration may be one that other leaders had applied.
+        let are_new = old.is_some() || self.config.may_bootstrap;
+        let is_added = |name: &&ServiceName| {
+            !old.as_ref()
+                .is_some_and(|old| old.services.contains_key(*name))
+        };
+        let added = new.services.keys().filter(is_added);
+        buckets::add_services(&self.quota, added, are_new, &self.config.retry_limit);
     }
 
     pub(super) fn update_versions(&self) {
--- a/src/fleet/control_links.rs
+++ b/src/fleet/control_links.rs
@@ -26,6 +26,12 @@
 use crate::types::MonoMs;
 use crate::types::VmName;
 
+/// Time for which an entry VM counts after its last link was closed. Longer than data centres are
+/// cut off from each other.
+const ENTRY_MEMORY_MS: u64 = 2 * 60 * 60 * 1_000;
+/// Most entry VMs that are remembered.
+const MAX_RECENT_ENTRIES: usize = 4_096;
+
 /// All open links of a controller.
 #[derive(Default)]
 pub(super) struct Links {
@@ -35,6 +41,8 @@
     /// Controllers that announced their shutdown and have not opened a link since.
     leaving: Mutex<BTreeSet<VmName>>,
     targets: watch::Sender<BTreeSet<SocketAddr>>,
+    /// Last time at which each entry VM opened or closed a link.
+    recent_entries: Mutex<BTreeMap<VmName, MonoMs>>,
 }
 
 impl Links {
@@ -80,13 +88,37 @@
 
     /// Number of linked entry VMs.
     pub(super) fn entry_vms(&self) -> u32 {
+        count(&self.linked_entries())
+    }
+
+    /// Number of entry VMs that are linked or were linked lately.
+    pub(super) fn recent_entry_vms(&self, now: MonoMs) -> u32 {
+        let mut names = self.linked_entries();
+        let mut recent = self.recent_entries();
+        recent.retain(|_, at| now.since(*at) < ENTRY_MEMORY_MS);
+        names.extend(recent.keys().cloned());
+        count(&names)
+    }
+
+    fn linked_entries(&self) -> BTreeSet<VmName> {
         let sessions = self.lock();
-        let entries = sessions.values().map(|(session, _)| session.peer());
-        let names: BTreeSet<&VmName> = entries
-            .filter(|peer| peer.role == Role::Entry)
-            .map(|peer| &peer.vm)
-            .collect();
-        u32::try_from(names.len()).unwrap_or(u32::MAX)
+        let peers = sessions.values().map(|(session, _)| session.peer());
+        let entries = peers.filter(|peer| peer.role == Role::Entry);
+        entries.map(|peer| peer.vm.clone()).collect()
+    }
+
+    fn remember_entry(&self, session: &Session, now: MonoMs) {
+        let peer = session.peer();
+        let mut recent = self.recent_entries();
+        if peer.role == Role::Entry && recent.len() < MAX_RECENT_ENTRIES {
+            recent.insert(peer.vm.clone(), now);
+        }
+    }
+
+    fn recent_entries(&self) -> MutexGuard<'_, BTreeMap<VmName, MonoMs>> {
+        self.recent_entries
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Controllers that are linked now or were linked at or after `since`, with their data centres
@@ -132,6 +164,10 @@
     }
 }
 
+fn count(vms: &BTreeSet<VmName>) -> u32 {
+    u32::try_from(vms.len()).unwrap_or(u32::MAX)
+}
+
 /// Transport of the replicated log over the links between controllers.
 pub(super) struct LogTransport(pub(super) Arc<Links>);
 
@@ -171,6 +207,7 @@
             .lock()
             .insert(session.id(), (session.clone(), opened));
         self.links.clear_leaving(&session.peer().vm);
+        self.links.remember_entry(session, opened);
         core.send_initial_state(session);
         core.events().emit(&LinkChange {
             peer: session.peer().vm.clone(),
@@ -190,6 +227,7 @@
         let Some(core) = self.core() else {
             return;
         };
+        self.links.remember_entry(session, core.now());
         core.on_link_lost(session);
         core.events().emit(&LinkChange {
             peer: session.peer().vm.clone(),
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -40,6 +40,7 @@
 use crate::gateway::EngineDialect;
 use crate::gateway::fleet_share;
 use crate::limits;
+use crate::limits::RetryLimit;
 use crate::link::Dialer;
 use crate::link::Frame;
 use crate::link::Handler;
@@ -88,6 +89,8 @@
     pub may_bootstrap: bool,
     /// Folder that persists across restarts of the process.
     pub data_folder: PathBuf,
+    /// Retries for a service that the operator allows, over all VMs.
+    pub retry_limit: RetryLimit,
     /// How orders of a former holder are kept apart from those of its successor.
     pub fencing: Fencing,
     /// Decodes configurations.
--- a/src/fleet/controller_client.rs
+++ b/src/fleet/controller_client.rs
@@ -252,6 +252,7 @@
         }
         drop(state);
         self.gateway().quota.set_entry_vms(status.entry_vms);
+        self.gateway().observe_fleet_size(status.recent_entry_vms);
     }
 
     fn update_quota_server(&self, state: &State) {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -30,6 +30,7 @@
 use super::server_table::Distance;
 use super::server_table::ServerTable;
 use crate::events::EventLog;
+use crate::limits::RetryLimit;
 use crate::link::AdapterDemand;
 use crate::link::ServerLimit;
 use crate::mechanisms::Mechanism;
@@ -50,10 +51,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Distances to the data centres.
     pub distances: HashMap<DataCentre, Distance>,
-    /// Retries per request that the operator allows, over all VMs.
-    pub retries_per_request: f64,
-    /// Reserve of retries in addition to those, over all VMs.
-    pub retry_reserve: f64,
+    /// Retries for a service that the operator allows, over all VMs.
+    pub retry_limit: RetryLimit,
     /// Time after which an announced adapter version becomes mandatory.
     pub version_grace_ms: u64,
     /// Enabled mechanisms.
@@ -217,6 +216,9 @@
                 return false;
             }
             self.quota.set_deployment(&deployment, current.as_deref());
+            let retry_limit = &self.config.retry_limit;
+            self.quota
+                .set_retry_limits(&deployment, current.as_deref(), retry_limit);
             self.config
                 .meters
                 .set_deployment_version(deployment.version);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -194,7 +194,7 @@
             }
             let skips_budget = is_unreachable(record);
             match attempt::next(&self.history, ended) {
-                NextStep::Retry if skips_budget || self.take_retry() => {}
+                NextStep::Retry if skips_budget || self.take_retry().await => {}
                 NextStep::Retry => return self.fallback_answer(failure, self.budget_refusal()),
                 NextStep::PassOn => return self.fallback_answer(failure, self.answer_lost()),
                 NextStep::Refuse => return Err(self.all_refused()),
@@ -204,8 +204,8 @@
     }
 
     /// Takes a retry from the service's budget.
-    pub(super) fn take_retry(&self) -> bool {
-        self.gateway.take_retry(&self.service)
+    pub(super) async fn take_retry(&self) -> bool {
+        self.gateway.take_retry(&self.service).await
     }
 
     /// Records the duration of a complete stream.
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -24,8 +24,10 @@
 use crate::limits::History;
 use crate::limits::LimitVersion;
 use crate::limits::Reservation;
+use crate::limits::RetryLimit;
 use crate::limits::Shortage;
 use crate::limits::WHOLE_PPM;
+use crate::limits::retry_bucket;
 use crate::limits::server_bucket;
 use crate::limits::server_limit_version;
 use crate::types::AccountName;
@@ -34,6 +36,7 @@
 use crate::types::MonoMs;
 use crate::types::RequestRate;
 use crate::types::ServerName;
+use crate::types::ServiceName;
 use crate::types::Tokens;
 use crate::types::VmName;
 
@@ -196,6 +199,29 @@
         }
     }
 
+    /// Applies the limits on the retries for the services of a configuration.
+    pub fn set_retry_limits(&self, new: &Deployment, old: Option<&Deployment>, limit: &RetryLimit) {
+        for service in new.services.keys() {
+            let limits = limit.bucket_limits(fleet_share());
+            self.client.set_limits(retry_bucket(service), limits);
+        }
+        let gone = old.into_iter().flat_map(|old| old.services.keys());
+        for service in gone.filter(|service| !new.services.contains_key(*service)) {
+            self.client.remove(&retry_bucket(service));
+        }
+    }
+
+    /// Takes one retry for a service from the fleet's bucket; false if it grants none.
+    pub async fn take_retry(&self, service: &ServiceName) -> bool {
+        match self.client.reserve(&retry_bucket(service), 1).await {
+            Ok(reservation) => {
+                self.client.settle(reservation, 1);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Applies the limits of an account.
     pub fn set_account(&self, account: &Account, revision: u64) {
         let now = self.clock.mono();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -154,7 +154,7 @@
         let is_overdue = Instant::now() >= self.exchange.deadline;
         let next = attempt::next(&self.exchange.history, AttemptOutcome::Lost);
         let may_resume = self.last_event.is_some() && !is_overdue && next == NextStep::Retry;
-        if !may_resume || !self.exchange.take_retry() {
+        if !may_resume || !self.exchange.take_retry().await {
             return Err(self.fail(cause));
         }
         self.events.restart();
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -4,32 +4,35 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
+use rand::RngExt;
 use serde::Serialize;
+use tokio::time::timeout;
 
 use super::context::Gateway;
 use crate::events::Event;
 use crate::events::Severity;
-use crate::pipeline::RetryBudget;
+use crate::limits::FleetSize;
+use crate::limits::RetryBudget;
+use crate::types::MonoMs;
 use crate::types::ServiceName;
 
-/// Share of the fleet's retry reserve that is divided among the known VMs. The rest is kept for VMs
-/// that are not counted.
-const RETRY_RESERVE_SHARE: f64 = 0.7;
-/// Share of the allowed retries per request that is used.
-const RETRIES_SHARE: f64 = 0.9;
+/// Time within which the fleet's bucket has to grant a retry.
+const GRANT_TIMEOUT_MS: u64 = 200;
+/// Time for which the fleet's bucket is not asked again after it granted nothing.
+const BUCKET_PAUSE_MS: u64 = 250;
 
-/// Log line: the budget of a service was opened.
+/// Log line: the part of the fleet's retry reserve that this VM may save for each service changed.
 #[derive(Clone, Debug, Serialize)]
-struct RetryBudgetOpened {
-    service: ServiceName,
-    /// VMs among which the fleet's reserve is divided.
+struct RetryPartChange {
+    /// VMs among which the reserve is divided.
     vms: u32,
-    /// Retries in the budget.
-    saved: f64,
+    /// Retries that this VM may save.
+    part: f64,
 }
 
-impl Event for RetryBudgetOpened {
+impl Event for RetryPartChange {
     const KIND: &'static str = "retry_budget";
 
     fn severity(&self) -> Severity {
@@ -40,44 +43,80 @@
 /// Retry budgets by service.
 #[derive(Debug, Default)]
 pub(super) struct RetryBudgets {
-    by_service: Mutex<HashMap<ServiceName, RetryBudget>>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fleet: FleetSize,
+    by_service: HashMap<ServiceName, ServiceBudget>,
+}
+
+#[derive(Debug, Default)]
+struct ServiceBudget {
+    own: RetryBudget,
+    /// Time from which the fleet's bucket is asked again.
+    ask_from: MonoMs,
 }
 
 impl RetryBudgets {
-    fn lock(&self) -> MutexGuard<'_, HashMap<ServiceName, RetryBudget>> {
-        self.by_service
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Gateway {
     /// Adds a request's share to the retry budget of its service.
     pub(super) fn count_request(&self, service: &ServiceName) {
-        let mut budgets = self.retry_budgets.lock();
-        self.budget(&mut budgets, service).add_request();
+        let mut state = self.retry_budgets.lock();
+        let vms = state.fleet.largest();
+        let budget = state.by_service.entry(service.clone()).or_default();
+        budget.own.add_request(&self.config.retry_limit, vms);
+    }
+
+    /// Takes a retry for a service from what this VM has saved, or else from the fleet's bucket. False
+    /// if neither covers it.
+    pub(super) async fn take_retry(&self, service: &ServiceName) -> bool {
+        match self.take_saved_retry(service) {
+            Ok(()) => return true,
+            Err(ask_from) if self.now() < ask_from => return false,
+            Err(_) => {}
+        }
+        let granting = self.quota.take_retry(service);
+        let granted = timeout(Duration::from_millis(GRANT_TIMEOUT_MS), granting).await;
+        let is_granted = granted.unwrap_or(false);
+        if !is_granted {
+            let mut state = self.retry_budgets.lock();
+            let budget = state.by_service.entry(service.clone()).or_default();
+            budget.ask_from = self.now().plus(BUCKET_PAUSE_MS);
+        }
+        is_granted
     }
 
-    /// Takes a retry from the budget of a service; false if it is used up.
-    pub(super) fn take_retry(&self, service: &ServiceName) -> bool {
-        let mut budgets = self.retry_budgets.lock();
-        self.budget(&mut budgets, service).take()
+    /// Takes a retry that this VM has saved. The error is the time from which the fleet's bucket may
+    /// be asked.
+    fn take_saved_retry(&self, service: &ServiceName) -> Result<(), MonoMs> {
+        let mut state = self.retry_budgets.lock();
+        let vms = state.fleet.largest();
+        let budget = state.by_service.entry(service.clone()).or_default();
+        let chance = rand::rng().random();
+        if budget.own.take(&self.config.retry_limit, vms, chance) {
+            return Ok(());
+        }
+        Err(budget.ask_from)
     }
 
-    fn budget<'a>(
-        &self,
-        budgets: &'a mut HashMap<ServiceName, RetryBudget>,
-        service: &ServiceName,
-    ) -> &'a RetryBudget {
-        budgets.entry(service.clone()).or_insert_with(|| {
-            let vms = self.quota.entry_vms();
-            let saved = self.config.retry_reserve * RETRY_RESERVE_SHARE / f64::from(vms);
-            self.events().emit(&RetryBudgetOpened {
-                service: service.clone(),
-                vms,
-                saved,
-            });
-            RetryBudget::new(self.config.retries_per_request * RETRIES_SHARE, saved)
-        })
+    /// Counts the entry VMs that a controller saw lately, among which the retry reserve is divided.
+    pub fn observe_fleet_size(&self, vms: u32) {
+        let now = self.now();
+        let mut state = self.retry_budgets.lock();
+        let before = state.fleet.largest();
+        state.fleet.observe(vms, now);
+        let vms = state.fleet.largest();
+        drop(state);
+        if vms != before {
+            let part = self.config.retry_limit.part(vms);
+            self.events().emit(&RetryPartChange { vms, part });
+        }
     }
 }
--- a/src/limits/issuer.rs
+++ b/src/limits/issuer.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// Creates a full bucket for `account` if it has none.
+    pub fn add_full(&mut self, now: MonoMs, account: &AccountName, share: Share) {
+        let buckets = self.buckets.entry(account.clone());
+        buckets.or_insert_with(|| TokenBucket::full(share, now));
+    }
+
     /// Removes the bucket of `account`.
     pub fn remove(&mut self, account: &AccountName) {
         self.buckets.remove(account);
@@ -147,6 +153,15 @@
         self.histories.insert(account, history);
     }
 
+    /// Adds an account of which no VM has ever granted tokens. Its bucket is full if the VM may issue
+    /// tokens now.
+    pub fn add_new(&mut self, now: MonoMs, account: AccountName, history: History) {
+        if let Some((_, issuer)) = &mut self.current {
+            issuer.add_full(now, &account, history.share(&self.data_centre));
+        }
+        self.set_history(now, account, history);
+    }
+
     /// Removes an account.
     pub fn remove(&mut self, account: &AccountName) {
         if let Some((_, issuer)) = &mut self.current {
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -1,6 +1,8 @@
 //! Fleet-wide rate and burst limits per client account: each data centre's coordinator has one
 //! token bucket per account and issues short-lived grants to the VMs.
 //!
+//! `retry_budget` bounds the retries of all VMs together.
+//!
 //! The same buckets keep the limits that backend servers name on their requests (`server_limit`).
 //!
 //! Tokens count as used when they are reserved. For any window `[a, b]`, the tokens used from
@@ -10,8 +12,10 @@
 mod bucket;
 mod bucket_estimate;
 mod client;
+mod fleet_size;
 mod issuer;
 mod message;
+mod retry_budget;
 mod returns;
 mod server;
 mod server_limit;
@@ -25,6 +29,7 @@
 pub use bucket::TokenBucket;
 pub use client::Client;
 pub use client::ClientConfig;
+pub use fleet_size::FleetSize;
 pub use issuer::LeasedIssuer;
 pub use issuer::TokenIssuer;
 pub use message::Ask;
@@ -36,6 +41,9 @@
 pub use message::Granted;
 pub use message::NoCoordinator;
 pub use message::Return;
+pub use retry_budget::RetryBudget;
+pub use retry_budget::RetryLimit;
+pub use retry_budget::retry_bucket;
 pub use returns::Returns;
 pub use server::LeaseView;
 pub use server::Server;
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -22,7 +22,7 @@
 use crate::types::VmName;
 
 /// Version of the message format. Links between different versions are refused.
-pub const LINK_FORMAT: u16 = 5;
+pub const LINK_FORMAT: u16 = 6;
 
 /// Role of a VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -65,6 +65,8 @@
     pub stands_in: bool,
     /// Number of entry VMs that are linked to it.
     pub entry_vms: u32,
+    /// Number of entry VMs that were linked to it lately, those linked now too.
+    pub recent_entry_vms: u32,
 }
 
 /// The configuration that a controller has applied.
--- a/src/node/components.rs
+++ b/src/node/components.rs
@@ -29,6 +29,7 @@
 use crate::peer::PeerClients;
 use crate::pipeline::Dispatcher;
 use crate::pipeline::DispatcherConfig;
+use crate::pipeline::RetryBudget;
 use crate::scheduling::fair_queue::FairQueueConfig;
 use crate::scheduling::placement::PlannerConfig;
 use crate::scheduling::residency::ResidencyConfig;
@@ -47,6 +48,7 @@
     pub(super) peers: PeerClients,
     pub(super) log: consensus::Handle,
     pub(super) sources: watch::Sender<Vec<VmName>>,
+    pub(super) retry_budget: Arc<RetryBudget>,
     pub(super) proposer: Proposer,
     pub(super) members: membership::Handle,
     pub(super) lease: lease::Handle,
@@ -83,6 +85,7 @@
         peers,
         log,
         sources,
+        retry_budget: Arc::default(),
         proposer,
         members,
         lease,
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -102,6 +102,8 @@
         members: components.members.clone(),
         log: components.log.clone(),
         sources: components.sources.clone(),
+        clock: components.clock,
+        retry_budget: components.retry_budget.clone(),
         puller: TablePuller {
             vm: settings.vm.clone(),
             clock: components.clock,
--- a/src/node/topology.rs
+++ b/src/node/topology.rs
@@ -2,6 +2,7 @@
 //! entries.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -14,6 +15,8 @@
 use crate::configs::vm::VmSettings;
 use crate::consensus;
 use crate::membership;
+use crate::pipeline::RetryBudget;
+use crate::types::Clock;
 use crate::types::DataCentre;
 use crate::types::VmName;
 
@@ -41,6 +44,10 @@
     pub log: consensus::Handle,
     /// Channel for the VMs to follow the log from.
     pub sources: watch::Sender<Vec<VmName>>,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Retry budget, which is divided among the VMs.
+    pub retry_budget: Arc<RetryBudget>,
     /// Template of the table pullers.
     pub puller: TablePuller,
 }
@@ -57,10 +64,19 @@
                 });
             }
             self.update_sources();
+            self.update_retry_budget();
             sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
         }
     }
 
+    /// The roster names VMs that are cut off as well, and gossip those that join.
+    fn update_retry_budget(&self) {
+        let announced = self.members.snapshot().vms.len();
+        let known = announced.max(lock(&self.state).state().roster().len());
+        let vms = u32::try_from(known).unwrap_or(u32::MAX);
+        self.retry_budget.observe_fleet_size(vms, self.clock.mono());
+    }
+
     fn data_centres(&self) -> Vec<DataCentre> {
         let snapshot = self.members.snapshot();
         let announced = snapshot
--- a/src/node/vm.rs
+++ b/src/node/vm.rs
@@ -46,7 +46,6 @@
 use crate::peer::PeerServer;
 use crate::pipeline::Context;
 use crate::pipeline::Dispatcher;
-use crate::pipeline::RetryBudget;
 use crate::pipeline::ServerPermits;
 
 /// Result of opening a VM.
@@ -294,7 +293,7 @@
             peers: components.peers.clone(),
         }),
         metrics,
-        retry_budget: Arc::new(RetryBudget::default()),
+        retry_budget: components.retry_budget.clone(),
         longest_request_ms: settings.longest_request_ms,
     }
 }
--- a/src/pipeline/retry_budget.rs
+++ b/src/pipeline/retry_budget.rs
@@ -1,49 +1,66 @@
-//! Retry budget: bounds retries, so that the loss of an engine causes no retry storm.
+//! Retry budget of a VM on the own request path.
 
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
-/// Retries that each admitted request adds to the budget.
-const RETRIES_PER_REQUEST: f64 = 0.2;
-/// Largest number of retries in the budget.
-const MAX_RETRIES: f64 = 64.0;
+use rand::RngExt;
+
+use crate::limits;
+use crate::limits::FleetSize;
+use crate::limits::RetryLimit;
+use crate::types::MonoMs;
+
+/// Retries of all VMs together. Of the reserve, the VMs save 64.
+const RETRY_LIMIT: RetryLimit = RetryLimit {
+    per_request: 0.2,
+    reserve: 160.0,
+    window_ms: 10_000,
+};
 
 /// Retries that the VM may still make.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct RetryBudget {
-    per_request: f64,
-    max: f64,
-    retries: Mutex<f64>,
+    state: Mutex<State>,
 }
 
-impl Default for RetryBudget {
+#[derive(Debug)]
+struct State {
+    fleet: FleetSize,
+    budget: limits::RetryBudget,
+}
+
+impl Default for State {
     fn default() -> Self {
-        Self::new(RETRIES_PER_REQUEST, MAX_RETRIES)
+        Self {
+            fleet: FleetSize::default(),
+            // No bucket grants retries on this path, so a VM needs its part at once.
+            budget: limits::RetryBudget::full(),
+        }
     }
 }
 
 impl RetryBudget {
-    /// A full budget to which each request adds `per_request`, up to `max`.
-    pub fn new(per_request: f64, max: f64) -> Self {
-        Self {
-            per_request,
-            max,
-            retries: Mutex::new(max),
-        }
+    /// Counts the VMs that are known at `now`, among which the reserve is divided.
+    pub fn observe_fleet_size(&self, vms: u32, now: MonoMs) {
+        self.lock().fleet.observe(vms, now);
     }
 
     /// Adds the retries of one admitted request.
     pub fn add_request(&self) {
-        let mut retries = self.retries.lock().expect("no holder panics");
-        *retries = (*retries + self.per_request).min(self.max);
+        let mut state = self.lock();
+        let vms = state.fleet.largest();
+        state.budget.add_request(&RETRY_LIMIT, vms);
     }
 
     /// Takes one retry from the budget; false if less than one is left.
     pub fn take(&self) -> bool {
-        let mut retries = self.retries.lock().expect("no holder panics");
-        if *retries < 1.0 {
-            return false;
-        }
-        *retries -= 1.0;
-        true
+        let mut state = self.lock();
+        let vms = state.fleet.largest();
+        state.budget.take(&RETRY_LIMIT, vms, rand::rng().random())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -85,7 +85,9 @@
 
 async fn start(cx: &Context, request: ClassifiedRequest, attempt: u32) -> Result<RunningRequest> {
     let accepted = cx.clock.mono();
-    cx.retry_budget.add_request();
+    if attempt == 0 {
+        cx.retry_budget.add_request();
+    }
     let account = request.caller.account().clone();
     let patience = request.patience;
     let started = match admit(cx, request).await {
