feat(gateway): log software versions of servers and what a resumed stream continues

For the ORDER incident: announcements now carry the version of a server's software, and request lines name the versions of the servers that a request was sent to, the attempt that began a resumed stream, and its last event. Nothing is decided differently. Link format 7.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -42,6 +42,8 @@
     pub shared_parts: Vec<Feature>,
     /// Last event that the caller of a resumed stream received.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of that stream.
+    pub resumes: Option<Arc<str>>,
 }
 
 impl CallerHead {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -44,6 +44,7 @@
 use crate::event_stream;
 use crate::types::ServerName;
 use crate::types::ServiceName;
+use crate::types::SoftwareVersion;
 
 /// Retry delay returned while this VM shuts down; the retry reaches another VM.
 pub(super) const LEAVING_RETRY_MS: u64 = 20;
@@ -66,6 +67,8 @@
     let mut record = RequestRecord {
         request_id: caller.request_id.clone(),
         model: caller.model.clone(),
+        resumes: caller.resumes.clone(),
+        last_event: caller.last_event,
         ..RequestRecord::default()
     };
     match begin(&gateway, &parts, body, caller, started, &mut record).await {
@@ -166,6 +169,7 @@
                 Err(refusal) => return self.fallback_answer(failure, refusal),
             };
             record.servers.push(server.clone());
+            record.software.extend(self.software_of(&server));
             let sent = self.send_once(&server, last_event, record).await;
             let ended = match sent {
                 Ok(Answer::Complete(response)) if response.status().is_server_error() => {
@@ -203,6 +207,12 @@
         }
     }
 
+    fn software_of(&self, server: &ServerName) -> Option<SoftwareVersion> {
+        let table = self.gateway.server_table();
+        let view = table.get(server)?;
+        Some(view.announcement.software.clone())
+    }
+
     /// Takes a retry from the service's budget.
     pub(super) async fn take_retry(&self) -> bool {
         self.gateway.take_retry(&self.service).await
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -12,6 +12,7 @@
 use crate::types::ModelName;
 use crate::types::RequestFeatures;
 use crate::types::ServerName;
+use crate::types::SoftwareVersion;
 
 /// Outcome of a request and the reasons for it.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -30,6 +31,12 @@
     pub model: Option<ModelName>,
     /// Backend servers that the request was sent to, in order.
     pub servers: Vec<ServerName>,
+    /// Software versions of these servers.
+    pub software: Vec<SoftwareVersion>,
+    /// Id of the caller's attempt that began the stream which this one resumes.
+    pub resumes: Option<Arc<str>>,
+    /// Last event that the caller of a resumed stream received.
+    pub last_event: Option<u64>,
     /// Outcome of each attempt.
     pub sends: Vec<&'static str>,
     /// Status sent to the caller.
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -22,7 +22,7 @@
 use crate::types::VmName;
 
 /// Version of the message format. Links between different versions are refused.
-pub const LINK_FORMAT: u16 = 6;
+pub const LINK_FORMAT: u16 = 7;
 
 /// Role of a VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/src/registry/announcement.rs
+++ b/src/registry/announcement.rs
@@ -9,6 +9,7 @@
 use crate::types::ModelName;
 use crate::types::ServerName;
 use crate::types::ServiceName;
+use crate::types::SoftwareVersion;
 
 /// Whether a backend server accepts new requests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -40,6 +41,8 @@
     pub state: ServerState,
     /// Remaining warm-up time, until the server runs at full speed.
     pub cold_ms: u64,
+    /// Version of its software. What two versions write does not fit together.
+    pub software: SoftwareVersion,
     /// Base models that are resident on the server.
     pub models: Vec<ModelName>,
 }
@@ -54,6 +57,7 @@
             && self.data_centre == other.data_centre
             && self.slots == other.slots
             && self.state == other.state
+            && self.software == other.software
             && self.models == other.models
             && (self.cold_ms > 0) == (other.cold_ms > 0)
     }
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -18,6 +18,7 @@
 pub use name::ModelName;
 pub use name::ServerName;
 pub use name::ServiceName;
+pub use name::SoftwareVersion;
 pub use name::TemplateName;
 pub use name::VmName;
 pub use patience::Patience;
--- a/src/types/name.rs
+++ b/src/types/name.rs
@@ -73,6 +73,10 @@
     /// Name of a plain service that several backend servers may provide.
     ServiceName
 );
+name_type!(
+    /// Version of the software of a backend server, as it announces it.
+    SoftwareVersion
+);
 name_type!(
     /// Name of an account template.
     TemplateName
--- a/tests/engines/announcement.rs
+++ b/tests/engines/announcement.rs
@@ -6,6 +6,7 @@
 use medlarlift::types::ModelName;
 use medlarlift::types::ServerName;
 use medlarlift::types::ServiceName;
+use medlarlift::types::SoftwareVersion;
 
 /// Announcement of an engine that is ready and holds the base model.
 pub fn announcement(name: &str, data_centre: &str, slots: u32) -> Announcement {
@@ -19,6 +20,7 @@
         slots,
         state: ServerState::Ready,
         cold_ms: 0,
+        software: SoftwareVersion::from("v1"),
         models: vec![ModelName::from("base")],
     }
 }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -8,6 +8,7 @@
 use medlarlift::types::MonoMs;
 use medlarlift::types::ServerName;
 use medlarlift::types::ServiceName;
+use medlarlift::types::SoftwareVersion;
 
 fn heartbeat(name: &str, started_unix_ms: u64, sequence: u64) -> Announcement {
     Announcement {
@@ -20,6 +21,7 @@
         slots: 4,
         state: ServerState::Ready,
         cold_ms: 0,
+        software: SoftwareVersion::from("v1"),
         models: Vec::new(),
     }
 }
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -22,6 +22,7 @@
 use medlarlift::types::MonoMs;
 use medlarlift::types::RequestRate;
 use medlarlift::types::ServerName;
+use medlarlift::types::SoftwareVersion;
 
 const WINDOW_MS: u64 = 4_000;
 /// Longest time from a permit to the arrival of its request.
@@ -155,6 +156,7 @@
         slots: 4,
         state: ServerState::Ready,
         cold_ms: 0,
+        software: SoftwareVersion::from("v1"),
         models: Vec::new(),
     }
 }
