fix(gateway): streams go on only at the software version that began them

Cause: no code read the version that servers announce, nor the id by which a caller names the attempt that began its stream. The VM that passes on the first event now remembers the origin and reports it to all controllers; the VM of a take-up asks them. The replicated log lists the versions whose streams may be resumed, so that after a restart of everything an unknown stream goes on where only one version is possible, and is refused as not run otherwise.

The own request path was right: the id of a stream names its server.

--- a/src/control/codec.rs
+++ b/src/control/codec.rs
@@ -1,5 +1,7 @@
 //! Binary encoding of commands, outcomes and snapshots: a format version, followed by the value.
 
+use std::borrow::Cow;
+
 use bincode::Options;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -7,9 +9,13 @@
 
 use crate::control::Command;
 use crate::control::Outcome;
+use crate::scheduling::stream_origins::SoftwareVersions;
 
 /// Format version of commands, outcomes and snapshots that this build writes and reads.
-pub const FORMAT_VERSION: u8 = 2;
+pub const FORMAT_VERSION: u8 = 3;
+/// Format version before, which this build reads as well. Its snapshots end without the software
+/// versions, and it has no commands about them.
+const PREVIOUS_FORMAT_VERSION: u8 = 2;
 
 /// Error of decoding a command, an outcome or a snapshot.
 #[derive(Debug, Snafu)]
@@ -44,7 +50,7 @@
 
 pub(super) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
     let (found, rest) = bytes.split_first().ok_or(DecodeError::Empty)?;
-    if *found != FORMAT_VERSION {
+    if !matches!(*found, FORMAT_VERSION | PREVIOUS_FORMAT_VERSION) {
         return Err(DecodeError::Version { found: *found });
     }
     options()
@@ -52,6 +58,22 @@
         .map_err(|source| DecodeError::Damaged { source })
 }
 
+/// A snapshot in the current format. One of the previous format gets an empty list of software
+/// versions.
+pub(super) fn current_snapshot(bytes: &[u8]) -> Cow<'_, [u8]> {
+    match bytes.split_first() {
+        Some((&PREVIOUS_FORMAT_VERSION, rest)) => {
+            let mut current = vec![FORMAT_VERSION];
+            current.extend_from_slice(rest);
+            options()
+                .serialize_into(&mut current, &SoftwareVersions::default())
+                .expect("encoding plain data to memory cannot fail");
+            Cow::Owned(current)
+        }
+        _ => Cow::Borrowed(bytes),
+    }
+}
+
 fn options() -> impl Options {
     bincode::DefaultOptions::new()
 }
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::scheduling::stream_origins::SoftwareVersions;
+use crate::scheduling::stream_origins::StreamOrigin;
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::VmName;
@@ -72,6 +74,10 @@
         /// The new holder.
         vm: VmName,
     },
+    /// Lists a software version whose streams may be resumed.
+    AddSoftware(StreamOrigin),
+    /// Removes a software version none of whose streams is resumed any more.
+    RemoveSoftware(StreamOrigin),
 }
 
 /// Reply to a fleet command.
@@ -93,6 +99,8 @@
     adapter_versions: BTreeMap<ModelName, u64>,
     controllers: BTreeMap<VmName, Controller>,
     holders: BTreeMap<DataCentre, OrderHolder>,
+    /// The last field of a snapshot. Snapshots of the format before end without it.
+    software: SoftwareVersions,
 }
 
 impl Fleet {
@@ -116,6 +124,11 @@
         &self.holders
     }
 
+    /// Software versions of the servers whose streams may be resumed.
+    pub fn software(&self) -> &SoftwareVersions {
+        &self.software
+    }
+
     /// Applies the command of the log entry at `index`.
     pub fn apply(&mut self, index: u64, command: &FleetCommand) -> FleetReply {
         match command {
@@ -144,6 +157,14 @@
                 self.holders.insert(data_centre.clone(), holder);
                 FleetReply::Done
             }
+            FleetCommand::AddSoftware(origin) => {
+                self.software.add(index, origin);
+                FleetReply::Done
+            }
+            FleetCommand::RemoveSoftware(origin) => {
+                self.software.remove(index, origin);
+                FleetReply::Done
+            }
         }
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -317,7 +317,7 @@
     ///
     /// Fails if the bytes are empty, of another format version or damaged.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
-        let snapshot: Snapshot = codec::decode(bytes)?;
+        let snapshot: Snapshot = codec::decode(&codec::current_snapshot(bytes))?;
         let mut state = Self {
             applied_index: snapshot.applied_index,
             now: snapshot.now,
--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -22,6 +22,7 @@
 use super::log_line::ServerChange;
 use super::order_executor::OrderExecutor;
 use super::server_limits::ServerLimits;
+use super::stream_reports::StreamReports;
 use crate::consensus;
 use crate::consensus::Handle;
 use crate::control::Command;
@@ -75,6 +76,8 @@
     pub(super) server_limits: ServerLimits,
     /// Crashes of backend servers.
     pub(super) crashes: CrashReports,
+    /// Streams that began lately.
+    pub(super) streams: StreamReports,
     pub(super) heartbeats: Mutex<Heartbeats>,
     /// Backend servers known to any controller.
     pub(super) servers: Mutex<Table>,
@@ -236,6 +239,7 @@
         let port = self.config.link_port;
         let members = log.voters.iter().chain(&log.learners);
         let holds = self.orders.active(self.now());
+        let software = self.software_versions();
         let state = self.state();
         let fleet = state.state().fleet();
         ControlStatus {
@@ -250,6 +254,7 @@
                 && self.config.mechanisms.is_enabled(Mechanism::QuotaFailover),
             entry_vms: self.links.entry_vms(),
             recent_entry_vms: self.links.recent_entry_vms(self.now()),
+            software,
         }
     }
 
@@ -263,6 +268,7 @@
                 || last_status.stands_in != status.stands_in
                 || last_status.controllers != status.controllers
                 || last_status.recent_entry_vms != status.recent_entry_vms
+                || last_status.software != status.software
         });
         if !is_new && !is_due {
             return;
@@ -369,6 +375,8 @@
             Frame::ServerLimits(limits) => self.on_server_limits(session, limits),
             Frame::Crashes(reports) => self.on_crash_reports(session, reports),
             Frame::CrashCleared(cleared) => self.on_crash_cleared(session, cleared),
+            Frame::StreamsBegun(begun) => self.on_streams_begun(&begun),
+            Frame::FindStream(number, stream) => self.on_find_stream(session, number, stream),
             Frame::Leaving => self.links.mark_leaving(&session.peer().vm),
             Frame::Uses(uses) => {
                 self.orders.on_uses(&session.peer().vm, &uses, self.now());
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -30,6 +30,7 @@
 use super::log_line::Lifecycle;
 use super::order_executor::OrderExecutor;
 use super::server_limits::ServerLimits;
+use super::stream_reports::StreamReports;
 use crate::consensus;
 use crate::consensus::Handle;
 use crate::consensus::VoterConfig;
@@ -165,6 +166,7 @@
             failover,
             server_limits: ServerLimits::default(),
             crashes: CrashReports::default(),
+            streams: StreamReports::default(),
             heartbeats: Mutex::default(),
             servers: Mutex::default(),
             deployment: Mutex::default(),
--- a/src/fleet/controller_client.rs
+++ b/src/fleet/controller_client.rs
@@ -19,10 +19,12 @@
 use super::log_line::LinkChange;
 use super::log_line::ServerChange;
 use super::quota_failover;
+use super::stream_lookup::StreamLookups;
 use crate::events::EventLog;
 use crate::gateway::ControllerRequests;
 use crate::gateway::Dialect;
 use crate::gateway::Gateway;
+use crate::gateway::LookupFuture;
 use crate::link::AdapterDemand;
 use crate::link::AdapterUse;
 use crate::link::ControlStatus;
@@ -40,10 +42,12 @@
 use crate::scheduling::crash_evidence::ClearedFeature;
 use crate::scheduling::crash_evidence::CrashReport;
 use crate::scheduling::slots::EngineWork;
+use crate::scheduling::stream_origins::StreamBegin;
 use crate::types::Clock;
 use crate::types::DataCentre;
 use crate::types::MonoMs;
 use crate::types::ServerName;
+use crate::types::StreamKey;
 use crate::types::VmName;
 
 /// Time without an update after which a backend server is removed.
@@ -65,6 +69,7 @@
     contacts: BTreeSet<SocketAddr>,
     targets: watch::Sender<BTreeSet<SocketAddr>>,
     state: Mutex<State>,
+    lookups: StreamLookups,
 }
 
 #[derive(Default)]
@@ -101,6 +106,7 @@
             targets: watch::Sender::new(contacts.clone()),
             contacts,
             state: Mutex::default(),
+            lookups: StreamLookups::default(),
         }
     }
 
@@ -219,6 +225,13 @@
         self.send_to_all(&Frame::ServerLimits(limits));
     }
 
+    /// Reports streams that have begun to all controllers.
+    pub(super) fn send_streams_begun(&self, begun: Vec<StreamBegin>) {
+        if !begun.is_empty() {
+            self.send_to_all(&Frame::StreamsBegun(begun));
+        }
+    }
+
     fn send_to_all(&self, frame: &Frame) {
         let frame = frame.encode();
         for link in self.lock().links.values() {
@@ -253,6 +266,7 @@
         drop(state);
         self.gateway().quota.set_entry_vms(status.entry_vms);
         self.gateway().observe_fleet_size(status.recent_entry_vms);
+        self.gateway().set_software_versions(&status.software);
     }
 
     fn update_quota_server(&self, state: &State) {
@@ -418,6 +432,7 @@
         self.lock().links.insert(session.id(), link);
         session.send(&Frame::ServerLimits(self.gateway().server_limits()));
         session.send(&Frame::Crashes(self.gateway().crash_reports()));
+        session.send(&Frame::StreamsBegun(self.gateway().stream_origins()));
         self.events.emit(&LinkChange {
             peer: session.peer().vm.clone(),
             is_open: true,
@@ -440,6 +455,7 @@
             }
             Frame::Crashes(reports) => self.gateway().apply_crash_reports(&reports),
             Frame::CrashCleared(cleared) => self.gateway().apply_cleared(&cleared),
+            Frame::StreamFound(number, origin) => self.lookups.on_answer(number, origin),
             Frame::Borrowed(number, reply) => self.borrow_client.on_reply(number, reply),
             _ => {}
         }
@@ -463,6 +479,19 @@
         self.send_server_limits(vec![limit]);
     }
 
+    fn find_stream(&self, stream: StreamKey) -> LookupFuture {
+        let state = self.lock();
+        let statuses = state.links.values().filter_map(|link| link.status.as_ref());
+        let known = statuses.map(|status| status.controllers.len()).max();
+        let sessions = state.links.values().map(|link| link.session.clone());
+        let sessions = sessions.collect();
+        Box::pin(
+            self.lookups
+                .clone()
+                .find(stream, sessions, known.unwrap_or(usize::MAX)),
+        )
+    }
+
     fn report_crashes(&self, reports: Vec<CrashReport>) {
         self.send_to_all(&Frame::Crashes(reports));
     }
--- a/src/fleet/entry_vm.rs
+++ b/src/fleet/entry_vm.rs
@@ -67,6 +67,7 @@
     periodic: JoinHandle<()>,
     uses: JoinHandle<()>,
     withdrawals: JoinHandle<()>,
+    streams: JoinHandle<()>,
 }
 
 impl EntryVm {
@@ -112,6 +113,7 @@
         let dialer = Dialer::spawn(config.hello, targets, handler);
         let uses = report_uses(Arc::clone(&controllers), Arc::clone(&gateway));
         let withdrawals = withdraw_demands(Arc::clone(&controllers), Arc::clone(&gateway));
+        let streams = report_streams(Arc::clone(&controllers), Arc::clone(&gateway));
         let periodic =
             run_periodic_tasks(controllers, Arc::clone(&gateway), Arc::clone(&readiness));
         events.emit(&Lifecycle {
@@ -126,6 +128,7 @@
             periodic: tokio::spawn(periodic),
             uses: tokio::spawn(uses),
             withdrawals: tokio::spawn(withdrawals),
+            streams: tokio::spawn(streams),
         })
     }
 
@@ -152,6 +155,7 @@
         let is_done = timeout_at(last, self.acceptor.drain()).await.is_ok();
         self.uses.abort();
         self.withdrawals.abort();
+        self.streams.abort();
         let detail = if is_done {
             "all work ended"
         } else {
@@ -176,6 +180,16 @@
     }
 }
 
+/// Reports streams that have begun to the controllers, after a delay that batches further streams.
+async fn report_streams(controllers: Arc<ControllerClient>, gateway: Arc<Gateway>) {
+    let begun = gateway.streams_begun();
+    loop {
+        begun.notified().await;
+        sleep(Duration::from_millis(BATCH_DELAY_MS)).await;
+        controllers.send_streams_begun(gateway.take_streams_begun());
+    }
+}
+
 /// Withdraws the demand for adapters that no request waits for any more, after a delay that batches
 /// further withdrawals.
 async fn withdraw_demands(controllers: Arc<ControllerClient>, gateway: Arc<Gateway>) {
--- a/src/fleet/leader_tasks.rs
+++ b/src/fleet/leader_tasks.rs
@@ -9,6 +9,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::control_core::Core;
+use super::stream_reports::SoftwareWatch;
 use crate::consensus::Status;
 use crate::control::Fleet;
 use crate::control::FleetCommand;
@@ -35,16 +36,23 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut led_since: Option<MonoMs> = None;
     let mut last_contact: BTreeMap<VmName, MonoMs> = BTreeMap::new();
+    let mut software = SoftwareWatch::default();
     loop {
         ticks.tick().await;
         let status = core.log.status();
         if !status.is_leader {
             led_since = None;
             last_contact.clear();
+            software = SoftwareWatch::default();
             continue;
         }
         let now = core.now();
         let led_since = *led_since.get_or_insert(now);
+        let listed = core.software_versions();
+        let announced = core.announced_software();
+        if let Some(command) = software.next_command(&listed, announced, led_since, now) {
+            core.change(command).await;
+        }
         let view = FleetView::new(&core, &status, now, led_since, &mut last_contact);
         if let Some(command) = view.next_command() {
             // The next run repeats a command that did not succeed.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -19,6 +19,8 @@
 mod managed_data_centre;
 mod order_executor;
 mod server_limits;
+mod stream_lookup;
+mod stream_reports;
 
 pub use control_vm::ChangeOutcome;
 pub use control_vm::ControlConfig;
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -78,9 +78,14 @@
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
     let deadline = started + Duration::from_millis(wait_ms.min(route.timeout_ms));
     let body = read_body(&deployment, body, deadline).await?;
+    let resumed = gateway.resumed_origin(&route, &caller, grace_deadline);
+    let origin = resumed.await?;
     let taken = take_tokens(gateway, account.as_deref(), &caller, grace_deadline).await?;
     record.waited_ms = elapsed_ms(started);
-    let service = route.target(rand::rng().random()).clone();
+    let service = match &origin {
+        Some(origin) => origin.service.clone(),
+        None => route.target(rand::rng().random()).clone(),
+    };
     gateway.count_request(&service);
     let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
     let is_popular = adapter.is_some_and(|model| gateway.record_demand(model));
@@ -95,6 +100,7 @@
         account,
         caller,
         service,
+        origin,
         template,
         started,
         deadline,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -29,6 +29,8 @@
 use super::retry_budgets::RetryBudgets;
 use super::server_table::Distance;
 use super::server_table::ServerTable;
+use super::stream_origins::KnownStreams;
+use super::stream_origins::LookupFuture;
 use crate::events::EventLog;
 use crate::limits::RetryLimit;
 use crate::link::AdapterDemand;
@@ -42,6 +44,7 @@
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::MonoMs;
+use crate::types::StreamKey;
 
 /// Configuration of a gateway.
 pub struct GatewayConfig {
@@ -80,6 +83,7 @@
     versions: Mutex<HashMap<ModelName, (u64, MonoMs)>>,
     demand: Mutex<Demand>,
     pub(super) crashes: Crashes,
+    pub(super) known_streams: KnownStreams,
     pub(super) controllers: Arc<dyn ControllerRequests>,
     is_leaving: AtomicBool,
     /// Time from which requests that wait for a server are refused, set when the VM shuts down.
@@ -100,6 +104,9 @@
 
     /// Reports to all controllers what did not cause crashes.
     fn report_cleared(&self, cleared: Vec<ClearedFeature>);
+
+    /// Asks the controllers where a stream began.
+    fn find_stream(&self, stream: StreamKey) -> LookupFuture;
 }
 
 impl Gateway {
@@ -124,6 +131,7 @@
             versions: Mutex::default(),
             demand: Mutex::default(),
             crashes: Crashes::default(),
+            known_streams: KnownStreams::default(),
             controllers,
             is_leaving: AtomicBool::new(false),
             wait_deadline: OnceLock::new(),
--- a/src/gateway/deployment.rs
+++ b/src/gateway/deployment.rs
@@ -48,6 +48,11 @@
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
+    /// Whether the answer is a stream that may be resumed.
+    pub fn is_resumable_stream(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Whether the answer is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -42,6 +42,7 @@
 use super::relay;
 use super::server_table::is_adapter;
 use crate::event_stream;
+use crate::scheduling::stream_origins::StreamOrigin;
 use crate::types::ServerName;
 use crate::types::ServiceName;
 use crate::types::SoftwareVersion;
@@ -101,6 +102,8 @@
     pub(super) account: Option<Arc<Account>>,
     pub(super) caller: CallerHead,
     pub(super) service: ServiceName,
+    /// Who began the stream, once its caller has an event of it.
+    pub(super) origin: Option<StreamOrigin>,
     pub(super) is_engine: bool,
     /// Whether the adapter is requested often enough to be loaded in the own data centre.
     pub(super) is_popular: bool,
@@ -207,6 +210,21 @@
         }
     }
 
+    /// Records that a server of the version `software` began a stream that may be resumed.
+    pub(super) fn record_origin(&mut self, software: &SoftwareVersion) {
+        if self.origin.is_some() || !self.route.repeat.is_resumable_stream() {
+            return;
+        }
+        let origin = StreamOrigin {
+            service: self.service.clone(),
+            software: software.clone(),
+        };
+        if let Some(request_id) = &self.caller.request_id {
+            self.gateway.record_stream_begun(request_id, origin.clone());
+        }
+        self.origin = Some(origin);
+    }
+
     fn software_of(&self, server: &ServerName) -> Option<SoftwareVersion> {
         let table = self.gateway.server_table();
         let view = table.get(server)?;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -29,6 +29,7 @@
 use crate::types::MonoMs;
 use crate::types::RequestFeatures;
 use crate::types::ServerName;
+use crate::types::SoftwareVersion;
 
 /// Connection timeout within the region.
 const CONNECT_NEAR_MS: u64 = 300;
@@ -76,6 +77,11 @@
         self.connection.meter.clone()
     }
 
+    /// Version of the server's software.
+    pub(super) fn software(&self) -> &SoftwareVersion {
+        &self.guard.target.software
+    }
+
     /// Records the first bytes of a stream.
     pub(super) fn record_first_event(&mut self) {
         self.guard.record_first_event();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod server_limits;
 mod server_view;
 mod service_latency;
+mod stream_origins;
 
 pub use accept::Acceptor;
 pub use accept::Readiness;
@@ -59,3 +60,5 @@
 pub use quota::Quota;
 pub use quota::account_limit_history;
 pub use quota::fleet_share;
+pub use stream_origins::LookupFuture;
+pub use stream_origins::StreamLookup;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -131,6 +131,7 @@
         let complete = self.events.push(data)?;
         if let Some(connection) = &mut self.source.connection {
             connection.record_begun();
+            self.exchange.record_origin(connection.software());
         }
         let dialect = &self.exchange.gateway.config.dialect;
         self.last_event = dialect.last_event(&complete.bytes).or(self.last_event);
--- a/src/gateway/select_server.rs
+++ b/src/gateway/select_server.rs
@@ -44,6 +44,8 @@
     Adapter,
     /// The service has no server.
     Server,
+    /// The service has no server of the software version that began the stream.
+    Software,
     /// No server of the service has the base model.
     Model,
     /// The servers take no more requests now.
@@ -58,7 +60,7 @@
     fn may_end_soon(self, is_starting_up: bool) -> bool {
         match self {
             Self::Adapter | Self::RateLimited { .. } => true,
-            Self::Server | Self::Model => is_starting_up,
+            Self::Server | Self::Software | Self::Model => is_starting_up,
         }
     }
 
@@ -67,6 +69,7 @@
         let (reason, retry_after_ms) = match self {
             Self::Adapter => ("adapter_absent", BUSY_RETRY_MS),
             Self::Server => ("no_server", NO_SERVER_RETRY_MS),
+            Self::Software => ("software_absent", NO_SERVER_RETRY_MS),
             Self::Model => ("model_absent", NO_SERVER_RETRY_MS),
             Self::RateLimited { retry_after_ms } => ("server_limited", retry_after_ms.max(1)),
         };
@@ -112,6 +115,7 @@
                     }
                     return Ok(server);
                 }
+                Choice::NoServer if self.origin.is_some() => (POLL_MS, Unavailable::Software),
                 Choice::NoServer => (POLL_MS, Unavailable::Server),
                 Choice::WaitUntil(ready) => {
                     let remaining_ms = ready.since(self.gateway.now());
@@ -236,6 +240,7 @@
             service: &self.service,
             model,
             version,
+            software: self.origin.as_ref().map(|origin| &origin.software),
             tried: &self.tried,
             tie_breaker: rand::rng().random(),
         };
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -24,6 +24,7 @@
 use crate::types::MonoMs;
 use crate::types::ServerName;
 use crate::types::ServiceName;
+use crate::types::SoftwareVersion;
 
 /// Delay of an adapter load beyond its expected end that still counts as normal.
 const MAX_LOAD_DELAY_MS: u64 = 1_500;
@@ -45,6 +46,8 @@
     pub model: Option<&'a ModelName>,
     /// Oldest version of the adapter that may answer.
     pub version: Option<u64>,
+    /// Version of the software that may answer; any if the request has no events yet.
+    pub software: Option<&'a SoftwareVersion>,
     /// Servers that the request was sent to before.
     pub tried: &'a [ServerName],
     /// Random number that decides between servers of equal cost.
@@ -52,6 +55,10 @@
 }
 
 impl Requirements<'_> {
+    fn accepts(&self, software: &SoftwareVersion) -> bool {
+        self.software.is_none_or(|required| required == software)
+    }
+
     fn jitter_ms(&self, view: &ServerView) -> f64 {
         let drawn = weight(&self.tie_breaker, &view.announcement.server);
         JITTER_MS * (drawn as f64 / u64::MAX as f64)
@@ -359,6 +366,7 @@
             .values()
             .filter(|view| view.announcement.service == *requirements.service)
             .filter(|view| view.announcement.state == ServerState::Ready)
+            .filter(|view| requirements.accepts(&view.announcement.software))
             .collect();
         if all.is_empty() {
             return Choice::NoServer;
--- /dev/null
+++ b/src/gateway/stream_origins.rs
@@ -0,0 +1,204 @@
+//! Streams that callers resume: which software version of which service may go on with them.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use http::StatusCode;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use super::answer::Refusal;
+use super::context::Gateway;
+use super::deployment::Route;
+use super::dialect::CallerHead;
+use super::exchange::BUSY_RETRY_MS;
+use crate::scheduling::stream_origins::SoftwareVersions;
+use crate::scheduling::stream_origins::StreamBegin;
+use crate::scheduling::stream_origins::StreamOrigin;
+use crate::scheduling::stream_origins::StreamOrigins;
+use crate::scheduling::stream_origins::only_origin;
+use crate::types::ServiceName;
+use crate::types::StreamKey;
+
+/// Most streams whose origin a VM remembers.
+const MAX_STREAMS: usize = 16_384;
+/// Interval at which the controllers are asked for the origin of a stream again.
+const LOOKUP_INTERVAL_MS: u64 = 50;
+
+/// Answer of the controllers to the question who began a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StreamLookup {
+    /// A controller knows the origin.
+    Found(StreamOrigin),
+    /// A majority of the controllers does not know it.
+    NotKnown,
+    /// Too few controllers answered.
+    NotReached,
+}
+
+/// Looks up who began a stream.
+pub type LookupFuture = BoxFuture<'static, StreamLookup>;
+
+/// Origins of streams as known to one VM.
+#[derive(Debug)]
+pub(super) struct KnownStreams {
+    state: Mutex<State>,
+    reported: Arc<Notify>,
+}
+
+#[derive(Debug)]
+struct State {
+    origins: StreamOrigins,
+    unreported: Vec<StreamBegin>,
+    listed: SoftwareVersions,
+}
+
+impl Default for KnownStreams {
+    fn default() -> Self {
+        Self {
+            state: Mutex::new(State {
+                origins: StreamOrigins::new(MAX_STREAMS),
+                unreported: Vec::new(),
+                listed: SoftwareVersions::default(),
+            }),
+            reported: Arc::default(),
+        }
+    }
+}
+
+impl KnownStreams {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Gateway {
+    /// Records that `origin` began the stream of the caller's attempt `request_id`.
+    pub(super) fn record_stream_begun(&self, request_id: &str, origin: StreamOrigin) {
+        let begin = StreamBegin {
+            stream: StreamKey::of_request(request_id),
+            origin,
+            age_ms: 0,
+        };
+        let mut state = self.known_streams.lock();
+        if state.origins.record(&begin, self.now()) {
+            state.unreported.push(begin);
+            self.known_streams.reported.notify_one();
+        }
+    }
+
+    /// Notified when there are streams to report to the controllers.
+    pub fn streams_begun(&self) -> Arc<Notify> {
+        Arc::clone(&self.known_streams.reported)
+    }
+
+    /// Streams that began since the last call.
+    pub fn take_streams_begun(&self) -> Vec<StreamBegin> {
+        std::mem::take(&mut self.known_streams.lock().unreported)
+    }
+
+    /// All known streams, for a controller that may not know them.
+    pub fn stream_origins(&self) -> Vec<StreamBegin> {
+        self.known_streams.lock().origins.reports(self.now())
+    }
+
+    /// Applies the list of software versions unless it is older than the known one.
+    pub fn set_software_versions(&self, listed: &SoftwareVersions) {
+        let mut state = self.known_streams.lock();
+        if listed.revision > state.listed.revision {
+            state.listed = listed.clone();
+        }
+    }
+
+    /// Origin of the stream that a caller resumes; `None` for other requests. While the origin is not
+    /// known, the controllers are asked until `deadline`.
+    ///
+    /// # Errors
+    /// Nobody knows the origin, and several are possible.
+    pub(super) async fn resumed_origin(
+        &self,
+        route: &Route,
+        caller: &CallerHead,
+        deadline: Instant,
+    ) -> Result<Option<StreamOrigin>, Refusal> {
+        if !route.repeat.is_resumable_stream() || caller.last_event.is_none() {
+            return Ok(None);
+        }
+        let origin = match self.only_origin(route) {
+            Some(origin) => origin,
+            None => self.find_origin(route, caller, deadline).await?,
+        };
+        let may_serve = route
+            .targets
+            .iter()
+            .any(|(name, _)| *name == origin.service);
+        match may_serve {
+            true => Ok(Some(origin)),
+            false => Err(unresumable("stream_service_gone")),
+        }
+    }
+
+    async fn find_origin(
+        &self,
+        route: &Route,
+        caller: &CallerHead,
+        deadline: Instant,
+    ) -> Result<StreamOrigin, Refusal> {
+        let stream = caller.resumes.as_deref().map(StreamKey::of_request);
+        loop {
+            let found = match stream {
+                Some(stream) => self.look_up(stream).await,
+                None => StreamLookup::NotKnown,
+            };
+            match found {
+                StreamLookup::Found(origin) => return Ok(origin),
+                StreamLookup::NotKnown => return Err(unresumable("stream_origin_unknown")),
+                StreamLookup::NotReached if Instant::now() >= deadline => {
+                    return Err(unresumable("stream_origin_unknown"));
+                }
+                StreamLookup::NotReached => {}
+            }
+            sleep(Duration::from_millis(LOOKUP_INTERVAL_MS)).await;
+            if let Some(origin) = self.only_origin(route) {
+                return Ok(origin);
+            }
+        }
+    }
+
+    async fn look_up(&self, stream: StreamKey) -> StreamLookup {
+        let known = self.known_streams.lock().origins.get(stream).cloned();
+        match known {
+            Some(origin) => StreamLookup::Found(origin),
+            None => self.controllers.find_stream(stream).await,
+        }
+    }
+
+    /// The origin of all streams of a route, if there is only one. Unknown before a controller has told
+    /// which versions were in service.
+    fn only_origin(&self, route: &Route) -> Option<StreamOrigin> {
+        let services = || route.targets.iter().map(|(service, _)| service);
+        let is_target = |service: &ServiceName| services().any(|target| target == service);
+        let table = self.server_table();
+        let servers = table.servers.values().map(|view| &view.announcement);
+        let announced = servers
+            .filter(|server| is_target(&server.service))
+            .map(|server| StreamOrigin {
+                service: server.service.clone(),
+                software: server.software.clone(),
+            });
+        let state = self.known_streams.lock();
+        if state.listed.revision == 0 {
+            return None;
+        }
+        only_origin(services(), &state.listed, announced)
+    }
+}
+
+fn unresumable(reason: &'static str) -> Refusal {
+    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, BUSY_RETRY_MS)
+}
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -15,14 +15,18 @@
 use crate::registry::Announcement;
 use crate::scheduling::crash_evidence::ClearedFeature;
 use crate::scheduling::crash_evidence::CrashReport;
+use crate::scheduling::stream_origins::SoftwareVersions;
+use crate::scheduling::stream_origins::StreamBegin;
+use crate::scheduling::stream_origins::StreamOrigin;
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::RequestRate;
 use crate::types::ServerName;
+use crate::types::StreamKey;
 use crate::types::VmName;
 
 /// Version of the message format. Links between different versions are refused.
-pub const LINK_FORMAT: u16 = 7;
+pub const LINK_FORMAT: u16 = 8;
 
 /// Role of a VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -67,6 +71,8 @@
     pub entry_vms: u32,
     /// Number of entry VMs that were linked to it lately, those linked now too.
     pub recent_entry_vms: u32,
+    /// Software versions of backend servers whose streams may be resumed.
+    pub software: SoftwareVersions,
 }
 
 /// The configuration that a controller has applied.
@@ -238,6 +244,12 @@
     Borrow(u64, BorrowRequest),
     /// Reply to the token request with this number.
     Borrowed(u64, BorrowReply),
+    /// Streams that have begun, and where.
+    StreamsBegun(Vec<StreamBegin>),
+    /// Asks where a stream began, with a request number.
+    FindStream(u64, StreamKey),
+    /// Reply to the question with this number; `None` if the origin is not known.
+    StreamFound(u64, Option<StreamOrigin>),
 }
 
 impl Frame {
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -9,4 +9,5 @@
 pub mod residency;
 pub mod routing;
 pub mod slots;
+pub mod stream_origins;
 pub mod suspects;
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -7,6 +7,7 @@
 mod refusal;
 mod request_features;
 mod request_rate;
+mod stream_key;
 
 pub use adapter::AdapterRef;
 pub use adapter::ParseAdapterError;
@@ -28,6 +29,7 @@
 pub use request_features::Feature;
 pub use request_features::RequestFeatures;
 pub use request_rate::RequestRate;
+pub use stream_key::StreamKey;
 
 /// A number of tokens; prompt and output tokens count the same.
 pub type Tokens = u64;
--- a/tests/backlog.rs
+++ b/tests/backlog.rs
@@ -58,6 +58,7 @@
         service: &ServiceName::from("models"),
         model: Some(&adapter()),
         version: None,
+        software: None,
         tried: &[],
         tie_breaker,
     };
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -321,6 +321,17 @@
     assert_matches::assert_matches!(State::from_bytes(&long), Err(DecodeError::Damaged { .. }));
 }
 
+/// Guards against controllers that cannot read the snapshots of the build before.
+#[test]
+fn snapshots_of_the_previous_format_are_read() {
+    let bytes = State::new().to_bytes();
+    // The list of software versions, a revision and a map without entries, is what that format lacks.
+    let mut previous = bytes[..bytes.len() - 2].to_vec();
+    previous[0] = FORMAT_VERSION - 1;
+    let restored = State::from_bytes(&previous).unwrap();
+    assert_eq!(restored.to_bytes(), bytes);
+}
+
 /// Guards against an unbounded history or an unbounded number of recorded change ids, against a
 /// change that is applied again after its id was removed, and against a restore that takes longer
 /// than its target of 1 s.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -230,6 +230,7 @@
         service: &service,
         model: Some(&model),
         version: None,
+        software: None,
         tried,
         tie_breaker: 1,
     };
--- a/tests/hot.rs
+++ b/tests/hot.rs
@@ -133,6 +133,7 @@
             service: &ServiceName::from("models"),
             model: Some(&model),
             version: None,
+            software: None,
             tried: &[],
             tie_breaker: self.rng.random(),
         };
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -166,6 +166,7 @@
         service: &"desk".into(),
         model: None,
         version: None,
+        software: None,
         tried: &[],
         tie_breaker: 1,
     };
