fix(slots): adapters of resumed streams are loaded on engines of their version

Cause: the demand for an adapter named no software version. The adapter was loaded on any engine, or not at all since an engine of another version held it.

Link format 9.

--- a/src/fleet/controller_client.rs
+++ b/src/fleet/controller_client.rs
@@ -504,10 +504,12 @@
         // An unpopular adapter is loaded again on the engine that had it, in whichever data centre.
         let near = self.gateway().is_popular(&demand.model);
         let now = self.clock.mono();
-        let mut targets = self
-            .gateway()
-            .server_table()
-            .load_targets(&demand.model, near, now);
+        let mut targets = self.gateway().server_table().version_load_targets(
+            &demand.model,
+            demand.software.as_ref(),
+            near,
+            now,
+        );
         if targets.is_empty() {
             return;
         }
--- a/src/fleet/managed_data_centre.rs
+++ b/src/fleet/managed_data_centre.rs
@@ -72,6 +72,7 @@
             };
             let info = EngineInfo {
                 started_unix_ms: server.started_unix_ms,
+                software: server.software.clone(),
                 adapter_slots: spec.adapter_capacity(bases),
                 run_slots: server.slots,
                 target_latency_ms: deployment.shortest_target_ms(&server.service),
--- a/src/fleet/order_executor.rs
+++ b/src/fleet/order_executor.rs
@@ -256,6 +256,12 @@
             ));
         }
         for demand in demands {
+            if let Some(software) = &demand.software {
+                managed
+                    .planner
+                    .request_version_load(&demand.model, software, now);
+                continue;
+            }
             let wanted = LoadDemand {
                 waiting: demand.waiting,
                 priority: demand.priority,
--- a/src/gateway/adapter_waits.rs
+++ b/src/gateway/adapter_waits.rs
@@ -108,6 +108,7 @@
                 waiting: waiting.count,
                 priority: waiting.priority,
                 copy: false,
+                software: None,
             };
             (demand, waiting.listed - 1)
         });
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -44,6 +44,7 @@
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::MonoMs;
+use crate::types::SoftwareVersion;
 use crate::types::StreamKey;
 
 /// Configuration of a gateway.
@@ -300,9 +301,28 @@
             waiting: 1,
             priority,
             copy,
+            software: None,
         };
         self.controllers.request_adapter(demand, 0);
     }
+
+    /// Sends a request for an adapter on an engine of the version `software`. `earlier_requests` is the
+    /// number of previous ones on behalf of the same stream.
+    pub(super) fn request_version_load(
+        &self,
+        model: &ModelName,
+        software: &SoftwareVersion,
+        earlier_requests: u32,
+    ) {
+        let demand = AdapterDemand {
+            model: model.clone(),
+            waiting: 1,
+            priority: 0,
+            copy: false,
+            software: Some(software.clone()),
+        };
+        self.controllers.request_adapter(demand, earlier_requests);
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/gateway/select_server.rs
+++ b/src/gateway/select_server.rs
@@ -29,6 +29,11 @@
 const NO_SERVER_RETRY_MS: u64 = 500;
 /// Longest interval between two selection attempts.
 const POLL_MS: u64 = 100;
+/// Interval between two selection attempts of a stream that waits for its adapter on an engine of one
+/// software version.
+const VERSION_POLL_MS: u64 = 30;
+/// Selection attempts of such a stream for each request for the adapter.
+const VERSION_POLLS_PER_REQUEST: u32 = 8;
 /// Longest interval between two attempts to get a permit of a server that named a limit.
 const PERMIT_POLL_MS: u64 = 30;
 /// Share of the remaining time that may be spent on waiting for an adapter, in percent.
@@ -96,6 +101,7 @@
     ) -> Result<ServerName, Refusal> {
         let mut waiting = None;
         let mut permit_wait = None;
+        let mut version_requests = 0;
         loop {
             self.gateway
                 .check_quarantine(&self.template.features, record)?;
@@ -129,6 +135,10 @@
                     let cause = Unavailable::RateLimited { retry_after_ms };
                     (wait_ms.clamp(1, PERMIT_POLL_MS), cause)
                 }
+                Choice::NotPresent if self.origin.is_some() && self.adapter().is_some() => {
+                    self.request_version_load(&mut version_requests);
+                    (VERSION_POLL_MS, Unavailable::Adapter)
+                }
                 Choice::NotPresent if self.adapter().is_some() => {
                     if waiting.is_none() {
                         self.check_forecast(wait_started)?;
@@ -139,7 +149,8 @@
             };
             self.check_wait(cause, wait_started)?;
             let wait = Duration::from_millis(wait_ms);
-            match self.adapter().filter(|_| cause == Unavailable::Adapter) {
+            let joins_wait = cause == Unavailable::Adapter && version_requests == 0;
+            match self.adapter().filter(|_| joins_wait) {
                 Some(adapter) => {
                     let guard = waiting.get_or_insert_with(|| self.join_wait(adapter));
                     // The selection is repeated after the interval even without a notification.
@@ -163,7 +174,12 @@
         Ok(())
     }
 
+    /// Refuses a request that would wait too long on its server. A stream that has begun is not new
+    /// work.
     fn check_admission(&self, delay_ms: u64) -> Result<(), Refusal> {
+        if self.origin.is_some() {
+            return Ok(());
+        }
         let target_ms = self.route.target_latency_ms;
         let refused = admission::retry_after_ms(delay_ms, target_ms, self.priority());
         let may_refuse = self.history.runs == 0 && self.gateway.is_enabled(Mechanism::Admission);
@@ -233,6 +249,18 @@
         Ok(PermitWait::start(&self.gateway, server))
     }
 
+    /// Asks for the adapter on an engine of the version that began the stream, at intervals.
+    fn request_version_load(&self, requests: &mut u32) {
+        if let (Some(adapter), Some(origin)) = (self.adapter(), &self.origin)
+            && requests.is_multiple_of(VERSION_POLLS_PER_REQUEST)
+        {
+            let earlier = *requests / VERSION_POLLS_PER_REQUEST;
+            self.gateway
+                .request_version_load(adapter, &origin.software, earlier);
+        }
+        *requests += 1;
+    }
+
     fn choose(&self) -> Choice {
         let model = self.caller.model.as_ref().filter(|_| self.is_engine);
         let version = model.and_then(|model| self.gateway.required_version(model));
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -160,10 +160,23 @@
         model: &ModelName,
         local_first: bool,
         now: MonoMs,
+    ) -> Vec<LoadTarget> {
+        self.version_load_targets(model, None, local_first, now)
+    }
+
+    /// The same for engines of the version `software` only, if there is one.
+    pub fn version_load_targets(
+        &self,
+        model: &ModelName,
+        software: Option<&SoftwareVersion>,
+        local_first: bool,
+        now: MonoMs,
     ) -> Vec<LoadTarget> {
         let engines = self.servers.iter().filter(|(_, view)| {
             let server = &view.announcement;
-            server.state == ServerState::Ready && !server.models.is_empty()
+            server.state == ServerState::Ready
+                && !server.models.is_empty()
+                && software.is_none_or(|software| server.software == *software)
         });
         let candidates: Vec<EngineCandidate<'_>> = engines
             .map(|(server, view)| EngineCandidate {
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -22,11 +22,12 @@
 use crate::types::ModelName;
 use crate::types::RequestRate;
 use crate::types::ServerName;
+use crate::types::SoftwareVersion;
 use crate::types::StreamKey;
 use crate::types::VmName;
 
 /// Version of the message format. Links between different versions are refused.
-pub const LINK_FORMAT: u16 = 8;
+pub const LINK_FORMAT: u16 = 9;
 
 /// Role of a VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -132,6 +133,8 @@
     pub priority: u8,
     /// Whether the engines with the adapter are full, so that another copy is worth a slot.
     pub copy: bool,
+    /// Version of the software of the engine, for a stream that may go on only there.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl AdapterDemand {
@@ -142,6 +145,7 @@
             waiting: 0,
             priority: u8::MAX,
             copy: false,
+            software: None,
         }
     }
 }
--- a/src/scheduling/slots/engine.rs
+++ b/src/scheduling/slots/engine.rs
@@ -11,6 +11,7 @@
 use crate::types::ModelName;
 use crate::types::MonoMs;
 use crate::types::ServerName;
+use crate::types::SoftwareVersion;
 use crate::types::VmName;
 
 /// Time constant of the decay of the use score, in milliseconds.
@@ -25,6 +26,8 @@
 pub struct EngineInfo {
     /// Start time of the engine process, in Unix milliseconds.
     pub started_unix_ms: u64,
+    /// Version of the engine's software.
+    pub software: SoftwareVersion,
     /// Number of adapters that the engine can hold at once.
     pub adapter_slots: usize,
     /// Number of requests that the engine can run at once.
--- a/src/scheduling/slots/mod.rs
+++ b/src/scheduling/slots/mod.rs
@@ -19,6 +19,7 @@
 mod reports;
 mod slot_wait;
 mod types;
+mod version_loads;
 
 pub use engine::EngineInfo;
 pub use engine::EngineReport;
--- a/src/scheduling/slots/planner.rs
+++ b/src/scheduling/slots/planner.rs
@@ -20,6 +20,7 @@
 use crate::types::ModelName;
 use crate::types::MonoMs;
 use crate::types::ServerName;
+use crate::types::SoftwareVersion;
 use crate::types::VmName;
 
 /// Expected remaining time of a load that an engine refused a request for because it has not ended,
@@ -32,6 +33,8 @@
     pub(super) config: SlotsConfig,
     pub(super) engines: IndexMap<ServerName, Engine>,
     pub(super) pending_loads: IndexMap<ModelName, PendingLoad>,
+    /// Loads on engines of a given software version, with the time of the last request.
+    pub(super) version_loads: IndexMap<(ModelName, SoftwareVersion), MonoMs>,
     pub(super) versions: BTreeMap<ModelName, (u64, MonoMs)>,
     /// When another data centre last started to load an adapter.
     pub(super) remote_loads: HashMap<ModelName, MonoMs>,
@@ -49,6 +52,7 @@
             config,
             engines: IndexMap::new(),
             pending_loads: IndexMap::new(),
+            version_loads: IndexMap::new(),
             versions: BTreeMap::new(),
             remote_loads: HashMap::new(),
             load_limiter: LoadLimiter::new(config.load_ms),
@@ -180,6 +184,7 @@
         self.repeat_unresolved(now, &mut actions);
         actions.extend(self.load_base(now));
         self.renew_versions(now, &mut actions);
+        self.plan_version_loads(now, &mut actions);
         self.plan_pending_loads(now, &mut actions);
         self.plan_copies(now, &mut actions);
         self.ask_reports(now, &mut actions);
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -21,6 +21,7 @@
 use medlarlift::types::ModelName;
 use medlarlift::types::MonoMs;
 use medlarlift::types::ServerName;
+use medlarlift::types::SoftwareVersion;
 use medlarlift::types::VmName;
 
 const DEMAND: LoadDemand = LoadDemand {
@@ -308,6 +309,7 @@
     let mut fixture = Fixture::new(2);
     let info = EngineInfo {
         started_unix_ms: 2,
+        software: SoftwareVersion::from("v1"),
         adapter_slots: 2,
         run_slots: 16,
         target_latency_ms: 1_000,
@@ -341,6 +343,7 @@
     for name in ["e2", "e3"] {
         let info = EngineInfo {
             started_unix_ms: 1,
+            software: SoftwareVersion::from("v1"),
             adapter_slots: 2,
             run_slots: 16,
             target_latency_ms: 1_000,
