fix(gateway): a resumed stream waits for the report of its origin

Callers that came back within some ms of a stream's first event were refused with stream_origin_unknown: the report that it had begun was still on its way.

A stream that no controller knows is now asked for again for 200 ms, and until the grace period ends while no version is listed.

--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -27,6 +27,8 @@
 
 /// Most streams whose origin a VM remembers.
 const MAX_STREAMS: usize = 16_384;
+/// Longest time until the report of a stream that has begun reaches the controllers.
+const MAX_REPORT_DELAY_MS: u64 = 200;
 /// Interval at which the controllers are asked for the origin of a stream again.
 const LOOKUP_INTERVAL_MS: u64 = 50;
 
@@ -150,18 +152,21 @@
         deadline: Instant,
     ) -> Result<StreamOrigin, Refusal> {
         let stream = caller.resumes.as_deref().map(StreamKey::of_request);
+        let report_deadline = Instant::now() + Duration::from_millis(MAX_REPORT_DELAY_MS);
         loop {
             let found = match stream {
                 Some(stream) => self.look_up(stream).await,
                 None => StreamLookup::NotKnown,
             };
-            match found {
+            // What is not known yet may still arrive: the report of the stream, a controller, or the list
+            // of versions, which the log lacks when the fleet has just started.
+            let give_up = match found {
                 StreamLookup::Found(origin) => return Ok(origin),
-                StreamLookup::NotKnown => return Err(unresumable("stream_origin_unknown")),
-                StreamLookup::NotReached if Instant::now() >= deadline => {
-                    return Err(unresumable("stream_origin_unknown"));
-                }
-                StreamLookup::NotReached => {}
+                StreamLookup::NotKnown if self.has_version_list() => report_deadline.min(deadline),
+                StreamLookup::NotKnown | StreamLookup::NotReached => deadline,
+            };
+            if Instant::now() >= give_up {
+                return Err(unresumable("stream_origin_unknown"));
             }
             sleep(Duration::from_millis(LOOKUP_INTERVAL_MS)).await;
             if let Some(origin) = self.only_origin(route) {
@@ -170,6 +175,10 @@
         }
     }
 
+    fn has_version_list(&self) -> bool {
+        self.known_streams.lock().listed.revision > 0
+    }
+
     async fn look_up(&self, stream: StreamKey) -> StreamLookup {
         let known = self.known_streams.lock().origins.get(stream).cloned();
         match known {
