fix(backend): a refusal that names another request or none promises nothing

A server that writes an earlier refusal once more on a kept connection made callers believe that their request had not run, although it had or was running.

On the product's own path every refusal on a pooled connection was taken for that of the current call. Refusals of calls now have to repeat the request's id, as the dialect says that every answer does; else the call may have run.

--- a/src/backend/engine_http.rs
+++ b/src/backend/engine_http.rs
@@ -67,6 +67,8 @@
     #[serde(default)]
     code: Option<String>,
     #[serde(default)]
+    request_id: Option<String>,
+    #[serde(default)]
     highest_fence: Option<u64>,
 }
 
@@ -96,7 +98,8 @@
             request.headers_mut().insert(header::VIA, via);
         }
         let identity = StreamIdentity::of_call(&call);
-        open_stream(self.clone(), to, request, identity, 0).boxed()
+        let opened = open_stream(self.clone(), to, request, identity, Answers::Call);
+        opened.boxed()
     }
 
     fn resume(
@@ -107,7 +110,14 @@
     ) -> BoxFuture<'static, Result<TokenStream>> {
         let path = format!("/v1/streams/{}?from={from}", identity.request_id);
         let request = bodyless(Method::GET, to, &path);
-        open_stream(self.clone(), to, request, identity, from).boxed()
+        let opened = open_stream(
+            self.clone(),
+            to,
+            request,
+            identity,
+            Answers::Resume { from },
+        );
+        opened.boxed()
     }
 
     fn cancel(&self, to: SocketAddr, request_id: Arc<str>) -> BoxFuture<'static, bool> {
@@ -165,18 +175,58 @@
     }
 }
 
+/// What a stream answers.
+#[derive(Clone, Copy, Debug)]
+enum Answers {
+    /// A call, whose refusal promises that it did not run.
+    Call,
+    /// A request for the rest of a stream, whose refusal promises nothing.
+    Resume {
+        /// First token that is requested.
+        from: u64,
+    },
+}
+
+/// A refusal, and the request that it names.
+struct Refused {
+    error: BackendError,
+    request_id: Option<String>,
+}
+
+impl Refused {
+    /// The error for the call `request_id`. A refusal that names another request or none may be an
+    /// earlier one, which the engine wrote once more on a kept connection.
+    fn checked(self, request_id: &str) -> BackendError {
+        if self.request_id.as_deref() == Some(request_id) {
+            return self.error;
+        }
+        let named = self.request_id.as_deref().unwrap_or("none");
+        BackendError::Lost {
+            message: format!("a refusal for request {named} in place of {request_id}"),
+        }
+    }
+}
+
 async fn open_stream(
     engine: HttpEngine,
     to: SocketAddr,
     request: Request<Full<Bytes>>,
     identity: StreamIdentity,
-    from: u64,
+    answers: Answers,
 ) -> Result<TokenStream> {
+    let from = match answers {
+        Answers::Call => 0,
+        Answers::Resume { from } => from,
+    };
     let sent = engine.limits.now();
     let response = engine.client.request(request).await.map_err(call_error)?;
     engine.limits.on_answer(to, &response, sent);
     if response.status() != StatusCode::OK {
-        return Err(refusal_error(response).await);
+        let refused = refusal_error(response).await;
+        return Err(match answers {
+            Answers::Call => refused.checked(&identity.request_id),
+            Answers::Resume { .. } => refused.error,
+        });
     }
     Ok(token_stream(response, identity, from))
 }
@@ -193,21 +243,24 @@
 }
 
 /// The error for a refused call. A 4xx status or 503 means that the call did not start.
-async fn refusal_error(response: Response<Incoming>) -> BackendError {
+async fn refusal_error(response: Response<Incoming>) -> Refused {
     let status = response.status();
     let body = error_body(response).await;
     let code = body
         .code
         .or_else(|| error_code(body.error.as_ref()))
         .unwrap_or_default();
-    if code == "not_resident" {
-        return BackendError::NotResident;
-    }
     let message = format!("status {status} {code}");
-    if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
+    let error = if code == "not_resident" {
+        BackendError::NotResident
+    } else if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
         BackendError::NotStarted { message }
     } else {
         BackendError::Lost { message }
+    };
+    Refused {
+        error,
+        request_id: body.request_id,
     }
 }
 
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -326,7 +326,11 @@
         };
         if !(1..=MAX_OUTPUT_TOKENS).contains(&body.max_tokens) {
             let message = format!("max_tokens must be from 1 to {MAX_OUTPUT_TOKENS}");
-            return Some(self.error(StatusCode::BAD_REQUEST, "bad_request", &message));
+            let error = json!({
+                "error": { "code": "bad_request", "message": message, "run": "not_run" },
+                "request_id": body.request_id,
+            });
+            return Some(self.with_incarnation(StatusCode::BAD_REQUEST, error));
         }
         let streamed = body.stream;
         let (request_id, model) = (body.request_id.clone(), body.model.clone());
--- a/tests/path/fake_engine.rs
+++ b/tests/path/fake_engine.rs
@@ -135,7 +135,10 @@
         let at: u64 = words.next().and_then(|w| w.parse().ok()).unwrap_or(0);
         match fault {
             "refuse" => {
-                let body = json!({"error": {"code": "overloaded", "run": "not_run"}});
+                let body = json!({
+                    "error": {"code": "overloaded", "run": "not_run"},
+                    "request_id": completion.request_id,
+                });
                 return Some(server::json(StatusCode::SERVICE_UNAVAILABLE, &body));
             }
             "lose" => return None,
