fix(platform): heartbeats with values that no runner sends are ignored

Another writer may leave an odd entry among those of the runners. No process ended on any of them, and entries that are deeply nested, of another type, or with a number or port out of the range of its type were refused before. But an entry with 4,294,967,295 slots drew requests, one with port 0 named a runner that nobody can reach, and one with a start in the far future hid all later heartbeats of its name and displaced the sound runner at its address.

--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -27,6 +27,7 @@
 use super::failover_server::FailoverServer;
 use super::fencing::Fencing;
 use super::leader_tasks;
+use super::log_line::InvalidHeartbeat;
 use super::log_line::Lifecycle;
 use super::order_executor::OrderExecutor;
 use super::server_limits::ServerLimits;
@@ -52,6 +53,7 @@
 use crate::registry::Announcement;
 use crate::types::Clock;
 use crate::types::ServerName;
+use crate::types::UnixMs;
 use crate::types::VmName;
 
 /// Interval of the periodic tasks.
@@ -223,6 +225,18 @@
         }
     }
 
+    /// Time of day.
+    pub fn unix_time(&self) -> UnixMs {
+        self.core.config.clock.unix()
+    }
+
+    /// Logs that a heartbeat was ignored because of `error`.
+    pub fn log_invalid_heartbeat(&self, server: &str, error: &str) {
+        self.core
+            .events()
+            .emit(&InvalidHeartbeat::new(server, error));
+    }
+
     /// Processes a heartbeat of a backend server.
     pub fn announce(&self, announcement: Announcement) {
         self.core.announce(announcement);
--- a/src/fleet/log_line.rs
+++ b/src/fleet/log_line.rs
@@ -27,6 +27,33 @@
     }
 }
 
+/// A heartbeat was ignored because a value in it is wrong.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct InvalidHeartbeat {
+    server: String,
+    error: String,
+}
+
+impl InvalidHeartbeat {
+    /// Longest text of a field. Others write what is logged here.
+    const MAX_CHARS: usize = 160;
+
+    pub(super) fn new(server: &str, error: &str) -> Self {
+        Self {
+            server: server.chars().take(Self::MAX_CHARS).collect(),
+            error: error.chars().take(Self::MAX_CHARS).collect(),
+        }
+    }
+}
+
+impl Event for InvalidHeartbeat {
+    const KIND: &'static str = "invalid_heartbeat";
+
+    fn severity(&self) -> Severity {
+        Severity::Failure
+    }
+}
+
 /// A link opened or closed.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct LinkChange {
