--- a/src/fleet/controller_client.rs
+++ b/src/fleet/controller_client.rs
@@ -24,7 +24,6 @@
 use crate::gateway::ControllerRequests;
 use crate::gateway::Dialect;
 use crate::gateway::Gateway;
-use crate::gateway::LookupFuture;
 use crate::link::AdapterDemand;
 use crate::link::AdapterUse;
 use crate::link::ControlStatus;
@@ -39,15 +38,12 @@
 use crate::link::Session;
 use crate::registry::Change;
 use crate::registry::Table;
-use crate::scheduling::crash_evidence::ClearedFeature;
-use crate::scheduling::crash_evidence::CrashReport;
 use crate::scheduling::slots::EngineWork;
 use crate::scheduling::stream_origins::StreamBegin;
 use crate::types::Clock;
 use crate::types::DataCentre;
 use crate::types::MonoMs;
 use crate::types::ServerName;
-use crate::types::StreamKey;
 use crate::types::VmName;
 
 /// Time without an update after which a backend server is removed.
@@ -55,13 +51,10 @@
 /// Time after which a requested document is requested again.
 const PULL_RETRY_MS: u64 = 700;
 
-/// Demands for an adapter that are sent to one data centre before the next one is tried.
-const ATTEMPTS_PER_DATA_CENTRE: u32 = 3;
-
 /// Connection state and updates from all controllers.
 pub(super) struct ControllerClient {
     own: Hello,
-    clock: Clock,
+    pub(super) clock: Clock,
     events: EventLog,
     dialect: Arc<dyn Dialect>,
     gateway: OnceLock<Arc<Gateway>>,
@@ -69,22 +62,22 @@
     contacts: BTreeSet<SocketAddr>,
     targets: watch::Sender<BTreeSet<SocketAddr>>,
     state: Mutex<State>,
-    lookups: StreamLookups,
+    pub(super) lookups: StreamLookups,
 }
 
 #[derive(Default)]
-struct State {
-    links: IndexMap<u64, Link>,
+pub(super) struct State {
+    pub(super) links: IndexMap<u64, Link>,
     servers: Table,
     /// Fence of the newest residency update by data centre, and the link on which it was received.
     fences: HashMap<DataCentre, (u64, u64)>,
     pulled: Option<(u64, MonoMs)>,
 }
 
-struct Link {
-    session: Session,
+pub(super) struct Link {
+    pub(super) session: Session,
     opened: MonoMs,
-    status: Option<ControlStatus>,
+    pub(super) status: Option<ControlStatus>,
 }
 
 impl ControllerClient {
@@ -130,11 +123,11 @@
         self.lock().servers.servers().next().is_some()
     }
 
-    fn gateway(&self) -> &Arc<Gateway> {
+    pub(super) fn gateway(&self) -> &Arc<Gateway> {
         self.gateway.get().expect("set before links are opened")
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -232,7 +225,7 @@
         }
     }
 
-    fn send_to_all(&self, frame: &Frame) {
+    pub(super) fn send_to_all(&self, frame: &Frame) {
         let frame = frame.encode();
         for link in self.lock().links.values() {
             link.session.send_encoded(frame.clone());
@@ -411,7 +404,7 @@
     }
 
     /// The link to the VM that holds the orders of `data_centre`.
-    fn holder(&self, data_centre: &DataCentre) -> Option<Session> {
+    pub(super) fn holder(&self, data_centre: &DataCentre) -> Option<Session> {
         let holding = self.links.values().filter_map(|link| {
             let holds = &link.status.as_ref()?.holds;
             let (_, fence) = holds.iter().find(|(held, _)| held == data_centre)?;
@@ -473,55 +466,3 @@
         });
     }
 }
-
-impl ControllerRequests for ControllerClient {
-    fn report_server_limit(&self, limit: ServerLimit) {
-        self.send_server_limits(vec![limit]);
-    }
-
-    fn find_stream(&self, stream: StreamKey) -> LookupFuture {
-        let state = self.lock();
-        let statuses = state.links.values().filter_map(|link| link.status.as_ref());
-        let known = statuses.map(|status| status.controllers.len()).max();
-        let sessions = state.links.values().map(|link| link.session.clone());
-        let sessions = sessions.collect();
-        Box::pin(
-            self.lookups
-                .clone()
-                .find(stream, sessions, known.unwrap_or(usize::MAX)),
-        )
-    }
-
-    fn report_crashes(&self, reports: Vec<CrashReport>) {
-        self.send_to_all(&Frame::Crashes(reports));
-    }
-
-    fn report_cleared(&self, cleared: Vec<ClearedFeature>) {
-        self.send_to_all(&Frame::CrashCleared(cleared));
-    }
-
-    fn request_adapter(&self, demand: AdapterDemand, asked_before: u32) {
-        // An unpopular adapter is loaded again on the engine that had it, in whichever data centre.
-        let near = self.gateway().is_popular(&demand.model);
-        let now = self.clock.mono();
-        let mut targets = self.gateway().server_table().version_load_targets(
-            &demand.model,
-            demand.software.as_ref(),
-            near,
-            now,
-        );
-        if targets.is_empty() {
-            return;
-        }
-        // A data centre that does not load the adapter in time is skipped.
-        let skipped = (asked_before / ATTEMPTS_PER_DATA_CENTRE) as usize % targets.len();
-        targets.rotate_left(skipped);
-        let state = self.lock();
-        for target in targets {
-            if let Some(holder) = state.holder(&target.data_centre) {
-                holder.send(&Frame::AdapterDemands(target.data_centre, vec![demand]));
-                return;
-            }
-        }
-    }
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod control_links;
 mod control_vm;
 mod controller_client;
+mod controller_requests;
 mod crash_reports;
 mod engine_client;
 mod entry_vm;
--- a/src/gateway/load_targets.rs
+++ b/src/gateway/load_targets.rs
@@ -8,13 +8,18 @@
 
 use indexmap::IndexMap;
 
+use crate::mechanisms::Mechanism;
+use crate::registry::ServerState;
 use crate::scheduling::slots::ranked;
 use crate::types::DataCentre;
 use crate::types::ModelName;
+use crate::types::MonoMs;
 use crate::types::ServerName;
+use crate::types::SoftwareVersion;
 
 use super::forecast::LoadEstimate;
 use super::server_table::Distance;
+use super::server_table::ServerTable;
 
 /// Adapters whose engines are remembered.
 const MAX_ADAPTERS: usize = 8_192;
@@ -105,3 +110,52 @@
         is_recent: previous.contains(candidate.server),
     }
 }
+
+impl ServerTable {
+    /// Data centres with an engine that accepts work, in the order in which they should be asked to
+    /// load `model`: the one that can serve it soonest comes first. With `local_first`, engines
+    /// that had the adapter before get no preference.
+    pub fn load_targets(
+        &self,
+        model: &ModelName,
+        local_first: bool,
+        now: MonoMs,
+    ) -> Vec<LoadTarget> {
+        self.version_load_targets(model, None, local_first, now)
+    }
+
+    /// The same for engines of the version `software` only, if there is one.
+    pub fn version_load_targets(
+        &self,
+        model: &ModelName,
+        software: Option<&SoftwareVersion>,
+        local_first: bool,
+        now: MonoMs,
+    ) -> Vec<LoadTarget> {
+        let engines = self.servers.iter().filter(|(_, view)| {
+            let server = &view.announcement;
+            server.state == ServerState::Ready
+                && !server.models.is_empty()
+                && software.is_none_or(|software| server.software == *software)
+        });
+        let candidates: Vec<EngineCandidate<'_>> = engines
+            .map(|(server, view)| EngineCandidate {
+                server,
+                data_centre: &view.announcement.data_centre,
+                distance: view.distance,
+                slot_wait_ms: self.slot_wait_ms(&view.announcement.data_centre, now),
+            })
+            .collect();
+        let prefers_previous = !local_first && self.mechanisms.is_enabled(Mechanism::LastEngine);
+        let previous = match self.recent_engines.get(model) {
+            [.., last]
+                if prefers_previous && !self.mechanisms.is_enabled(Mechanism::LoadHistory) =>
+            {
+                std::slice::from_ref(last)
+            }
+            previous if prefers_previous => previous,
+            _ => &[],
+        };
+        ranked_targets(model, &candidates, previous)
+    }
+}
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -5,8 +5,6 @@
 use indexmap::IndexMap;
 
 use super::dialect::ServerLoad;
-use super::load_targets;
-use super::load_targets::EngineCandidate;
 pub use super::load_targets::LoadTarget;
 use super::load_targets::RecentEngines;
 use super::server_view::AdapterPresence;
@@ -100,10 +98,10 @@
     pub(super) servers: IndexMap<ServerName, ServerView>,
     distances: HashMap<DataCentre, Distance>,
     latencies: HashMap<ServiceName, ServiceLatency>,
-    recent_engines: RecentEngines,
+    pub(super) recent_engines: RecentEngines,
     /// Wait for an adapter slot and the time of the report, by data centre.
     slot_waits: HashMap<DataCentre, (u64, MonoMs)>,
-    mechanisms: Mechanisms,
+    pub(super) mechanisms: Mechanisms,
 }
 
 impl ServerTable {
@@ -152,53 +150,6 @@
         self.servers.get(server)
     }
 
-    /// Data centres with an engine that accepts work, in the order in which they should be asked to
-    /// load `model`: the one that can serve it soonest comes first. With `local_first`, engines
-    /// that had the adapter before get no preference.
-    pub fn load_targets(
-        &self,
-        model: &ModelName,
-        local_first: bool,
-        now: MonoMs,
-    ) -> Vec<LoadTarget> {
-        self.version_load_targets(model, None, local_first, now)
-    }
-
-    /// The same for engines of the version `software` only, if there is one.
-    pub fn version_load_targets(
-        &self,
-        model: &ModelName,
-        software: Option<&SoftwareVersion>,
-        local_first: bool,
-        now: MonoMs,
-    ) -> Vec<LoadTarget> {
-        let engines = self.servers.iter().filter(|(_, view)| {
-            let server = &view.announcement;
-            server.state == ServerState::Ready
-                && !server.models.is_empty()
-                && software.is_none_or(|software| server.software == *software)
-        });
-        let candidates: Vec<EngineCandidate<'_>> = engines
-            .map(|(server, view)| EngineCandidate {
-                server,
-                data_centre: &view.announcement.data_centre,
-                distance: view.distance,
-                slot_wait_ms: self.slot_wait_ms(&view.announcement.data_centre, now),
-            })
-            .collect();
-        let prefers_previous = !local_first && self.mechanisms.is_enabled(Mechanism::LastEngine);
-        let previous = match self.recent_engines.get(model) {
-            [.., last]
-                if prefers_previous && !self.mechanisms.is_enabled(Mechanism::LoadHistory) =>
-            {
-                std::slice::from_ref(last)
-            }
-            previous if prefers_previous => previous,
-            _ => &[],
-        };
-        load_targets::ranked_targets(model, &candidates, previous)
-    }
-
     /// Clears the residency of all engines of a data centre, before a full update.
     pub fn clear_residency(&mut self, data_centre: &DataCentre) {
         for view in self.servers.values_mut() {
@@ -363,7 +314,7 @@
     }
 
     /// Expected wait for an adapter slot in a data centre; 0 without a recent report.
-    fn slot_wait_ms(&self, centre: &DataCentre, now: MonoMs) -> u64 {
+    pub(super) fn slot_wait_ms(&self, centre: &DataCentre, now: MonoMs) -> u64 {
         if !self.mechanisms.is_enabled(Mechanism::SlotWaitForecast) {
             return 0;
         }
