feat(gateway): log line for each rest that a server asks for

A server that turns a request away may state in Retry-After for how long it wants nothing from that VM. The header is read (seconds, fractions, dates, a bound) and logged; no decision changes.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -12,6 +12,7 @@
 
 use super::deployment::Deployment;
 use super::deployment::InvalidDeployment;
+use crate::limits::AskedRest;
 use crate::scheduling::slots::EngineReport;
 use crate::scheduling::slots::OrderOutcome;
 use crate::scheduling::slots::SlotOrder;
@@ -113,6 +114,8 @@
     pub load: Option<ServerLoad>,
     /// Limit on the rate of requests to the server.
     pub named_limit: NamedLimit,
+    /// Rest that the server asks of this VM.
+    pub asked_rest: AskedRest,
     /// Time for which the connection may be idle.
     pub keep_idle: Option<Duration>,
     /// Whether the server closes the connection.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,6 +22,7 @@
 use super::meter::Meter;
 use super::pool;
 use super::server_limits;
+use super::server_rests;
 use super::server_table::Distance;
 use crate::registry::Announcement;
 use crate::scheduling::crash_evidence::Progress;
@@ -275,6 +276,7 @@
     }
     let checked = check(gateway, template, &guard, response.status(), &head);
     server_limits::on_answer(gateway, &guard, &head, checked.is_ok());
+    server_rests::on_answer(gateway, &guard, &head);
     checked?;
     guard.answered();
     Ok(Reply {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod retry_budgets;
 mod select_server;
 mod server_limits;
+mod server_rests;
 mod server_view;
 mod service_latency;
 mod stream_origins;
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -4,6 +4,7 @@
 //! `retry_budget` bounds the retries of all VMs together.
 //!
 //! The same buckets keep the limits that backend servers name on their requests (`server_limit`).
+//! `server_rest` keeps the times for which they want no requests at all.
 //!
 //! Tokens count as used when they are reserved. For any window `[a, b]`, the tokens used from
 //! reservations made in it never exceed `rate * (b - a) + burst`.
@@ -19,6 +20,7 @@
 mod returns;
 mod server;
 mod server_limit;
+mod server_rest;
 mod settlement;
 mod token_cache;
 mod version;
@@ -51,6 +53,9 @@
 pub use server_limit::ServerLimitState;
 pub use server_limit::server_bucket;
 pub use server_limit::server_limit_version;
+pub use server_rest::AskedRest;
+pub use server_rest::MAX_REST_MS;
+pub use server_rest::ServerRest;
 pub use settlement::Settlement;
 pub use token_cache::BorrowCall;
 pub use token_cache::Borrowing;
