--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -26,6 +26,7 @@
 use super::announcer::Announce;
 use super::announcer::Announcement;
 use super::announcer::announce;
+use super::asked_rest::AskedRest;
 use super::client::HttpClient;
 use super::engine_commands;
 use super::engine_commands::EngineCommand;
@@ -64,6 +65,7 @@
     connections: Connections,
     client: HttpClient,
     request_limit: RequestLimit,
+    asked_rest: AskedRest,
     address: std::sync::OnceLock<SocketAddr>,
 }
 
@@ -89,6 +91,7 @@
             connections: Connections::new(),
             client: HttpClient::new(),
             request_limit: RequestLimit::new(request_limit_per_s),
+            asked_rest: AskedRest::default(),
             address: std::sync::OnceLock::new(),
         });
         let connections = engine.connections.clone();
@@ -116,6 +119,16 @@
         self.engine.lock().counts.clone()
     }
 
+    /// Turns all calls away and asks for `rest`; zero ends that.
+    pub fn set_asked_rest(&self, rest: Duration) {
+        self.engine.asked_rest.set(rest);
+    }
+
+    /// Largest number of calls of one VM within a rest that it had been asked for.
+    pub fn most_in_rest(&self) -> usize {
+        self.engine.asked_rest.most_in_rest()
+    }
+
     /// Sets the requests per second that answers name as the engine's limit; 0 for none.
     pub fn set_request_limit(&self, per_s: f64) {
         self.engine.request_limit.set(per_s);
@@ -317,7 +330,8 @@
     }
 
     async fn complete(&self, request: Request<Incoming>) -> Option<Response<Body>> {
-        if self.request_limit.record_arrival(&sender(&request)) {
+        let vm = sender(&request);
+        if self.request_limit.record_arrival(&vm) {
             self.lock().counts.over_limit += 1;
         }
         let body: CompletionBody = match server::read_json(request).await {
@@ -332,6 +346,10 @@
             });
             return Some(self.with_incarnation(StatusCode::BAD_REQUEST, error));
         }
+        if self.asked_rest.turns_away(&vm) {
+            let refused = self.rejection(RejectReason::Overloaded, &body.request_id, &body.model);
+            return Some(self.asked_rest.ask_in(refused));
+        }
         let streamed = body.stream;
         let (request_id, model) = (body.request_id.clone(), body.model.clone());
         let submitted = self.submit(body);
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod announcer;
 pub mod answer;
+mod asked_rest;
 pub mod caller_api;
 pub mod callers;
 mod callers_orders;
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -30,6 +30,7 @@
 use super::announcer::Announcement;
 use super::announcer::announce;
 use super::answer;
+use super::asked_rest::AskedRest;
 use super::request_limit::RequestLimit;
 use super::request_limit::sender;
 use super::server;
@@ -85,6 +86,7 @@
     settings: ServiceSettings,
     incarnation: u64,
     request_limit: RequestLimit,
+    asked_rest: AskedRest,
     address: OnceLock<SocketAddr>,
     state: Mutex<State>,
 }
@@ -111,6 +113,7 @@
         };
         let service = Arc::new(Service {
             request_limit: RequestLimit::new(settings.request_limit_per_s),
+            asked_rest: AskedRest::default(),
             settings,
             incarnation: Clock::start().unix().0,
             address: OnceLock::new(),
@@ -136,6 +139,16 @@
         self.service.lock().counts.clone()
     }
 
+    /// Turns all calls away and asks for `rest`; zero ends that.
+    pub fn set_asked_rest(&self, rest: Duration) {
+        self.service.asked_rest.set(rest);
+    }
+
+    /// Largest number of calls of one VM within a rest that it had been asked for.
+    pub fn most_in_rest(&self) -> usize {
+        self.service.asked_rest.most_in_rest()
+    }
+
     /// Sets the requests per second that answers name as the service's limit; 0 for none.
     pub fn set_request_limit(&self, per_s: f64) {
         self.service.request_limit.set(per_s);
@@ -217,6 +230,11 @@
         if self.request_limit.record_arrival(&vm) {
             self.lock().counts.over_limit += 1;
         }
+        if self.asked_rest.turns_away(&vm) {
+            let body = json!({ "error": { "code": "overloaded", "run": "not_run" } });
+            let refused = server::json(StatusCode::SERVICE_UNAVAILABLE, &body);
+            return Some(self.asked_rest.ask_in(refused));
+        }
         let answer = Arc::clone(&self).run(request).await?;
         Some(self.request_limit.name_in(answer, &vm))
     }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -3,6 +3,8 @@
 
 #[path = "path/answers.rs"]
 mod answers;
+#[path = "path/callers.rs"]
+mod callers;
 #[path = "path/crashes.rs"]
 mod crashes;
 #[path = "path/deployment.rs"]
@@ -17,6 +19,8 @@
 mod outcomes;
 #[path = "path/server_limits.rs"]
 mod server_limits;
+#[path = "path/server_rests.rs"]
+mod server_rests;
 #[path = "path/shutdown.rs"]
 mod shutdown;
 #[path = "path/stream.rs"]
--- a/tests/path/server_limits.rs
+++ b/tests/path/server_limits.rs
@@ -3,16 +3,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use futures::future::join_all;
 use http::Method;
 use http::StatusCode;
 use medlarlift::standin::client::Call;
-use medlarlift::standin::client::Reply;
 use medlarlift::types::Clock;
-use tokio::time::sleep;
 
+use crate::callers::VMS;
+use crate::callers::load;
 use crate::deployment::Builder;
-use crate::deployment::Deployment;
 use crate::deployment::NORTH;
 use crate::deployment::SERVICE;
 use crate::deployment::call;
@@ -20,39 +18,12 @@
 use crate::deployment::key;
 use crate::deployment::model;
 
-const VMS: usize = 3;
 const LIMIT_PER_S: f64 = 1.5;
-/// Pause between two requests of one caller. Each VM has one caller.
-const CALLER_PAUSE: Duration = Duration::from_millis(40);
 const LOAD: Duration = Duration::from_secs(11);
 /// Time after which the limit has to be kept.
 const SETTLE: Duration = Duration::from_millis(500);
 const WINDOW: Duration = Duration::from_secs(4);
 const TIME_TO_DEADLINE_MS: u64 = 1_500;
-/// Longest time for an answer to a caller.
-const ANSWER: Duration = Duration::from_secs(20);
-
-/// Sends calls to all VMs for `time`.
-async fn load(
-    deployment: &Deployment,
-    time: Duration,
-    call: impl Fn(usize, usize) -> Call,
-) -> Vec<Reply> {
-    let until = Instant::now() + time;
-    let callers = (0..VMS).map(async |vm| {
-        let mut replies = Vec::new();
-        while Instant::now() < until {
-            let call = call(vm, replies.len());
-            let reply = deployment
-                .client
-                .send_within(call, ANSWER.as_millis() as u64);
-            replies.push(reply.await.expect("a VM answers every request"));
-            sleep(CALLER_PAUSE).await;
-        }
-        replies
-    });
-    join_all(callers).await.into_iter().flatten().collect()
-}
 
 /// Largest number of requests in any window that begins at `from` or later.
 fn most_in_window(arrivals: &[Instant], from: Instant) -> usize {
