fix(gateway): a server that asks a VM for rest gets none of its requests until then

Cause: Retry-After of a server's answer was not read. A refusal kept a VM away from the server for 100 ms, as a preference only. Class: what a server says of itself is not heard. Ruled out: orders and reports of controllers, of which none was turned away.

A resting server is never chosen, also if it is the only one, and the rest is checked again after the waits for a permit and a connection. Requests wait for a rest that ends in time and are refused at once otherwise. The same for controllers' orders and reports, and on the product's own path.

--- a/src/fleet/engine_client.rs
+++ b/src/fleet/engine_client.rs
@@ -1,14 +1,17 @@
 //! HTTP client for orders and report requests to engines. Responses are limited in size and time.
 
+use std::collections::HashMap;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use bytes::Bytes;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -18,6 +21,10 @@
 
 use crate::gateway::pool;
 use crate::gateway::pool::Pool;
+use crate::limits::AskedRest;
+use crate::limits::ServerRest;
+use crate::types::Clock;
+use crate::types::ServerName;
 
 /// Timeout of a request, including the response body.
 const RESPONSE_TIMEOUT_MS: u64 = 350;
@@ -30,25 +37,59 @@
 pub(super) type Result<T> = std::result::Result<T, CallError>;
 
 /// Client with a pool of connections to engines.
-#[derive(Default)]
 pub(super) struct EngineClient {
+    clock: Clock,
     pool: Mutex<Pool>,
+    /// Rests that engines asked this VM for.
+    rests: Mutex<HashMap<ServerName, ServerRest>>,
 }
 
 impl EngineClient {
+    pub(super) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            pool: Mutex::default(),
+            rests: Mutex::default(),
+        }
+    }
+
+    fn rests(&self) -> MutexGuard<'_, HashMap<ServerName, ServerRest>> {
+        self.rests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether an engine has asked this VM for a rest that is not over. Forgets rests that are.
+    fn is_resting(&self, engine: &ServerName) -> bool {
+        let now = self.clock.mono();
+        let mut rests = self.rests();
+        rests.retain(|_, rest| rest.left_ms(now) > 0);
+        rests.contains_key(engine)
+    }
+
+    fn on_answer<B>(&self, engine: &ServerName, answer: &Response<B>) {
+        let asked = AskedRest::read(answer.status(), answer.headers(), SystemTime::now());
+        if let AskedRest::ForMs(ms) = asked {
+            let now = self.clock.mono();
+            self.rests().entry(engine.clone()).or_default().ask(ms, now);
+        }
+    }
+
     fn pool(&self) -> MutexGuard<'_, Pool> {
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sends a request to the engine at `address` and reads the whole response.
+    /// Sends a request to `engine` at `address` and reads the whole response.
     ///
     /// # Errors
-    /// The response is incomplete, or its body exceeds [`MAX_RESPONSE_BYTES`].
+    /// The engine rests, the response is incomplete, or its body exceeds [`MAX_RESPONSE_BYTES`].
     pub(super) async fn send(
         &self,
+        engine: &ServerName,
         address: SocketAddr,
         request: Request<Bytes>,
     ) -> Result<(StatusCode, Bytes)> {
+        if self.is_resting(engine) {
+            return Err(CallError::Resting);
+        }
         let pooled = self.pool().take(address, false);
         let mut connection = match pooled {
             Some(connection) => connection,
@@ -62,6 +103,7 @@
         let exchange = async {
             let sent = connection.sender.send_request(request).await;
             let response = sent.map_err(|_| CallError::Broken)?;
+            self.on_answer(engine, &response);
             let status = response.status();
             let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
             let body = body.collect().await.map_err(CallError::from_body_error)?;
@@ -79,6 +121,8 @@
 pub(super) enum CallError {
     /// No connection could be opened.
     Unreachable,
+    /// The engine asked for a rest that is not over.
+    Resting,
     /// The response was not complete in time.
     TimedOut,
     /// The connection broke, or the response is not valid HTTP.
@@ -102,6 +146,7 @@
     pub(super) fn name(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
+            Self::Resting => "resting",
             Self::TimedOut => "timed_out",
             Self::Broken => "broken",
             Self::TooLarge => "too_large",
--- a/src/fleet/order_executor.rs
+++ b/src/fleet/order_executor.rs
@@ -80,7 +80,7 @@
             mechanisms: config.mechanisms,
             events: config.events.clone(),
             state: Mutex::default(),
-            engine_client: EngineClient::default(),
+            engine_client: EngineClient::new(config.clock),
         }
     }
 
@@ -416,7 +416,11 @@
     ) {
         let started = core.now();
         let request = self.engines.order(&order, &self.vm, fence);
-        let outcome = match self.engine_client.send(address, request).await {
+        let outcome = match self
+            .engine_client
+            .send(&order.server, address, request)
+            .await
+        {
             Ok((status, _)) => self.engines.read_order(&order, status),
             Err(error) => {
                 self.log_call_failure(&order.server, "order", error);
@@ -452,7 +456,7 @@
         let requested_at = core.now();
         let report = match self
             .engine_client
-            .send(address, self.engines.report())
+            .send(&server, address, self.engines.report())
             .await
         {
             Ok((status, body)) if status.is_success() => {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -405,11 +405,11 @@
     }
 }
 
-/// Whether the last attempt ended before a connection was open.
+/// Whether the last attempt ended before anything was sent.
 fn is_unreachable(record: &RequestRecord) -> bool {
     matches!(
         record.sends.last(),
-        Some(&("connect_failed" | "server_gone"))
+        Some(&("connect_failed" | "server_gone" | forward::RESTING))
     )
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -43,6 +43,9 @@
 /// Time for which a full server gets no new requests.
 const FULL_AVOID_MS: u64 = 100;
 
+/// Reason of a request that was not sent because its server rests.
+pub(super) const RESTING: &str = "server_resting";
+
 /// Parts of a request that are the same for every attempt.
 #[derive(Clone, Debug)]
 pub(super) struct Template {
@@ -256,6 +259,11 @@
         return Err(SendFailure::NotSent("server_gone"));
     };
     let mut connection = connection(gateway, template, &target, distance).await?;
+    if gateway.server_table().is_resting(server, gateway.now()) {
+        // It asked for rest while a permit or the connection was awaited.
+        gateway.pool().put(target.address, connection, None);
+        return Err(SendFailure::NotSent(RESTING));
+    }
     let request = build(gateway, template, metadata);
     let guard = InFlight::start(gateway, target, template);
     let answered = timeout_at(answer_deadline, connection.sender.send_request(request)).await;
--- a/src/gateway/limited_servers.rs
+++ b/src/gateway/limited_servers.rs
@@ -1,5 +1,5 @@
-//! Servers that named a limit on the rate of their requests: what the server table knows of the limits
-//! and of the permits that this VM may request.
+//! Servers that named a limit on the rate of their requests, or asked for rest: what the server table
+//! knows of the limits and rests, and of the permits that this VM may request.
 
 use super::server_table::Choice;
 use super::server_table::Requirements;
@@ -56,12 +56,28 @@
         }
     }
 
-    /// The server that a request has to wait for because all servers that could take it have named
-    /// a limit and no permit is available.
+    /// Applies a rest of `ms` that a server's process that started at `started_unix_ms` asked for.
+    pub fn ask_rest(&mut self, server: &ServerName, started_unix_ms: u64, ms: u64, now: MonoMs) {
+        let view = self.servers.get_mut(server);
+        if let Some(view) = view.filter(|view| view.announcement.started_unix_ms == started_unix_ms)
+        {
+            view.rest.ask(ms, now);
+        }
+    }
+
+    /// Whether a server has asked this VM for a rest that is not over.
+    pub fn is_resting(&self, server: &ServerName, now: MonoMs) -> bool {
+        let view = self.servers.get(server);
+        view.is_some_and(|view| view.is_resting(now))
+    }
+
+    /// What a request has to wait for because all servers that could take it rest, or have named a
+    /// limit and no permit is available.
     pub(super) fn choose_deferred(
         &self,
         requirements: &Requirements<'_>,
         deferred: &[&ServerView],
+        has_others: bool,
         now: MonoMs,
     ) -> Choice {
         let could_take = |view: &&&ServerView| {
@@ -69,7 +85,11 @@
             matches!(chosen, Choice::Send { .. })
         };
         let candidates = deferred.iter().filter(could_take);
-        match candidates.min_by_key(|view| view.permit_wait_ms(now)) {
+        match candidates.min_by_key(|view| view.deferral_ms(now)) {
+            Some(view) if view.is_resting(now) => Choice::Resting {
+                wait_ms: view.deferral_ms(now),
+                has_others,
+            },
             Some(view) => Choice::RateLimited {
                 server: view.announcement.server.clone(),
                 wait_ms: view.permit_wait_ms(now),
--- a/src/gateway/select_server.rs
+++ b/src/gateway/select_server.rs
@@ -16,6 +16,7 @@
 use super::exchange::LEAVING_RETRY_MS;
 use super::exchange::elapsed_ms;
 use super::forecast;
+use super::forward::RESTING;
 use super::record::RequestRecord;
 use super::server_limits::PermitWait;
 use super::server_table::Choice;
@@ -58,13 +59,27 @@
         /// Shortest time until one does.
         retry_after_ms: u64,
     },
+    /// The servers that could take the request rest.
+    Resting {
+        /// Shortest time until one does not.
+        retry_after_ms: u64,
+    },
+}
+
+/// What a request waits for while no server can take it.
+#[derive(Default)]
+struct Waits {
+    adapter: Option<WaitGuard>,
+    permit: Option<PermitWait>,
+    version_requests: u32,
+    has_asked_for_copy: bool,
 }
 
 impl Unavailable {
     /// Whether it is worth waiting. A VM that `is_starting_up` may not know all servers yet.
     fn may_end_soon(self, is_starting_up: bool) -> bool {
         match self {
-            Self::Adapter | Self::RateLimited { .. } => true,
+            Self::Adapter | Self::RateLimited { .. } | Self::Resting { .. } => true,
             Self::Server | Self::Software | Self::Model => is_starting_up,
         }
     }
@@ -77,6 +92,7 @@
             Self::Software => ("software_absent", NO_SERVER_RETRY_MS),
             Self::Model => ("model_absent", NO_SERVER_RETRY_MS),
             Self::RateLimited { retry_after_ms } => ("server_limited", retry_after_ms.max(1)),
+            Self::Resting { retry_after_ms } => (RESTING, retry_after_ms.max(1)),
         };
         Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms)
     }
@@ -99,9 +115,7 @@
         wait_started: Instant,
         record: &mut RequestRecord,
     ) -> Result<ServerName, Refusal> {
-        let mut waiting = None;
-        let mut permit_wait = None;
-        let mut version_requests = 0;
+        let mut waits = Waits::default();
         loop {
             self.gateway
                 .check_quarantine(&self.template.features, record)?;
@@ -121,38 +135,14 @@
                     }
                     return Ok(server);
                 }
-                Choice::NoServer if self.origin.is_some() => (POLL_MS, Unavailable::Software),
-                Choice::NoServer => (POLL_MS, Unavailable::Server),
-                Choice::WaitUntil(ready) => {
-                    let remaining_ms = ready.since(self.gateway.now());
-                    (remaining_ms.clamp(1, POLL_MS), Unavailable::Adapter)
-                }
-                Choice::RateLimited { server, wait_ms } => {
-                    if permit_wait.is_none() {
-                        permit_wait = Some(self.join_permit_wait(server, wait_ms, wait_started)?);
-                    }
-                    let retry_after_ms = wait_ms;
-                    let cause = Unavailable::RateLimited { retry_after_ms };
-                    (wait_ms.clamp(1, PERMIT_POLL_MS), cause)
-                }
-                Choice::NotPresent if self.origin.is_some() && self.adapter().is_some() => {
-                    self.request_version_load(&mut version_requests);
-                    (VERSION_POLL_MS, Unavailable::Adapter)
-                }
-                Choice::NotPresent if self.adapter().is_some() => {
-                    if waiting.is_none() {
-                        self.check_forecast(wait_started)?;
-                    }
-                    (POLL_MS, Unavailable::Adapter)
-                }
-                Choice::NotPresent => (POLL_MS, Unavailable::Model),
+                unavailable => self.next_poll(unavailable, &mut waits, wait_started)?,
             };
             self.check_wait(cause, wait_started)?;
             let wait = Duration::from_millis(wait_ms);
-            let joins_wait = cause == Unavailable::Adapter && version_requests == 0;
+            let joins_wait = cause == Unavailable::Adapter && waits.version_requests == 0;
             match self.adapter().filter(|_| joins_wait) {
                 Some(adapter) => {
-                    let guard = waiting.get_or_insert_with(|| self.join_wait(adapter));
+                    let guard = waits.adapter.get_or_insert_with(|| self.join_wait(adapter));
                     // The selection is repeated after the interval even without a notification.
                     let _ = timeout(wait, guard.changed()).await;
                 }
@@ -161,6 +151,58 @@
         }
     }
 
+    /// Time until the selection is repeated, and what the request waits for. Requests what would end the
+    /// wait.
+    fn next_poll(
+        &self,
+        choice: Choice,
+        waits: &mut Waits,
+        wait_started: Instant,
+    ) -> Result<(u64, Unavailable), Refusal> {
+        Ok(match choice {
+            Choice::NoServer if self.origin.is_some() => (POLL_MS, Unavailable::Software),
+            Choice::Send { .. } | Choice::NoServer => (POLL_MS, Unavailable::Server),
+            Choice::WaitUntil(ready) => {
+                let remaining_ms = ready.since(self.gateway.now());
+                (remaining_ms.clamp(1, POLL_MS), Unavailable::Adapter)
+            }
+            Choice::RateLimited { server, wait_ms } => {
+                if waits.permit.is_none() {
+                    waits.permit = Some(self.join_permit_wait(server, wait_ms, wait_started)?);
+                }
+                let retry_after_ms = wait_ms;
+                let cause = Unavailable::RateLimited { retry_after_ms };
+                (wait_ms.clamp(1, PERMIT_POLL_MS), cause)
+            }
+            Choice::Resting {
+                wait_ms,
+                has_others,
+            } => {
+                let retry_after_ms = wait_ms;
+                let cause = Unavailable::Resting { retry_after_ms };
+                let may_load = has_others && self.adapter().is_some();
+                if !may_load && !self.may_wait_for(wait_ms, wait_started) {
+                    return Err(cause.refusal());
+                }
+                if may_load && !std::mem::replace(&mut waits.has_asked_for_copy, true) {
+                    self.request_copy();
+                }
+                (wait_ms.clamp(1, POLL_MS), cause)
+            }
+            Choice::NotPresent if self.origin.is_some() && self.adapter().is_some() => {
+                self.request_version_load(&mut waits.version_requests);
+                (VERSION_POLL_MS, Unavailable::Adapter)
+            }
+            Choice::NotPresent if self.adapter().is_some() => {
+                if waits.adapter.is_none() {
+                    self.check_forecast(wait_started)?;
+                }
+                (POLL_MS, Unavailable::Adapter)
+            }
+            Choice::NotPresent => (POLL_MS, Unavailable::Model),
+        })
+    }
+
     /// Refuses a request that must not wait any longer.
     fn check_wait(&self, cause: Unavailable, wait_started: Instant) -> Result<(), Refusal> {
         let may_appear = cause.may_end_soon(self.gateway.is_starting_up());
@@ -240,8 +282,7 @@
         wait_ms: u64,
         wait_started: Instant,
     ) -> Result<PermitWait, Refusal> {
-        let total_wait = wait_started.elapsed() + Duration::from_millis(wait_ms);
-        if total_wait > self.allowed_wait(wait_started) {
+        if !self.may_wait_for(wait_ms, wait_started) {
             let retry_after_ms = wait_ms;
             return Err(Unavailable::RateLimited { retry_after_ms }.refusal());
         }
@@ -287,6 +328,12 @@
         wait_started.elapsed() >= self.allowed_wait(wait_started)
     }
 
+    /// Whether a further wait of `wait_ms` is within the longest wait.
+    fn may_wait_for(&self, wait_ms: u64, wait_started: Instant) -> bool {
+        let total_wait = wait_started.elapsed() + Duration::from_millis(wait_ms);
+        total_wait <= self.allowed_wait(wait_started)
+    }
+
     /// Longest wait for an adapter or a server.
     fn allowed_wait(&self, wait_started: Instant) -> Duration {
         let remaining = self.deadline.saturating_duration_since(wait_started);
--- a/src/gateway/server_rests.rs
+++ b/src/gateway/server_rests.rs
@@ -30,16 +30,22 @@
     }
 }
 
-/// Logs the rest that an answer asks for.
+/// Applies the rest that an answer asks for, whichever request it answers.
 pub(super) fn on_answer(gateway: &Gateway, guard: &InFlight, head: &AnswerHead) {
     let (rest_ms, invalid) = match &head.asked_rest {
         AskedRest::None => return,
         AskedRest::ForMs(rest_ms) => (*rest_ms, None),
         AskedRest::Invalid(value) => (0, Some(Arc::clone(value))),
     };
+    let server = &guard.target.server;
+    let started_unix_ms = guard.target.started_unix_ms;
+    let now = gateway.now();
+    gateway
+        .server_table()
+        .ask_rest(server, started_unix_ms, rest_ms, now);
     gateway.events().emit(&AskedRestLine {
-        server: guard.target.server.clone(),
-        started_unix_ms: guard.target.started_unix_ms,
+        server: server.clone(),
+        started_unix_ms,
         rest_ms,
         invalid,
     });
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -86,6 +86,13 @@
         /// Shortest time until a permit.
         wait_ms: u64,
     },
+    /// All servers that could take the request rest.
+    Resting {
+        /// Shortest time until one takes requests.
+        wait_ms: u64,
+        /// Whether other servers of the service take requests, which the adapter could be loaded on.
+        has_others: bool,
+    },
     /// No server has the adapter or is about to have it.
     NotPresent,
     /// The service has no server that accepts requests.
@@ -342,7 +349,9 @@
             false => self.choose_among(requirements, &open, now),
         };
         match (chosen, deferred.is_empty()) {
-            (Choice::NotPresent, false) => self.choose_deferred(requirements, &deferred, now),
+            (Choice::NotPresent, false) => {
+                self.choose_deferred(requirements, &deferred, !open.is_empty(), now)
+            }
             (chosen, _) => chosen,
         }
     }
--- a/src/gateway/server_view.rs
+++ b/src/gateway/server_view.rs
@@ -5,6 +5,7 @@
 use super::service_latency::AVERAGE_WEIGHT;
 use super::service_latency::ServiceLatency;
 use crate::limits::ServerLimitState;
+use crate::limits::ServerRest;
 use crate::registry::Announcement;
 use crate::types::ModelName;
 use crate::types::MonoMs;
@@ -90,6 +91,8 @@
     pub(super) permit_timeout: MonoMs,
     /// Requests that wait for a permit.
     pub(super) permit_waiters: u32,
+    /// Rest that the server asked this VM for.
+    pub(super) rest: ServerRest,
 }
 
 impl ServerView {
@@ -111,6 +114,7 @@
             permit_from: MonoMs(0),
             permit_timeout: MonoMs(0),
             permit_waiters: 0,
+            rest: ServerRest::default(),
         }
     }
 
@@ -151,10 +155,20 @@
         self.failure_average_at = now;
     }
 
-    /// Whether no permit for a request to the server can be requested at `now`.
+    /// Whether the server gets no request at `now`: it rests, or no permit can be requested.
     pub(super) fn is_deferred(&self, now: MonoMs) -> bool {
         let next = self.permit_from.max(self.permit_timeout);
-        self.limit.rate().is_some() && now < next
+        self.is_resting(now) || self.limit.rate().is_some() && now < next
+    }
+
+    /// Whether the server has asked this VM for a rest that is not over.
+    pub(super) fn is_resting(&self, now: MonoMs) -> bool {
+        self.rest.left_ms(now) > 0
+    }
+
+    /// Shortest time until the server takes one more request.
+    pub(super) fn deferral_ms(&self, now: MonoMs) -> u64 {
+        self.permit_wait_ms(now).max(self.rest.left_ms(now))
     }
 
     /// Shortest time until one more request gets a permit: that of the next permit, and of the
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -204,8 +204,10 @@
         let assigned = cx.dispatcher.assign(queued).await;
         // The queue reports this dispatch as not run, but an earlier one may have run.
         let mut assignment = assigned.map_err(|refusal| Refusal { run, ..refusal })?;
-        if let Some((address, _)) = cx.servers.locate(assignment.server())
-            && !cx.server_permits.take(assignment.server(), address).await
+        let located = cx.servers.locate(assignment.server());
+        let server = assignment.server();
+        if let Some((address, incarnation)) = located
+            && !cx.server_permits.take(server, address, incarnation).await
         {
             assignment.set_used_tokens(0);
             continue;
--- a/src/pipeline/dispatcher.rs
+++ b/src/pipeline/dispatcher.rs
@@ -228,6 +228,7 @@
                 RouteDecision::NoServer => return Err(no_backend(service.as_str())),
                 RouteDecision::Busy { .. } | RouteDecision::WaitForLoad { .. } => {}
             }
+            self.check_rests(service, deadline)?;
             if self.clock.mono().plus(SERVICE_RETRY_MS) >= deadline {
                 let message = format!("all providers of service {service} are busy");
                 return Err(Refusal::not_run(RefusalCode::Overloaded, message)
@@ -287,6 +288,26 @@
         self.lock().fleet.defer(server, until);
     }
 
+    /// Sends a server no requests for `rest_ms`, because it asked this VM for rest.
+    pub fn rest(&self, server: &ServerName, rest_ms: u64) {
+        let now = self.clock.mono();
+        self.lock().fleet.rest(server, rest_ms, now);
+    }
+
+    /// Refuses a call of a plain service whose providers all rest until after `deadline`.
+    fn check_rests(&self, service: &ServiceName, deadline: MonoMs) -> Result<()> {
+        let now = self.clock.mono();
+        let rest_ms = self.lock().fleet.shortest_rest_ms(service, now);
+        match rest_ms.filter(|rest_ms| now.plus(*rest_ms) >= deadline) {
+            Some(rest_ms) => {
+                let message = format!("all providers of service {service} rest");
+                let refusal = Refusal::not_run(RefusalCode::Overloaded, message);
+                Err(refusal.with_retry_after_ms(rest_ms))
+            }
+            None => Ok(()),
+        }
+    }
+
     /// Data centre of a server; `None` if it is not known.
     pub fn data_centre_of(&self, server: &ServerName) -> Option<DataCentre> {
         let inner = self.lock();
--- a/src/pipeline/server_permits.rs
+++ b/src/pipeline/server_permits.rs
@@ -32,6 +32,8 @@
     dispatcher: Arc<Dispatcher>,
     /// Bucket that each server's permits were last taken from.
     buckets: Mutex<HashMap<ServerName, AccountName>>,
+    /// Incarnation of each server that was last used.
+    incarnations: Mutex<HashMap<ServerName, u64>>,
 }
 
 impl ServerPermits {
@@ -46,6 +48,7 @@
             limits,
             dispatcher,
             buckets: Mutex::default(),
+            incarnations: Mutex::default(),
         }
     }
 
@@ -55,8 +58,36 @@
     }
 
     /// Takes the permit for a request to `server` if it named a limit. Returns false if there is none
-    /// now; the server then gets no requests of this VM for a while.
-    pub async fn take(&self, server: &ServerName, address: SocketAddr) -> bool {
+    /// now, or the server rests; it then gets no requests of this VM for a while.
+    pub async fn take(&self, server: &ServerName, address: SocketAddr, incarnation: u64) -> bool {
+        self.forget_former_rest(server, address, incarnation);
+        self.has_rested(server, address)
+            && self.take_limited(server, address).await
+            && self.has_rested(server, address)
+    }
+
+    /// Whether the server does not rest. If it does, it gets no requests until the rest has ended.
+    fn has_rested(&self, server: &ServerName, address: SocketAddr) -> bool {
+        let rest_ms = self.named.rest_left_ms(address);
+        if rest_ms > 0 {
+            self.dispatcher.rest(server, rest_ms);
+        }
+        rest_ms == 0
+    }
+
+    /// Forgets the rest that a former process of the server asked for.
+    fn forget_former_rest(&self, server: &ServerName, address: SocketAddr, incarnation: u64) {
+        let mut incarnations = self
+            .incarnations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let former = incarnations.insert(server.clone(), incarnation);
+        if former.is_some_and(|former| former != incarnation) {
+            self.named.end_rest(address);
+        }
+    }
+
+    async fn take_limited(&self, server: &ServerName, address: SocketAddr) -> bool {
         let Some(rate) = self.named.rate(address) else {
             self.set_bucket(server, None);
             return true;
--- a/src/pipeline/service.rs
+++ b/src/pipeline/service.rs
@@ -268,7 +268,10 @@
             };
             let address = cx.servers.locate(&provider.server);
             let has_permit = match address {
-                Some((address, _)) => cx.server_permits.take(&provider.server, address).await,
+                Some((address, incarnation)) => {
+                    let permits = &cx.server_permits;
+                    permits.take(&provider.server, address, incarnation).await
+                }
                 None => true,
             };
             if has_permit {
--- a/src/scheduling/routing/fleet.rs
+++ b/src/scheduling/routing/fleet.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 
+use crate::limits::ServerRest;
 use crate::scheduling::routing::HashRing;
 use crate::scheduling::routing::RouteConfig;
 use crate::types::DataCentre;
@@ -80,6 +81,8 @@
     own_suspects: u32,
     /// Time from which the server takes requests of this VM again.
     deferred_until: MonoMs,
+    /// Rest that the server asked this VM for.
+    rest: ServerRest,
     /// Own dispatches (+1) and completions (-1), oldest first.
     history: VecDeque<(MonoMs, i8)>,
 }
@@ -172,6 +175,7 @@
             own_in_flight: 0,
             own_suspects: 0,
             deferred_until: MonoMs(0),
+            rest: ServerRest::default(),
             history: VecDeque::new(),
         }
     }
@@ -228,6 +232,21 @@
         }
     }
 
+    /// Sends a server no requests for `ms`, because it asked this VM for rest.
+    pub fn rest(&mut self, server: &ServerName, ms: u64, now: MonoMs) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.rest.ask(ms, now);
+        }
+    }
+
+    /// Time until the first provider of `service` ends its rest; `None` if one does not rest.
+    pub fn shortest_rest_ms(&self, service: &ServiceName, now: MonoMs) -> Option<u64> {
+        let providers = self.providers(service).iter();
+        let rests = providers.filter_map(|name| self.servers.get(name));
+        let shortest = rests.map(|server| server.rest.left_ms(now)).min()?;
+        (shortest > 0).then_some(shortest)
+    }
+
     /// Tokens sent over paid links by this VM.
     pub fn paid_tokens(&self) -> Tokens {
         self.paid_tokens
@@ -388,9 +407,9 @@
         self.outstanding(peers, config).total() / self.info.batch_slots.max(1) as f32
     }
 
-    /// Whether the server limits its requests and takes none of this VM at `now`.
+    /// Whether the server limits its requests or rests, and takes none of this VM at `now`.
     pub(super) fn is_deferred(&self, now: MonoMs) -> bool {
-        now < self.deferred_until
+        now < self.deferred_until || self.rest.left_ms(now) > 0
     }
 
     /// Whether one more request of `class` is within the fill limit.
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -201,3 +201,31 @@
         "the limit has ended"
     );
 }
+
+/// Guards against a resting server that is chosen because no other one is left, and against a rest that
+/// outlives the process that asked for it.
+#[test]
+fn a_resting_server_is_never_chosen() {
+    let tired = ServerName::from("tired");
+    let mut table = ServerTable::new(HashMap::new());
+    table.set_server(announcement("tired"));
+    table.ask_rest(&tired, 6, 9_000, MonoMs(10));
+    assert_matches!(choose(&table, 20), Choice::Send { .. });
+    table.ask_rest(&tired, 7, 500, MonoMs(20));
+    assert_matches!(
+        choose(&table, 120),
+        Choice::Resting {
+            wait_ms: 400,
+            has_others: false
+        }
+    );
+    table.set_server(announcement("free"));
+    assert_matches!(choose(&table, 120), Choice::Send { server, .. } if server.as_str() == "free");
+    table.remove_server(&"free".into());
+    let restarted = Announcement {
+        started_unix_ms: 8,
+        ..announcement("tired")
+    };
+    table.set_server(restarted);
+    assert_matches!(choose(&table, 120), Choice::Send { .. });
+}
