--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,6 +1,8 @@
 //! State shared by all requests of an entry VM.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -8,6 +10,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
@@ -23,6 +26,7 @@
 use super::deployment::Deployment;
 use super::dialect::Dialect;
 use super::grace_period;
+use super::pool;
 use super::pool::Pool;
 use super::quota::Quota;
 use super::record::RequestRecord;
@@ -65,6 +69,8 @@
     pub events: EventLog,
     /// Counters and histograms.
     pub meters: Meters,
+    /// IP address at which the ports of backend servers are dialled, if a forwarder is in between.
+    pub server_dial_ip: Option<IpAddr>,
 }
 
 /// Shared state of the request path.
@@ -251,6 +257,16 @@
         lock(&self.pool)
     }
 
+    /// Opens a connection to a backend server that announced `address`.
+    pub(super) async fn connect(
+        &self,
+        address: SocketAddr,
+        wait: Duration,
+    ) -> pool::Result<pool::Connection> {
+        let ip = self.config.server_dial_ip.unwrap_or(address.ip());
+        pool::connect(SocketAddr::new(ip, address.port()), wait).await
+    }
+
     /// Closes connections that have been idle for too long.
     pub fn prune_pool(&self) {
         self.pool().prune();
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -14,7 +14,6 @@
 
 use super::answer::Refusal;
 use super::context::Gateway;
-use super::pool;
 use super::record::RequestRecord;
 use crate::events::Event;
 use crate::events::Severity;
@@ -123,7 +122,7 @@
 
 async fn report_if_crashed(gateway: Arc<Gateway>, target: Announcement) {
     sleep(Duration::from_millis(COLLECT_MS)).await;
-    let is_up = is_up(&target).await;
+    let is_up = is_up(&gateway, &target).await;
     let key = (target.server, target.started_unix_ms);
     let broken = gateway.crashes.unconfirmed().remove(&key);
     let Some(broken) = broken.filter(|_| !is_up) else {
@@ -143,9 +142,9 @@
 
 /// Whether a server accepts connections and keeps them open. A connection alone is no proof: a proxy
 /// may accept it.
-async fn is_up(target: &Announcement) -> bool {
+async fn is_up(gateway: &Gateway, target: &Announcement) -> bool {
     let timeout = Duration::from_millis(CHECK_TIMEOUT_MS);
-    let Ok(connection) = pool::connect(target.address, timeout).await else {
+    let Ok(connection) = gateway.connect(target.address, timeout).await else {
         return false;
     };
     sleep(Duration::from_millis(STAYS_OPEN_MS)).await;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -311,7 +311,7 @@
         Distance::Far => CONNECT_FAR_MS,
         _ => CONNECT_NEAR_MS,
     };
-    let connecting = pool::connect(target.address, Duration::from_millis(wait_ms));
+    let connecting = gateway.connect(target.address, Duration::from_millis(wait_ms));
     connecting.await.map_err(|_| {
         let now = gateway.now();
         let mut table = gateway.server_table();
