fix(gateway): requests of a VM that reaches no server go through another VM

Cause: a VM reached servers over its own connections alone, and tried them anew with each request. Class: what a process cannot reach itself counts as out of reach for the fleet. Evidence: 788 of 800 sends of the six VMs ended as connect_failed, none was answered, while the other three answered. Ruled out: servers that could still be reached, refusals by the quarantine or the limits (none in the logs).

A VM learns from failed and broken connections, and from a few probes, which servers it can connect to. While that is none of a service, it tells the controllers, which list the entry VMs to each other, and sends the requests through a VM that reaches them. That VM handles them as its own callers', so that tokens, retries and limits are charged once. One hop at most. A request whose VM is lost may have run and is not refused.

Links have format 10.

--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -16,6 +16,7 @@
 use super::control_vm::LEADER_CONTACT_MAX_AGE_MS;
 use super::control_vm::lock;
 use super::crash_reports::CrashReports;
+use super::entry_vms::EntryVms;
 use super::failover_server;
 use super::failover_server::FailoverServer;
 use super::log_line::DocumentChange;
@@ -76,6 +77,8 @@
     pub(super) server_limits: ServerLimits,
     /// Crashes of backend servers.
     pub(super) crashes: CrashReports,
+    /// Linked entry VMs.
+    pub(super) entry_vms: EntryVms,
     /// Streams that began lately.
     pub(super) streams: StreamReports,
     pub(super) heartbeats: Mutex<Heartbeats>,
@@ -223,6 +226,7 @@
             session.send(&Frame::ServerLimits(
                 self.server_limits.in_force(self.now()),
             ));
+            self.list_entry_vm(session);
         }
     }
 
@@ -377,6 +381,7 @@
             Frame::CrashCleared(cleared) => self.on_crash_cleared(session, cleared),
             Frame::StreamsBegun(begun) => self.on_streams_begun(&begun),
             Frame::FindStream(number, stream) => self.on_find_stream(session, number, stream),
+            Frame::CutOff(services) => self.on_cut_off(session, services),
             Frame::Leaving => self.links.mark_leaving(&session.peer().vm),
             Frame::Uses(uses) => {
                 self.orders.on_uses(&session.peer().vm, &uses, self.now());
@@ -399,6 +404,7 @@
 
     pub(super) fn on_link_lost(&self, session: &Session) {
         self.orders.forget_vm(&session.peer().vm);
+        self.forget_entry_vm(session);
     }
 
     pub(super) fn send_document(&self, session: &Session) {
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -24,6 +24,7 @@
 use super::control_links::Links;
 use super::control_links::LogTransport;
 use super::crash_reports::CrashReports;
+use super::entry_vms::EntryVms;
 use super::failover_server::FailoverServer;
 use super::fencing::Fencing;
 use super::leader_tasks;
@@ -168,6 +169,7 @@
             failover,
             server_limits: ServerLimits::default(),
             crashes: CrashReports::default(),
+            entry_vms: EntryVms::default(),
             streams: StreamReports::default(),
             heartbeats: Mutex::default(),
             servers: Mutex::default(),
--- a/src/fleet/controller_client.rs
+++ b/src/fleet/controller_client.rs
@@ -426,6 +426,7 @@
         session.send(&Frame::ServerLimits(self.gateway().server_limits()));
         session.send(&Frame::Crashes(self.gateway().crash_reports()));
         session.send(&Frame::StreamsBegun(self.gateway().stream_origins()));
+        session.send(&Frame::CutOff(self.gateway().cut_services()));
         self.events.emit(&LinkChange {
             peer: session.peer().vm.clone(),
             is_open: true,
@@ -446,6 +447,7 @@
                     self.gateway().set_server_limit(limit);
                 }
             }
+            Frame::EntryVms(update) => self.gateway().peers().apply(session.id(), update),
             Frame::Crashes(reports) => self.gateway().apply_crash_reports(&reports),
             Frame::CrashCleared(cleared) => self.gateway().apply_cleared(&cleared),
             Frame::StreamFound(number, origin) => self.lookups.on_answer(number, origin),
@@ -459,6 +461,7 @@
         state.links.shift_remove(&session.id());
         self.update_quota_server(&state);
         drop(state);
+        self.gateway().peers().forget_link(session.id());
         self.events.emit(&LinkChange {
             peer: session.peer().vm.clone(),
             is_open: false,
--- a/src/fleet/controller_requests.rs
+++ b/src/fleet/controller_requests.rs
@@ -8,6 +8,7 @@
 use crate::link::ServerLimit;
 use crate::scheduling::crash_evidence::ClearedFeature;
 use crate::scheduling::crash_evidence::CrashReport;
+use crate::types::ServiceName;
 use crate::types::StreamKey;
 
 /// Demands for an adapter that are sent to one data centre before the next one is tried.
@@ -18,6 +19,10 @@
         self.send_server_limits(vec![limit]);
     }
 
+    fn report_cut_off(&self, services: Vec<ServiceName>) {
+        self.send_to_all(&Frame::CutOff(services));
+    }
+
     fn find_stream(&self, stream: StreamKey) -> LookupFuture {
         let state = self.lock();
         let statuses = state.links.values().filter_map(|link| link.status.as_ref());
--- a/src/fleet/entry_vm.rs
+++ b/src/fleet/entry_vm.rs
@@ -35,6 +35,8 @@
 const DEMAND_TICKS: u64 = 2;
 /// Ticks between two repetitions of the limits of backend servers.
 const LIMIT_TICKS: u64 = 24;
+/// Ticks between two attempts to connect to servers that could not be connected to.
+const PROBE_TICKS: u64 = 2;
 /// Ticks between two prunings of idle connections.
 const PRUNE_TICKS: u64 = 7;
 /// Time for which new connections are accepted after the VM reported that it is not ready.
@@ -61,6 +63,8 @@
 /// A running entry VM.
 pub struct EntryVm {
     acceptor: Acceptor,
+    /// Takes requests of other entry VMs.
+    relay_acceptor: Option<Acceptor>,
     readiness: Arc<Readiness>,
     gateway: Arc<Gateway>,
     _dialer: Dialer,
@@ -108,6 +112,10 @@
         controllers.set_gateway(Arc::clone(&gateway));
         let readiness = Arc::new(Readiness::bind(config.readiness_address)?);
         let acceptor = Acceptor::bind(config.caller_address, Arc::clone(&gateway))?;
+        let relay_acceptor = match config.hello.relay_address {
+            Some(address) => Some(Acceptor::bind_for_peers(address, Arc::clone(&gateway))?),
+            None => None,
+        };
         let targets = controllers.targets();
         let handler: Arc<dyn Handler> = Arc::clone(&controllers) as Arc<dyn Handler>;
         let dialer = Dialer::spawn(config.hello, targets, handler);
@@ -122,6 +130,7 @@
         });
         Ok(Self {
             acceptor,
+            relay_acceptor,
             readiness,
             gateway,
             _dialer: dialer,
@@ -152,7 +161,13 @@
         sleep_until(accept_until.min(last)).await;
         let answer_by = last - Duration::from_millis(FINAL_RESPONSE_MS);
         self.gateway.set_wait_deadline(answer_by);
-        let is_done = timeout_at(last, self.acceptor.drain()).await.is_ok();
+        let drained = async {
+            self.acceptor.drain().await;
+            if let Some(acceptor) = &self.relay_acceptor {
+                acceptor.drain().await;
+            }
+        };
+        let is_done = timeout_at(last, drained).await.is_ok();
         self.uses.abort();
         self.withdrawals.abort();
         self.streams.abort();
@@ -216,6 +231,10 @@
         if count.is_multiple_of(LIMIT_TICKS) {
             controllers.send_server_limits(gateway.server_limits());
         }
+        if count.is_multiple_of(PROBE_TICKS) {
+            tokio::spawn(Arc::clone(&gateway).probe_unreached());
+            gateway.update_cut_off();
+        }
         if count.is_multiple_of(PRUNE_TICKS) {
             gateway.prune_pool();
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod crash_reports;
 mod engine_client;
 mod entry_vm;
+mod entry_vms;
 mod failover_server;
 mod leader_tasks;
 mod log_line;
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -18,6 +19,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -30,6 +32,8 @@
 use super::deployment::CallerLimits;
 use super::exchange;
 use crate::accept::next_connection;
+use crate::events::Event;
+use crate::events::Severity;
 
 /// Length of the listen queue.
 const BACKLOG: u32 = 1_024;
@@ -39,6 +43,45 @@
 /// Interval at which `drain` checks the number of open connections.
 const DRAIN_POLL_MS: u64 = 20;
 
+/// Log line: a connection to the address for other entry VMs came from elsewhere and was closed.
+#[derive(Clone, Debug, Serialize)]
+struct UnknownPeer {
+    address: IpAddr,
+}
+
+impl Event for UnknownPeer {
+    const KIND: &'static str = "unknown_peer";
+
+    fn severity(&self) -> Severity {
+        Severity::Failure
+    }
+}
+
+/// Who sends requests to a listener.
+#[derive(Clone, Copy, Debug)]
+enum Senders {
+    Callers,
+    EntryVms,
+}
+
+impl Senders {
+    /// The entry VM that opened a connection, or `Some(None)` for a caller. `None` for a sender that is
+    /// neither.
+    fn relayed_for(self, stream: &TcpStream, gateway: &Gateway) -> Option<Option<IpAddr>> {
+        match self {
+            Self::Callers => Some(None),
+            Self::EntryVms => {
+                let address = stream.peer_addr().ok()?.ip();
+                let is_known = gateway.peers().knows(address);
+                if !is_known {
+                    gateway.events().emit(&UnknownPeer { address });
+                }
+                is_known.then_some(Some(address))
+            }
+        }
+    }
+}
+
 /// Listener that serves callers' connections until the VM shuts down.
 pub struct Acceptor {
     local_address: SocketAddr,
@@ -54,6 +97,18 @@
     /// # Errors
     /// The address cannot be bound.
     pub fn bind(address: SocketAddr, gateway: Arc<Gateway>) -> io::Result<Self> {
+        Self::bind_for(address, gateway, Senders::Callers)
+    }
+
+    /// Listens on `address` for requests of other entry VMs. Connections of others are closed.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub fn bind_for_peers(address: SocketAddr, gateway: Arc<Gateway>) -> io::Result<Self> {
+        Self::bind_for(address, gateway, Senders::EntryVms)
+    }
+
+    fn bind_for(address: SocketAddr, gateway: Arc<Gateway>, senders: Senders) -> io::Result<Self> {
         let listener = listen(address)?;
         let local_address = listener.local_addr()?;
         let (close, closing) = watch::channel(false);
@@ -63,8 +118,12 @@
         let accepting = tokio::spawn(async move {
             loop {
                 let stream = next_connection(&listener).await;
+                let Some(relayed_for) = senders.relayed_for(&stream, &gateway) else {
+                    continue;
+                };
                 let serving = serve(
                     stream,
+                    relayed_for,
                     Arc::clone(&gateway),
                     closing.clone(),
                     ConnectionGuard::new(&counted),
@@ -128,6 +187,7 @@
 
 async fn serve(
     stream: TcpStream,
+    relayed_for: Option<IpAddr>,
     gateway: Arc<Gateway>,
     mut closing: watch::Receiver<bool>,
     _guard: ConnectionGuard,
@@ -138,7 +198,7 @@
         .map_or_else(CallerLimits::default, |deployment| deployment.limits);
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Arc::clone(&gateway);
-        async move { Ok::<_, Infallible>(exchange::answer(gateway, request).await) }
+        async move { Ok::<_, Infallible>(exchange::answer(gateway, request, relayed_for).await) }
     });
     let idle = Duration::from_millis(limits.idle_timeout_ms + IDLE_MARGIN_MS);
     let connection = http1::Builder::new()
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -14,6 +14,7 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use rand::RngExt;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
@@ -25,6 +26,7 @@
 use super::deployment::Deployment;
 use super::deployment::Route;
 use super::dialect::CallerHead;
+use super::exchange::BUSY_RETRY_MS;
 use super::exchange::Exchange;
 use super::exchange::LEAVING_RETRY_MS;
 use super::exchange::elapsed_ms;
@@ -35,6 +37,7 @@
 use super::server_table::is_adapter;
 use crate::limits::Shortage;
 use crate::mechanisms::Mechanism;
+use crate::scheduling::stream_origins::StreamOrigin;
 use crate::types::Feature;
 use crate::types::RequestFeatures;
 use crate::types::ServiceName;
@@ -53,6 +56,10 @@
     started: Instant,
     record: &mut RequestRecord,
 ) -> Result<Exchange, Refusal> {
+    let relay_permit = match record.relayed_for {
+        Some(_) => Some(relay_permit(gateway)?),
+        None => None,
+    };
     if gateway.is_leaving() {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
@@ -78,34 +85,91 @@
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
     let deadline = started + Duration::from_millis(wait_ms.min(route.timeout_ms));
     let body = read_body(&deployment, body, deadline).await?;
-    let resumed = gateway.resumed_origin(&route, &caller, grace_deadline);
-    let origin = resumed.await?;
-    let taken = take_tokens(gateway, account.as_deref(), &caller, grace_deadline).await?;
-    record.waited_ms = elapsed_ms(started);
-    let service = match &origin {
-        Some(origin) => origin.service.clone(),
-        None => route.target(rand::rng().random()).clone(),
+    let drawn = route.target(rand::rng().random()).clone();
+    let is_relayed = relay_permit.is_none() && gateway.is_cut_from(&drawn);
+    let admitted = match is_relayed {
+        true => Admitted::elsewhere(drawn),
+        false => {
+            let account = account.as_deref();
+            admit(gateway, &route, account, &caller, drawn, grace_deadline).await?
+        }
     };
-    gateway.count_request(&service);
-    let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
-    let is_popular = adapter.is_some_and(|model| gateway.record_demand(model));
+    record.waited_ms = elapsed_ms(started);
     let features = Arc::new(features(parts, &body, &caller, account.as_deref()));
     let template = template(parts, body, &caller, &route, features);
     Ok(Exchange {
         history: AttemptHistory::of(&route),
         gateway: Arc::clone(gateway),
-        is_engine: is_engine(&deployment, &service),
-        is_popular,
+        is_engine: is_engine(&deployment, &admitted.service),
+        is_popular: admitted.is_popular,
         route,
         account,
         caller,
-        service,
-        origin,
+        service: admitted.service,
+        origin: admitted.origin,
         template,
         started,
         deadline,
         tried: Vec::new(),
+        taken: admitted.taken,
+        is_relayed,
+        relay_permit,
+    })
+}
+
+/// Permit for a request of another entry VM.
+fn relay_permit(gateway: &Gateway) -> Result<OwnedSemaphorePermit, Refusal> {
+    gateway.relay_permit().ok_or_else(|| {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Refusal::not_run(status, "too_many_relayed", BUSY_RETRY_MS)
+    })
+}
+
+/// What a request that this VM sends to servers itself has taken and is bound to.
+struct Admitted {
+    service: ServiceName,
+    origin: Option<StreamOrigin>,
+    taken: Option<TokenGrant>,
+    is_popular: bool,
+}
+
+impl Admitted {
+    /// A request that another VM admits.
+    fn elsewhere(service: ServiceName) -> Self {
+        Self {
+            service,
+            origin: None,
+            taken: None,
+            is_popular: false,
+        }
+    }
+}
+
+/// Finds the origin of a stream that is resumed, takes the tokens and counts the request. `drawn` is the
+/// service of a request that resumes none.
+async fn admit(
+    gateway: &Gateway,
+    route: &Route,
+    account: Option<&Account>,
+    caller: &CallerHead,
+    drawn: ServiceName,
+    grace_deadline: Instant,
+) -> Result<Admitted, Refusal> {
+    let resumed = gateway.resumed_origin(route, caller, grace_deadline);
+    let origin = resumed.await?;
+    let taken = take_tokens(gateway, account, caller, grace_deadline).await?;
+    let service = match &origin {
+        Some(origin) => origin.service.clone(),
+        None => drawn,
+    };
+    gateway.count_request(&service);
+    let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
+    let is_popular = adapter.is_some_and(|model| gateway.record_demand(model));
+    Ok(Admitted {
+        service,
+        origin,
         taken: Some(taken),
+        is_popular,
     })
 }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
 use tokio::sync::watch;
@@ -26,9 +27,11 @@
 use super::deployment::Deployment;
 use super::dialect::Dialect;
 use super::grace_period;
+use super::peers::PeerTable;
 use super::pool;
 use super::pool::Pool;
 use super::quota::Quota;
+use super::reach::ReachProbe;
 use super::record::RequestRecord;
 use super::retry_budgets::RetryBudgets;
 use super::server_table::Distance;
@@ -48,11 +51,21 @@
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::MonoMs;
+use crate::types::ServiceName;
 use crate::types::SoftwareVersion;
 use crate::types::StreamKey;
+use crate::types::VmName;
+
+/// Requests of other entry VMs that are in progress at once. Each holds its body, and its share of the
+/// memory is that of a caller's.
+const MAX_RELAYED: usize = 256;
 
 /// Configuration of a gateway.
 pub struct GatewayConfig {
+    /// Name of this VM.
+    pub vm: VmName,
+    /// Local address of connections to other entry VMs, by which they know this VM.
+    pub relay_source: Option<IpAddr>,
     /// Clock of the process.
     pub clock: Clock,
     /// Protocol of callers and backend servers.
@@ -91,6 +104,9 @@
     demand: Mutex<Demand>,
     pub(super) crashes: Crashes,
     pub(super) known_streams: KnownStreams,
+    pub(super) reach_probe: ReachProbe,
+    peers: Mutex<PeerTable>,
+    relay_permits: Arc<Semaphore>,
     pub(super) controllers: Arc<dyn ControllerRequests>,
     is_leaving: AtomicBool,
     /// Time from which requests that wait for a server are refused, set when the VM shuts down.
@@ -103,6 +119,9 @@
     /// previous requests on behalf of the same waiting callers.
     fn request_adapter(&self, demand: AdapterDemand, earlier_requests: u32);
 
+    /// Tells all controllers which services this VM is cut off from.
+    fn report_cut_off(&self, services: Vec<ServiceName>);
+
     /// Reports to all controllers what a server stated about its limit.
     fn report_server_limit(&self, limit: ServerLimit);
 
@@ -139,6 +158,9 @@
             demand: Mutex::default(),
             crashes: Crashes::default(),
             known_streams: KnownStreams::default(),
+            reach_probe: ReachProbe::default(),
+            peers: Mutex::default(),
+            relay_permits: Arc::new(Semaphore::new(MAX_RELAYED)),
             controllers,
             is_leaving: AtomicBool::new(false),
             wait_deadline: OnceLock::new(),
@@ -247,6 +269,16 @@
         lock(&self.server_table)
     }
 
+    /// Other entry VMs.
+    pub fn peers(&self) -> MutexGuard<'_, PeerTable> {
+        lock(&self.peers)
+    }
+
+    /// Permit for a request of another VM, unless too many are in progress.
+    pub(super) fn relay_permit(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.relay_permits).try_acquire_owned().ok()
+    }
+
     /// Adapter usage.
     pub fn adapter_usage(&self) -> MutexGuard<'_, AdapterUsage> {
         lock(&self.adapter_usage)
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -132,6 +132,10 @@
     /// Converts a caller's headers into those for a backend server.
     fn prepare(&self, headers: &mut HeaderMap, metadata: &ForwardMetadata);
 
+    /// Prepares a caller's headers for another entry VM, which handles the request within `wait_ms`. With
+    /// `last_event`, it resumes a stream that this attempt of the caller began.
+    fn prepare_relay(&self, headers: &mut HeaderMap, wait_ms: u64, last_event: Option<u64>);
+
     /// Reads the head of an answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerHead;
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! Handles one request from its head to the final answer.
 
 use std::error::Error;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -40,6 +42,7 @@
 use super::record::RequestRecord;
 use super::record_guard::RecordGuard;
 use super::relay;
+use super::select_server::Selected;
 use super::server_table::is_adapter;
 use crate::event_stream;
 use crate::scheduling::stream_origins::StreamOrigin;
@@ -54,14 +57,21 @@
 /// Shortest time after which a repeatable request is sent to another server.
 const MIN_ANSWER_TIMEOUT_MS: u64 = 900;
 /// Largest answer that is buffered before it is passed on.
-const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
+pub(super) const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
+/// Servers that one request may fail to connect to before it goes through another VM.
+const MAX_UNREACHED: u32 = 2;
 /// Engine priority levels for each priority level of a route.
 const ENGINE_PRIORITY_STEP: u8 = 2;
 /// Lowest priority at an engine.
 const MAX_ENGINE_PRIORITY: u8 = 9;
 
-/// Answers a request. Errors are converted into responses.
-pub(super) async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+/// Answers a request. Errors are converted into responses. `relayed_for` is the entry VM that sent it, if
+/// it did not come from its caller.
+pub(super) async fn answer(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+    relayed_for: Option<IpAddr>,
+) -> Response<Body> {
     let started = Instant::now();
     let (parts, body) = request.into_parts();
     let caller = gateway.config.dialect.read(&parts);
@@ -70,6 +80,7 @@
         model: caller.model.clone(),
         resumes: caller.resumes.clone(),
         last_event: caller.last_event,
+        relayed_for,
         ..RequestRecord::default()
     };
     match begin(&gateway, &parts, body, caller, started, &mut record).await {
@@ -110,6 +121,10 @@
     pub(super) template: Template,
     pub(super) tried: Vec<ServerName>,
     pub(super) taken: Option<TokenGrant>,
+    /// Whether the request goes through another entry VM, which takes the tokens.
+    pub(super) is_relayed: bool,
+    /// Permit of a request that another entry VM sent. It is not relayed again.
+    pub(super) relay_permit: Option<OwnedSemaphorePermit>,
 }
 
 /// Answer, read as far as needed to decide about another attempt.
@@ -118,6 +133,8 @@
     Complete(Response<Bytes>),
     /// Stream with its first bytes.
     Stream(Box<Reply>, Bytes),
+    /// Stream that another entry VM passes on.
+    RelayedStream(Response<Incoming>),
 }
 
 impl Exchange {
@@ -139,6 +156,7 @@
                 Response::from_parts(parts, full(body))
             }
             Ok(Answer::Stream(reply, first)) => relay::start(self, *reply, first, record),
+            Ok(Answer::RelayedStream(response)) => relay::start_relayed(self, response, record),
             Err(refusal) => {
                 let started = self.started;
                 refuse(&self.gateway, refusal, record, started)
@@ -166,9 +184,18 @@
         record: &mut RequestRecord,
     ) -> Result<Answer, Refusal> {
         let mut failure: Option<Response<Bytes>> = None;
+        let mut unreached = 0;
         loop {
-            let server = match self.select_server(record).await {
-                Ok(server) => server,
+            let selected = match self.is_relayed || self.gives_up_connecting(unreached) {
+                true => Ok(Selected::OtherVm),
+                false => self.select_server(record).await,
+            };
+            let server = match selected {
+                Ok(Selected::Server(server)) => server,
+                Ok(Selected::OtherVm) => {
+                    let answer = self.answer_through_peers(last_event, record).await;
+                    return answer.or_else(|refusal| self.fallback_answer(failure, refusal));
+                }
                 Err(refusal) => return self.fallback_answer(failure, refusal),
             };
             record.servers.push(server.clone());
@@ -200,6 +227,7 @@
                 self.tried.push(server);
             }
             let skips_budget = is_unreachable(record);
+            unreached += u32::from(skips_budget);
             match attempt::next(&self.history, ended) {
                 NextStep::Retry if skips_budget || self.take_retry().await => {}
                 NextStep::Retry => return self.fallback_answer(failure, self.budget_refusal()),
@@ -210,6 +238,13 @@
         }
     }
 
+    /// Whether the request goes through another VM after `unreached` servers could not be connected to.
+    fn gives_up_connecting(&self, unreached: u32) -> bool {
+        unreached >= MAX_UNREACHED
+            && self.relay_permit.is_none()
+            && self.gateway.draw_peer(&self.service, &[]).is_some()
+    }
+
     /// Records that a server of the version `software` began a stream that may be resumed.
     pub(super) fn record_origin(&mut self, software: &SoftwareVersion) {
         if self.origin.is_some() || !self.route.repeat.is_resumable_stream() {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -275,6 +275,7 @@
             return Err(SendFailure::Lost("no_answer_in_time"));
         }
     };
+    gateway.server_table().record_heard(server, gateway.now());
     let (parts, body) = response.into_parts();
     let head = gateway.config.dialect.read_answer(&parts);
     let response = Response::from_parts(parts, body);
@@ -297,6 +298,14 @@
     })
 }
 
+/// Time within which a connection has to be open.
+pub(super) fn connect_timeout(distance: Distance) -> Duration {
+    Duration::from_millis(match distance {
+        Distance::Far => CONNECT_FAR_MS,
+        Distance::Near | Distance::SameRegion => CONNECT_NEAR_MS,
+    })
+}
+
 async fn connection(
     gateway: &Arc<Gateway>,
     template: &Template,
@@ -307,12 +316,11 @@
     if let Some(connection) = kept {
         return Ok(connection);
     }
-    let wait_ms = match distance {
-        Distance::Far => CONNECT_FAR_MS,
-        _ => CONNECT_NEAR_MS,
-    };
-    let connecting = gateway.connect(target.address, Duration::from_millis(wait_ms));
-    connecting.await.map_err(|_| {
+    let connected = gateway
+        .connect(target.address, connect_timeout(distance))
+        .await;
+    gateway.on_connect(target, connected.is_ok());
+    connected.map_err(|_| {
         let now = gateway.now();
         let mut table = gateway.server_table();
         table.avoid(&target.server, now.plus(UNREACHABLE_AVOID_MS));
@@ -342,13 +350,18 @@
         .record_outcome(&guard.target.server, failed, now);
 }
 
-fn connection_failure(gateway: &Gateway, guard: &InFlight, error: &hyper::Error) -> SendFailure {
+fn connection_failure(
+    gateway: &Arc<Gateway>,
+    guard: &InFlight,
+    error: &hyper::Error,
+) -> SendFailure {
     gateway.pool().close_idle(guard.target.address);
     if error.is_canceled() {
         // The connection was closed before the request was written to it.
         return SendFailure::NotSent("connection_closed");
     }
     record_outcome(gateway, guard, true);
+    gateway.probe_others(&guard.target.server);
     guard.record_broken(Progress::Waiting);
     SendFailure::Broken("connection_broken")
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod forecast;
 pub mod grace_period;
 pub mod outage_allowance;
+pub mod peers;
 pub mod pool;
 pub mod server_table;
 
@@ -29,7 +30,9 @@
 mod limited_servers;
 mod load_targets;
 mod meter;
+mod peer_path;
 mod quota;
+mod reach;
 mod record;
 mod record_guard;
 mod relay;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -1,6 +1,8 @@
 //! Pool of idle connections to backend servers.
 
 use std::collections::HashMap;
+use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +14,7 @@
 use snafu::Snafu;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -122,8 +125,20 @@
 /// # Errors
 /// The server cannot be reached within `wait`.
 pub async fn connect(address: SocketAddr, wait: Duration) -> Result<Connection> {
+    connect_from(None, address, wait).await
+}
+
+/// Opens a connection from the local address `source`.
+///
+/// # Errors
+/// The server cannot be reached within `wait`.
+pub async fn connect_from(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    wait: Duration,
+) -> Result<Connection> {
     let failed = |reason: String| ConnectError { address, reason };
-    let stream = timeout(wait, TcpStream::connect(address))
+    let stream = timeout(wait, open_stream(source, address))
         .await
         .map_err(|_| failed("timed out".to_owned()))?
         .map_err(|error| failed(error.to_string()))?;
@@ -141,6 +156,18 @@
     Ok(Connection { sender, meter })
 }
 
+async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Sets TCP timeouts that detect a peer which disappears without a reset.
 fn set_peer_timeouts(stream: &TcpStream) {
     let socket = SockRef::from(stream);
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -1,5 +1,6 @@
 //! Log line of a request.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use serde::Serialize;
@@ -13,6 +14,7 @@
 use crate::types::RequestFeatures;
 use crate::types::ServerName;
 use crate::types::SoftwareVersion;
+use crate::types::VmName;
 
 /// Outcome of a request and the reasons for it.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -31,6 +33,10 @@
     pub model: Option<ModelName>,
     /// Backend servers that the request was sent to, in order.
     pub servers: Vec<ServerName>,
+    /// Other entry VMs that the request was sent to, in order.
+    pub peers: Vec<VmName>,
+    /// Entry VM from which the request came, if not from its caller.
+    pub relayed_for: Option<IpAddr>,
     /// Software versions of these servers.
     pub software: Vec<SoftwareVersion>,
     /// Id of the caller's attempt that began the stream which this one resumes.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -37,9 +37,29 @@
     exchange: Exchange,
     reply: Reply,
     first: Bytes,
+    record: RequestRecord,
+) -> Response<Body> {
+    let (parts, source) = Source::new(reply);
+    pass_on(exchange, parts, source, &first, record)
+}
+
+/// The same for a stream that another entry VM passes on.
+pub(super) fn start_relayed(
+    exchange: Exchange,
+    response: Response<Incoming>,
+    record: RequestRecord,
+) -> Response<Body> {
+    let (parts, source) = Source::relayed(response);
+    pass_on(exchange, parts, source, &Bytes::new(), record)
+}
+
+fn pass_on(
+    exchange: Exchange,
+    mut parts: Parts,
+    source: Source,
+    first: &Bytes,
     mut record: RequestRecord,
 ) -> Response<Body> {
-    let (mut parts, source) = Source::new(reply);
     record.status = parts.status.as_u16();
     strip_connection_headers(&mut parts.headers);
     let mut relay = Relay {
@@ -51,7 +71,7 @@
         is_over: false,
         exchange,
     };
-    relay.ready = relay.accept(&first);
+    relay.ready = relay.accept(first);
     let chunks = stream::unfold(relay, |mut relay| async move {
         let chunk = relay.next().await?;
         Some((chunk.map(Frame::data), relay))
@@ -62,7 +82,7 @@
 /// Source of the events.
 struct Source {
     body: Incoming,
-    /// Connection to release once the body has ended.
+    /// Connection to release once the body has ended; `None` if another entry VM passes the stream on.
     connection: Option<AnswerConnection>,
 }
 
@@ -72,6 +92,12 @@
         let connection = Some(reply.connection);
         (parts, Self { body, connection })
     }
+
+    fn relayed(response: Response<Incoming>) -> (Parts, Self) {
+        let (parts, body) = response.into_parts();
+        let connection = None;
+        (parts, Self { body, connection })
+    }
 }
 
 impl Source {
@@ -170,6 +196,10 @@
                 self.ready = self.accept(&first);
                 Ok(())
             }
+            Ok(Ok(Answer::RelayedStream(response))) => {
+                (_, self.source) = Source::relayed(response);
+                Ok(())
+            }
             _ => Err(self.fail("stream_not_resumed")),
         }
     }
--- a/src/gateway/select_server.rs
+++ b/src/gateway/select_server.rs
@@ -43,6 +43,14 @@
 /// little later.
 const MAX_WAIT_OBJECTIVES: u32 = 3;
 
+/// Where a request is sent.
+pub(super) enum Selected {
+    /// To this server.
+    Server(ServerName),
+    /// To another entry VM, since this VM reaches no server.
+    OtherVm,
+}
+
 /// Why no server is available for a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Unavailable {
@@ -54,6 +62,8 @@
     Software,
     /// No server of the service has the base model.
     Model,
+    /// This VM cannot connect to any server of the service.
+    Unreached,
     /// The servers take no more requests now.
     RateLimited {
         /// Shortest time until one does.
@@ -80,7 +90,7 @@
     fn may_end_soon(self, is_starting_up: bool) -> bool {
         match self {
             Self::Adapter | Self::RateLimited { .. } | Self::Resting { .. } => true,
-            Self::Server | Self::Software | Self::Model => is_starting_up,
+            Self::Server | Self::Software | Self::Model | Self::Unreached => is_starting_up,
         }
     }
 
@@ -91,6 +101,7 @@
             Self::Server => ("no_server", NO_SERVER_RETRY_MS),
             Self::Software => ("software_absent", NO_SERVER_RETRY_MS),
             Self::Model => ("model_absent", NO_SERVER_RETRY_MS),
+            Self::Unreached => ("servers_unreached", NO_SERVER_RETRY_MS),
             Self::RateLimited { retry_after_ms } => ("server_limited", retry_after_ms.max(1)),
             Self::Resting { retry_after_ms } => (RESTING, retry_after_ms.max(1)),
         };
@@ -103,7 +114,7 @@
     pub(super) async fn select_server(
         &self,
         record: &mut RequestRecord,
-    ) -> Result<ServerName, Refusal> {
+    ) -> Result<Selected, Refusal> {
         let wait_started = Instant::now();
         let selected = self.wait_for_server(wait_started, record).await;
         record.waited_ms += elapsed_ms(wait_started);
@@ -114,12 +125,16 @@
         &self,
         wait_started: Instant,
         record: &mut RequestRecord,
-    ) -> Result<ServerName, Refusal> {
+    ) -> Result<Selected, Refusal> {
         let mut waits = Waits::default();
         loop {
             self.gateway
                 .check_quarantine(&self.template.features, record)?;
-            let (wait_ms, cause) = match self.choose() {
+            let (wait_ms, cause) = match self.choose_reached() {
+                Choice::Unreached if self.relay_permit.is_some() => {
+                    return Err(Unavailable::Unreached.refusal());
+                }
+                Choice::Unreached => return Ok(Selected::OtherVm),
                 Choice::Send {
                     server,
                     delay_ms,
@@ -133,7 +148,7 @@
                     if is_full || is_far && self.is_popular {
                         self.request_copy();
                     }
-                    return Ok(server);
+                    return Ok(Selected::Server(server));
                 }
                 unavailable => self.next_poll(unavailable, &mut waits, wait_started)?,
             };
@@ -161,7 +176,9 @@
     ) -> Result<(u64, Unavailable), Refusal> {
         Ok(match choice {
             Choice::NoServer if self.origin.is_some() => (POLL_MS, Unavailable::Software),
-            Choice::Send { .. } | Choice::NoServer => (POLL_MS, Unavailable::Server),
+            Choice::Send { .. } | Choice::NoServer | Choice::Unreached => {
+                (POLL_MS, Unavailable::Server)
+            }
             Choice::WaitUntil(ready) => {
                 let remaining_ms = ready.since(self.gateway.now());
                 (remaining_ms.clamp(1, POLL_MS), Unavailable::Adapter)
@@ -302,7 +319,20 @@
         *requests += 1;
     }
 
-    fn choose(&self) -> Choice {
+    /// Chooses among servers that this VM can connect to. If there are none and no other VM can help,
+    /// the others are tried all the same.
+    fn choose_reached(&self) -> Choice {
+        let is_relayed = self.relay_permit.is_some();
+        match self.choose(false) {
+            Choice::Unreached if !is_relayed => match self.gateway.draw_peer(&self.service, &[]) {
+                Some(_) => Choice::Unreached,
+                None => self.choose(true),
+            },
+            choice => choice,
+        }
+    }
+
+    fn choose(&self, tries_unreached: bool) -> Choice {
         let model = self.caller.model.as_ref().filter(|_| self.is_engine);
         let version = model.and_then(|model| self.gateway.required_version(model));
         let requirements = Requirements {
@@ -312,6 +342,7 @@
             software: self.origin.as_ref().map(|origin| &origin.software),
             tried: &self.tried,
             tie_breaker: rand::rng().random(),
+            tries_unreached,
         };
         let now = self.gateway.now();
         self.gateway.server_table().choose(&requirements, now)
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -50,6 +50,8 @@
     pub tried: &'a [ServerName],
     /// Random number that decides between servers of equal cost.
     pub tie_breaker: u64,
+    /// Whether servers that this VM cannot connect to are tried if there are no others.
+    pub tries_unreached: bool,
 }
 
 impl Requirements<'_> {
@@ -93,6 +95,8 @@
         /// Whether other servers of the service take requests, which the adapter could be loaded on.
         has_others: bool,
     },
+    /// This VM cannot connect to any server that could take the request.
+    Unreached,
     /// No server has the adapter or is about to have it.
     NotPresent,
     /// The service has no server that accepts requests.
@@ -342,6 +346,16 @@
         if all.is_empty() {
             return Choice::NoServer;
         }
+        let reached: Vec<&ServerView> = all
+            .iter()
+            .copied()
+            .filter(|view| !view.is_unreached)
+            .collect();
+        let all = match reached.is_empty() {
+            true if requirements.tries_unreached => all,
+            true => return Choice::Unreached,
+            false => reached,
+        };
         let (deferred, open): (Vec<&ServerView>, Vec<&ServerView>) =
             all.into_iter().partition(|view| view.is_deferred(now));
         let chosen = match open.is_empty() {
--- a/src/gateway/server_view.rs
+++ b/src/gateway/server_view.rs
@@ -93,6 +93,10 @@
     pub(super) permit_waiters: u32,
     /// Rest that the server asked this VM for.
     pub(super) rest: ServerRest,
+    /// Whether the last attempt to open a connection failed.
+    pub(super) is_unreached: bool,
+    /// When a connection was opened or an answer arrived last.
+    pub(super) heard: MonoMs,
 }
 
 impl ServerView {
@@ -115,6 +119,8 @@
             permit_timeout: MonoMs(0),
             permit_waiters: 0,
             rest: ServerRest::default(),
+            is_unreached: false,
+            heard: MonoMs(0),
         }
     }
 
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -22,12 +22,13 @@
 use crate::types::ModelName;
 use crate::types::RequestRate;
 use crate::types::ServerName;
+use crate::types::ServiceName;
 use crate::types::SoftwareVersion;
 use crate::types::StreamKey;
 use crate::types::VmName;
 
 /// Version of the message format. Links between different versions are refused.
-pub const LINK_FORMAT: u16 = 9;
+pub const LINK_FORMAT: u16 = 10;
 
 /// Role of a VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -51,6 +52,32 @@
     pub role: Role,
     /// Data centre of the sender.
     pub data_centre: DataCentre,
+    /// Address at which an entry VM takes requests from other entry VMs.
+    pub relay_address: Option<SocketAddr>,
+}
+
+/// An entry VM, as a controller lists it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EntryVmInfo {
+    /// Name of the VM.
+    pub vm: VmName,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Address at which it takes requests from other entry VMs.
+    pub relay_address: SocketAddr,
+    /// Services none of whose servers it can connect to.
+    pub cut_services: Vec<ServiceName>,
+}
+
+/// Changes of the entry VMs that are linked to a controller.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EntryVmUpdate {
+    /// Whether this is the complete list instead of changes.
+    pub full: bool,
+    /// VMs that were linked or changed.
+    pub changed: Vec<EntryVmInfo>,
+    /// VMs that are not linked any more.
+    pub gone: Vec<VmName>,
 }
 
 /// Status of a controller, sent whenever it changes and at least twice a second.
@@ -248,6 +275,10 @@
     Borrow(u64, BorrowRequest),
     /// Reply to the token request with this number.
     Borrowed(u64, BorrowReply),
+    /// Services none of whose servers the sender can connect to.
+    CutOff(Vec<ServiceName>),
+    /// Entry VMs that are linked to the sender.
+    EntryVms(EntryVmUpdate),
     /// Streams that have begun, and where.
     StreamsBegun(Vec<StreamBegin>),
     /// Asks where a stream began, with a request number.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -16,6 +16,8 @@
 pub use frame::ControlStatus;
 pub use frame::DocumentUpdate;
 pub use frame::EngineLoad;
+pub use frame::EntryVmInfo;
+pub use frame::EntryVmUpdate;
 pub use frame::Frame;
 pub use frame::Hello;
 pub use frame::LINK_FORMAT;
--- a/tests/backlog.rs
+++ b/tests/backlog.rs
@@ -61,6 +61,7 @@
         software: None,
         tried: &[],
         tie_breaker,
+        tries_unreached: false,
     };
     match table.choose(&requirements, NOW) {
         Choice::Send { server, .. } => server,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -233,6 +233,7 @@
         software: None,
         tried,
         tie_breaker: 1,
+        tries_unreached: false,
     };
     table.choose(&requirements, now)
 }
--- a/tests/hot.rs
+++ b/tests/hot.rs
@@ -136,6 +136,7 @@
             software: None,
             tried: &[],
             tie_breaker: self.rng.random(),
+            tries_unreached: false,
         };
         if let Choice::Send {
             server, is_full, ..
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -169,6 +169,7 @@
         software: None,
         tried: &[],
         tie_breaker: 1,
+        tries_unreached: false,
     };
     table.choose(&requirements, MonoMs(now))
 }
