fix(gateway): a VM that was out of step asks who began a stream

Cause: the VM concluded from its own list that only one version was possible, however old the list was, before it asked anybody. Class: the absence of news taken for news of an absence. The controllers are asked first now, and the list counts as complete only shortly after a controller in contact with the log's leader has sent it.

--- a/src/fleet/controller_client.rs
+++ b/src/fleet/controller_client.rs
@@ -259,7 +259,9 @@
         drop(state);
         self.gateway().quota.set_entry_vms(status.entry_vms);
         self.gateway().observe_fleet_size(status.recent_entry_vms);
-        self.gateway().set_software_versions(&status.software);
+        let is_current = status.leads || !status.stands_in;
+        self.gateway()
+            .set_software_versions(&status.software, is_current);
     }
 
     fn update_quota_server(&self, state: &State) {
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -22,13 +22,18 @@
 use crate::scheduling::stream_origins::StreamOrigin;
 use crate::scheduling::stream_origins::StreamOrigins;
 use crate::scheduling::stream_origins::only_origin;
+use crate::types::Clock;
+use crate::types::MonoMs;
 use crate::types::ServiceName;
 use crate::types::StreamKey;
+use crate::types::UnixMs;
 
 /// Most streams whose origin a VM remembers.
 const MAX_STREAMS: usize = 16_384;
 /// Longest time until the report of a stream that has begun reaches the controllers.
 const MAX_REPORT_DELAY_MS: u64 = 200;
+/// Time for which a list of versions counts as the newest one. Controllers send it twice a second.
+const LIST_VALID_MS: u64 = 1_200;
 /// Interval at which the controllers are asked for the origin of a stream again.
 const LOOKUP_INTERVAL_MS: u64 = 50;
 
@@ -58,6 +63,18 @@
     origins: StreamOrigins,
     unreported: Vec<StreamBegin>,
     listed: SoftwareVersions,
+    /// When a controller in contact with the log's leader last sent the list.
+    confirmed: Option<(MonoMs, UnixMs)>,
+}
+
+impl State {
+    /// Whether the list is the newest one. Both clocks are asked, since the monotonic one may not
+    /// count the time for which a VM is suspended.
+    fn is_current(&self, clock: &Clock) -> bool {
+        self.confirmed.is_some_and(|(mono, unix)| {
+            clock.mono().since(mono) < LIST_VALID_MS && clock.unix().since(unix) < LIST_VALID_MS
+        })
+    }
 }
 
 impl Default for KnownStreams {
@@ -67,6 +84,7 @@
                 origins: StreamOrigins::new(MAX_STREAMS),
                 unreported: Vec::new(),
                 listed: SoftwareVersions::default(),
+                confirmed: None,
             }),
             reported: Arc::default(),
         }
@@ -109,12 +127,17 @@
         self.known_streams.lock().origins.reports(self.now())
     }
 
-    /// Applies the list of software versions unless it is older than the known one.
-    pub fn set_software_versions(&self, listed: &SoftwareVersions) {
+    /// Applies the list of software versions unless it is older than the known one. `is_current` tells
+    /// whether the controller that sent it is in contact with the log's leader.
+    pub fn set_software_versions(&self, listed: &SoftwareVersions, is_current: bool) {
         let mut state = self.known_streams.lock();
         if listed.revision > state.listed.revision {
             state.listed = listed.clone();
         }
+        if is_current && listed.revision >= state.listed.revision {
+            let clock = &self.config.clock;
+            state.confirmed = Some((clock.mono(), clock.unix()));
+        }
     }
 
     /// Origin of the stream that a caller resumes; `None` for other requests. While the origin is not
@@ -131,10 +154,7 @@
         if !route.repeat.is_resumable_stream() || caller.last_event.is_none() {
             return Ok(None);
         }
-        let origin = match self.only_origin(route) {
-            Some(origin) => origin,
-            None => self.find_origin(route, caller, deadline).await?,
-        };
+        let origin = self.find_origin(route, caller, deadline).await?;
         let may_serve = route
             .targets
             .iter()
@@ -158,6 +178,11 @@
                 Some(stream) => self.look_up(stream).await,
                 None => StreamLookup::NotKnown,
             };
+            if found == StreamLookup::NotKnown
+                && let Some(origin) = self.only_origin(route)
+            {
+                return Ok(origin);
+            }
             // What is not known yet may still arrive: the report of the stream, a controller, or the list
             // of versions, which the log lacks when the fleet has just started.
             let give_up = match found {
@@ -169,9 +194,6 @@
                 return Err(unresumable("stream_origin_unknown"));
             }
             sleep(Duration::from_millis(LOOKUP_INTERVAL_MS)).await;
-            if let Some(origin) = self.only_origin(route) {
-                return Ok(origin);
-            }
         }
     }
 
@@ -187,7 +209,7 @@
         }
     }
 
-    /// The origin of all streams of a route, if there is only one. Unknown before a controller has told
+    /// The origin of all streams of a route, if there is only one. Unknown while no controller confirms
     /// which versions were in service.
     fn only_origin(&self, route: &Route) -> Option<StreamOrigin> {
         let services = || route.targets.iter().map(|(service, _)| service);
@@ -201,7 +223,7 @@
                 software: server.software.clone(),
             });
         let state = self.known_streams.lock();
-        if state.listed.revision == 0 {
+        if state.listed.revision == 0 || !state.is_current(&self.config.clock) {
             return None;
         }
         only_origin(services(), &state.listed, announced)
