fix(gateway): a take-up waits until the list of versions is confirmed

streams_of_the_only_version_go_on_after_a_restart_of_everything failed once (0 of 24 went on): since a list of versions counts only once a controller has confirmed it, a take-up gave up after 0.2 s although none had done so yet. It waits for that until the end of its grace period now.

--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -187,7 +187,7 @@
             // of versions, which the log lacks when the fleet has just started.
             let give_up = match found {
                 StreamLookup::Found(origin) => return Ok(origin),
-                StreamLookup::NotKnown if self.has_version_list() => report_deadline.min(deadline),
+                StreamLookup::NotKnown if self.has_current_list() => report_deadline.min(deadline),
                 StreamLookup::NotKnown | StreamLookup::NotReached => deadline,
             };
             if Instant::now() >= give_up {
@@ -197,8 +197,9 @@
         }
     }
 
-    fn has_version_list(&self) -> bool {
-        self.known_streams.lock().listed.revision > 0
+    fn has_current_list(&self) -> bool {
+        let state = self.known_streams.lock();
+        state.listed.revision > 0 && state.is_current(&self.config.clock)
     }
 
     async fn look_up(&self, stream: StreamKey) -> StreamLookup {
