fix(gateway): a stream goes on only with an answer of its media type

A report of other operators: the text of an error in the middle of a stream. An error of the next server with status 200 and another media type was passed on as the rest of the stream, which then ended as complete. A resumed answer has to be of the media type of the first one.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures::stream;
 use http::Response;
+use http::header;
 use http::response::Parts;
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -68,6 +69,7 @@
         events: EventBuffer::default(),
         ready: None,
         last_event: None,
+        media_type: media_type(&parts),
         is_over: false,
         exchange,
     };
@@ -115,6 +117,8 @@
     events: EventBuffer,
     ready: Option<Bytes>,
     last_event: Option<u64>,
+    /// Media type of the first answer.
+    media_type: Option<String>,
     is_over: bool,
 }
 
@@ -192,18 +196,28 @@
         self.record = Some(record);
         match obtained {
             Ok(Ok(Answer::Stream(reply, first))) => {
-                (_, self.source) = Source::new(*reply);
-                self.ready = self.accept(&first);
-                Ok(())
+                let (parts, source) = Source::new(*reply);
+                self.go_on(&parts, source, &first)
             }
             Ok(Ok(Answer::RelayedStream(response))) => {
-                (_, self.source) = Source::relayed(response);
-                Ok(())
+                let (parts, source) = Source::relayed(response);
+                self.go_on(&parts, source, &Bytes::new())
             }
             _ => Err(self.fail("stream_not_resumed")),
         }
     }
 
+    /// Continues with the answer of another server, unless it is no stream like the first one: an error
+    /// may come with a successful status.
+    fn go_on(&mut self, parts: &Parts, source: Source, first: &Bytes) -> io::Result<()> {
+        if media_type(parts) != self.media_type {
+            return Err(self.fail("resumed_with_other_type"));
+        }
+        self.source = source;
+        self.ready = self.accept(first);
+        Ok(())
+    }
+
     fn fail(&mut self, reason: &'static str) -> io::Error {
         self.is_over = true;
         if let Some(record) = &mut self.record {
@@ -232,6 +246,13 @@
     }
 }
 
+/// Media type of an answer, without its parameters.
+fn media_type(parts: &Parts) -> Option<String> {
+    let value = parts.headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    let media_type = value.split(';').next().unwrap_or_default();
+    Some(media_type.trim().to_ascii_lowercase())
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         if let Some(record) = &mut self.record {
