--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -56,25 +56,19 @@
     started: Instant,
     record: &mut RequestRecord,
 ) -> Result<Exchange, Refusal> {
-    let relay_permit = match record.relayed_for {
-        Some(_) => Some(relay_permit(gateway)?),
-        None => None,
-    };
     if gateway.is_leaving() {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
     }
+    let relay_permit = match record.relayed_for {
+        Some(_) => Some(relay_permit(gateway)?),
+        None => None,
+    };
     let grace_deadline = match gateway.is_enabled(Mechanism::GracePeriod) {
         true => grace_period::deadline(started, caller.wait_ms),
         false => started,
     };
-    let deployment = gateway
-        .first_deployment(grace_deadline)
-        .await
-        .ok_or_else(|| {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            Refusal::not_run(status, "no_configuration", UNCONFIGURED_RETRY_MS)
-        })?;
+    let deployment = find_deployment(gateway, grace_deadline).await?;
     record.deployment_version = deployment.version;
     let route = find_route(&deployment, parts)?;
     record.route = Some(route.name.clone());
@@ -85,13 +79,13 @@
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
     let deadline = started + Duration::from_millis(wait_ms.min(route.timeout_ms));
     let body = read_body(&deployment, body, deadline).await?;
-    let drawn = route.target(rand::rng().random()).clone();
-    let is_relayed = relay_permit.is_none() && gateway.is_cut_from(&drawn);
+    let service = route.target(rand::rng().random()).clone();
+    let is_relayed = relay_permit.is_none() && gateway.is_cut_from(&service);
     let admitted = match is_relayed {
-        true => Admitted::elsewhere(drawn),
+        true => Admitted::elsewhere(service),
         false => {
             let account = account.as_deref();
-            admit(gateway, &route, account, &caller, drawn, grace_deadline).await?
+            admit(gateway, &route, account, &caller, service, grace_deadline).await?
         }
     };
     record.waited_ms = elapsed_ms(started);
@@ -117,6 +111,14 @@
     })
 }
 
+async fn find_deployment(gateway: &Gateway, deadline: Instant) -> Result<Arc<Deployment>, Refusal> {
+    let deployment = gateway.first_deployment(deadline).await;
+    deployment.ok_or_else(|| {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Refusal::not_run(status, "no_configuration", UNCONFIGURED_RETRY_MS)
+    })
+}
+
 /// Permit for a request of another entry VM.
 fn relay_permit(gateway: &Gateway) -> Result<OwnedSemaphorePermit, Refusal> {
     gateway.relay_permit().ok_or_else(|| {
@@ -145,14 +147,14 @@
     }
 }
 
-/// Finds the origin of a stream that is resumed, takes the tokens and counts the request. `drawn` is the
-/// service of a request that resumes none.
+/// Finds the origin of a stream that is resumed, takes the tokens and counts the request. `service` is that
+/// of a request that resumes none.
 async fn admit(
     gateway: &Gateway,
     route: &Route,
     account: Option<&Account>,
     caller: &CallerHead,
-    drawn: ServiceName,
+    service: ServiceName,
     grace_deadline: Instant,
 ) -> Result<Admitted, Refusal> {
     let resumed = gateway.resumed_origin(route, caller, grace_deadline);
@@ -160,7 +162,7 @@
     let taken = take_tokens(gateway, account, caller, grace_deadline).await?;
     let service = match &origin {
         Some(origin) => origin.service.clone(),
-        None => drawn,
+        None => service,
     };
     gateway.count_request(&service);
     let adapter = caller.model.as_ref().filter(|model| is_adapter(model));
