fix(gateway): a refusal of another VM is no promise for a request that may have run here

Found while reading the change: a request that may be repeated, whose answer was lost at a server of this VM and that went through another VM then, got that VM's refusal, which says that it has not run.

--- a/src/gateway/peer_path.rs
+++ b/src/gateway/peer_path.rs
@@ -117,8 +117,9 @@
             }
         }
         match refusal {
-            Some(response) => Ok(Answer::Complete(response)),
-            None => {
+            // A refusal promises that the request has not run, here neither.
+            Some(response) if self.history.runs == 0 => Ok(Answer::Complete(response)),
+            _ => {
                 let status = StatusCode::SERVICE_UNAVAILABLE;
                 Err(Refusal::not_run(status, "servers_unreached", BUSY_RETRY_MS))
             }
