--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -7,7 +7,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use futures::future::join_all;
 use rand::seq::IndexedRandom;
@@ -26,8 +28,10 @@
 use crate::types::ServerName;
 use crate::types::ServiceName;
 
-/// Time after which a broken connection is suspicious although another server was heard from.
+/// Time for which an answer of one server shows that a failure at another one does not concern all.
 const HEARD_VALID_MS: u64 = 400;
+/// Time between two searches for the extent of a failure.
+const SEARCH_INTERVAL_MS: u64 = 300;
 /// Servers that are probed to find out whether a failure concerns one server or all.
 const SAMPLE: usize = 3;
 /// Most servers that are probed at once.
@@ -237,13 +241,10 @@
     }
 }
 
-/// Time between two searches for the extent of a failure.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(300);
-
 /// State of the search for the extent of a failure.
 #[derive(Debug, Default)]
 pub(super) struct ReachProbe {
-    state: std::sync::Mutex<ReachState>,
+    state: Mutex<ReachState>,
 }
 
 #[derive(Debug, Default)]
@@ -258,7 +259,7 @@
         let mut state = self.lock();
         let may_begin = now >= state.search_from;
         if may_begin {
-            state.search_from = now.plus(SEARCH_INTERVAL.as_millis() as u64);
+            state.search_from = now.plus(SEARCH_INTERVAL_MS);
         }
         may_begin
     }
@@ -276,8 +277,8 @@
         self.lock().cut_services.clone()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, ReachState> {
+    fn lock(&self) -> MutexGuard<'_, ReachState> {
         let state = self.state.lock();
-        state.unwrap_or_else(std::sync::PoisonError::into_inner)
+        state.unwrap_or_else(PoisonError::into_inner)
     }
 }
