--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -105,6 +105,8 @@
     def __init__(self, record, entries=1, link_delay_ms=0):
         self.record = record
         self.link_delay_ms = link_delay_ms
+        # IP address at which an entry machine dials the ports of runners, by number.
+        self.server_dial_ips = {}
         self.links = None
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.network = free_network()
@@ -129,6 +131,8 @@
         else:
             listen = f'Front = "{process.ip}:{CALLER_PORT}"\nReady = "{process.ip}:{READY_PORT}"'
             data = ""
+            if process.number in self.server_dial_ips:
+                data = f'ServerDialIp = "{self.server_dial_ips[process.number]}"\n'
         seeds = ",".join(f'"{control.ip}:{CONTROL_PORT}"' for control in self.controls)
         served = "control" if is_control else "front"
         zone = self.zone_of(process.number)
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -111,6 +111,8 @@
         status, headers, body = self.work(self, request)
         if status is None:
             return False
+        if not isinstance(body, bytes):
+            return send_stream(connection, {"Request-Id": identity, "Response-Signature": SIGNATURE, **headers}, body)
         send_answer(connection, status, {"Request-Id": identity, "Response-Signature": SIGNATURE, **headers}, body)
         return True
 
@@ -149,3 +151,14 @@
     lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     connection.sendall(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body)
+
+
+def send_stream(connection, headers, events):
+    """Sends events in chunks as they come, and the end of the stream after the last one."""
+    lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    connection.sendall(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
+    for event in events:
+        connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+    connection.sendall(b"0\r\n\r\n")
+    return True
