--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,12 @@
-"""Many changes of a configuration that has grown by many routes: the control processes keep the body of
-each change in memory until more than a thousand later ones have come."""
+"""An entry machine is cut off from all runners for some seconds. Streams that it was about to send go through other
+entry machines. After the cut one of these is stopped as planned: the first machine takes the streams up at runners of any
+software version."""
 
-import json
 import os
+import re
 import signal
+import socket
+import subprocess
 import sys
 import threading
 import time
@@ -11,126 +14,159 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 
-from fleet import MEMORY_MB, Fleet, Record  # noqa: E402
-
-USUAL_ROUTES = 30
-# Twelve times `big_config` at its largest dose.
-GROWN_ROUTES = USUAL_ROUTES + 12 * 350
-CHANGES = 720
-RESTART_S = 0.3
-# Ends of one process by themselves that make a fault, and share of the core.
-ENDS = 3
-LIMIT_S = 104
-
-
-def config(version, routes):
+from fleet import CALLER_PORT, Fleet, Record, run  # noqa: E402
+from gate import Gate  # noqa: E402
+from runner import Runner  # noqa: E402
+
+SERVICE = "huvo11a"
+HOST = "ficu95.example"
+EVENTS = 58
+EVENT_S = 0.2
+STREAMS = 30
+# The streams are sent within this time from the begin of the cut.
+SENDING_S = 0.2
+CUT_S = 2.5
+TERM_S = 3.0
+GRACE_S = 8.0
+# Streams with events of two versions before the rule is broken.
+MAX_MIXED = 2
+
+
+def config():
     return {
-        "Version": version,
-        "Routes": [route(number) for number in range(routes)],
-        "Services": [{"Name": "wuno96b", "HealthPath": "/health", "MaxConnections": 110, "Protocol": "h1", "Tls": False}],
+        "Version": 1,
+        "Routes": [
+            {
+                "Name": "r-fit",
+                "Host": HOST,
+                "PathPrefix": "/fit/",
+                "Kind": "streaming",
+                "TimeoutMs": 15000,
+                "TargetLatencyMs": 600,
+                "Priority": 1,
+                "Service": SERVICE,
+                "MaxAttempts": 2,
+                "Public": False,
+                "Sticky": False,
+                "Resumable": True,
+                "GapAimMs": 300,
+            }
+        ],
+        "Services": [{"Name": SERVICE, "HealthPath": "/health", "MaxConnections": 620, "Protocol": "h1", "Tls": False}],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
         "Tenants": [],
     }
 
 
-def route(number):
-    return {
-        "Name": f"r-{number:07x}",
-        "Host": f"ficu{number % 50:02d}.example",
-        "PathPrefix": f"/p{number:05d}/",
-        "Kind": "safe",
-        "TimeoutMs": 800,
-        "TargetLatencyMs": 300,
-        "Priority": 2,
-        "Service": "wuno96b",
-        "MaxAttempts": 2,
-        "Public": False,
-        "Sticky": False,
-        "Resumable": False,
-        "GapAimMs": 0,
-    }
+def work(runner, request):
+    """A stream of events with rising ids that goes on after `Last-Event-Id`."""
+    after = int(request["headers"].get("last-event-id", "0"))
+    runner.fleet.record(f"{runner.id}: runs {request['headers']['request-id']} after event {after}")
+
+    def events():
+        for number in range(after + 1, EVENTS + 1):
+            time.sleep(EVENT_S)
+            yield f"id: {number}\ndata: piece {number} by {runner.id} of software {runner.version}\n\n".encode()
 
+    return 200, {}, events()
 
-class Platform(threading.Thread):
-    """Kills a process that uses more memory than its machine has, and starts ended processes again."""
 
-    def __init__(self, fleet, record):
+class Client(threading.Thread):
+    def __init__(self, fleet, number):
         super().__init__(daemon=True)
-        self.fleet, self.record = fleet, record
-        self.ends = {process.name: 0 for process in fleet.controls}
-        self.most = {process.name: 0.0 for process in fleet.controls}
-        self.is_stopped = False
+        self.fleet = fleet
+        self.identity = f"{number:016x}"
+        self.answer = b""
 
     def run(self):
-        while not self.is_stopped:
-            for process in self.fleet.controls:
-                self.watch(process)
-            time.sleep(0.05)
-
-    def watch(self, process):
-        memory = process.memory_mb()
-        if memory is not None:
-            self.most[process.name] = max(self.most[process.name], memory)
-            if memory > MEMORY_MB["control"]:
-                self.record(f"platform: {process.name} uses {memory:.0f} MB of {MEMORY_MB['control']}: killed")
-                process.signal(signal.SIGKILL)
-                process.child.wait()
-        if not process.is_running() and not self.is_stopped:
-            self.ends[process.name] += 1
-            self.record(f"platform: {process.name} has ended, {self.ends[process.name]} times so far")
-            time.sleep(RESTART_S)
-            process.start(bootstrap=False)
+        head = f"POST /fit/{self.identity} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {self.identity}\r\nDeadline-Ms: 15000\r\n"
+        try:
+            with socket.create_connection((self.fleet.entries[0].ip, CALLER_PORT), timeout=1.0) as connection:
+                connection.settimeout(16.0)
+                connection.sendall((head + "Connection: close\r\nContent-Length: 2\r\n\r\nok").encode())
+                while data := connection.recv(65536):
+                    self.answer += data
+        except OSError as error:
+            self.fleet.record(f"client: {self.identity}: {error}")
+
+    def pieces(self):
+        """Number, runner and software version of each event, in order."""
+        found = re.findall(rb"piece (\d+) by (\S+) of software (\S+)", self.answer)
+        return [(int(number), runner.decode(), version.decode()) for number, runner, version in found]
 
 
 def main():
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(HERE, "record.txt"))
-    fleet = Fleet(record, entries=1)
-    routes = GROWN_ROUTES if is_troubled else USUAL_ROUTES
-    record(f"{CHANGES} changes of a configuration of {routes} routes")
-    platform = Platform(fleet, record)
-    begun = time.monotonic()
+    fleet = Fleet(record, entries=3)
+    gate_ip = f"{fleet.network}.61"
+    fleet.server_dial_ips[0] = gate_ip
+    runners, gates = [], []
     try:
         fleet.start()
-        if fleet.put_config(config(1, USUAL_ROUTES)) != 200:
-            record("the first configuration was not acknowledged")
+        for number in range(4):
+            version = "v1" if number % 2 == 0 else "v2"
+            runners.append(Runner(fleet, SERVICE, number, work, version=version, slots=64))
+        gates = [Gate((gate_ip, runner.address[1]), runner.address) for runner in runners]
+        if fleet.put_config(config()) != 200 or not fleet.wait_ready():
+            record("the deployment did not start")
             return 2
-        platform.start()
-        template = json.dumps(config(424242, routes), separators=(",", ":"))
-        head, tail = template.split("424242", 1)
-        record(f"a change has {len(template)} bytes")
-        acknowledged, slowest = 1, 0.0
-        for version in range(2, CHANGES + 2):
-            sent = time.monotonic()
-            if sent - begun > LIMIT_S or not is_going_on(platform):
-                break
-            body = f"{head}{version}{tail}".encode()
-            status = fleet.order("/config/put", body)
-            took = time.monotonic() - sent
-            slowest = max(slowest, took)
-            if status == 200:
-                acknowledged = version
-            if version % 20 == 0 or status != 200:
-                memory = [round(control.memory_mb() or 0) for control in fleet.controls]
-                record(f"operator: version {version} got {status} after {took:.3f} s; memory of the core in MB: {memory}")
-        platform.is_stopped = True
-        ended = [name for name, ends in platform.ends.items() if ends >= ENDS]
-        record(f"{acknowledged} versions acknowledged, slowest change {slowest:.1f} s")
-        record(f"most memory: { {name: round(most) for name, most in platform.most.items()} }")
-        record(f"ends by themselves: {platform.ends}")
-        is_broken = len(ended) * 2 >= len(fleet.controls)
-        record("Fault: broken" if is_broken else "Fault: held")
-        return 1 if is_broken else 0
+        time.sleep(3.0)
+        begun = time.monotonic()
+        if is_troubled:
+            for gate in gates:
+                gate.cut()
+            record("platform: entry-0 is cut off from all runners")
+        clients = [Client(fleet, number) for number in range(STREAMS)]
+        for client in clients:
+            client.start()
+            time.sleep(SENDING_S / STREAMS)
+        time.sleep(max(0.0, begun + CUT_S - time.monotonic()))
+        if is_troubled:
+            for gate in gates:
+                gate.heal()
+            record("platform: the cut has healed")
+        time.sleep(max(0.0, begun + TERM_S - time.monotonic()))
+        stop_as_planned(fleet.entries[1], record)
+        for client in clients:
+            client.join()
+        return judge(record, clients)
     finally:
-        platform.is_stopped = True
+        for runner in runners:
+            runner.stop()
+        for gate in gates:
+            gate.close_server()
         fleet.stop()
 
 
-def is_going_on(platform):
-    """Whether fewer processes than make a fault have ended often enough."""
-    ended = [ends for ends in platform.ends.values() if ends >= ENDS]
-    return len(ended) < 2
+def stop_as_planned(entry, record):
+    """SIGTERM, and SIGKILL after `GraceS`, as the platform stops a process."""
+    entry.signal(signal.SIGTERM)
+    record(f"platform: {entry.name} gets SIGTERM")
+    try:
+        entry.child.wait(timeout=GRACE_S)
+        record(f"platform: {entry.name} has ended")
+    except subprocess.TimeoutExpired:
+        entry.signal(signal.SIGKILL)
+        record(f"platform: {entry.name} gets SIGKILL")
+
+
+def judge(record, clients):
+    mixed, complete = 0, 0
+    for client in clients:
+        pieces = client.pieces()
+        versions = sorted({version for _, _, version in pieces})
+        numbers = [number for number, _, _ in pieces]
+        complete += numbers == list(range(1, EVENTS + 1))
+        mixed += len(versions) > 1
+        hops = [(runner, version) for _, runner, version in pieces]
+        changes = [hop for index, hop in enumerate(hops) if index == 0 or hops[index - 1] != hop]
+        status = client.answer.split(b"\r\n", 1)[0].decode("latin-1")
+        record(f"client: {client.identity} {status!r}, {len(pieces)} events, by {changes}")
+    record(f"{complete} of {len(clients)} streams complete, {mixed} hold events of two software versions")
+    record("ORDER: broken" if mixed > MAX_MIXED else "ORDER: held")
+    return 1 if mixed > MAX_MIXED else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run(main)
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # this only checks that they can be read.
 set -e
 cd "$(dirname "$0")"
-python3 - <<'PYTHON'
+python3 -B - <<'PYTHON'
 import ast
 import glob
 
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -13,11 +14,10 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 LINK_PORTS = (7600, 7615)
-# Port of the proxies in front of the links between machines.
-DELAYED_PORT = 7650
 CONTROL_PORT = 8229
 CALLER_PORT = 8221
 READY_PORT = 8224
@@ -102,12 +102,10 @@
 class Fleet:
     """A deployment of three control machines and some entry machines."""
 
-    def __init__(self, record, entries=1, link_delay_ms=0):
+    def __init__(self, record, entries=1):
         self.record = record
-        self.link_delay_ms = link_delay_ms
         # IP address at which an entry machine dials the ports of runners, by number.
         self.server_dial_ips = {}
-        self.links = None
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.network = free_network()
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
@@ -144,7 +142,6 @@
 Zone = "{zone}"
 Region = "r-{zone}"
 InternalPortRange = [{LINK_PORTS[0]},{LINK_PORTS[1]}]
-LinkDialPort = {DELAYED_PORT if self.link_delay_ms else LINK_PORTS[0]}
 Seeds = [{seeds}]
 Bootstrap = {str(bootstrap).lower()}
 InFaultBudget = {str(is_control).lower()}
@@ -198,25 +195,13 @@
             file.write(text)
 
     def start(self):
-        if self.link_delay_ms:
-            self.start_delays()
         for process in self.controls + self.entries:
             process.start(bootstrap=True)
 
-    def start_delays(self):
-        """Puts a proxy with the delay between regions in front of the links of each control machine."""
-        pairs = [f"{c.ip}:{DELAYED_PORT}={c.ip}:{LINK_PORTS[0]}" for c in self.controls]
-        program = os.path.join(os.path.dirname(os.path.abspath(__file__)), "delay.py")
-        command = [sys.executable, program, str(self.link_delay_ms), *pairs]
-        self.links = subprocess.Popen(command, stdout=subprocess.PIPE, stdin=subprocess.DEVNULL)
-        self.links.stdout.readline()
-
     def stop(self):
         for process in self.controls + self.entries:
             process.kill()
-        if self.links:
-            self.links.kill()
-            self.links.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def log_text(self, process):
         path = os.path.join(self.folder, f"{process.name}.log")
@@ -270,6 +255,16 @@
         return not waiting
 
 
+def run(main):
+    """Ends with the status that `main` returns, or with 2 if the case couldn't run."""
+    try:
+        status = main()
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    sys.exit(status)
+
+
 def is_ready(entry):
     """One readiness check of the platform."""
     connection = http.client.HTTPConnection(entry.ip, READY_PORT, timeout=1.0)
