--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -118,6 +118,11 @@
 
     def stop(self):
         self.is_stopped = True
+        try:
+            # Ends the thread that accepts, which would keep the socket open otherwise.
+            self.server.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
         self.server.close()
         with self.lock:
             for connection in self.connections:
