--- a/src/consensus/core/leader.rs
+++ b/src/consensus/core/leader.rs
@@ -22,6 +22,10 @@
 /// Maximum number of entries in flight to a member, that is sent but not acknowledged.
 const MAX_UNACKNOWLEDGED_ENTRIES: u64 = 4_096;
 
+/// Size of the entries in flight to a member from which on it gets no more until it acknowledges some. Large
+/// enough to use the links between regions while a member catches up.
+const MAX_UNACKNOWLEDGED_BYTES: usize = 2 * 1_024 * 1_024;
+
 /// Number of uncommitted entries above which the leader rejects proposals.
 const MAX_UNCOMMITTED_ENTRIES: u64 = 16_384;
 
@@ -207,12 +211,8 @@
     /// is sent only if `heartbeat` is set.
     pub(super) fn send_append(&mut self, to: &VoterId, heartbeat: bool) {
         let base_index = self.log.base_index();
-        let last_index = self.log.last_index();
         let is_active = self.is_active(to);
-        let Some(progress) = self.progress(to) else {
-            return;
-        };
-        if progress.snapshot.is_some() || progress.next_index <= base_index {
+        if self.needs_snapshot(to) {
             if is_active {
                 return self.send_chunk(to);
             }
@@ -222,26 +222,68 @@
             }
             return;
         }
-        let unacknowledged = progress.next_index - 1 - progress.match_index;
-        let ready = !progress.paused
-            && (progress.probing || unacknowledged < MAX_UNACKNOWLEDGED_ENTRIES)
-            && !(progress.probing && heartbeat)
-            && progress.next_index <= last_index;
-        if !ready && !heartbeat {
-            return;
+        let is_probing = self.progress(to).is_some_and(|progress| progress.probing);
+        let max_bytes = match is_probing && !is_active {
+            true => MAX_PROBE_BYTES,
+            false => MAX_APPEND_BYTES,
+        };
+        let mut has_sent = false;
+        while let Some(next_index) = self.next_to_send(to, heartbeat) {
+            let entries = self.log.entries_from(next_index, max_bytes);
+            self.send_entries(to, next_index, entries);
+            has_sent = true;
+        }
+        if heartbeat && !has_sent {
+            self.send_heartbeat(to);
+        }
+    }
+
+    /// Whether `to` gets the snapshot: it needs entries that are not in memory, or the entries up to the
+    /// snapshot neither fit into one message nor are smaller than the snapshot.
+    fn needs_snapshot(&self, to: &VoterId) -> bool {
+        let Role::Leader(leadership) = &self.role else {
+            return false;
+        };
+        let Some(progress) = leadership.progress.get(to) else {
+            return false;
+        };
+        let snapshot = self.log.snapshot();
+        let max_bytes = snapshot.data.len().max(MAX_APPEND_BYTES);
+        progress.snapshot.is_some()
+            || progress.next_index <= self.log.base_index()
+            || self
+                .log
+                .exceeds(progress.next_index, snapshot.index, max_bytes)
+    }
+
+    /// Index of the next entry for `to`, if it may be sent now.
+    fn next_to_send(&self, to: &VoterId, heartbeat: bool) -> Option<u64> {
+        let Role::Leader(leadership) = &self.role else {
+            return None;
+        };
+        let progress = leadership.progress.get(to)?;
+        let (next_index, match_index) = (progress.next_index, progress.match_index);
+        if progress.paused || next_index > self.log.last_index() {
+            return None;
+        }
+        if progress.probing {
+            return (!heartbeat).then_some(next_index);
         }
+        let has_room = next_index - 1 - match_index < MAX_UNACKNOWLEDGED_ENTRIES
+            && !self
+                .log
+                .exceeds(match_index + 1, next_index - 1, MAX_UNACKNOWLEDGED_BYTES);
+        has_room.then_some(next_index)
+    }
+
+    fn send_heartbeat(&mut self, to: &VoterId) {
+        let base_index = self.log.base_index();
+        let Some(progress) = self.progress(to) else {
+            return;
+        };
         let next_index = progress.next_index;
         let match_index = progress.match_index;
         let is_uncertain = progress.probing || progress.is_stalled;
-        let max_bytes = if progress.probing && !is_active {
-            MAX_PROBE_BYTES
-        } else {
-            MAX_APPEND_BYTES
-        };
-        if ready {
-            let entries = self.log.entries_from(next_index, max_bytes);
-            return self.send_entries(to, next_index, entries);
-        }
         // A heartbeat whose `prev_index` is acknowledged is accepted even if it overtakes entries.
         // A heartbeat that refers to the last entry sent detects lost entries.
         let is_settled = !is_uncertain && match_index >= base_index;
@@ -291,20 +333,20 @@
         (index, last_index): (u64, u64),
         sent_ms: u64,
     ) {
-        let base_index = self.log.base_index();
         let Some(progress) = self.progress(from) else {
             return;
         };
         progress.contact_ms = progress.contact_ms.max(Some(sent_ms));
         if accepted {
             progress.match_index = progress.match_index.max(index);
-            progress.next_index = progress.next_index.max(progress.match_index + 1);
-            progress.probing = false;
-            progress.paused = false;
             let match_index = progress.match_index;
-            if progress.snapshot.is_some() && match_index >= base_index {
+            let outgoing = progress.snapshot.as_ref();
+            // Entries sent before the snapshot are still acknowledged while it is on its way.
+            if outgoing.is_none_or(|outgoing| match_index >= outgoing.index()) {
                 progress.snapshot = None;
-                progress.next_index = match_index + 1;
+                progress.next_index = progress.next_index.max(match_index + 1);
+                progress.probing = false;
+                progress.paused = false;
             }
             self.advance_commit();
             self.continue_transfer();
--- a/src/consensus/core/log.rs
+++ b/src/consensus/core/log.rs
@@ -90,6 +90,18 @@
         chosen
     }
 
+    /// Whether the entries in memory with an index in `from..=to` are larger than `max_bytes`.
+    pub fn exceeds(&self, from: u64, to: u64, max_bytes: usize) -> bool {
+        let skip = from.saturating_sub(self.base_index + 1) as usize;
+        let count = (to + 1).saturating_sub(from) as usize;
+        let mut bytes = 0;
+        let mut entries = self.entries.iter().skip(skip).take(count);
+        entries.any(|entry| {
+            bytes += entry.size_bytes();
+            bytes > max_bytes
+        })
+    }
+
     /// Entries with an index in `from..=to`.
     pub fn range(&self, from: u64, to: u64) -> Vec<Entry> {
         let skip = from.saturating_sub(self.base_index + 1) as usize;
--- a/src/consensus/driver/applier.rs
+++ b/src/consensus/driver/applier.rs
@@ -14,6 +14,7 @@
 use super::traits::RestoreError;
 use super::traits::SharedMachine;
 use super::traits::StateMachine;
+use crate::consensus::snapshot_schedule::SnapshotSchedule;
 use crate::consensus::types::Configuration;
 use crate::consensus::types::Entry;
 use crate::consensus::types::Payload;
@@ -48,11 +49,10 @@
 pub(super) struct Applier<M> {
     pub(super) machine: SharedMachine<M>,
     pub(super) shared: Arc<Shared>,
-    pub(super) snapshot_every_entries: u64,
+    pub(super) schedule: SnapshotSchedule,
     pub(super) on_snapshot: Option<OnSnapshot>,
     proposals: BTreeMap<u64, (u64, Reply)>,
     applied: (u64, u64),
-    snapshot_index: u64,
     configuration: Configuration,
 }
 
@@ -61,11 +61,10 @@
         Self {
             machine,
             shared,
-            snapshot_every_entries: u64::MAX,
+            schedule: SnapshotSchedule::new(u64::MAX, 0),
             on_snapshot: None,
             proposals: BTreeMap::new(),
             applied: (0, 0),
-            snapshot_index: 0,
             configuration: Configuration::default(),
         }
     }
@@ -101,10 +100,9 @@
             self.apply(entry);
         }
         self.shared.applied.send_replace(self.applied.0);
-        let pending = self.applied.0 - self.snapshot_index;
-        if self.on_snapshot.is_some() && pending >= self.snapshot_every_entries {
+        if self.on_snapshot.is_some() && self.schedule.is_due() {
             let snapshot = self.take_snapshot();
-            self.snapshot_index = snapshot.index;
+            self.schedule.record_snapshot(snapshot.data.len());
             if let Some(on_snapshot) = &mut self.on_snapshot {
                 on_snapshot(snapshot.index, snapshot.data.clone());
             }
@@ -121,6 +119,7 @@
             Payload::Noop => Vec::new(),
         };
         self.applied = (entry.index, entry.term);
+        self.schedule.record_entry(entry.size_bytes());
         if let Some((term, reply)) = self.proposals.remove(&entry.index) {
             // A different term means that a new leader has overwritten the proposal's entry.
             let outcome = if term == entry.term {
@@ -138,7 +137,7 @@
     fn restore(&mut self, snapshot: &Arc<Snapshot>) -> Result<(), RestoreError> {
         lock(&self.machine).restore(&snapshot.data)?;
         self.applied = (snapshot.index, snapshot.term);
-        self.snapshot_index = snapshot.index;
+        self.schedule.record_snapshot(snapshot.data.len());
         self.configuration = snapshot.configuration.clone();
         self.shared.log().reset_to(Arc::clone(snapshot));
         self.shared.applied.send_replace(snapshot.index);
--- a/src/consensus/driver/config.rs
+++ b/src/consensus/driver/config.rs
@@ -25,8 +25,8 @@
     pub may_bootstrap: bool,
     /// Timeouts of the protocol.
     pub timeouts: Timeouts,
-    /// Number of applied entries after which a snapshot is taken and the log is compacted. Each
-    /// voter increases it by up to a quarter.
+    /// Number of applied entries after which a snapshot is taken and the log is compacted, unless their
+    /// size calls for it earlier. Each voter increases it by up to a quarter.
     pub snapshot_every_entries: u64,
     /// Maximum time a proposal waits to be committed and applied.
     pub propose_timeout_ms: u64,
--- a/src/consensus/driver/handle.rs
+++ b/src/consensus/driver/handle.rs
@@ -41,6 +41,7 @@
 use crate::consensus::message::FollowContent;
 use crate::consensus::message::FollowReply;
 use crate::consensus::message::FollowRequest;
+use crate::consensus::snapshot_schedule::SnapshotSchedule;
 use crate::consensus::storage::Disk;
 use crate::consensus::storage::Folder;
 use crate::consensus::storage::StorageError;
@@ -101,11 +102,8 @@
         let (write_sender, writes) = mpsc::channel();
         let (job_sender, jobs) = mpsc::channel();
         let mut applier = Applier::new(machine, Arc::clone(&shared));
-        // Voters apply the same entries at the same time. Different snapshot intervals prevent them
-        // from writing snapshots simultaneously, which would delay commits.
-        let max_jitter = config.snapshot_every_entries / 4;
-        let jitter = recovered.meta.disk_id % max_jitter.max(1);
-        applier.snapshot_every_entries = config.snapshot_every_entries.saturating_add(jitter);
+        applier.schedule =
+            SnapshotSchedule::new(config.snapshot_every_entries, recovered.meta.disk_id);
         let snapshots = event_sender.clone();
         applier.on_snapshot = Some(Box::new(move |index, data| {
             let _ = snapshots.send(Event::SnapshotTaken(index, data));
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -8,6 +8,7 @@
 pub mod core;
 mod driver;
 mod message;
+mod snapshot_schedule;
 pub mod storage;
 mod types;
 
@@ -31,6 +32,7 @@
 pub use message::FollowRequest;
 pub use message::Message;
 pub use message::SnapshotPosition;
+pub use snapshot_schedule::SnapshotSchedule;
 pub use types::ANY_DISK;
 pub use types::Configuration;
 pub use types::Entry;
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -48,6 +48,7 @@
         sync_ms: (SYNC_MS, SYNC_MS),
         snapshot_every,
         padding_bytes,
+        link_bytes_per_ms: u64::MAX,
     }
 }
 
--- a/tests/consensus_fuzz.rs
+++ b/tests/consensus_fuzz.rs
@@ -24,6 +24,7 @@
         sync_ms: (0, seed % 7 * 5),
         snapshot_every: [20, 200, 5_000][seed as usize % 3],
         padding_bytes: if seed.is_multiple_of(5) { 600_000 } else { 0 },
+        link_bytes_per_ms: u64::MAX,
     }
 }
 
--- a/tests/consensus_sim/mod.rs
+++ b/tests/consensus_sim/mod.rs
@@ -11,6 +11,8 @@
 use bytes::Bytes;
 use medlarlift::consensus::Entry;
 use medlarlift::consensus::Envelope;
+use medlarlift::consensus::Message;
+use medlarlift::consensus::SnapshotSchedule;
 use medlarlift::consensus::Timeouts;
 use medlarlift::consensus::VoterId;
 use medlarlift::consensus::core::Core;
@@ -51,6 +53,7 @@
     write_due_ms: u64,
     tick_due_ms: u64,
     pub replica: Replica,
+    schedule: SnapshotSchedule,
 }
 
 /// Network faults, delays and sizes that vary between runs.
@@ -63,6 +66,8 @@
     pub sync_ms: (u64, u64),
     pub snapshot_every: u64,
     pub padding_bytes: usize,
+    /// Throughput of each direction of a link.
+    pub link_bytes_per_ms: u64,
 }
 
 pub struct Sim {
@@ -78,6 +83,8 @@
     pub installs: usize,
     founders: Vec<VmName>,
     in_transit: BTreeMap<(u64, u64), Envelope>,
+    /// Bytes that each link has taken, as the time in microseconds until which it is busy with them.
+    busy_until_us: BTreeMap<(VmName, VmName), u64>,
     next_number: u64,
 }
 
@@ -95,6 +102,7 @@
             installs: 0,
             founders: founders.clone(),
             in_transit: BTreeMap::new(),
+            busy_until_us: BTreeMap::new(),
             next_number: 1,
         };
         for vm in founders {
@@ -151,6 +159,7 @@
             write_due_ms: 0,
             tick_due_ms: self.now_ms,
             replica: Replica::default(),
+            schedule: SnapshotSchedule::new(self.options.snapshot_every, 0),
         });
         self.step(vm, Input::Tick);
     }
@@ -308,6 +317,7 @@
             Output::Restore(snapshot) => {
                 self.installs += usize::from(process.replica.index > 0);
                 process.replica = self.oracle.restore(&snapshot);
+                process.schedule.record_snapshot(snapshot.data.len());
             }
             Output::Accepted { .. } | Output::Rejected { .. } | Output::Retired => {}
         }
@@ -317,13 +327,13 @@
         let node = self.nodes.get_mut(vm).expect("known VM");
         let process = node.process.as_mut().expect("is running");
         for entry in entries {
+            process.schedule.record_entry(entry.size_bytes());
             self.oracle.apply(vm, &mut process.replica, entry);
         }
-        let replica = &mut process.replica;
-        if replica.index >= replica.snapshot_index + self.options.snapshot_every {
-            replica.snapshot_index = replica.index;
-            let index = replica.index;
-            let data = replica.encode(self.options.padding_bytes);
+        if process.schedule.is_due() {
+            let index = process.replica.index;
+            let data = process.replica.encode(self.options.padding_bytes);
+            process.schedule.record_snapshot(data.len());
             self.step(vm, Input::SnapshotTaken { index, data });
         }
     }
@@ -339,16 +349,32 @@
             );
             self.in_transit.insert(key, envelope.clone());
         }
+        let link_ms = self.transmit(&envelope);
         let copies = 1 + usize::from(self.rng.random_bool(self.options.duplication));
         for _ in 0..copies {
             let delay_ms = self
                 .rng
                 .random_range(self.options.delay_ms.0..=self.options.delay_ms.1);
-            let key = (self.now_ms + delay_ms, self.number());
+            let key = (self.now_ms + link_ms + delay_ms, self.number());
             self.in_transit.insert(key, envelope.clone());
         }
     }
 
+    /// Time until the link has taken a message.
+    fn transmit(&mut self, envelope: &Envelope) -> u64 {
+        let bytes = match &envelope.message {
+            Message::Append { entries, .. } => entries.iter().map(Entry::size_bytes).sum(),
+            Message::Snapshot { data, .. } => data.len(),
+            _ => 0,
+        };
+        let link = (envelope.from.vm.clone(), envelope.to.vm.clone());
+        let now_us = self.now_ms * 1_000;
+        let busy_until_us = self.busy_until_us.entry(link).or_default();
+        let taken_us = bytes as u64 * 1_000 / self.options.link_bytes_per_ms;
+        *busy_until_us = (*busy_until_us).max(now_us) + taken_us;
+        (*busy_until_us - now_us) / 1_000
+    }
+
     /// Ends all faults and starts all processes.
     pub fn heal(&mut self) {
         self.blocked.clear();
--- a/tests/consensus_sim/oracle.rs
+++ b/tests/consensus_sim/oracle.rs
@@ -18,7 +18,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
     pub index: u64,
-    pub snapshot_index: u64,
     pub hash: u64,
     pub commands: u64,
     pub configuration: Configuration,
@@ -101,7 +100,6 @@
         assert_eq!(hash, *expected, "snapshot has a different state at {index}");
         Replica {
             index,
-            snapshot_index: index,
             hash,
             commands,
             configuration: snapshot.configuration.clone(),
