fix(gateway): a stream that another VM passed on is taken up only at its version

Their VM had been cut off from the servers while it connected, another VM passed the streams on, and the VM took them up itself once the cut was over and the other VM stopped.

Cause: the origin of a stream is recorded by the VM that has the connection to the server. The caller's VM had none for a stream that another VM passed on, and takes a stream without an origin for one that may go on anywhere.

Change: before a stream is taken up, a VM that does not know its origin asks for it like that of a stream which a caller takes up: its own memory, the controllers, the only version in service. The other VM has reported the stream under the caller's attempt. The service is that of the origin, as the other VM chose it by itself. Without an answer the stream ends broken off.

The product's own path goes on at the server that began the stream, so it needs no origin.

--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -94,7 +94,7 @@
     Ok(Exchange {
         history: AttemptHistory::of(&route),
         gateway: Arc::clone(gateway),
-        is_engine: is_engine(&deployment, &admitted.service),
+        is_engine: deployment.is_engine(&admitted.service),
         is_popular: admitted.is_popular,
         route,
         account,
@@ -217,11 +217,6 @@
     }
 }
 
-fn is_engine(deployment: &Deployment, service: &ServiceName) -> bool {
-    let known = deployment.services.get(service);
-    known.is_some_and(|service| service.engine.is_some())
-}
-
 fn find_route(deployment: &Deployment, parts: &Parts) -> Result<Arc<Route>, Refusal> {
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok());
--- a/src/gateway/deployment.rs
+++ b/src/gateway/deployment.rs
@@ -267,6 +267,12 @@
         targets.min().unwrap_or(0)
     }
 
+    /// Whether the servers of a service are inference engines.
+    pub fn is_engine(&self, service: &ServiceName) -> bool {
+        let known = self.services.get(service);
+        known.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Adds a service.
     pub fn add_service(&mut self, name: ServiceName, service: Service) {
         self.services.insert(name, service);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -245,21 +245,6 @@
             && self.gateway.draw_peer(&self.service, &[]).is_some()
     }
 
-    /// Records that a server of the version `software` began a stream that may be resumed.
-    pub(super) fn record_origin(&mut self, software: &SoftwareVersion) {
-        if self.origin.is_some() || !self.route.repeat.is_resumable_stream() {
-            return;
-        }
-        let origin = StreamOrigin {
-            service: self.service.clone(),
-            software: software.clone(),
-        };
-        if let Some(request_id) = &self.caller.request_id {
-            self.gateway.record_stream_begun(request_id, origin.clone());
-        }
-        self.origin = Some(origin);
-    }
-
     fn software_of(&self, server: &ServerName) -> Option<SoftwareVersion> {
         let table = self.gateway.server_table();
         let view = table.get(server)?;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -191,7 +191,7 @@
         self.events.restart();
         let deadline = self.exchange.deadline;
         let mut record = self.record.take().unwrap_or_default();
-        let answering = self.exchange.obtain_answer(self.last_event, &mut record);
+        let answering = self.exchange.resume(self.last_event, &mut record);
         let obtained = timeout_at(deadline, answering).await;
         self.record = Some(record);
         match obtained {
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -16,7 +16,10 @@
 use super::context::Gateway;
 use super::deployment::Route;
 use super::dialect::CallerHead;
+use super::exchange::Answer;
 use super::exchange::BUSY_RETRY_MS;
+use super::exchange::Exchange;
+use super::record::RequestRecord;
 use crate::scheduling::stream_origins::SoftwareVersions;
 use crate::scheduling::stream_origins::StreamBegin;
 use crate::scheduling::stream_origins::StreamOrigin;
@@ -25,6 +28,7 @@
 use crate::types::Clock;
 use crate::types::MonoMs;
 use crate::types::ServiceName;
+use crate::types::SoftwareVersion;
 use crate::types::StreamKey;
 use crate::types::UnixMs;
 
@@ -154,13 +158,29 @@
         if !route.repeat.is_resumable_stream() || caller.last_event.is_none() {
             return Ok(None);
         }
-        let origin = self.find_origin(route, caller, deadline).await?;
+        let attempt = caller.resumes.as_deref();
+        let origin = self.origin_of_attempt(route, attempt, deadline).await?;
+        Ok(Some(origin))
+    }
+
+    /// Origin of the stream whose first event reached its caller in `attempt`.
+    ///
+    /// # Errors
+    /// Nobody knows the origin and several are possible, or the route does not lead there any more.
+    pub(super) async fn origin_of_attempt(
+        &self,
+        route: &Route,
+        attempt: Option<&str>,
+        deadline: Instant,
+    ) -> Result<StreamOrigin, Refusal> {
+        let stream = attempt.map(StreamKey::of_request);
+        let origin = self.find_origin(route, stream, deadline).await?;
         let may_serve = route
             .targets
             .iter()
             .any(|(name, _)| *name == origin.service);
         match may_serve {
-            true => Ok(Some(origin)),
+            true => Ok(origin),
             false => Err(unresumable("stream_service_gone")),
         }
     }
@@ -168,10 +188,9 @@
     async fn find_origin(
         &self,
         route: &Route,
-        caller: &CallerHead,
+        stream: Option<StreamKey>,
         deadline: Instant,
     ) -> Result<StreamOrigin, Refusal> {
-        let stream = caller.resumes.as_deref().map(StreamKey::of_request);
         let report_deadline = Instant::now() + Duration::from_millis(MAX_REPORT_DELAY_MS);
         loop {
             let found = match stream {
@@ -231,6 +250,55 @@
     }
 }
 
+impl Exchange {
+    /// Records that a server of the version `software` began a stream that may be resumed.
+    pub(super) fn record_origin(&mut self, software: &SoftwareVersion) {
+        if self.origin.is_some() || !self.route.repeat.is_resumable_stream() {
+            return;
+        }
+        let origin = StreamOrigin {
+            service: self.service.clone(),
+            software: software.clone(),
+        };
+        if let Some(request_id) = &self.caller.request_id {
+            self.gateway.record_stream_begun(request_id, origin.clone());
+        }
+        self.origin = Some(origin);
+    }
+
+    /// Sends a stream that broke off again, from the event after `last_event` on.
+    ///
+    /// # Errors
+    /// No server that may go on with the stream answers.
+    pub(super) async fn resume(
+        &mut self,
+        last_event: Option<u64>,
+        record: &mut RequestRecord,
+    ) -> Result<Answer, Refusal> {
+        self.find_origin().await?;
+        self.obtain_answer(last_event, record).await
+    }
+
+    /// Finds out who began the stream. This VM has not seen it if another VM passed the stream on.
+    async fn find_origin(&mut self) -> Result<(), Refusal> {
+        let is_known = self.origin.is_some() || self.is_relayed;
+        if is_known || !self.route.repeat.is_resumable_stream() {
+            return Ok(());
+        }
+        let caller = &self.caller;
+        let attempt = caller.resumes.as_deref().or(caller.request_id.as_deref());
+        let gateway = &self.gateway;
+        let finding = gateway.origin_of_attempt(&self.route, attempt, self.deadline);
+        let origin = finding.await?;
+        // The other VM chose among the route's services by itself.
+        self.service = origin.service.clone();
+        let deployment = gateway.deployment();
+        self.is_engine = deployment.is_some_and(|known| known.is_engine(&self.service));
+        self.origin = Some(origin);
+        Ok(())
+    }
+}
+
 fn unresumable(reason: &'static str) -> Refusal {
     Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, BUSY_RETRY_MS)
 }
