fix(link): VMs of the build before are linked while machines are replaced

What an entry VM does not hear breaks BUDGET (shared limits and rests) and DRAIN (servers that leave) as well; these two were not reproduced.

Ruled out: the same build alone.

Cause: a link with a VM of another message format was refused, without a log line. Entry VMs heard only controllers of their own build, controllers of two builds did not hear each other.

Change: the dialing side offers its own format and, after a refusal, the older one that the peer has named; the accepting side answers in the format that is offered. Frames are translated at the link: format 9 lacks the address for other entry VMs in the handshake and two kinds of frames, which are left out. A VM that hears no list of other VMs has no way through them, as before. Link events name the format; a refusal is logged at first and then once a minute (link_refused). The format of this build stays 10.

Builds before format 9 are refused as before: they read no log records of this build.

--- a/src/fleet/control_links.rs
+++ b/src/fleet/control_links.rs
@@ -15,11 +15,13 @@
 use tokio::sync::watch;
 
 use super::control_core::Core;
+use super::link_refusals::LinkRefusals;
 use super::log_line::LinkChange;
 use crate::consensus::Envelope;
 use crate::consensus::Transport;
 use crate::link::Frame;
 use crate::link::Handler;
+use crate::link::Hello;
 use crate::link::Role;
 use crate::link::Session;
 use crate::types::DataCentre;
@@ -189,6 +191,7 @@
 pub(super) struct ControlHandler {
     pub(super) links: Arc<Links>,
     pub(super) core: OnceLock<Arc<Core>>,
+    pub(super) refusals: LinkRefusals,
 }
 
 impl ControlHandler {
@@ -211,6 +214,7 @@
         core.send_initial_state(session);
         core.events().emit(&LinkChange {
             peer: session.peer().vm.clone(),
+            format: session.format().number(),
             is_open: true,
             reason: String::new(),
         });
@@ -231,8 +235,15 @@
         core.on_link_lost(session);
         core.events().emit(&LinkChange {
             peer: session.peer().vm.clone(),
+            format: session.format().number(),
             is_open: false,
             reason: reason.to_owned(),
         });
     }
+
+    fn refused(&self, peer: &Hello) {
+        if let Some(core) = self.core() {
+            self.refusals.record(peer, core.now(), core.events());
+        }
+    }
 }
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -28,6 +28,7 @@
 use super::failover_server::FailoverServer;
 use super::fencing::Fencing;
 use super::leader_tasks;
+use super::link_refusals::LinkRefusals;
 use super::log_line::InvalidHeartbeat;
 use super::log_line::Lifecycle;
 use super::order_executor::OrderExecutor;
@@ -154,6 +155,7 @@
         let handler = Arc::new(ControlHandler {
             links: Arc::clone(&links),
             core: OnceLock::new(),
+            refusals: LinkRefusals::default(),
         });
         let hello = config.hello.clone();
         let link_address = config.link_address;
--- a/src/fleet/controller_client.rs
+++ b/src/fleet/controller_client.rs
@@ -15,6 +15,7 @@
 
 use super::borrow_client::BorrowClient;
 use super::borrow_client::QuotaServer;
+use super::link_refusals::LinkRefusals;
 use super::log_line::DocumentChange;
 use super::log_line::LinkChange;
 use super::log_line::ServerChange;
@@ -63,6 +64,7 @@
     targets: watch::Sender<BTreeSet<SocketAddr>>,
     state: Mutex<State>,
     pub(super) lookups: StreamLookups,
+    refusals: LinkRefusals,
 }
 
 #[derive(Default)]
@@ -100,6 +102,7 @@
             contacts,
             state: Mutex::default(),
             lookups: StreamLookups::default(),
+            refusals: LinkRefusals::default(),
         }
     }
 
@@ -431,6 +434,7 @@
         session.send(&Frame::CutOff(self.gateway().cut_services()));
         self.events.emit(&LinkChange {
             peer: session.peer().vm.clone(),
+            format: session.format().number(),
             is_open: true,
             reason: String::new(),
         });
@@ -466,8 +470,13 @@
         self.gateway().peers().forget_link(session.id());
         self.events.emit(&LinkChange {
             peer: session.peer().vm.clone(),
+            format: session.format().number(),
             is_open: false,
             reason: reason.to_owned(),
         });
     }
+
+    fn refused(&self, peer: &Hello) {
+        self.refusals.record(peer, self.clock.mono(), &self.events);
+    }
 }
--- a/src/fleet/log_line.rs
+++ b/src/fleet/log_line.rs
@@ -58,6 +58,8 @@
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct LinkChange {
     pub(super) peer: VmName,
+    /// Format of the messages, which is older than the own one if the peer's build is.
+    pub(super) format: u16,
     pub(super) is_open: bool,
     pub(super) reason: String,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod entry_vms;
 mod failover_server;
 mod leader_tasks;
+mod link_refusals;
 mod log_line;
 mod managed_data_centre;
 mod order_executor;
--- a/src/link/dialer.rs
+++ b/src/link/dialer.rs
@@ -14,9 +14,12 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::format::LinkFormat;
 use super::frame::Hello;
 use super::session;
+use super::session::Ended;
 use super::session::Handler;
+use super::session::Side;
 
 /// Timeout of the first attempt to connect: more than a round trip between regions. A VM that is still
 /// down does not answer the SYN packet, and the kernel retransmits it only after a second.
@@ -91,6 +94,7 @@
 
 async fn keep_open(own: Hello, address: SocketAddr, handler: Arc<dyn Handler>) {
     let mut backoff = Backoff::default();
+    let mut offered = LinkFormat::default();
     loop {
         let connecting = TcpStream::connect(address);
         let connected = timeout(
@@ -99,15 +103,27 @@
         )
         .await;
         if let Ok(Ok(stream)) = connected {
-            session::run(stream, &own, next_id(), &handler).await;
+            let side = Side::Dialed(offered);
+            let ended = session::run(stream, &own, next_id(), side, &handler).await;
+            offered = next_offer(&ended);
             backoff = Backoff::default();
         } else {
+            // The VM may come back with another build.
+            offered = LinkFormat::default();
             backoff.increase();
         }
         sleep(Duration::from_millis(backoff.retry_delay_ms)).await;
     }
 }
 
+/// Format for the next connection: the own one, unless the peer has just stated an older one.
+fn next_offer(ended: &Ended) -> LinkFormat {
+    match ended {
+        Ended::Refused(number) => LinkFormat::from_number(*number).unwrap_or_default(),
+        Ended::Closed => LinkFormat::default(),
+    }
+}
+
 /// Exponential backoff: the timeout of an attempt to connect and the delay after it double with each
 /// failure.
 struct Backoff {
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -27,9 +27,6 @@
 use crate::types::StreamKey;
 use crate::types::VmName;
 
-/// Version of the message format. Links between different versions are refused.
-pub const LINK_FORMAT: u16 = 10;
-
 /// Role of a VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Role {
@@ -42,7 +39,7 @@
 /// Handshake: the first message of both sides.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Hello {
-    /// [`LINK_FORMAT`] of the sender.
+    /// [`LINK_FORMAT`](super::LINK_FORMAT) of the sender, or the older format that it offers.
     pub format: u16,
     /// Name of the sender.
     pub vm: VmName,
--- a/src/link/listener.rs
+++ b/src/link/listener.rs
@@ -11,6 +11,7 @@
 use super::frame::Hello;
 use super::session;
 use super::session::Handler;
+use super::session::Side;
 use crate::accept::next_connection;
 
 /// A running listener. Stops accepting when dropped.
@@ -38,7 +39,7 @@
                 let own = own.clone();
                 let handler = Arc::clone(&handler);
                 tokio::spawn(async move {
-                    session::run(stream, &own, next_id(), &handler).await;
+                    session::run(stream, &own, next_id(), Side::Accepted, &handler).await;
                 });
             }
         });
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -4,6 +4,7 @@
 //! when a link opens, so a lost link costs time but no state.
 
 mod dialer;
+mod format;
 mod frame;
 mod listener;
 mod session;
@@ -11,6 +12,8 @@
 use snafu::Snafu;
 
 pub use dialer::Dialer;
+pub use format::LINK_FORMAT;
+pub use format::LinkFormat;
 pub use frame::AdapterDemand;
 pub use frame::AdapterUse;
 pub use frame::ControlStatus;
@@ -20,7 +23,6 @@
 pub use frame::EntryVmUpdate;
 pub use frame::Frame;
 pub use frame::Hello;
-pub use frame::LINK_FORMAT;
 pub use frame::LoadUpdate;
 pub use frame::Residency;
 pub use frame::ResidencyUpdate;
--- a/src/link/session.rs
+++ b/src/link/session.rs
@@ -16,9 +16,10 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::format::LinkFormat;
+use super::format::decode_first;
 use super::frame::Frame;
 use super::frame::Hello;
-use super::frame::LINK_FORMAT;
 
 /// Time without data from the other side, or without progress of a write, after which the link is
 /// closed.
@@ -42,12 +43,17 @@
     fn received(&self, session: &Session, frame: Frame);
     /// The link is closed.
     fn closed(&self, session: &Session, reason: &str);
+    /// A connection did not become a link, since the peer does not speak the format that was offered.
+    fn refused(&self, peer: &Hello) {
+        let _ = peer;
+    }
 }
 
 /// An open link. Clones refer to the same link.
 #[derive(Clone, Debug)]
 pub struct Session {
     peer: Arc<Hello>,
+    format: LinkFormat,
     id: u64,
     outbox: mpsc::Sender<Bytes>,
 }
@@ -58,6 +64,11 @@
         &self.peer
     }
 
+    /// Format of the messages on the link.
+    pub fn format(&self) -> LinkFormat {
+        self.format
+    }
+
     /// Identifier of the link, unique in this process.
     pub fn id(&self) -> u64 {
         self.id
@@ -68,30 +79,55 @@
         self.send_encoded(frame.encode())
     }
 
-    /// Queues an encoded frame; false if the link is closed or its queue is full.
+    /// Queues an encoded frame; false if the link is closed or its queue is full. A frame that the peer's
+    /// build does not have is dropped.
     pub fn send_encoded(&self, frame: Bytes) -> bool {
-        self.outbox.try_send(frame).is_ok()
+        match self.format.translate(frame) {
+            Some(frame) => self.outbox.try_send(frame).is_ok(),
+            None => true,
+        }
     }
 }
 
-/// Runs a link until it fails; returns the reason.
+/// Which side opened a connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Side {
+    /// This one, which offers a format.
+    Dialed(LinkFormat),
+    /// The peer.
+    Accepted,
+}
+
+/// How a connection ended.
+pub(super) enum Ended {
+    /// The link failed, or the peer's handshake did.
+    Closed,
+    /// The peer speaks the format with this number.
+    Refused(u16),
+}
+
+/// Runs a link until it fails.
 pub(super) async fn run(
     stream: TcpStream,
     own: &Hello,
     id: u64,
+    side: Side,
     handler: &Arc<dyn Handler>,
-) -> String {
+) -> Ended {
     let _ = stream.set_nodelay(true);
     let (mut read, mut write) = stream.into_split();
     let mut buffer = BytesMut::with_capacity(4 * 1024);
-    let hello = Frame::Hello(own.clone()).encode();
-    let peer = match handshake(&mut read, &mut write, &mut buffer, hello).await {
-        Ok(peer) => peer,
-        Err(error) => return error.to_string(),
+    let Ok((peer, format)) = handshake(&mut read, &mut write, &mut buffer, own, side).await else {
+        return Ended::Closed;
+    };
+    let Some(format) = format else {
+        handler.refused(&peer);
+        return Ended::Refused(peer.format);
     };
     let (outbox, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
     let session = Session {
         peer: Arc::new(peer),
+        format,
         id,
         outbox,
     };
@@ -102,23 +138,34 @@
     };
     let reason = reason.err().map_or_else(String::new, |e| e.to_string());
     handler.closed(&session, &reason);
-    reason
+    Ended::Closed
 }
 
+/// Exchanges handshakes; returns that of the peer and the format of the link, if both speak it.
 async fn handshake(
     read: &mut OwnedReadHalf,
     write: &mut OwnedWriteHalf,
     buffer: &mut BytesMut,
-    hello: Bytes,
-) -> io::Result<Hello> {
+    own: &Hello,
+    side: Side,
+) -> io::Result<(Hello, Option<LinkFormat>)> {
+    if let Side::Dialed(offered) = side {
+        write.write_all(&framed(&offered.encode_hello(own))).await?;
+        let peer = read_hello(read, buffer).await?;
+        let format = (peer.format == offered.number()).then_some(offered);
+        return Ok((peer, format));
+    }
+    let peer = read_hello(read, buffer).await?;
+    let format = LinkFormat::from_number(peer.format);
+    let hello = format.unwrap_or_default().encode_hello(own);
     write.write_all(&framed(&hello)).await?;
-    match next_frame(read, buffer).await? {
-        Frame::Hello(peer) if peer.format == LINK_FORMAT => Ok(peer),
-        Frame::Hello(peer) => {
-            let format = peer.format;
-            let text = format!("peer uses link format {format} instead of {LINK_FORMAT}");
-            Err(io::Error::other(text))
-        }
+    Ok((peer, format))
+}
+
+async fn read_hello(read: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<Hello> {
+    let first = next_bytes(read, buffer).await?;
+    match decode_first(&first).map_err(io::Error::other)? {
+        Frame::Hello(peer) => Ok(peer),
         _ => Err(io::Error::other("first frame of the peer is no handshake")),
     }
 }
@@ -130,14 +177,16 @@
     handler: &Arc<dyn Handler>,
 ) -> io::Result<()> {
     loop {
-        match next_frame(read, buffer).await? {
+        let bytes = next_bytes(read, buffer).await?;
+        match session.format.decode(&bytes).map_err(io::Error::other)? {
             Frame::Ping => {}
             frame => handler.received(session, frame),
         }
     }
 }
 
-async fn next_frame(read: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<Frame> {
+/// Bytes of the next frame.
+async fn next_bytes(read: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<BytesMut> {
     loop {
         if let Some(frame) = take_frame(buffer)? {
             return Ok(frame);
@@ -150,7 +199,7 @@
     }
 }
 
-fn take_frame(buffer: &mut BytesMut) -> io::Result<Option<Frame>> {
+fn take_frame(buffer: &mut BytesMut) -> io::Result<Option<BytesMut>> {
     let Some(length) = buffer.first_chunk::<LENGTH_BYTES>() else {
         return Ok(None);
     };
@@ -162,8 +211,7 @@
         return Ok(None);
     }
     buffer.advance(LENGTH_BYTES);
-    let body = buffer.split_to(length);
-    Frame::decode(&body).map(Some).map_err(io::Error::other)
+    Ok(Some(buffer.split_to(length)))
 }
 
 async fn write_all(write: &mut OwnedWriteHalf, mut queue: mpsc::Receiver<Bytes>) -> io::Result<()> {
--- /dev/null
+++ b/tests/link_builds.rs
@@ -0,0 +1,227 @@
+//! Links between VMs of different builds. The peers are stand-ins that speak the bytes of released builds.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use medlarlift::link::Dialer;
+use medlarlift::link::EntryVmUpdate;
+use medlarlift::link::Frame;
+use medlarlift::link::Handler;
+use medlarlift::link::Hello;
+use medlarlift::link::Listener;
+use medlarlift::link::Role;
+use medlarlift::link::Session;
+use medlarlift::types::StreamKey;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// Format of commit ff63bbd.
+const FORMAT_10: u16 = 10;
+/// Format of commit baf3a79.
+const FORMAT_9: u16 = 9;
+/// Time within which a link opens, also at the second attempt.
+const LINK_TIMEOUT: Duration = Duration::from_secs(5);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+const OWN_ADDRESS: &str = "127.0.0.1:7601";
+
+fn own_hello() -> Hello {
+    Hello {
+        format: FORMAT_10,
+        vm: "10.0.0.1".into(),
+        incarnation: 7,
+        role: Role::Entry,
+        data_centre: "north".into(),
+        relay_address: Some(OWN_ADDRESS.parse().unwrap()),
+    }
+}
+
+/// Handshake of a peer, byte for byte: kind, format, name, incarnation, role and data centre, and from format
+/// 10 on an address that is not given.
+fn peer_hello(format: u16) -> Vec<u8> {
+    let mut bytes = 0_u32.to_le_bytes().to_vec();
+    bytes.extend(format.to_le_bytes());
+    bytes.extend(8_u64.to_le_bytes());
+    bytes.extend(b"10.0.0.2");
+    bytes.extend(3_u64.to_le_bytes());
+    bytes.extend(0_u32.to_le_bytes());
+    bytes.extend(5_u64.to_le_bytes());
+    bytes.extend(b"north");
+    bytes.extend((format >= FORMAT_10).then_some(0));
+    bytes
+}
+
+/// A question for the origin of a stream, as the build of `format` encodes it.
+fn find_stream(format: u16) -> Vec<u8> {
+    let question = Frame::FindStream(5, StreamKey::of_request("r1")).encode();
+    let kind: u32 = if format == FORMAT_9 { 19 } else { 21 };
+    let mut bytes = kind.to_le_bytes().to_vec();
+    bytes.extend(&question[4..]);
+    bytes
+}
+
+async fn write(stream: &mut TcpStream, frame: &[u8]) {
+    let length = u32::try_from(frame.len()).unwrap();
+    stream.write_all(&length.to_be_bytes()).await.unwrap();
+    stream.write_all(frame).await.unwrap();
+}
+
+async fn read(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    let length = stream.read_u32().await.ok()?;
+    let mut frame = vec![0; length as usize];
+    stream.read_exact(&mut frame).await.ok()?;
+    Some(frame)
+}
+
+/// The first frame that is no ping.
+async fn read_message(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    loop {
+        let frame = read(stream).await?;
+        if frame != 1_u32.to_le_bytes() {
+            return Some(frame);
+        }
+    }
+}
+
+/// Handshake as released builds do it on either side: they send theirs at once, and close the connection if
+/// the other one names another format or has other fields.
+async fn shake_hands(stream: &mut TcpStream, format: u16) -> bool {
+    write(stream, &peer_hello(format)).await;
+    let Some(hello) = timeout(LINK_TIMEOUT, read(stream)).await.unwrap() else {
+        return false;
+    };
+    let address_bytes = if format >= FORMAT_10 { 11 } else { 0 };
+    hello[4..6] == format.to_le_bytes() && hello.len() == peer_hello(9).len() + address_bytes
+}
+
+/// Records the links and frames of the VM under test, and answers each frame.
+#[derive(Default)]
+struct Recorder {
+    opened: Mutex<Vec<u16>>,
+    received: Mutex<Vec<Frame>>,
+}
+
+impl Handler for Recorder {
+    fn opened(&self, session: &Session) {
+        self.opened.lock().unwrap().push(session.peer().format);
+        // A build of format 9 has no such frame.
+        session.send(&Frame::EntryVms(EntryVmUpdate {
+            full: true,
+            changed: Vec::new(),
+            gone: Vec::new(),
+        }));
+    }
+
+    fn received(&self, session: &Session, frame: Frame) {
+        session.send(&Frame::StreamFound(5, None));
+        self.received.lock().unwrap().push(frame);
+    }
+
+    fn closed(&self, _session: &Session, _reason: &str) {}
+}
+
+/// Frames after the handshake that the peer gets, without pings.
+async fn talk(stream: &mut TcpStream, format: u16) -> Vec<Vec<u8>> {
+    write(stream, &find_stream(format)).await;
+    let mut frames = Vec::new();
+    let expected = if format >= FORMAT_10 { 2 } else { 1 };
+    while frames.len() < expected {
+        let frame = timeout(LINK_TIMEOUT, read_message(stream)).await;
+        frames.push(frame.expect("a frame").expect("the link stays open"));
+    }
+    frames
+}
+
+fn assert_understood(recorder: &Recorder, format: u16, frames: &[Vec<u8>]) {
+    let question = Frame::FindStream(5, StreamKey::of_request("r1"));
+    assert_eq!(*recorder.received.lock().unwrap(), [question]);
+    let found_kind: u32 = if format == FORMAT_9 { 20 } else { 22 };
+    let kinds: Vec<u32> = frames
+        .iter()
+        .map(|frame| u32::from_le_bytes(frame[..4].try_into().unwrap()))
+        .collect();
+    match format {
+        FORMAT_9 => assert_eq!(kinds, [found_kind]),
+        _ => assert_eq!(kinds, [19, found_kind]),
+    }
+}
+
+async fn assert_links_to_listener(format: u16) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let recorder = Arc::new(Recorder::default());
+    let (_targets, addresses) = watch::channel(BTreeSet::from([address]));
+    let handler: Arc<dyn Handler> = recorder.clone();
+    let _dialer = Dialer::spawn(own_hello(), addresses, handler);
+    let mut stream = timeout(LINK_TIMEOUT, async {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            if shake_hands(&mut stream, format).await {
+                return stream;
+            }
+        }
+    })
+    .await
+    .expect("the VM offers the peer's format");
+    let frames = talk(&mut stream, format).await;
+    assert_understood(&recorder, format, &frames);
+}
+
+async fn assert_links_to_dialer(format: u16) {
+    let recorder = Arc::new(Recorder::default());
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let handler: Arc<dyn Handler> = recorder.clone();
+    let listener = Listener::bind(any, own_hello(), handler).await.unwrap();
+    let mut stream = TcpStream::connect(listener.local_address()).await.unwrap();
+    assert!(shake_hands(&mut stream, format).await, "format {format}");
+    let frames = talk(&mut stream, format).await;
+    assert_understood(&recorder, format, &frames);
+}
+
+/// Guards against links with controllers and entry VMs of commit ff63bbd that do not open.
+#[tokio::test]
+async fn vms_of_ff63bbd_are_linked_in_either_role() {
+    assert_links_to_listener(FORMAT_10).await;
+    assert_links_to_dialer(FORMAT_10).await;
+}
+
+/// Guards against entry VMs that hear no controller, and controllers without a quorum, while VMs of an older
+/// build are replaced one after the other.
+#[tokio::test]
+async fn vms_of_format_9_are_linked_in_either_role() {
+    assert_links_to_listener(FORMAT_9).await;
+    assert_links_to_dialer(FORMAT_9).await;
+}
+
+/// Guards against links that stay in the old format once the peer has been replaced.
+#[tokio::test]
+async fn a_replaced_peer_is_offered_the_own_format() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (_targets, addresses) = watch::channel(BTreeSet::from([address]));
+    let recorder = Arc::new(Recorder::default());
+    let handler: Arc<dyn Handler> = recorder.clone();
+    let _dialer = Dialer::spawn(own_hello(), addresses, handler);
+    for format in [FORMAT_9, FORMAT_9, FORMAT_10] {
+        let (mut stream, _) = timeout(LINK_TIMEOUT, listener.accept())
+            .await
+            .unwrap()
+            .unwrap();
+        shake_hands(&mut stream, format).await;
+    }
+    let wait = async {
+        while recorder.opened.lock().unwrap().last() != Some(&FORMAT_10) {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(LINK_TIMEOUT, wait)
+        .await
+        .expect("a link of format 10");
+}
