fix(backend): an event without an end does not grow in memory

Reported by operators of a system like this one: a faulty server sent bytes without end, and the VM that had called it kept them all, ran out of memory and took other callers' requests with it.

It happened on the product's own path: the decoder of an engine's stream keeps an event until it is complete, without a bound. The bytes of a stream now end with an error in an event larger than 256 KiB, the limit that the path for the users' platform has; the call counts as lost.

--- a/src/backend/engine_http.rs
+++ b/src/backend/engine_http.rs
@@ -1,5 +1,6 @@
 //! HTTP protocol of inference engines.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,19 +9,21 @@
 use futures::FutureExt;
 use futures::StreamExt;
 use futures::future::BoxFuture;
+use futures::stream::BoxStream;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http_body_util::BodyDataStream;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use serde::Deserialize;
 use serde_json::json;
-use sse_stream::SseStream;
+use sse_stream::SseByteStream;
 use tokio::time::timeout;
 
 use super::AdaptersInUse;
@@ -38,6 +41,8 @@
 use super::frame::read_event;
 use super::pooled_client;
 use super::via;
+use crate::event_stream::EventBuffer;
+use crate::event_stream::MAX_EVENT_BYTES;
 
 /// Timeout of a load or eviction. A load takes 250 ms while the weight store is idle.
 pub(super) const ENGINE_COMMAND_TIMEOUT_MS: u64 = 3_000;
@@ -278,10 +283,28 @@
     }
 }
 
+/// Bytes of a stream of events.
+type EventBytes = BoxStream<'static, io::Result<Bytes>>;
+
+/// Bytes of a body, which end with an error in an event that is larger than [`MAX_EVENT_BYTES`]. The decoder
+/// keeps an event until it is complete.
+fn bounded_events(body: Incoming) -> EventBytes {
+    let mut events = EventBuffer::default();
+    let chunks = BodyDataStream::new(body).map(move |chunk| {
+        let chunk = chunk.map_err(io::Error::other)?;
+        events.push(&chunk);
+        match events.partial_bytes() <= MAX_EVENT_BYTES {
+            true => Ok(chunk),
+            false => Err(io::Error::other("an event of the stream is too large")),
+        }
+    });
+    chunks.boxed()
+}
+
 /// State of a token stream that is being read.
 struct StreamReader {
     /// `None` only while the reader is dropped.
-    events: Option<SseStream<Incoming>>,
+    events: Option<SseByteStream<EventBytes>>,
     identity: StreamIdentity,
     next_index: u64,
     /// Whether the stream was resumed and no token was read since.
@@ -292,7 +315,7 @@
 
 fn token_stream(response: Response<Incoming>, identity: StreamIdentity, from: u64) -> TokenStream {
     let reader = StreamReader {
-        events: Some(SseStream::new(response.into_body())),
+        events: Some(SseByteStream::new(bounded_events(response.into_body()))),
         identity,
         next_index: from,
         resumed: from > 0,
--- a/src/event_stream.rs
+++ b/src/event_stream.rs
@@ -6,6 +6,9 @@
 use http::HeaderMap;
 use http::header;
 
+/// Largest event that is buffered until it is complete. An event holds a few tokens.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 const MEDIA_TYPE: &str = "text/event-stream";
 
 /// Complete events, with the empty lines that end them.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -29,9 +29,7 @@
 use super::forward::Reply;
 use super::record::RequestRecord;
 use crate::event_stream::EventBuffer;
-
-/// Largest event that is buffered until it is complete. An event holds a few tokens.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+use crate::event_stream::MAX_EVENT_BYTES;
 
 /// Starts to pass a stream on.
 pub(super) fn start(
