fix(gateway): a request whose body ends late in a planned stop is refused as not run

Reported by operators of a system like this one: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end.

It happened here for requests whose head arrives while the VM still takes new ones and whose body ends after that: whether the VM takes requests was checked for the head only. It is checked again once the body is read; the answer is 503 with the promise that the request has not run.

--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -56,10 +56,7 @@
     started: Instant,
     record: &mut RequestRecord,
 ) -> Result<Exchange, Refusal> {
-    if gateway.is_leaving() {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS));
-    }
+    check_admitting(gateway)?;
     let relay_permit = match record.relayed_for {
         Some(_) => Some(relay_permit(gateway)?),
         None => None,
@@ -79,6 +76,8 @@
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
     let deadline = started + Duration::from_millis(wait_ms.min(route.timeout_ms));
     let body = read_body(&deployment, body, deadline).await?;
+    // The body may have taken until the VM takes no new requests any more.
+    check_admitting(gateway)?;
     let service = route.target(rand::rng().random()).clone();
     let is_relayed = relay_permit.is_none() && gateway.is_cut_from(&service);
     let admitted = match is_relayed {
@@ -111,6 +110,15 @@
     })
 }
 
+/// Refuses a request once the VM is about to stop.
+fn check_admitting(gateway: &Gateway) -> Result<(), Refusal> {
+    if !gateway.is_leaving() {
+        return Ok(());
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS))
+}
+
 async fn find_deployment(gateway: &Gateway, deadline: Instant) -> Result<Arc<Deployment>, Refusal> {
     let deployment = gateway.first_deployment(deadline).await;
     deployment.ok_or_else(|| {
