fix(gateway): a version of an adapter stays due when the next one is announced

Cause: a VM kept the newest version and the time at which it heard of it. The next announcement replaced both, so the version before was not required any more until the new one was due.

Change: AdapterVersions keeps each version until a later one is due. The version that an engine must answer with, which it compares for equality, is the resident one where that is newer than the one that is due.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout_at;
 
 use super::adapter_usage::AdapterUsage;
+use super::adapter_versions::AdapterVersions;
 use super::adapter_waits::AdapterWaits;
 use super::crashes::Crashes;
 use super::demand;
@@ -51,6 +52,7 @@
 use crate::types::DataCentre;
 use crate::types::ModelName;
 use crate::types::MonoMs;
+use crate::types::ServerName;
 use crate::types::ServiceName;
 use crate::types::SoftwareVersion;
 use crate::types::StreamKey;
@@ -100,7 +102,7 @@
     pool: Mutex<Pool>,
     adapter_usage: Mutex<AdapterUsage>,
     pub(super) retry_budgets: RetryBudgets,
-    versions: Mutex<HashMap<ModelName, (u64, MonoMs)>>,
+    versions: Mutex<AdapterVersions>,
     demand: Mutex<Demand>,
     pub(super) crashes: Crashes,
     pub(super) known_streams: KnownStreams,
@@ -309,19 +311,23 @@
         let now = self.now();
         let mut known = lock(&self.versions);
         for (model, version) in versions {
-            let entry = known.entry(model.clone()).or_insert((0, now));
-            if *version > entry.0 {
-                *entry = (*version, now);
-            }
+            known.announce(model, *version, now, self.config.version_grace_ms);
         }
     }
 
-    /// Version of `model` that must answer, if one was announced long enough ago.
+    /// Oldest version of `model` that may answer, if one was announced long enough ago.
     pub(super) fn required_version(&self, model: &ModelName) -> Option<u64> {
-        let known = lock(&self.versions);
-        let (version, named) = known.get(model).copied()?;
-        let is_due = self.now().since(named) >= self.config.version_grace_ms;
-        is_due.then_some(version)
+        let grace_ms = self.config.version_grace_ms;
+        lock(&self.versions).required(model, self.now(), grace_ms)
+    }
+
+    /// Version of `model` with which `server` has to answer: the one that is resident there, unless an older
+    /// one or none at all is known to be.
+    pub(super) fn expected_version(&self, model: &ModelName, server: &ServerName) -> Option<u64> {
+        let required = self.required_version(model)?;
+        let table = self.server_table();
+        let resident = table.get(server).and_then(|view| view.residency.get(model));
+        Some(resident.map_or(required, |present| present.version.max(required)))
     }
 
     /// Whether an adapter is requested often enough to be loaded in the own data centre.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -361,7 +361,7 @@
             server: server.clone(),
             wait_ms: left.as_millis() as u64,
             account: self.account.as_ref().map(|account| account.name.clone()),
-            version: adapter.and_then(|model| self.gateway.required_version(model)),
+            version: adapter.and_then(|model| self.gateway.expected_version(model, server)),
             priority: self.is_engine.then(|| priority.min(MAX_ENGINE_PRIORITY)),
             last_event: last_event.or(self.caller.last_event),
         }
