fix(gateway): an answer that names no request is not passed on

Cause: an answer without an id was rejected if it was a success or a refusal; any other one was taken for the answer to the request that waited on the connection.

Change: servers name the request in each answer, so one that names none is rejected whatever its status, and idle connections to the server are closed. A request that may be repeated is; the others get 502.

The product's own path opens a connection for each call that must not be repeated, and checks the id of refusals; it reads no other failures as answers.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -382,12 +382,11 @@
         gateway.pool().close_idle(guard.target.address);
         return Err(SendFailure::Lost("answer_of_another_request"));
     }
-    let is_refusal = head.is_misdirected || head.is_not_run;
-    if is_refusal && head.request_id.is_none() && template.request_id.is_some() {
-        // It may be an earlier one that the server writes once more.
+    if head.request_id.is_none() && template.request_id.is_some() {
+        // Servers name the request. The bytes may belong to an earlier one, or to none.
         gateway.pool().close_idle(guard.target.address);
         record_outcome(gateway, guard, true);
-        return Err(SendFailure::Lost("unidentified_refusal"));
+        return Err(SendFailure::Lost("unidentified_answer"));
     }
     if head.is_misdirected {
         on_misdirected(gateway, template, guard, head);
