--- a/src/consensus/core/log.rs
+++ b/src/consensus/core/log.rs
@@ -10,7 +10,10 @@
 
 /// Number of entries before the snapshot that stay in memory, so that a member that lags slightly
 /// gets entries instead of a snapshot.
-const RETAINED_ENTRIES: u64 = 1_024;
+const RETAINED_ENTRIES: usize = 1_024;
+
+/// Size of these entries. A member that lags further gets the snapshot.
+const RETAINED_BYTES: usize = 1_024 * 1_024;
 
 /// Entries, their snapshot and the memberships set by them.
 #[derive(Clone, Debug)]
@@ -165,7 +168,7 @@
 
     /// Replaces the snapshot by one of the local state machine and drops old entries.
     pub fn compact(&mut self, snapshot: Snapshot) {
-        let new_base = snapshot.index.saturating_sub(RETAINED_ENTRIES);
+        let new_base = snapshot.index - self.retained_before(snapshot.index);
         if new_base > self.base_index {
             self.base_term = self
                 .term_at(new_base)
@@ -182,6 +185,18 @@
         self.snapshot = Arc::new(snapshot);
     }
 
+    /// Number of entries up to `index` that stay in memory beside a snapshot there.
+    fn retained_before(&self, index: u64) -> u64 {
+        let covered = index.saturating_sub(self.base_index) as usize;
+        let mut bytes = 0;
+        let entries = self.entries.iter().take(covered).rev();
+        let retained = entries.take(RETAINED_ENTRIES).take_while(|entry| {
+            bytes += entry.size_bytes();
+            bytes <= RETAINED_BYTES
+        });
+        retained.count() as u64
+    }
+
     /// Replaces the snapshot by one from the leader. Returns whether all entries were dropped,
     /// which happens unless the log contains the snapshot's last entry.
     pub fn install(&mut self, snapshot: Snapshot) -> bool {
