feat(consensus): a member tells since when its state is confirmed

Callers saw 404 for routes that had been acknowledged, after restarts. The logs of controllers named a configuration a few ms after the start and did not tell whether anyone had confirmed it: contact with a leader is not the same as having everything that the leader knows to be committed, and a new leader itself does not know it until it has committed an entry of its own term.

A member now keeps the latest proof of which entries are committed: as a leader from its own commits, as a follower from messages of a leader of the current term whose committed entries it has. Status::confirmed_age_ms counts from it once these entries are applied. Nothing on the wire changes: diskless followers get this age in place of that of the last contact. The configuration line of controllers names it.

--- a/src/consensus/core/append.rs
+++ b/src/consensus/core/append.rs
@@ -1,5 +1,6 @@
 //! Follower side of log replication.
 
+use super::Confirmation;
 use super::Core;
 use crate::consensus::message::Message;
 use crate::consensus::types::Entry;
@@ -36,6 +37,7 @@
         }
         let known = commit_index.min(last_sent);
         self.commit_index = self.commit_index.max(known);
+        self.confirm(commit_index, last_sent);
         let reply = Message::AppendReply {
             accepted: true,
             index: last_sent,
@@ -45,6 +47,18 @@
         self.send_durable(from, reply);
     }
 
+    /// Takes over what the leader knows to be committed, once all of it is in the log up to `last_sent`.
+    /// Until an entry of its own term is committed, a leader may know less than its predecessor.
+    fn confirm(&mut self, commit_index: u64, last_sent: u64) {
+        let is_complete = commit_index <= last_sent;
+        if is_complete && self.log.term_at(commit_index) == Some(self.meta.term) {
+            self.confirmed = Some(Confirmation {
+                index: commit_index,
+                at_ms: self.now_ms,
+            });
+        }
+    }
+
     /// Whether the log matches the leader's up to `prev_index`. Committed entries always match.
     fn matches(&self, prev_index: u64, prev_term: u64) -> bool {
         prev_index <= self.commit_index || self.log.term_at(prev_index) == Some(prev_term)
--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -149,6 +149,16 @@
     pub commit_index: u64,
 }
 
+/// Proof that no entry after `index` was committed at some time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Confirmation {
+    /// Index of the newest entry that was committed then.
+    pub index: u64,
+    /// That time on the core's clock. A leader that was replaced without noticing may be wrong by up to
+    /// the maximum election timeout.
+    pub at_ms: u64,
+}
+
 /// Status of the core.
 #[derive(Clone, Debug)]
 pub struct CoreStatus {
@@ -166,8 +176,10 @@
     pub configuration: Configuration,
     /// Whether this VM leads.
     pub is_leader: bool,
-    /// Time on the core's clock at which a quorum last confirmed this VM's state.
+    /// Time on the core's clock of the last contact with a quorum, or with its leader.
     pub quorum_contact_ms: Option<u64>,
+    /// Latest proof of which entries are committed; `None` if there was none since the start.
+    pub confirmed: Option<Confirmation>,
 }
 
 /// Work deferred until a write is synced.
@@ -205,6 +217,8 @@
     role: Role,
     leader: Option<VoterId>,
     leader_contact_ms: Option<u64>,
+    /// Latest confirmation by a leader.
+    confirmed: Option<Confirmation>,
     now_ms: u64,
     election_deadline_ms: u64,
     probe_due_ms: u64,
@@ -237,6 +251,7 @@
             role: Role::Follower,
             leader: None,
             leader_contact_ms: None,
+            confirmed: None,
             now_ms,
             election_deadline_ms: 0,
             probe_due_ms: now_ms,
@@ -296,9 +311,21 @@
             configuration: self.log.configuration().1.clone(),
             is_leader: matches!(self.role, Role::Leader(_)),
             quorum_contact_ms,
+            confirmed: self.leader_confirmation().or(self.confirmed),
         }
     }
 
+    /// What this VM confirms itself as the leader. Entries of earlier terms may be committed without its
+    /// knowledge until it has committed one of its own term.
+    fn leader_confirmation(&self) -> Option<Confirmation> {
+        let Role::Leader(leadership) = &self.role else {
+            return None;
+        };
+        let at_ms = self.quorum_contact_ms(leadership)?;
+        let index = self.commit_index;
+        (leadership.noop_index <= index).then_some(Confirmation { index, at_ms })
+    }
+
     /// Identity of this member.
     pub fn id(&self) -> &VoterId {
         &self.config.id
--- a/src/consensus/driver/config.rs
+++ b/src/consensus/driver/config.rs
@@ -100,8 +100,11 @@
     pub learners: Vec<VoterId>,
     /// Whether this VM leads the log.
     pub is_leader: bool,
-    /// Time since a quorum last confirmed this VM's state; `u64::MAX` if none ever did.
+    /// Time since the last contact with a quorum, or with its leader; `u64::MAX` if there was none.
     pub quorum_contact_age_ms: u64,
+    /// Time since the applied state was known to hold everything that was committed; `u64::MAX` if it was not
+    /// since the start. What is on the disk at the start may be older than what was acknowledged.
+    pub confirmed_age_ms: u64,
 }
 
 /// The data folder cannot be opened.
--- a/src/consensus/driver/follower.rs
+++ b/src/consensus/driver/follower.rs
@@ -189,22 +189,26 @@
         }
         let applied_index = *self.shared.applied.borrow();
         let is_behind = reply.commit_index < applied_index;
-        let is_stale = reply.quorum_contact_age_ms > MAX_QUORUM_CONTACT_AGE_MS;
+        let is_stale = reply.confirmed_age_ms > MAX_QUORUM_CONTACT_AGE_MS;
         self.has_warned = false;
-        self.update_view(&reply, sent_ms);
+        let confirmed_ms = self.update_view(&reply, sent_ms);
         let is_applied = self.apply_content(reply.content, applied_index).await;
+        if *self.shared.applied.borrow() >= reply.commit_index {
+            let mut view = self.shared.view();
+            view.confirmed_ms = view.confirmed_ms.max(confirmed_ms);
+        }
         match is_applied && !is_behind && !is_stale {
             true => SourceStatus::Usable,
             false => SourceStatus::Unusable,
         }
     }
 
-    /// Updates the view. The network delay of the reply is unknown, so its age is counted from the
-    /// earliest time at which it can have been sent.
-    fn update_view(&self, reply: &FollowReply, sent_ms: u64) {
-        let age_ms = i64::try_from(reply.quorum_contact_age_ms).ok();
+    /// Updates the view and returns the time at which the source was confirmed. The network delay of the
+    /// reply is unknown, so its age is counted from the earliest time at which it can have been sent.
+    fn update_view(&self, reply: &FollowReply, sent_ms: u64) -> Option<i64> {
+        let age_ms = i64::try_from(reply.confirmed_age_ms).ok();
         let earliest_ms = (sent_ms + reply.waited_ms).cast_signed();
-        let contact_ms = age_ms.map(|age_ms| earliest_ms - age_ms);
+        let confirmed_ms = age_ms.map(|age_ms| earliest_ms - age_ms);
         let mut view = self.shared.view();
         view.cluster_id = reply.cluster_id;
         if reply.term >= view.term {
@@ -213,7 +217,8 @@
             view.configuration.voters = reply.voters.iter().cloned().collect();
         }
         view.commit_index = view.commit_index.max(reply.commit_index);
-        view.quorum_contact_ms = view.quorum_contact_ms.max(contact_ms);
+        view.quorum_contact_ms = view.quorum_contact_ms.max(confirmed_ms);
+        confirmed_ms
     }
 
     async fn apply_content(&mut self, content: FollowContent, applied_index: u64) -> bool {
--- a/src/consensus/driver/shared.rs
+++ b/src/consensus/driver/shared.rs
@@ -21,9 +21,11 @@
     pub(super) commit_index: u64,
     pub(super) configuration: Configuration,
     pub(super) is_leader: bool,
-    /// Time of the last confirmation by a quorum on this process's clock. Negative if a source
-    /// reports a time before this process started.
+    /// Time of the last contact with a quorum on this process's clock. Negative if a source reports a
+    /// time before this process started.
     pub(super) quorum_contact_ms: Option<i64>,
+    /// Time at which the applied state held everything that was committed.
+    pub(super) confirmed_ms: Option<i64>,
 }
 
 /// State shared between threads and tasks.
@@ -57,10 +59,14 @@
         lock(&self.log)
     }
 
-    pub(super) fn quorum_contact_age_ms(&self) -> u64 {
-        let contact_ms = self.view().quorum_contact_ms;
+    pub(super) fn confirmed_age_ms(&self) -> u64 {
+        let confirmed_ms = self.view().confirmed_ms;
+        self.age_ms(confirmed_ms)
+    }
+
+    fn age_ms(&self, since_ms: Option<i64>) -> u64 {
         let now_ms = self.now_ms().cast_signed();
-        contact_ms.map_or(u64::MAX, |at| {
+        since_ms.map_or(u64::MAX, |at| {
             now_ms.saturating_sub(at).max(0).unsigned_abs()
         })
     }
@@ -75,7 +81,8 @@
             voters: view.configuration.voters.into_iter().collect(),
             learners: view.configuration.learners.into_iter().collect(),
             is_leader: view.is_leader,
-            quorum_contact_age_ms: self.quorum_contact_age_ms(),
+            quorum_contact_age_ms: self.age_ms(view.quorum_contact_ms),
+            confirmed_age_ms: self.age_ms(view.confirmed_ms),
         }
     }
 }
--- a/src/consensus/driver/voter.rs
+++ b/src/consensus/driver/voter.rs
@@ -201,7 +201,12 @@
 
     fn publish(&self) {
         let status = self.core.status();
-        *self.shared.view() = View {
+        let applied_index = *self.shared.applied.borrow();
+        let confirmed = status.confirmed;
+        let confirmed = confirmed.filter(|confirmed| confirmed.index <= applied_index);
+        let confirmed_ms = confirmed.map(|confirmed| confirmed.at_ms.cast_signed());
+        let mut view = self.shared.view();
+        *view = View {
             leader: status.leader.map(|id| id.vm),
             term: status.term,
             cluster_id: status.cluster_id,
@@ -209,6 +214,7 @@
             configuration: status.configuration,
             is_leader: status.is_leader,
             quorum_contact_ms: status.quorum_contact_ms.map(u64::cast_signed),
+            confirmed_ms: view.confirmed_ms.max(confirmed_ms),
         };
     }
 }
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -168,8 +168,9 @@
     pub voters: Vec<VoterId>,
     /// Last index known to the sender to be committed.
     pub commit_index: u64,
-    /// Time since a quorum last confirmed the sender's state, including the age added by relays.
-    pub quorum_contact_age_ms: u64,
+    /// Time since the sender's state was known to hold everything that was committed, including the age
+    /// added by relays.
+    pub confirmed_age_ms: u64,
     /// Time for which the request waited at the sender.
     pub waited_ms: u64,
     /// Entries or a snapshot chunk.
--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -312,6 +312,8 @@
         self.events().emit(&DocumentChange {
             version: document.version,
             from: self.config.hello.vm.clone(),
+            confirmed_age_ms: Some(self.log.status().confirmed_age_ms)
+                .filter(|age_ms| *age_ms < u64::MAX),
             error,
         });
     }
--- a/src/fleet/controller_client.rs
+++ b/src/fleet/controller_client.rs
@@ -288,6 +288,7 @@
         self.events.emit(&DocumentChange {
             version: update.version,
             from: session.peer().vm.clone(),
+            confirmed_age_ms: None,
             error,
         });
     }
--- a/src/fleet/log_line.rs
+++ b/src/fleet/log_line.rs
@@ -93,6 +93,9 @@
 pub(super) struct DocumentChange {
     pub(super) version: u64,
     pub(super) from: VmName,
+    /// Time since the controller's state was confirmed; `None` on entry VMs, and if it was not since the
+    /// start.
+    pub(super) confirmed_age_ms: Option<u64>,
     pub(super) error: Option<String>,
 }
 
