fix(fleet): no configuration is served or refused by before a leader has confirmed it

Cause: a controller published what its disk held, a few ms after its start. The commit index on a disk is that of the last write of entries, so the newest acknowledged change is not applied before a leader of a new term commits. An entry VM took the first configuration that it heard for the one in force, and refused by it. Class: a process takes what it has read for what is known to be true.

An entry VM serves by a confirmed configuration; by an unconfirmed one only 3 s after its start, so that a data centre that is cut off is served, and then refuses nothing by it: such a request waits for the confirmed one and gets 503. The same holds while a newer version is known and on its way. Leases of the token buckets, orders to engines that check no fences, the leader's own commands and the list of software versions follow the confirmed state as well, in place of mere contact with a quorum. No message changes.

--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -22,11 +22,13 @@
 use super::log_line::DocumentChange;
 use super::log_line::ServerChange;
 use super::order_executor::OrderExecutor;
+use super::publication::Publication;
 use super::server_limits::ServerLimits;
 use super::stream_reports::StreamReports;
 use crate::consensus;
 use crate::consensus::Handle;
 use crate::control::Command;
+use crate::control::Document;
 use crate::control::FleetCommand;
 use crate::events::EventLog;
 use crate::gateway::account_limit_history;
@@ -244,12 +246,12 @@
         let members = log.voters.iter().chain(&log.learners);
         let holds = self.orders.active(self.now());
         let software = self.software_versions();
-        let state = self.state();
-        let fleet = state.state().fleet();
+        let is_published = self.publication(&log) != Publication::Withheld;
+        let document = self.document().filter(|_| is_published);
         ControlStatus {
-            leads: log.is_leader && log.quorum_contact_age_ms <= LEADER_CONTACT_MAX_AGE_MS,
+            leads: log.is_leader && log.confirmed_age_ms <= LEADER_CONTACT_MAX_AGE_MS,
             term: log.term,
-            document_version: fleet.document().map_or(0, |document| document.version),
+            document_version: document.map_or(0, |document| document.version),
             holds,
             controllers: members
                 .filter_map(|id| link_address(&id.vm, port))
@@ -262,6 +264,16 @@
         }
     }
 
+    /// What other VMs may learn of the applied state.
+    fn publication(&self, log: &consensus::Status) -> Publication {
+        Publication::of(log, self.now().0)
+    }
+
+    /// The newest document that this VM has applied.
+    fn document(&self) -> Option<Document> {
+        self.state().state().fleet().document().cloned()
+    }
+
     pub(super) fn broadcast_status(&self, is_due: bool) {
         let status = self.status();
         let mut last_status = lock(&self.last_status);
@@ -296,8 +308,13 @@
 
     /// Applies a new document or new adapter versions.
     pub(super) fn update_deployment(&self) {
+        let log = self.log.status();
+        let publication = self.publication(&log);
+        if publication == Publication::Withheld {
+            return;
+        }
         let known = self.deployment().map_or(0, |deployment| deployment.version);
-        let document = self.state().state().fleet().document().cloned();
+        let document = self.document();
         let Some(document) = document.filter(|document| document.version > known) else {
             self.update_versions();
             return;
@@ -312,8 +329,8 @@
         self.events().emit(&DocumentChange {
             version: document.version,
             from: self.config.hello.vm.clone(),
-            confirmed_age_ms: Some(self.log.status().confirmed_age_ms)
-                .filter(|age_ms| *age_ms < u64::MAX),
+            confirmed: publication == Publication::Confirmed,
+            confirmed_age_ms: Some(log.confirmed_age_ms).filter(|age_ms| *age_ms < u64::MAX),
             error,
         });
     }
@@ -347,8 +364,7 @@
     /// and the loads of the engines.
     pub(super) fn update_orders(self: &Arc<Self>) {
         let now = self.now();
-        let has_recent_quorum =
-            self.log.status().quorum_contact_age_ms <= QUORUM_CONTACT_MAX_AGE_MS;
+        let has_recent_quorum = self.log.status().confirmed_age_ms <= QUORUM_CONTACT_MAX_AGE_MS;
         let state = self.state();
         let holders = state.state().fleet().holders().clone();
         drop(state);
@@ -410,8 +426,8 @@
     }
 
     pub(super) fn send_document(&self, session: &Session) {
-        let document = self.state().state().fleet().document().cloned();
-        if let Some(document) = document {
+        let is_published = self.publication(&self.log.status()) != Publication::Withheld;
+        if let Some(document) = self.document().filter(|_| is_published) {
             session.send(&Frame::Document(DocumentUpdate {
                 version: document.version,
                 body: document.body,
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -299,7 +299,7 @@
 /// Starts the token bucket server of the fleet, which grants tokens while this VM leads the log.
 fn open_quota(config: &ControlConfig, log: &Handle) -> limits::Server {
     let lease = buckets::lease(config.clock, log, |status, _| {
-        let leads = status.is_leader && status.quorum_contact_age_ms <= LEADER_CONTACT_MAX_AGE_MS;
+        let leads = status.is_leader && status.confirmed_age_ms <= LEADER_CONTACT_MAX_AGE_MS;
         leads.then_some(status.term)
     });
     limits::Server::spawn(fleet_share(), config.clock, lease)
--- a/src/fleet/controller_client.rs
+++ b/src/fleet/controller_client.rs
@@ -19,6 +19,7 @@
 use super::log_line::DocumentChange;
 use super::log_line::LinkChange;
 use super::log_line::ServerChange;
+use super::log_line::UnconfirmedService;
 use super::quota_failover;
 use super::stream_lookup::StreamLookups;
 use crate::events::EventLog;
@@ -146,6 +147,15 @@
         }
     }
 
+    /// Serves by a configuration that no controller has confirmed, once that has taken too long.
+    pub(super) fn serve_unconfirmed_if_due(&self) {
+        if self.gateway().serve_unconfirmed_if_due() {
+            self.events.emit(&UnconfirmedService {
+                version: self.gateway().received_version(),
+            });
+        }
+    }
+
     fn expire_servers(&self) {
         let now = self.clock.mono();
         let mut state = self.lock();
@@ -251,7 +261,10 @@
             is_changed
         });
         self.update_quota_server(&state);
-        let version = self.gateway().deployment().map_or(0, |d| d.version);
+        if status.is_confirmed() {
+            self.gateway().confirm_version(status.document_version);
+        }
+        let version = self.gateway().received_version();
         let was_pulled = state.pulled.is_some_and(|(pulled, at)| {
             pulled >= status.document_version && now.since(at) < PULL_RETRY_MS
         });
@@ -262,9 +275,8 @@
         drop(state);
         self.gateway().quota.set_entry_vms(status.entry_vms);
         self.gateway().observe_fleet_size(status.recent_entry_vms);
-        let is_current = status.leads || !status.stands_in;
         self.gateway()
-            .set_software_versions(&status.software, is_current);
+            .set_software_versions(&status.software, status.is_confirmed());
     }
 
     fn update_quota_server(&self, state: &State) {
@@ -288,6 +300,7 @@
         self.events.emit(&DocumentChange {
             version: update.version,
             from: session.peer().vm.clone(),
+            confirmed: self.gateway().is_confirmed(),
             confirmed_age_ms: None,
             error,
         });
--- a/src/fleet/entry_vm.rs
+++ b/src/fleet/entry_vm.rs
@@ -228,6 +228,7 @@
         ticks.tick().await;
         count += 1;
         controllers.tick(count.is_multiple_of(DEMAND_TICKS));
+        controllers.serve_unconfirmed_if_due();
         if count.is_multiple_of(LIMIT_TICKS) {
             controllers.send_server_limits(gateway.server_limits());
         }
--- a/src/fleet/leader_tasks.rs
+++ b/src/fleet/leader_tasks.rs
@@ -9,6 +9,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::control_core::Core;
+use super::control_core::QUORUM_CONTACT_MAX_AGE_MS;
 use super::stream_reports::SoftwareWatch;
 use crate::consensus::Status;
 use crate::control::Fleet;
@@ -40,7 +41,8 @@
     loop {
         ticks.tick().await;
         let status = core.log.status();
-        if !status.is_leader {
+        // Commands that follow from an older state would undo newer changes.
+        if !status.is_leader || status.confirmed_age_ms > QUORUM_CONTACT_MAX_AGE_MS {
             led_since = None;
             last_contact.clear();
             software = SoftwareWatch::default();
--- a/src/fleet/log_line.rs
+++ b/src/fleet/log_line.rs
@@ -93,6 +93,8 @@
 pub(super) struct DocumentChange {
     pub(super) version: u64,
     pub(super) from: VmName,
+    /// Whether no newer one was in force a moment ago. Of an unconfirmed one, this is not known.
+    pub(super) confirmed: bool,
     /// Time since the controller's state was confirmed; `None` on entry VMs, and if it was not since the
     /// start.
     pub(super) confirmed_age_ms: Option<u64>,
@@ -107,6 +109,20 @@
     }
 }
 
+/// An entry VM begins to serve by a configuration that no controller has confirmed since its start.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct UnconfirmedService {
+    pub(super) version: u64,
+}
+
+impl Event for UnconfirmedService {
+    const KIND: &'static str = "unconfirmed_service";
+
+    fn severity(&self) -> Severity {
+        Severity::Failure
+    }
+}
+
 /// A backend server was announced, left, or fell silent.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct ServerChange {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! replicated log and track the backend servers, and entry VMs, which serve callers.
 
 pub mod fencing;
+pub mod publication;
 pub mod quota_failover;
 
 mod borrow_client;
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -65,14 +65,11 @@
         true => grace_period::deadline(started, caller.wait_ms),
         false => started,
     };
-    let deployment = find_deployment(gateway, grace_deadline).await?;
-    record.deployment_version = deployment.version;
-    let route = find_route(&deployment, parts)?;
-    record.route = Some(route.name.clone());
-    record.target_ms = route.target_latency_ms;
-    check_http_version(&route, parts)?;
-    let account = find_account(&deployment, &route, &caller)?;
-    record.account = account.as_ref().map(|account| account.name.clone());
+    let Target {
+        deployment,
+        route,
+        account,
+    } = find_target(gateway, parts, &caller, grace_deadline, record).await?;
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms);
     let deadline = started + Duration::from_millis(wait_ms.min(route.timeout_ms));
     let body = read_body(&deployment, body, deadline).await?;
@@ -119,11 +116,59 @@
     Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS))
 }
 
-async fn find_deployment(gateway: &Gateway, deadline: Instant) -> Result<Arc<Deployment>, Refusal> {
-    let deployment = gateway.first_deployment(deadline).await;
-    deployment.ok_or_else(|| {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        Refusal::not_run(status, "no_configuration", UNCONFIGURED_RETRY_MS)
+/// What the configuration says about a request.
+struct Target {
+    deployment: Arc<Deployment>,
+    route: Arc<Route>,
+    account: Option<Arc<Account>>,
+}
+
+/// Finds the route and the account. A refusal by a configuration that is not confirmed waits for the
+/// confirmed one.
+async fn find_target(
+    gateway: &Gateway,
+    parts: &Parts,
+    caller: &CallerHead,
+    deadline: Instant,
+    record: &mut RequestRecord,
+) -> Result<Target, Refusal> {
+    let known = gateway.first_configuration(deadline).await;
+    let known = known.ok_or_else(|| unconfigured("no_configuration"))?;
+    match target_in(known.deployment, parts, caller, record) {
+        Err(_) if !known.is_confirmed => {
+            let confirmed = gateway.confirmed_configuration(deadline).await;
+            let confirmed = confirmed.ok_or_else(|| unconfigured("unconfirmed_configuration"))?;
+            target_in(confirmed.deployment, parts, caller, record)
+        }
+        found => found,
+    }
+}
+
+fn unconfigured(reason: &'static str) -> Refusal {
+    Refusal::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        reason,
+        UNCONFIGURED_RETRY_MS,
+    )
+}
+
+fn target_in(
+    deployment: Arc<Deployment>,
+    parts: &Parts,
+    caller: &CallerHead,
+    record: &mut RequestRecord,
+) -> Result<Target, Refusal> {
+    record.deployment_version = deployment.version;
+    let route = find_route(&deployment, parts)?;
+    record.route = Some(route.name.clone());
+    record.target_ms = route.target_latency_ms;
+    check_http_version(&route, parts)?;
+    let account = find_account(&deployment, &route, caller)?;
+    record.account = account.as_ref().map(|account| account.name.clone());
+    Ok(Target {
+        deployment,
+        route,
+        account,
     })
 }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -22,6 +22,8 @@
 use super::adapter_usage::AdapterUsage;
 use super::adapter_versions::AdapterVersions;
 use super::adapter_waits::AdapterWaits;
+use super::configuration::Configuration;
+use super::configuration::InForce;
 use super::crashes::Crashes;
 use super::demand;
 use super::demand::Demand;
@@ -95,7 +97,7 @@
     pub quota: Quota,
     /// Requests that wait for adapters.
     pub adapter_waits: AdapterWaits,
-    deployment: watch::Sender<Option<Arc<Deployment>>>,
+    configuration: watch::Sender<Configuration>,
     /// Limits the number of requests in a grace period.
     grace_permits: Semaphore,
     server_table: Mutex<ServerTable>,
@@ -151,7 +153,7 @@
             config,
             quota,
             adapter_waits: AdapterWaits::default(),
-            deployment: watch::Sender::default(),
+            configuration: watch::Sender::default(),
             grace_permits: Semaphore::new(grace_period::MAX_WAITING),
             pool: Mutex::default(),
             adapter_usage: Mutex::default(),
@@ -221,20 +223,46 @@
 
     /// Configuration in force.
     pub fn deployment(&self) -> Option<Arc<Deployment>> {
-        self.deployment.borrow().clone()
+        self.configuration.borrow().deployment().cloned()
     }
 
-    /// Configuration in force, or the first one that arrives before `deadline`.
-    pub(super) async fn first_deployment(&self, deadline: Instant) -> Option<Arc<Deployment>> {
-        let known = self.deployment();
+    /// Version of the newest configuration that has arrived, in force or not; 0 for none.
+    pub fn received_version(&self) -> u64 {
+        let configuration = self.configuration.borrow();
+        configuration.newest().map_or(0, |newest| newest.version)
+    }
+
+    /// Whether requests may be refused because the configuration in force does not allow them.
+    pub fn is_confirmed(&self) -> bool {
+        self.configuration.borrow().is_confirmed()
+    }
+
+    /// Configuration in force, or the first one before `deadline`.
+    pub(super) async fn first_configuration(&self, deadline: Instant) -> Option<InForce> {
+        self.configuration_when(deadline, |_| true).await
+    }
+
+    /// Configuration in force once it is confirmed, if that happens before `deadline`.
+    pub(super) async fn confirmed_configuration(&self, deadline: Instant) -> Option<InForce> {
+        self.configuration_when(deadline, Configuration::is_confirmed)
+            .await
+    }
+
+    async fn configuration_when(
+        &self,
+        deadline: Instant,
+        is_wanted: impl Fn(&Configuration) -> bool,
+    ) -> Option<InForce> {
+        let find = |known: &Configuration| known.in_force().filter(|_| is_wanted(known));
+        let known = find(&self.configuration.borrow());
         if known.is_some() {
             return known;
         }
         let _permit = self.grace_permit()?;
-        let mut changes = self.deployment.subscribe();
-        let coming = changes.wait_for(Option::is_some);
+        let mut changes = self.configuration.subscribe();
+        let coming = changes.wait_for(|known| find(known).is_some());
         let come = timeout_at(deadline, coming).await.ok()?.ok()?;
-        come.clone()
+        come.in_force()
     }
 
     /// Permit for a request to wait in its grace period, unless too many do.
@@ -247,25 +275,39 @@
         self.now().0 < grace_period::STARTUP_MS
     }
 
-    /// Applies a configuration unless it is older than the one in force.
+    /// Takes over a configuration unless it is older than the known one.
     pub fn set_deployment(&self, deployment: Deployment) -> bool {
-        self.deployment.send_if_modified(|current| {
-            let version = current.as_ref().map_or(0, |current| current.version);
-            if current.is_some() && deployment.version <= version {
+        self.configuration.send_if_modified(|current| {
+            let old = current.newest().cloned();
+            let new = Arc::new(deployment);
+            if !current.receive(Arc::clone(&new)) {
                 return false;
             }
-            self.quota.set_deployment(&deployment, current.as_deref());
+            self.quota.set_deployment(&new, old.as_deref());
             let retry_limit = &self.config.retry_limit;
             self.quota
-                .set_retry_limits(&deployment, current.as_deref(), retry_limit);
-            self.config
-                .meters
-                .set_deployment_version(deployment.version);
-            *current = Some(Arc::new(deployment));
+                .set_retry_limits(&new, old.as_deref(), retry_limit);
+            self.config.meters.set_deployment_version(new.version);
             true
         })
     }
 
+    /// Notes that a controller has confirmed `version` of the configuration.
+    pub fn confirm_version(&self, version: u64) {
+        self.configuration
+            .send_if_modified(|current| current.confirm(version));
+    }
+
+    /// Serves by an unconfirmed configuration if none was confirmed for too long. Returns whether that
+    /// begins now.
+    pub fn serve_unconfirmed_if_due(&self) -> bool {
+        if self.now().0 < grace_period::UNCONFIRMED_MS {
+            return false;
+        }
+        self.configuration
+            .send_if_modified(Configuration::serve_unconfirmed)
+    }
+
     /// Backend servers as known to this VM.
     pub fn server_table(&self) -> MutexGuard<'_, ServerTable> {
         lock(&self.server_table)
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -84,7 +84,7 @@
     pub leads: bool,
     /// Its term in the replicated log.
     pub term: u64,
-    /// Version of the document that it has applied; 0 for none.
+    /// Version of the document that it publishes; 0 for none, or while its state may be older than the one in force.
     pub document_version: u64,
     /// Data centres whose orders it holds, with the fence.
     pub holds: Vec<(DataCentre, u64)>,
@@ -100,6 +100,13 @@
     pub software: SoftwareVersions,
 }
 
+impl ControlStatus {
+    /// Whether the sender's state was the newest one a moment ago. Without a leader, it may be outdated.
+    pub fn is_confirmed(&self) -> bool {
+        self.document_version > 0 && !self.stands_in
+    }
+}
+
 /// The configuration that a controller has applied.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct DocumentUpdate {
