fix(node): a VM counts as caught up once its state is confirmed

Callers of the own path could see 401 or 404 for keys and routes that are in force, from a VM that has just started: it counted as caught up as soon as it had heard from a leader and had applied what it knew to be committed, although the entries that it missed were still on their way. The same class as the unconfirmed configuration of controllers; found by looking for it elsewhere, not seen by callers.

contact_with_a_leader_does_not_confirm_a_member_that_lacks_its_entries (virtual time, a slow link): the former condition held while the member lacked entries, the confirmation did not.

--- a/src/node/control_sync.rs
+++ b/src/node/control_sync.rs
@@ -132,7 +132,7 @@
         }
         let status = self.log.status();
         let up_to_date = applied_config.index >= status.commit_index
-            && status.quorum_contact_age_ms < MAX_CONTACT_AGE_MS;
+            && status.confirmed_age_ms < MAX_CONTACT_AGE_MS;
         if up_to_date && !applied_config.caught_up {
             applied_config.caught_up = true;
             self.health.set_caught_up();
--- a/tests/consensus_confirmed.rs
+++ b/tests/consensus_confirmed.rs
@@ -163,3 +163,35 @@
     let confirmed = sim.status(&alone).unwrap().confirmed.unwrap();
     assert_eq!(confirmed.index, sim.oracle.last_index());
 }
+
+/// Guards against a member that counts as caught up because it hears from a leader, before it has the entries
+/// that it missed: it would refuse keys and routes that are in force.
+#[test]
+fn contact_with_a_leader_does_not_confirm_a_member_that_lacks_its_entries() {
+    let slow_link = Options {
+        link_bytes_per_ms: 1_000,
+        ..options(1)
+    };
+    let mut sim = Sim::new(1, &["a", "b", "c"], slow_link);
+    sim.run(3_000);
+    let leader = sim.leader().unwrap();
+    let away = sim.names().into_iter().find(|vm| *vm != leader).unwrap();
+    sim.crash(&away);
+    for _ in 0..10 {
+        sim.propose(&leader, vec![7; 100_000]);
+        sim.run(300);
+    }
+    let committed = sim.oracle.last_index();
+    sim.start(&away);
+    let mut seemed_caught_up = 0;
+    while sim.status(&away).unwrap().confirmed.is_none() {
+        sim.run(1);
+        let status = sim.status(&away).unwrap();
+        let applied = sim.nodes[&away].process.as_ref().unwrap().replica.index;
+        let is_behind = applied < committed;
+        let has_contact = status.quorum_contact_ms.is_some();
+        seemed_caught_up += u32::from(is_behind && has_contact && applied == status.commit_index);
+        assert!(!is_behind || status.confirmed.is_none(), "{status:?}");
+    }
+    assert!(seemed_caught_up > 0, "the case did not occur");
+}
