feat(consensus): members that have just started ask for pre-votes sooner

Since VMs wait for a confirmed configuration, a restart of everything is served from the first commit of the new leader on, and that took an election timeout of 0.5 to 1 s. A member that has heard no leader since its start now asks for pre-votes each 100 to 300 ms in its first second. A pre-vote changes no term, and members with a live leader refuse it, so that a single restart disturbs nobody; an election itself keeps its timeout.

--- a/src/consensus/core/election.rs
+++ b/src/consensus/core/election.rs
@@ -1,6 +1,9 @@
 //! Leader election: pre-vote, vote and term changes.
 
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
+
+use rand::RngExt;
 
 use super::Core;
 use super::Deferred;
@@ -8,9 +11,22 @@
 use crate::consensus::message::Message;
 use crate::consensus::types::VoterId;
 
+/// Bounds of the time between two requests for pre-votes after a start. A pre-vote changes nothing, and
+/// members with a live leader refuse it, so it need not wait for an election timeout.
+const STARTUP_PRE_VOTE_MS: RangeInclusive<u64> = 100..=300;
+
 impl Core {
-    pub(super) fn election_timeout(&mut self) {
+    /// Sets the time of the next request for pre-votes.
+    pub(super) fn reset_pre_vote_deadline(&mut self) {
         self.reset_election_deadline();
+        let is_starting = self.now_ms < self.startup_ends_ms && self.leader_contact_ms.is_none();
+        if is_starting && !self.has_empty_log() {
+            self.election_deadline_ms = self.now_ms + self.rng.random_range(STARTUP_PRE_VOTE_MS);
+        }
+    }
+
+    pub(super) fn election_timeout(&mut self) {
+        self.reset_pre_vote_deadline();
         if !self.is_voter() {
             return;
         }
--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -219,6 +219,8 @@
     leader_contact_ms: Option<u64>,
     /// Latest confirmation by a leader.
     confirmed: Option<Confirmation>,
+    /// Time until which a member that has heard no leader asks for pre-votes at short intervals.
+    startup_ends_ms: u64,
     now_ms: u64,
     election_deadline_ms: u64,
     probe_due_ms: u64,
@@ -252,6 +254,7 @@
             leader: None,
             leader_contact_ms: None,
             confirmed: None,
+            startup_ends_ms: now_ms + config.timeouts.election_max_ms,
             now_ms,
             election_deadline_ms: 0,
             probe_due_ms: now_ms,
@@ -267,7 +270,7 @@
             config,
             log,
         };
-        core.reset_election_deadline();
+        core.reset_pre_vote_deadline();
         if core.is_sole_voter() {
             core.election_deadline_ms = now_ms;
         }
--- a/tests/consensus_confirmed.rs
+++ b/tests/consensus_confirmed.rs
@@ -3,6 +3,7 @@
 
 mod consensus_sim;
 
+use medlarlift::consensus::Timeouts;
 use medlarlift::types::VmName;
 use rand::RngExt;
 
@@ -195,3 +196,23 @@
     }
     assert!(seemed_caught_up > 0, "the case did not occur");
 }
+
+/// Guards against VMs that cannot serve after a restart of everything until an election timeout has passed.
+#[test]
+fn after_a_restart_of_all_members_most_are_confirmed_before_an_election_timeout() {
+    let mut is_fast = Vec::new();
+    for seed in 0..SEEDS {
+        let mut sim = Sim::new(seed, &["a", "b", "c"], options(seed));
+        sim.run(3_000);
+        for vm in sim.names() {
+            sim.crash(&vm);
+        }
+        sim.heal();
+        sim.run(Timeouts::default().election_min_ms);
+        let names = sim.names();
+        let mut statuses = names.iter().filter_map(|vm| sim.status(vm));
+        is_fast.push(statuses.any(|status| status.confirmed.is_some()));
+    }
+    let fast = is_fast.iter().filter(|is_fast| **is_fast).count();
+    assert!(2 * fast > is_fast.len(), "{fast} of {}", is_fast.len());
+}
