fix(gateway): a request that another VM refused takes a retry before the next VM gets it

Servers saw far more repeats than the limit per service and window allows while an entry VM was cut off from them and they turned requests away: 622 and 623 repeats of 240 requests, 98 allowed (five entry VMs, one cut off, all requests at that VM).

Cause: a VM without a way to any server sends a request through up to three other VMs, one after the other, while they refuse it. Each of them sends the request to servers as if it were new, so only its own repeats took a retry; the arrivals through the second and the third VM took none. A refusal of another VM says that the request has not run, not that no server has turned it away.

The VM that passes the request on now takes a retry before each VM after the first; a VM that could not be connected to still costs nothing, as nothing can have arrived. Without a retry the caller gets the refusal. Messages between VMs are unchanged.

--- a/src/gateway/peer_path.rs
+++ b/src/gateway/peer_path.rs
@@ -1,8 +1,8 @@
 //! The path of a request through another entry VM, while this VM reaches no server that could take it.
 //!
 //! The other VM handles the request as one of its own callers': it takes the tokens and the retries. It
-//! does not pass the request on to a further VM. This VM passes the answer on, streams by complete
-//! events.
+//! does not pass the request on to a further VM. If it refuses the request, this VM takes a retry before
+//! it sends it to the next one. This VM passes the answer on, streams by complete events.
 
 use bytes::Bytes;
 use http::Request;
@@ -103,7 +103,8 @@
                     self.history.runs -= 1;
                     let is_final = response.status() != StatusCode::SERVICE_UNAVAILABLE;
                     refusal = Some(self.collect(response).await?);
-                    if is_final {
+                    // Servers may have refused the request before the other VM did.
+                    if is_final || !self.take_retry().await {
                         break;
                     }
                 }
