fix(limits): use the tokens that another reservation of the VM has just brought

Cause: a VM that borrows tokens also asks for some ahead. When many requests borrow at the same time, the first reply brings those and empties the bucket, and the replies to the others are empty. A reservation looked at what its VM holds only when it began, so the others were refused while the VM held the tokens, unused. All buckets have this in common: retries, accounts and server limits; it shows where a bucket is small.

Fix: each step of a reservation first takes what the VM holds. No token is granted in addition, so the bounds stay: the bucket, the lifetime of grants and the saved retries are unchanged.

The fleet's bucket for 50 retries in 10 s holds 9, and 24 requests save 4: 13 of 24 are what a fresh fleet has for them. The rule would allow 54 (0.2 for each request and 50); the rest is kept for savings, refill and restarts.

Test: requests_at_the_same_time_use_all_tokens_that_their_vm_was_granted (virtual time, 50 orders of the calls); it failed before.

--- a/src/limits/token_cache.rs
+++ b/src/limits/token_cache.rs
@@ -138,11 +138,10 @@
             return Step::Refused(Shortage::TooLarge { largest_tokens });
         }
         state.allowance.note_use(now, tokens);
-        let grants = state.allowance.take(now, tokens);
         let borrowing = Borrowing {
             account: account.clone(),
             tokens,
-            grants,
+            grants: Vec::new(),
             rounds: 0,
             unreachable: Vec::new(),
             started: now,
@@ -153,6 +152,7 @@
     /// Continues a reservation after all replies of the last round have been passed in.
     pub fn step(&mut self, now: MonoMs, mut borrowing: Borrowing) -> Step {
         self.drop_expired(now, &mut borrowing);
+        self.take_held(now, &mut borrowing);
         let missing = borrowing.missing();
         if missing == 0 {
             return Step::Reserved(Reservation {
@@ -276,6 +276,15 @@
         self.returns.queue(&borrowing.account, expired);
     }
 
+    /// Adds tokens that the VM holds, also those that the replies to other reservations have brought
+    /// since this one asked.
+    fn take_held(&mut self, now: MonoMs, borrowing: &mut Borrowing) {
+        if let Some(state) = self.accounts.get_mut(&borrowing.account) {
+            let held = state.allowance.take(now, borrowing.missing());
+            borrowing.grants.extend(held);
+        }
+    }
+
     fn plan(
         &self,
         now: MonoMs,
