feat(gateway): log why a broken stream does not go on

The request line of a stream that broke off and was not resumed named the break alone (stream_cut_off), or stream_not_resumed: neither tells whether the retry budget was used up, the deadline passed or no server of the version was found. The last word of sends now does. The reasons stay as they were.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -183,7 +183,11 @@
         let is_overdue = Instant::now() >= self.exchange.deadline;
         let next = attempt::next(&self.exchange.history, AttemptOutcome::Lost);
         let may_resume = self.last_event.is_some() && !is_overdue && next == NextStep::Retry;
-        if !may_resume || !self.exchange.take_retry().await {
+        if !may_resume {
+            return Err(self.fail(cause));
+        }
+        if !self.exchange.take_retry().await {
+            self.note("retry_budget_used_up");
             return Err(self.fail(cause));
         }
         self.events.restart();
@@ -201,7 +205,22 @@
                 let (parts, source) = Source::relayed(response);
                 self.go_on(&parts, source, &Bytes::new())
             }
-            _ => Err(self.fail("stream_not_resumed")),
+            Ok(Ok(Answer::Complete(_))) => Err(self.fail("stream_not_resumed")),
+            Ok(Err(refusal)) => {
+                self.note(refusal.reason);
+                Err(self.fail("stream_not_resumed"))
+            }
+            Err(_) => {
+                self.note("not_resumed_in_time");
+                Err(self.fail("stream_not_resumed"))
+            }
+        }
+    }
+
+    /// Adds to the log line why the stream does not go on.
+    fn note(&mut self, reason: &'static str) {
+        if let Some(record) = &mut self.record {
+            record.sends.push(reason);
         }
     }
 
