fix(pipeline): send no call whose permit comes too late

Cause: a call waits for a server, and for a permit if the server named a limit, until 10 ms before its deadline. It was then sent with whatever time was left, down to none: the service ran it, took one of its few places, and the caller was told nothing certain.

Fix: a call waits until a tenth of its time is left, and is refused as not run after that, with a retry delay. This is checked again once the permit has come. A call that has not waited has all of its time and is sent as before, however short that is.

Not covered: a call whose connection is not open yet when its time ends still ends as unknown.

--- a/src/pipeline/service.rs
+++ b/src/pipeline/service.rs
@@ -15,6 +15,7 @@
 use super::classify::read_deadline;
 use super::classify::text_header;
 use super::context::Context;
+use super::dispatcher::RETRY_AFTER_MS;
 use super::order::Order;
 use super::order::run_order;
 use crate::backend::BackendError;
@@ -46,6 +47,9 @@
 const MAX_ATTEMPTS: u32 = 3;
 /// Time for which the record of an order is kept after its deadline.
 const RECORD_RETENTION_MS: u64 = 12 * 60 * 60 * 1_000;
+/// Part of a call's time that is left, at least, when it is sent to a server. A call that has waited longer
+/// would run in vain.
+const LEAST_TIME_DIVISOR: u64 = 10;
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
@@ -231,7 +235,9 @@
 ) -> std::result::Result<ServiceReply, BackendError> {
     let remaining_ms = checked.deadline.since(cx.clock.unix());
     let deadline = cx.clock.mono().plus(remaining_ms);
-    let provider = ReservedProvider::reserve(cx, checked, deadline).await?;
+    let wait_ms = remaining_ms - remaining_ms / LEAST_TIME_DIVISOR;
+    let send_deadline = cx.clock.mono().plus(wait_ms);
+    let provider = ReservedProvider::reserve(cx, checked, send_deadline).await?;
     let Some((address, _)) = cx.servers.locate(&provider.server) else {
         return Err(not_started("the provider left before the call"));
     };
@@ -251,6 +257,7 @@
 }
 
 impl ReservedProvider {
+    /// Waits until `deadline` for a provider that can take the call, and for its permit.
     async fn reserve(
         cx: &Context,
         checked: &CheckedCall,
@@ -274,6 +281,9 @@
                 }
                 None => true,
             };
+            if cx.clock.mono() > deadline {
+                return Err(permit_too_late());
+            }
             if has_permit {
                 return Ok(provider);
             }
@@ -297,6 +307,13 @@
     }
 }
 
+fn permit_too_late() -> BackendError {
+    BackendError::NoCapacity {
+        message: "the provider had no permit for the call in time".to_owned(),
+        retry_after_ms: RETRY_AFTER_MS,
+    }
+}
+
 fn not_started(message: &str) -> BackendError {
     BackendError::NotStarted {
         message: message.to_owned(),
--- a/tests/path/server_limits.rs
+++ b/tests/path/server_limits.rs
@@ -1,12 +1,16 @@
 //! Requests to backend servers that name a limit on the requests per second of all VMs together.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use futures::future::join_all;
 use http::Method;
 use http::StatusCode;
 use medlarlift::standin::client::Call;
+use medlarlift::standin::client::Reply;
 use medlarlift::types::Clock;
+use tokio::time::sleep;
 
 use crate::callers::VMS;
 use crate::callers::load;
@@ -25,6 +29,14 @@
 const WINDOW: Duration = Duration::from_secs(4);
 const TIME_TO_DEADLINE_MS: u64 = 1_500;
 
+/// Calls of which some are always close to their deadlines.
+const CROWD: usize = 200;
+const CROWD_INTERVAL: Duration = Duration::from_millis(20);
+const CROWD_LIMIT_PER_S: f64 = 15.0;
+const CROWD_TIME_TO_DEADLINE_MS: u64 = 2_000;
+/// Time that a call takes at its service.
+const CROWD_CALL_MS: u64 = 80;
+
 /// Largest number of requests in any window that begins at `from` or later.
 fn most_in_window(arrivals: &[Instant], from: Instant) -> usize {
     let counted: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
@@ -83,13 +95,8 @@
         .service(1)
         .start()
         .await;
-    let look_up = |vm: usize, number: usize| {
-        let path = format!("/services/{SERVICE}/lookup/{number}");
-        let deadline = Clock::start().unix().plus(TIME_TO_DEADLINE_MS);
-        Call::new(deployment.callers[vm], Method::GET, &path)
-            .header("authorization", &format!("Bearer {}", key(NORTH)))
-            .header("x-deadline-unix-ms", &deadline.0.to_string())
-    };
+    let look_up =
+        |vm: usize, number: usize| look_up(deployment.callers[vm], number, TIME_TO_DEADLINE_MS);
     deployment.eventually(|| look_up(0, 0)).await;
     let service = &deployment.services[0];
     service.set_request_limit(LIMIT_PER_S);
@@ -102,6 +109,20 @@
     let served = served.count() as f64;
     let expected = 0.6 * LIMIT_PER_S * LOAD.as_secs_f64();
     assert!(served >= expected, "{served} served");
+    assert_not_run(&replies);
+}
+
+/// A call of the plain service.
+fn look_up(vm: SocketAddr, number: usize, time_to_deadline_ms: u64) -> Call {
+    let path = format!("/services/{SERVICE}/lookup/{number}");
+    let deadline = Clock::start().unix().plus(time_to_deadline_ms);
+    Call::new(vm, Method::GET, &path)
+        .header("authorization", &format!("Bearer {}", key(NORTH)))
+        .header("x-deadline-unix-ms", &deadline.0.to_string())
+}
+
+/// Asserts that all calls that were not served have not run.
+fn assert_not_run(replies: &[Reply]) {
     for refused in replies
         .iter()
         .filter(|reply| reply.status != StatusCode::OK)
@@ -111,3 +132,33 @@
         assert!(refused.headers.contains_key("retry-after"), "{error}");
     }
 }
+
+/// Guards against calls that get their permit so late that no answer can arrive in time, and run all the
+/// same.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_whose_permit_comes_too_late_are_not_sent() {
+    let deployment = Builder::new(1)
+        .engines(1, |_| {})
+        .service(CROWD_CALL_MS)
+        .start()
+        .await;
+    let vm = deployment.callers[0];
+    let service = &deployment.services[0];
+    service.set_request_limit(CROWD_LIMIT_PER_S);
+    deployment
+        .eventually(|| look_up(vm, 0, CROWD_TIME_TO_DEADLINE_MS))
+        .await;
+    let before = service.counts().calls;
+    let calls = (0..CROWD).map(async |number| {
+        sleep(CROWD_INTERVAL * number as u32).await;
+        let call = look_up(vm, number, CROWD_TIME_TO_DEADLINE_MS);
+        let reply = deployment.client.send_within(call, 5_000).await;
+        reply.expect("a VM answers every request")
+    });
+    let replies = join_all(calls).await;
+    assert_not_run(&replies);
+    let is_served = |reply: &&Reply| reply.status == StatusCode::OK;
+    let served = replies.iter().filter(is_served).count() as u64;
+    assert!(served < CROWD as u64, "the limit binds");
+    assert_eq!(service.counts().calls - before, served);
+}
