fix(gateway): send no requests to a server whose answers say that it leaves

Callers' requests reached a backend server for seconds after an entry VM had passed on an answer in which the server said that it was about to leave. The header was read nowhere: a server that leaves was known from its heartbeat alone, so requests went on while no heartbeat arrived.

The adapter now decodes the statement into the head of an answer. The server table keeps it per process of a server and treats the server like one whose heartbeat says so, in every selection (first send, retry, resumed stream, adapter loads), and the send checks it again once a permit and a connection are there. Only a later process ends it: an answer without the statement may have been made before, and a heartbeat that says otherwise may be late. Answers to other requests, or of another server at the address, state nothing. If all servers leave, requests are refused at once as not run.

An entry VM that is cut off passes answers on through another one. It learns from them too: the other VM names the server in an answer that states that it leaves.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -108,7 +108,7 @@
     pub is_not_run: bool,
     /// Whether a different server answered, or one that lacks the model.
     pub is_misdirected: bool,
-    /// Server that a misdirected request reached.
+    /// Server that the request reached, if the answer names it.
     pub reached: Option<ServerName>,
     /// Load of the server.
     pub load: Option<ServerLoad>,
@@ -116,6 +116,8 @@
     pub named_limit: NamedLimit,
     /// Rest that the server asks of this VM.
     pub asked_rest: AskedRest,
+    /// Whether the server states that it is about to leave and wants no new requests.
+    pub is_leaving: bool,
     /// Time for which the connection may be idle.
     pub keep_idle: Option<Duration>,
     /// Whether the server closes the connection.
@@ -139,6 +141,9 @@
     /// Reads the head of an answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerHead;
 
+    /// Names in an answer to another entry VM the server that it comes from.
+    fn name_server(&self, headers: &mut HeaderMap, server: &ServerName);
+
     /// Number of the last complete event in `events`, if events are numbered.
     fn last_event(&self, events: &[u8]) -> Option<u64>;
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -316,10 +316,15 @@
         let gateway = Arc::clone(&self.gateway);
         let answered =
             forward::send(&gateway, &self.template, server, &metadata, answer_deadline).await;
-        let reply = match answered {
+        let mut reply = match answered {
             Ok(reply) => reply,
             Err(send_failure) => return Err(self.count_send_failure(send_failure)),
         };
+        if self.relay_permit.is_some() && reply.connection.states_leaving() {
+            // The other VM sends this server no requests either.
+            let headers = reply.response.headers_mut();
+            gateway.config.dialect.name_server(headers, server);
+        }
         record.framing = Some(Framing::of(reply.response.headers()));
         if let Some(taken) = self.taken.take() {
             self.gateway.quota.settle(taken);
@@ -429,7 +434,7 @@
 fn is_unreachable(record: &RequestRecord) -> bool {
     matches!(
         record.sends.last(),
-        Some(&("connect_failed" | "server_gone" | forward::RESTING))
+        Some(&("connect_failed" | "server_gone" | forward::LEAVING | forward::RESTING))
     )
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,6 +19,7 @@
 use super::crashes;
 use super::dialect::AnswerHead;
 use super::dialect::ForwardMetadata;
+use super::leaving_servers;
 use super::meter::Meter;
 use super::pool;
 use super::server_limits;
@@ -45,6 +46,8 @@
 
 /// Reason of a request that was not sent because its server rests.
 pub(super) const RESTING: &str = "server_resting";
+/// Reason of a request that was not sent because its server is about to leave.
+pub(super) const LEAVING: &str = "server_leaving";
 
 /// Parts of a request that are the same for every attempt.
 #[derive(Clone, Debug)]
@@ -81,6 +84,11 @@
         self.connection.meter.clone()
     }
 
+    /// Whether the answer states that its server is about to leave.
+    pub(super) fn states_leaving(&self) -> bool {
+        self.head.is_leaving
+    }
+
     /// Version of the server's software.
     pub(super) fn software(&self) -> &SoftwareVersion {
         &self.guard.target.software
@@ -259,10 +267,10 @@
         return Err(SendFailure::NotSent("server_gone"));
     };
     let mut connection = connection(gateway, template, &target, distance).await?;
-    if gateway.server_table().is_resting(server, gateway.now()) {
-        // It asked for rest while a permit or the connection was awaited.
+    if let Some(reason) = reason_not_to_send(gateway, server) {
+        // The server stated it while a permit or the connection was awaited.
         gateway.pool().put(target.address, connection, None);
-        return Err(SendFailure::NotSent(RESTING));
+        return Err(SendFailure::NotSent(reason));
     }
     let request = build(gateway, template, metadata);
     let guard = InFlight::start(gateway, target, template);
@@ -286,6 +294,9 @@
     let checked = check(gateway, template, &guard, response.status(), &head);
     server_limits::on_answer(gateway, &guard, &head, checked.is_ok());
     server_rests::on_answer(gateway, &guard, &head);
+    if head.request_id == template.request_id {
+        leaving_servers::on_answer(gateway, &guard, &head);
+    }
     checked?;
     guard.answered();
     Ok(Reply {
@@ -298,6 +309,14 @@
     })
 }
 
+fn reason_not_to_send(gateway: &Gateway, server: &ServerName) -> Option<&'static str> {
+    let table = gateway.server_table();
+    if table.is_leaving(server) {
+        return Some(LEAVING);
+    }
+    table.is_resting(server, gateway.now()).then_some(RESTING)
+}
+
 /// Time within which a connection has to be open.
 pub(super) fn connect_timeout(distance: Distance) -> Duration {
     Duration::from_millis(match distance {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod exchange;
 mod forward;
 mod framing;
+mod leaving_servers;
 mod limited_servers;
 mod load_targets;
 mod meter;
--- a/src/gateway/peer_path.rs
+++ b/src/gateway/peer_path.rs
@@ -23,6 +23,7 @@
 use super::exchange::Exchange;
 use super::exchange::MAX_ANSWER_BYTES;
 use super::forward::connect_timeout;
+use super::leaving_servers;
 use super::pool;
 use super::record::RequestRecord;
 use super::server_table::Distance;
@@ -138,8 +139,13 @@
             return Sent::Unsent;
         };
         let request = self.request_for_peer(distance, last_event);
+        let sent = gateway.now();
         match connection.sender.send_request(request).await {
-            Ok(response) => Sent::Answered(response),
+            Ok(response) => {
+                let (parts, body) = response.into_parts();
+                leaving_servers::on_relayed_answer(gateway, &parts, sent);
+                Sent::Answered(Response::from_parts(parts, body))
+            }
             Err(error) if error.is_canceled() => Sent::Unsent,
             Err(_) => Sent::Lost,
         }
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use super::dialect::ServerLoad;
+use super::leaving_servers::LeavingServers;
 pub use super::load_targets::LoadTarget;
 use super::load_targets::RecentEngines;
 use super::server_view::AdapterPresence;
@@ -107,6 +108,7 @@
 #[derive(Debug, Default)]
 pub struct ServerTable {
     pub(super) servers: IndexMap<ServerName, ServerView>,
+    pub(super) leaving: LeavingServers,
     distances: HashMap<DataCentre, Distance>,
     latencies: HashMap<ServiceName, ServiceLatency>,
     pub(super) recent_engines: RecentEngines,
@@ -130,7 +132,8 @@
     }
 
     /// Adds or updates a server. A restart of the server resets its state.
-    pub fn set_server(&mut self, announcement: Announcement) {
+    pub fn set_server(&mut self, mut announcement: Announcement) {
+        self.leaving.apply_to(&mut announcement);
         let name = announcement.server.clone();
         match self.servers.get_mut(&name) {
             Some(view) if view.announcement.started_unix_ms == announcement.started_unix_ms => {
