fix(registry): keep that a server leaves once it has fallen silent

A server that had told its heartbeat's controller that it was leaving, and then fell silent for 5 s (cut off from the controllers), was removed from the tables; an older heartbeat that arrived after that registered it as ready again, with callers' requests to follow.

Only servers that had deregistered left a tombstone. A leaving server that falls silent now leaves one, too, with the sequence number of its last heartbeat: older heartbeats are stale, newer ones and later processes are not. Such tombstones are not reported to other VMs as servers that have left, as their process may still run.

The test failed before: the late heartbeat was a change. It was not seen on real processes.

--- a/src/registry/table.rs
+++ b/src/registry/table.rs
@@ -7,8 +7,8 @@
 use crate::types::MonoMs;
 use crate::types::ServerName;
 
-/// Time for which the tombstone of a server that left is kept, so that a delayed heartbeat does not
-/// register the server again.
+/// Time for which the tombstone of a server is kept, so that a delayed heartbeat does not register the
+/// server again.
 const TOMBSTONE_MS: u64 = 60_000;
 
 /// A registered backend server.
@@ -31,12 +31,34 @@
     Stale,
 }
 
+/// What is kept of a server that left, or that was about to leave and fell silent.
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    /// Start time of its process.
+    started_unix_ms: u64,
+    /// Last heartbeat that is ignored from this process; `None` if its process has left, so that all are.
+    last_sequence: Option<u64>,
+    /// When it was removed.
+    at: MonoMs,
+}
+
+impl Tombstone {
+    fn covers(&self, announcement: &Announcement) -> bool {
+        match self.last_sequence {
+            Some(last) => {
+                let order = (announcement.started_unix_ms, announcement.sequence);
+                order <= (self.started_unix_ms, last)
+            }
+            None => announcement.started_unix_ms <= self.started_unix_ms,
+        }
+    }
+}
+
 /// Backend servers by name.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     servers: IndexMap<ServerName, Record>,
-    /// Start time of the process that left, and when the notice was received.
-    tombstones: IndexMap<ServerName, (u64, MonoMs)>,
+    tombstones: IndexMap<ServerName, Tombstone>,
 }
 
 impl Table {
@@ -46,7 +68,7 @@
         let has_left = self
             .tombstones
             .get(name)
-            .is_some_and(|(started, _)| announcement.started_unix_ms <= *started);
+            .is_some_and(|tombstone| tombstone.covers(&announcement));
         if has_left || self.is_displaced(&announcement) {
             return Change::Stale;
         }
@@ -79,8 +101,7 @@
     /// Removes a server whose process, started at `started_unix_ms`, has left. False if a later
     /// process of the same name is known or nothing changes.
     pub fn leave(&mut self, server: &ServerName, started_unix_ms: u64, now: MonoMs) -> bool {
-        self.tombstones
-            .retain(|_, (_, at)| now.since(*at) < TOMBSTONE_MS);
+        self.prune_tombstones(now);
         let is_later_process_known = self
             .servers
             .get(server)
@@ -88,23 +109,35 @@
         if is_later_process_known {
             return false;
         }
-        self.tombstones
-            .insert(server.clone(), (started_unix_ms, now));
+        let tombstone = Tombstone {
+            started_unix_ms,
+            last_sequence: None,
+            at: now,
+        };
+        self.tombstones.insert(server.clone(), tombstone);
         self.servers.shift_remove(server).is_some()
     }
 
-    /// Removes the servers without a heartbeat since `oldest`; returns their names.
+    /// Removes the servers without a heartbeat since `oldest`; returns their names. Late heartbeats of
+    /// those that were about to leave do not register them again.
     pub fn expire(&mut self, oldest: MonoMs) -> Vec<ServerName> {
-        let silent: Vec<ServerName> = self
+        self.prune_tombstones(oldest);
+        let is_silent = |record: &Record| record.last_heard < oldest;
+        let silent = self
             .servers
-            .values()
-            .filter(|record| record.last_heard < oldest)
-            .map(|record| record.announcement.server.clone())
-            .collect();
-        for name in &silent {
-            self.servers.shift_remove(name);
+            .extract_if(.., |_, record| is_silent(record))
+            .collect::<Vec<_>>();
+        for (server, record) in &silent {
+            if record.announcement.state == ServerState::Leaving {
+                let tombstone = Tombstone {
+                    started_unix_ms: record.announcement.started_unix_ms,
+                    last_sequence: Some(record.announcement.sequence),
+                    at: record.last_heard,
+                };
+                self.tombstones.insert(server.clone(), tombstone);
+            }
         }
-        silent
+        silent.into_iter().map(|(server, _)| server).collect()
     }
 
     /// The record of `server`.
@@ -119,9 +152,14 @@
 
     /// Servers that have left, with the start time of their last process.
     pub fn tombstones(&self) -> impl Iterator<Item = (&ServerName, u64)> {
+        let tombstones = self.tombstones.iter();
+        let left = tombstones.filter(|(_, tombstone)| tombstone.last_sequence.is_none());
+        left.map(|(name, tombstone)| (name, tombstone.started_unix_ms))
+    }
+
+    fn prune_tombstones(&mut self, now: MonoMs) {
         self.tombstones
-            .iter()
-            .map(|(name, (started, _))| (name, *started))
+            .retain(|_, tombstone| now.since(tombstone.at) < TOMBSTONE_MS);
     }
 
     /// Whether a later process of another server uses the address of `announcement`.
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -76,6 +76,23 @@
     assert!(table.get("a").is_some());
 }
 
+/// Guards against a heartbeat that arrives late and undoes, once a leaving server has fallen silent, that
+/// it leaves.
+#[test]
+fn a_leaving_server_that_fell_silent_stays_so_when_an_older_heartbeat_arrives() {
+    let mut table = Table::default();
+    table.observe(leaving(heartbeat("a", 10, 5)), MonoMs(0));
+    assert_eq!(table.expire(MonoMs(1)), [ServerName::from("a")]);
+    let late = table.observe(heartbeat("a", 10, 4), MonoMs(2));
+    assert_eq!(late, Change::Stale);
+    let repeated = table.observe(heartbeat("a", 10, 5), MonoMs(3));
+    assert_eq!(repeated, Change::Stale);
+    assert!(table.get("a").is_none());
+    assert_eq!(table.tombstones().count(), 0, "its process has not ended");
+    let next = table.observe(leaving(heartbeat("a", 10, 6)), MonoMs(4));
+    assert_eq!(next, Change::Changed);
+}
+
 #[test]
 fn a_later_process_at_the_same_address_displaces_the_earlier_one() {
     let mut table = Table::default();
