refactor: one lookup of a member's progress, one list of refusals that promise no run

The leader looked a member up by the same lines twice; the path through another VM had its own copy of the statuses that promise that a request has not run; a step of Gateway and one of Exchange had the same name.

--- a/src/consensus/core/leader.rs
+++ b/src/consensus/core/leader.rs
@@ -241,10 +241,7 @@
     /// Whether `to` gets the snapshot: it needs entries that are not in memory, or the entries up to the
     /// snapshot neither fit into one message nor are smaller than the snapshot.
     fn needs_snapshot(&self, to: &VoterId) -> bool {
-        let Role::Leader(leadership) = &self.role else {
-            return false;
-        };
-        let Some(progress) = leadership.progress.get(to) else {
+        let Some(progress) = self.progress(to) else {
             return false;
         };
         let snapshot = self.log.snapshot();
@@ -256,12 +253,17 @@
                 .exceeds(progress.next_index, snapshot.index, max_bytes)
     }
 
-    /// Index of the next entry for `to`, if it may be sent now.
-    fn next_to_send(&self, to: &VoterId, heartbeat: bool) -> Option<u64> {
+    /// Replication state of a member, while this VM leads.
+    fn progress(&self, member: &VoterId) -> Option<&Progress> {
         let Role::Leader(leadership) = &self.role else {
             return None;
         };
-        let progress = leadership.progress.get(to)?;
+        leadership.progress.get(member)
+    }
+
+    /// Index of the next entry for `to`, if it may be sent now.
+    fn next_to_send(&self, to: &VoterId, heartbeat: bool) -> Option<u64> {
+        let progress = self.progress(to)?;
         let (next_index, match_index) = (progress.next_index, progress.match_index);
         if progress.paused || next_index > self.log.last_index() {
             return None;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -431,7 +431,7 @@
 }
 
 /// Whether callers take the status as a promise that the request has not run.
-fn implies_not_run(status: StatusCode) -> bool {
+pub(super) fn implies_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
--- a/src/gateway/peer_path.rs
+++ b/src/gateway/peer_path.rs
@@ -23,6 +23,7 @@
 use super::exchange::Exchange;
 use super::exchange::MAX_ANSWER_BYTES;
 use super::forward::connect_timeout;
+use super::forward::implies_not_run;
 use super::leaving_servers;
 use super::pool;
 use super::record::RequestRecord;
@@ -99,7 +100,7 @@
                     self.history.runs = self.history.runs.max(self.history.max_runs);
                     return Err(Refusal::new(StatusCode::BAD_GATEWAY, "answer_lost"));
                 }
-                Sent::Answered(response) if is_refusal(&response) => {
+                Sent::Answered(response) if implies_not_run(response.status()) => {
                     record.sends.push("peer_refused");
                     self.history.runs -= 1;
                     let is_final = response.status() != StatusCode::SERVICE_UNAVAILABLE;
@@ -189,8 +190,3 @@
         Ok(Response::from_parts(parts, bytes))
     }
 }
-
-/// Whether the other VM states that the request has not run.
-fn is_refusal(response: &Response<Incoming>) -> bool {
-    matches!(response.status().as_u16(), 408 | 421 | 429 | 503)
-}
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -275,12 +275,12 @@
         last_event: Option<u64>,
         record: &mut RequestRecord,
     ) -> Result<Answer, Refusal> {
-        self.find_origin().await?;
+        self.recall_origin().await?;
         self.obtain_answer(last_event, record).await
     }
 
     /// Finds out who began the stream. This VM has not seen it if another VM passed the stream on.
-    async fn find_origin(&mut self) -> Result<(), Refusal> {
+    async fn recall_origin(&mut self) -> Result<(), Refusal> {
         let is_known = self.origin.is_some() || self.is_relayed;
         if is_known || !self.route.repeat.is_resumable_stream() {
             return Ok(());
