--- a/src/consensus/core/leader.rs
+++ b/src/consensus/core/leader.rs
@@ -241,7 +241,7 @@
     /// Whether `to` gets the snapshot: it needs entries that are not in memory, or the entries up to the
     /// snapshot neither fit into one message nor are smaller than the snapshot.
     fn needs_snapshot(&self, to: &VoterId) -> bool {
-        let Some(progress) = self.progress(to) else {
+        let Some(progress) = self.progress_of(to) else {
             return false;
         };
         let snapshot = self.log.snapshot();
@@ -254,7 +254,7 @@
     }
 
     /// Replication state of a member, while this VM leads.
-    fn progress(&self, member: &VoterId) -> Option<&Progress> {
+    fn progress_of(&self, member: &VoterId) -> Option<&Progress> {
         let Role::Leader(leadership) = &self.role else {
             return None;
         };
@@ -263,7 +263,7 @@
 
     /// Index of the next entry for `to`, if it may be sent now.
     fn next_to_send(&self, to: &VoterId, heartbeat: bool) -> Option<u64> {
-        let progress = self.progress(to)?;
+        let progress = self.progress_of(to)?;
         let (next_index, match_index) = (progress.next_index, progress.match_index);
         if progress.paused || next_index > self.log.last_index() {
             return None;
