fix(limits): retry buckets begin empty, also those of services that look new

Cause: the bucket of a service that is new to the fleet began full, and a controller took a service for new if its own previous configuration lacked it. A controller that applies its log in steps after a start meets every later service so; and a controller that was not the leader filled the bucket again if it became one within 5 s. No controller can tell that nobody has granted from a bucket before.

A new service refills as any other; its VMs save from the first request on.

--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -323,14 +323,12 @@
         buckets::set_accounts(&self.quota, &new, old.as_deref(), |account| {
             account_limit_history(account, new.version)
         });
-        // After a restart, the first configuration may be one that other leaders had applied.
-        let are_new = old.is_some() || self.config.may_bootstrap;
         let is_added = |name: &&ServiceName| {
             !old.as_ref()
                 .is_some_and(|old| old.services.contains_key(*name))
         };
         let added = new.services.keys().filter(is_added);
-        buckets::add_services(&self.quota, added, are_new, &self.config.retry_limit);
+        buckets::add_services(&self.quota, added, &self.config.retry_limit);
     }
 
     pub(super) fn update_versions(&self) {
