fix(pipeline): keep an engine reserved until its crash is known

The crashing request reserved engine-3, crashed it, and its VM released the reservation 1 ms later. 29 ms after the crash the neighbour's VM, which had not heard of it, got the reservation of engine-3 and sent the neighbour there. The engine was down; the connection broke, the restarted engine did not know the request, and so the crash that had come before counted as the neighbour's second one.

Fix: the reservation outlives a crash by one gossip round (0.5 s), the time for which the request itself waits.

Test: no_suspect_follows_another_to_an_engine_that_has_just_crashed.

Not covered: an engine that accepts connections but is down for longer than 0.5 s after a suspect's crash.

--- a/src/pipeline/assignment.rs
+++ b/src/pipeline/assignment.rs
@@ -72,6 +72,11 @@
         self.suspect_reservation = Some(reservation);
     }
 
+    /// Removes the reservation of the engine, which outlives the assignment if it is kept.
+    pub(super) fn take_suspect_reservation(&mut self) -> Option<SuspectReservation> {
+        self.suspect_reservation.take()
+    }
+
     /// Records the tokens that the request consumed, for fair queueing among accounts.
     pub fn set_used_tokens(&mut self, used_tokens: Tokens) {
         self.used_tokens = Some(used_tokens);
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -47,8 +47,8 @@
 /// Longest time for which the server is probed. The request must not run elsewhere before a crash
 /// has been reported, or it could crash one engine after another.
 const PROBE_TIMEOUT_MS: u64 = 1_500;
-/// Wait before a request that crashed a server runs again: one gossip round, so that the crash
-/// reports of other VMs arrive first.
+/// Wait before a request that crashed a server runs again, and before another suspect runs on the server:
+/// one gossip round, so that the crash reports of other VMs arrive first.
 const CRASH_REPORT_WAIT_MS: u64 = 500;
 /// Wait before a suspect tries again to reserve an engine.
 const SUSPECT_RETRY_MS: u64 = 100;
@@ -276,7 +276,7 @@
         let incarnation = in_flight.assignment().incarnation();
         cx.quarantine
             .report_causes(&request.features, progress, in_flight.server(), incarnation);
-        in_flight.not_run()
+        in_flight.crashed(after_ms(CRASH_REPORT_WAIT_MS))
     } else {
         in_flight.lost()
     };
--- a/src/pipeline/in_flight.rs
+++ b/src/pipeline/in_flight.rs
@@ -7,6 +7,7 @@
 use futures::StreamExt;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
 use super::admit::ReservedTokens;
@@ -105,6 +106,21 @@
         tokens
     }
 
+    /// Ends a dispatch whose server crashed and returns its reserved tokens for the next one. The engine
+    /// stays reserved until `reserved_until`, so that no other suspect is sent to it by a VM that has not
+    /// heard of the crash.
+    pub fn crashed(mut self, reserved_until: Instant) -> ReservedTokens {
+        let held = self.held.as_mut();
+        let reservation = held.and_then(|held| held.assignment.take_suspect_reservation());
+        if let Some(reservation) = reservation {
+            tokio::spawn(async move {
+                sleep_until(reserved_until).await;
+                drop(reservation);
+            });
+        }
+        self.not_run()
+    }
+
     /// Cancels a dispatch whose answer is lost and returns its reserved tokens for the next one.
     /// The assignment is kept until the engine confirms the cancellation, as it may still run the
     /// request.
--- a/tests/path/crashes.rs
+++ b/tests/path/crashes.rs
@@ -12,8 +12,11 @@
 use crate::deployment::NORTH;
 use crate::deployment::SOUTH;
 use crate::deployment::assert_refused;
+use crate::deployment::call;
 use crate::deployment::completion;
 use crate::deployment::model;
+use crate::fake_engine::FAKE_MODEL;
+use crate::fake_engine::FakeEngine;
 
 /// Prompt text that crashes an engine.
 const CRASH_MARKER: &str = "poison";
@@ -22,6 +25,11 @@
 /// Output tokens of a concurrent request, which takes about 400 ms.
 const NEIGHBOUR_TOKENS: u64 = 200;
 
+/// Requests, one at each VM, whose engine crashes.
+const SUSPECTS: usize = 2;
+/// Time in which a crash becomes known to all VMs.
+const REPORT_ROUND: Duration = Duration::from_millis(450);
+
 /// Requests with a line that crashes engines.
 const CRASHING_REQUESTS: usize = 30;
 /// Crashes that one line may cause.
@@ -62,6 +70,31 @@
     tokio::join!(send_crashing_request(&deployment, 0), neighbours);
 }
 
+/// Guards against a suspect that is sent to an engine which has just crashed under another suspect, because
+/// its VM has not heard of the crash yet: the crash would count against both.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_suspect_follows_another_to_an_engine_that_has_just_crashed() {
+    let deployment = Builder::new(SUSPECTS).engines(1, |_| {}).start().await;
+    // An engine that closes the connection and does not know the request afterwards has crashed.
+    let engine = FakeEngine::start(&deployment).await;
+    let good = completion(FAKE_MODEL, "good", 4);
+    for vm in &deployment.callers {
+        deployment.eventually(|| call(*vm, NORTH, &good)).await;
+    }
+    let before = engine.arrivals().len();
+    let suspects = (0..SUSPECTS).map(async |vm| {
+        let body = completion(FAKE_MODEL, &format!("lose {vm}"), 5);
+        deployment.complete(vm, NORTH, &body).await
+    });
+    futures::future::join_all(suspects).await;
+    let arrivals = engine.arrivals();
+    // Each request is a suspect from its second run on.
+    let suspects = &arrivals[before + SUSPECTS..];
+    let pauses = suspects.windows(2).map(|pair| pair[1] - pair[0]);
+    let shortest = pauses.min().expect("each suspect runs");
+    assert!(shortest >= REPORT_ROUND, "{shortest:?} after a crash");
+}
+
 /// Guards against a request that crashes one engine after another, through retries or because its
 /// caller resends it through other VMs.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/path/fake_engine.rs
+++ b/tests/path/fake_engine.rs
@@ -1,8 +1,8 @@
 //! Fake engine that injects the fault named in the prompt.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures::stream;
@@ -42,8 +42,10 @@
     max_tokens: u64,
 }
 
+#[derive(Default)]
 struct FakeHandler {
-    dispatches: AtomicU64,
+    /// When completion requests arrived.
+    arrivals: Mutex<Vec<Instant>>,
 }
 
 /// A running fake engine.
@@ -56,9 +58,7 @@
 impl FakeEngine {
     /// Starts an engine that announces itself to all VMs of `deployment`.
     pub async fn start(deployment: &Deployment) -> Self {
-        let handler = Arc::new(FakeHandler {
-            dispatches: AtomicU64::new(0),
-        });
+        let handler = Arc::new(FakeHandler::default());
         let address = ([127, 0, 0, 1], 0).into();
         let server = Server::bind(address, handler.clone(), Connections::new()).await;
         let server = server.expect("a port is free");
@@ -83,7 +83,12 @@
 
     /// Number of completion requests received.
     pub fn dispatches(&self) -> u64 {
-        self.handler.dispatches.load(Ordering::SeqCst)
+        self.arrivals().len() as u64
+    }
+
+    /// When completion requests arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.handler.arrivals.lock().unwrap().clone()
     }
 }
 
@@ -111,7 +116,7 @@
         let path = request.uri().path().to_owned();
         if path == "/v1/completions" {
             let completion = server::read_json(request).await.ok()?;
-            self.dispatches.fetch_add(1, Ordering::SeqCst);
+            self.arrivals.lock().unwrap().push(Instant::now());
             return self.complete(&completion);
         }
         Some(match path.as_str() {
