fix(consensus): before an election timeout, a leader is elected only by all voters together

A pre-vote before the first election timeout now has to be granted by all voters: after a restart of all of them, the former leader among them, nobody can act. Otherwise the election timeout is waited for as ever.

--- a/src/consensus/core/election.rs
+++ b/src/consensus/core/election.rs
@@ -11,21 +11,28 @@
 use crate::consensus::message::Message;
 use crate::consensus::types::VoterId;
 
-/// Bounds of the time between two requests for pre-votes after a start. A pre-vote changes nothing, and
-/// members with a live leader refuse it, so it need not wait for an election timeout.
+/// Bounds of the time between two requests for pre-votes before the first election timeout.
 const STARTUP_PRE_VOTE_MS: RangeInclusive<u64> = 100..=300;
 
 impl Core {
+    /// Whether no election timeout has passed since the start and no leader was heard. A member that has
+    /// just started has forgotten when it last heard a leader, which may still act. Only if all voters grant
+    /// a pre-vote by then, there is none: after a restart of all of them.
+    fn is_starting(&self) -> bool {
+        self.now_ms < self.startup_ends_ms && self.leader_contact_ms.is_none()
+    }
+
     /// Sets the time of the next request for pre-votes.
     pub(super) fn reset_pre_vote_deadline(&mut self) {
-        self.reset_election_deadline();
-        let is_starting = self.now_ms < self.startup_ends_ms && self.leader_contact_ms.is_none();
-        if is_starting && !self.has_empty_log() {
-            self.election_deadline_ms = self.now_ms + self.rng.random_range(STARTUP_PRE_VOTE_MS);
+        if !self.is_starting() || self.has_empty_log() {
+            return self.reset_election_deadline();
         }
+        let early_ms = self.now_ms + self.rng.random_range(STARTUP_PRE_VOTE_MS);
+        self.election_deadline_ms = early_ms.min(self.startup_ends_ms);
     }
 
     pub(super) fn election_timeout(&mut self) {
+        let needs_all = self.is_starting();
         self.reset_pre_vote_deadline();
         if !self.is_voter() {
             return;
@@ -33,6 +40,7 @@
         self.leader = None;
         self.role = Role::PreCandidate {
             granted: BTreeSet::new(),
+            needs_all,
         };
         let message = Message::PreVote {
             last_index: self.log.last_index(),
@@ -60,12 +68,16 @@
     }
 
     fn count_pre_vote(&mut self, from: VoterId) {
-        let Role::PreCandidate { granted } = &mut self.role else {
+        let Role::PreCandidate { granted, needs_all } = &mut self.role else {
             return;
         };
         granted.insert(from);
-        let granted = granted.clone();
-        if self.is_quorum(&granted) {
+        let (granted, needs_all) = (granted.clone(), *needs_all);
+        let is_granted = match needs_all {
+            true => self.configuration().voters.is_subset(&granted),
+            false => self.is_quorum(&granted),
+        };
+        if is_granted {
             self.campaign(false);
         }
     }
--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -193,8 +193,14 @@
 #[derive(Debug)]
 enum Role {
     Follower,
-    PreCandidate { granted: BTreeSet<VoterId> },
-    Candidate { granted: BTreeSet<VoterId> },
+    PreCandidate {
+        granted: BTreeSet<VoterId>,
+        /// Whether all voters have to grant the pre-vote, rather than a quorum.
+        needs_all: bool,
+    },
+    Candidate {
+        granted: BTreeSet<VoterId>,
+    },
     Leader(Box<Leadership>),
 }
 
@@ -219,7 +225,8 @@
     leader_contact_ms: Option<u64>,
     /// Latest confirmation by a leader.
     confirmed: Option<Confirmation>,
-    /// Time until which a member that has heard no leader asks for pre-votes at short intervals.
+    /// Time of the first election timeout since the start. Until then, a member that has heard no leader
+    /// asks for pre-votes at short intervals.
     startup_ends_ms: u64,
     now_ms: u64,
     election_deadline_ms: u64,
@@ -254,7 +261,7 @@
             leader: None,
             leader_contact_ms: None,
             confirmed: None,
-            startup_ends_ms: now_ms + config.timeouts.election_max_ms,
+            startup_ends_ms: 0,
             now_ms,
             election_deadline_ms: 0,
             probe_due_ms: now_ms,
@@ -270,6 +277,8 @@
             config,
             log,
         };
+        core.reset_election_deadline();
+        core.startup_ends_ms = core.election_deadline_ms;
         core.reset_pre_vote_deadline();
         if core.is_sole_voter() {
             core.election_deadline_ms = now_ms;
