fix(consensus): what queued up while a member stood still confirms nothing

For 300 ms after a pause of over 400 ms no message confirms anything now. A suspension that the clock does not count is not noticed.

A leader that steps down keeps its last confirmation, and a source tells its followers the age that belongs to the commit index in the same reply.

--- a/src/consensus/core/append.rs
+++ b/src/consensus/core/append.rs
@@ -51,7 +51,8 @@
     /// Until an entry of its own term is committed, a leader may know less than its predecessor.
     fn confirm(&mut self, commit_index: u64, last_sent: u64) {
         let is_complete = commit_index <= last_sent;
-        if is_complete && self.log.term_at(commit_index) == Some(self.meta.term) {
+        let is_fresh = self.now_ms >= self.fresh_from_ms;
+        if is_complete && is_fresh && self.log.term_at(commit_index) == Some(self.meta.term) {
             self.confirmed = Some(Confirmation {
                 index: commit_index,
                 at_ms: self.now_ms,
--- a/src/consensus/core/election.rs
+++ b/src/consensus/core/election.rs
@@ -148,6 +148,7 @@
             self.save_meta();
         }
         if !matches!(self.role, Role::Follower) {
+            self.confirmed = self.leader_confirmation().or(self.confirmed);
             self.role = Role::Follower;
             self.reset_election_deadline();
         }
--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -37,6 +37,11 @@
 use super::types::VoterId;
 use crate::types::VmName;
 
+/// Time without an input after which the process stood still. The driver passes in a tick each 20 ms.
+const PAUSE_MS: u64 = 400;
+/// Time in which a process that stood still reads the messages that queued up meanwhile.
+const QUEUE_DRAIN_MS: u64 = 300;
+
 /// Settings of a core.
 #[derive(Clone, Debug)]
 pub struct CoreConfig {
@@ -225,6 +230,8 @@
     leader_contact_ms: Option<u64>,
     /// Latest confirmation by a leader.
     confirmed: Option<Confirmation>,
+    /// Time from which messages of a leader are fresh: a process that stood still reads those that queued up.
+    fresh_from_ms: u64,
     /// Time of the first election timeout since the start. Until then, a member that has heard no leader
     /// asks for pre-votes at short intervals.
     startup_ends_ms: u64,
@@ -261,6 +268,7 @@
             leader: None,
             leader_contact_ms: None,
             confirmed: None,
+            fresh_from_ms: now_ms,
             startup_ends_ms: 0,
             now_ms,
             election_deadline_ms: 0,
@@ -290,6 +298,9 @@
     /// monotonic time; if it is earlier than in the previous call, no time is assumed to have
     /// passed.
     pub fn step(&mut self, now_ms: u64, input: Input) -> Vec<Output> {
+        if now_ms > self.now_ms + PAUSE_MS {
+            self.fresh_from_ms = now_ms + QUEUE_DRAIN_MS;
+        }
         self.now_ms = self.now_ms.max(now_ms);
         // Timers run before the input, so that a process resumed after a pause steps down from a
         // stale role before it processes messages queued in the meantime.
--- a/src/consensus/driver/handle.rs
+++ b/src/consensus/driver/handle.rs
@@ -233,7 +233,7 @@
             leader: view.leader,
             voters: view.configuration.voters.into_iter().collect(),
             commit_index: view.commit_index,
-            confirmed_age_ms: shared.confirmed_age_ms(),
+            confirmed_age_ms: shared.age_ms(view.confirmed_ms),
             waited_ms: shared.now_ms() - received_ms,
             content,
         }
--- a/src/consensus/driver/shared.rs
+++ b/src/consensus/driver/shared.rs
@@ -59,12 +59,8 @@
         lock(&self.log)
     }
 
-    pub(super) fn confirmed_age_ms(&self) -> u64 {
-        let confirmed_ms = self.view().confirmed_ms;
-        self.age_ms(confirmed_ms)
-    }
-
-    fn age_ms(&self, since_ms: Option<i64>) -> u64 {
+    /// Time since `since_ms`; `u64::MAX` if there is none.
+    pub(super) fn age_ms(&self, since_ms: Option<i64>) -> u64 {
         let now_ms = self.now_ms().cast_signed();
         since_ms.map_or(u64::MAX, |at| {
             now_ms.saturating_sub(at).max(0).unsigned_abs()
