fix(gateway): a claimed version counts until the next claim

The version that was confirmed last now counts, so that the next status of another controller replaces an absurd one, and an unconfirmed configuration begins to serve only while no version has been confirmed. The claim itself is not logged yet.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -20,7 +20,8 @@
 #[derive(Debug, Default)]
 pub struct Configuration {
     newest: Option<Arc<Deployment>>,
-    /// Newest version that a controller has confirmed, whether or not it has arrived.
+    /// Version that a controller has confirmed last, whether or not it has arrived. A claim that no other
+    /// controller repeats is soon replaced by theirs.
     confirmed_version: Option<u64>,
     /// Whether `newest` serves requests.
     is_served: bool,
@@ -59,7 +60,7 @@
 
     /// Notes that a controller has confirmed `version`. Returns whether this changes anything.
     pub fn confirm(&mut self, version: u64) -> bool {
-        if self.confirmed_version.is_some_and(|known| version <= known) {
+        if self.confirmed_version == Some(version) {
             return false;
         }
         self.confirmed_version = Some(version);
@@ -67,9 +68,10 @@
         true
     }
 
-    /// Serves by an unconfirmed configuration from now on. Returns whether this changes anything.
+    /// Serves by an unconfirmed configuration from now on, unless a newer one is known to be in force.
+    /// Returns whether this changes anything.
     pub fn serve_unconfirmed(&mut self) -> bool {
-        let is_new = !self.is_served && self.newest.is_some();
+        let is_new = !self.is_served && self.newest.is_some() && self.confirmed_version.is_none();
         self.is_served |= is_new;
         is_new
     }
