fix(fleet): a controller stands in for the leader only with a published state

Since a controller withholds its state for 3 s, one that stood in from its first moment knew no account and granted nothing, and VMs that chose it gave up their own allowance.

--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -17,7 +17,6 @@
 use super::control_vm::lock;
 use super::crash_reports::CrashReports;
 use super::entry_vms::EntryVms;
-use super::failover_server;
 use super::failover_server::FailoverServer;
 use super::log_line::DocumentChange;
 use super::log_line::ServerChange;
@@ -246,8 +245,12 @@
         let members = log.voters.iter().chain(&log.learners);
         let holds = self.orders.active(self.now());
         let software = self.software_versions();
-        let is_published = self.publication(&log) != Publication::Withheld;
-        let document = self.document().filter(|_| is_published);
+        let publication = self.publication(&log);
+        let document = self.document();
+        let document = document.filter(|_| publication != Publication::Withheld);
+        // Before its state is published, it knows no accounts whose tokens it could grant.
+        let stands_in = publication == Publication::Unconfirmed
+            && self.config.mechanisms.is_enabled(Mechanism::QuotaFailover);
         ControlStatus {
             leads: log.is_leader && log.confirmed_age_ms <= LEADER_CONTACT_MAX_AGE_MS,
             term: log.term,
@@ -256,8 +259,7 @@
             controllers: members
                 .filter_map(|id| link_address(&id.vm, port))
                 .collect(),
-            stands_in: failover_server::is_without_leader(&log)
-                && self.config.mechanisms.is_enabled(Mechanism::QuotaFailover),
+            stands_in,
             entry_vms: self.links.entry_vms(),
             recent_entry_vms: self.links.recent_entry_vms(self.now()),
             software,
