fix(consensus): a member that starts empty draws one election timeout, as before

It drew two, which changed the order of random numbers: the script consensus/repair then had F2 as its leader when it asked the leader to remove F2, which a leader refuses for itself (traced by the script's leader directive).

--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -287,7 +287,9 @@
         };
         core.reset_election_deadline();
         core.startup_ends_ms = core.election_deadline_ms;
-        core.reset_pre_vote_deadline();
+        if !core.has_empty_log() {
+            core.reset_pre_vote_deadline();
+        }
         if core.is_sole_voter() {
             core.election_deadline_ms = now_ms;
         }
