--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -84,7 +84,8 @@
     pub leads: bool,
     /// Its term in the replicated log.
     pub term: u64,
-    /// Version of the document that it publishes; 0 for none, or while its state may be older than the one in force.
+    /// Version of the document that it publishes; 0 for none, or while its state may be older than the
+    /// one in force.
     pub document_version: u64,
     /// Data centres whose orders it holds, with the fence.
     pub holds: Vec<(DataCentre, u64)>,
