--- a/src/fleet/buckets.rs
+++ b/src/fleet/buckets.rs
@@ -49,16 +49,20 @@
     })
 }
 
-/// Adds the retry buckets of services. They begin empty, as another controller may have granted their
-/// retries. Buckets stay when a service is removed.
+/// Adds the retry buckets of services. Those of services that are `new` to the fleet are full. Buckets
+/// stay when a service is removed, since one that comes back would be full again.
 pub(super) fn add_services<'a>(
     server: &Server,
     services: impl Iterator<Item = &'a ServiceName>,
+    are_new: bool,
     limit: &RetryLimit,
 ) {
     for service in services {
         let history = History::new(limit.bucket_limits(fleet_share()));
-        server.set_history(retry_bucket(service), history);
+        match are_new {
+            true => server.add_new(retry_bucket(service), history),
+            false => server.set_history(retry_bucket(service), history),
+        }
     }
 }
 
--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -4,6 +4,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use indexmap::IndexSet;
 use tokio::sync::Notify;
@@ -86,6 +88,8 @@
     /// Backend servers known to any controller.
     pub(super) servers: Mutex<Table>,
     pub(super) deployment: Mutex<Option<Arc<Deployment>>>,
+    /// Whether the state was confirmed when the deployment was applied.
+    pub(super) applies_confirmed: AtomicBool,
     pub(super) last_status: Mutex<Option<ControlStatus>>,
 }
 
@@ -323,7 +327,7 @@
         };
         let error = match self.config.dialect.decode(&document.body) {
             Ok(deployment) => {
-                self.apply_deployment(deployment);
+                self.apply_deployment(deployment, publication == Publication::Confirmed);
                 None
             }
             Err(error) => Some(error.to_string()),
@@ -337,19 +341,27 @@
         });
     }
 
-    pub(super) fn apply_deployment(&self, deployment: Deployment) {
+    fn apply_deployment(&self, deployment: Deployment, is_confirmed: bool) {
+        let was_confirmed = self.applies_confirmed.swap(is_confirmed, Ordering::Relaxed);
         let old = lock(&self.deployment).replace(Arc::new(deployment));
         let new = self.deployment();
         let Some(new) = new else { return };
         buckets::set_accounts(&self.quota, &new, old.as_deref(), |account| {
             account_limit_history(account, new.version)
         });
+        // What a disk held may lack services for which other leaders have granted, and so may the first
+        // configuration after a restart.
+        let are_known_new = match &old {
+            Some(_) => was_confirmed,
+            None => self.config.may_bootstrap,
+        };
+        let are_new = are_known_new && is_confirmed;
         let is_added = |name: &&ServiceName| {
             !old.as_ref()
                 .is_some_and(|old| old.services.contains_key(*name))
         };
         let added = new.services.keys().filter(is_added);
-        buckets::add_services(&self.quota, added, &self.config.retry_limit);
+        buckets::add_services(&self.quota, added, are_new, &self.config.retry_limit);
     }
 
     pub(super) fn update_versions(&self) {
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -10,6 +10,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use tokio::sync::Notify;
@@ -176,6 +177,7 @@
             heartbeats: Mutex::default(),
             servers: Mutex::default(),
             deployment: Mutex::default(),
+            applies_confirmed: AtomicBool::default(),
             last_status: Mutex::default(),
         });
         let _ = handler.core.set(Arc::clone(&core));
--- a/src/limits/issuer.rs
+++ b/src/limits/issuer.rs
@@ -20,6 +20,9 @@
 use crate::types::MonoMs;
 use crate::types::VmName;
 
+/// Time for which an account of which no VM has granted tokens counts as new.
+const NEW_ACCOUNT_MS: u64 = 5_000;
+
 /// Token buckets during one uninterrupted holding of the coordinator lease.
 #[derive(Debug)]
 pub struct TokenIssuer {
@@ -50,6 +53,12 @@
         }
     }
 
+    /// Creates a full bucket for `account` if it has none.
+    pub fn add_full(&mut self, now: MonoMs, account: &AccountName, share: Share) {
+        let buckets = self.buckets.entry(account.clone());
+        buckets.or_insert_with(|| TokenBucket::full(share, now));
+    }
+
     /// Removes the bucket of `account`.
     pub fn remove(&mut self, account: &AccountName) {
         self.buckets.remove(account);
@@ -124,6 +133,8 @@
     applied_index: u64,
     settled_index: u64,
     current: Option<(MonoMs, TokenIssuer)>,
+    /// When accounts were added of which no VM had granted tokens, while this VM could not either.
+    new_accounts: BTreeMap<AccountName, MonoMs>,
 }
 
 impl LeasedIssuer {
@@ -135,6 +146,7 @@
             applied_index: 0,
             settled_index: 0,
             current: None,
+            new_accounts: BTreeMap::new(),
         }
     }
 
@@ -147,6 +159,20 @@
         self.histories.insert(account, history);
     }
 
+    /// Adds an account of which no VM has ever granted tokens. Its bucket is full if the VM may issue
+    /// tokens now or soon; later, another VM may have granted them.
+    pub fn add_new(&mut self, now: MonoMs, account: AccountName, history: History) {
+        match &mut self.current {
+            Some((_, issuer)) => {
+                issuer.add_full(now, &account, history.share(&self.data_centre));
+            }
+            None => {
+                self.new_accounts.insert(account.clone(), now);
+            }
+        }
+        self.set_history(now, account, history);
+    }
+
     /// Removes an account.
     pub fn remove(&mut self, account: &AccountName) {
         if let Some((_, issuer)) = &mut self.current {
@@ -188,8 +214,14 @@
         if !continues {
             let mut issuer = TokenIssuer::new(held.term);
             for (account, history) in &self.histories {
-                issuer.set_share(now, account, history.share(&self.data_centre));
+                let share = history.share(&self.data_centre);
+                let added = self.new_accounts.get(account);
+                if added.is_some_and(|added| now.since(*added) < NEW_ACCOUNT_MS) {
+                    issuer.add_full(now, account, share);
+                }
+                issuer.set_share(now, account, share);
             }
+            self.new_accounts.clear();
             self.current = Some((held.since, issuer));
         }
         true
--- a/src/limits/server.rs
+++ b/src/limits/server.rs
@@ -57,6 +57,12 @@
         issuer.set_history(self.shared.clock.mono(), account, history);
     }
 
+    /// Adds an account of which no VM has ever granted tokens.
+    pub fn add_new(&self, account: AccountName, history: History) {
+        let mut issuer = self.shared.issuer();
+        issuer.add_new(self.shared.clock.mono(), account, history);
+    }
+
     /// Removes an account.
     pub fn remove(&self, account: &AccountName) {
         self.shared.issuer().remove(account);
