fix(limits): grants of a bucket that has moved renew no advance

Cause: after the buckets have moved, they start empty and the VMs go on granting two fifths of their former rate by themselves for 1.5 s. Each grant of the bucket ended the local allowance, and the next shortage began another one, with another random fraction and another advance of a request. A VM that got a request from the bucket now and then granted itself one more each time.

Now the local allowance is suspended by such a grant and goes on as it was; another one begins only 8 s after the last.

--- a/src/gateway/outage_allowance.rs
+++ b/src/gateway/outage_allowance.rs
@@ -5,7 +5,8 @@
 //! equal share unless the account was at its limit. A VM's share over some seconds is often smaller
 //! than one request. The local bucket therefore starts with a random fraction of a request, so that
 //! the sum over all VMs matches the shares, and with an advance unless the account was at its
-//! limit.
+//! limit. A bucket that moves grants some requests while it fills: that ends the outage for no
+//! VM, so that its local bucket goes on as it was.
 
 use crate::types::MonoMs;
 use crate::types::Tokens;
@@ -21,6 +22,8 @@
 /// Longest period for which tokens are granted in advance, in milliseconds. The advance is at most
 /// one request.
 const ADVANCE_MS: f64 = 3_000.0;
+/// Shortest time between two advances. Operators measure the limit over such a period.
+const ADVANCE_INTERVAL_MS: u64 = 8_000;
 /// Period over which unused tokens accumulate, in milliseconds.
 const MAX_ACCRUAL_MS: f64 = 4_000.0;
 /// Time after a refusal for which an account counts as being at its limit.
@@ -50,7 +53,19 @@
 #[derive(Clone, Copy, Debug)]
 struct LocalBucket {
     tokens: f64,
+    /// Time up to which it has been filled.
     at: MonoMs,
+    /// Time at which it was created, with a random fraction and an advance.
+    advanced: MonoMs,
+    /// Whether the fleet's bucket has granted tokens since it was last used.
+    is_suspended: bool,
+}
+
+impl LocalBucket {
+    /// Whether an outage that begins now is another one than that for which it was created.
+    fn is_outdated(&self, now: MonoMs) -> bool {
+        self.is_suspended && now.since(self.advanced) >= ADVANCE_INTERVAL_MS
+    }
 }
 
 impl OutageAllowance {
@@ -72,11 +87,13 @@
         self.rate_tokens_per_s = rate_tokens_per_s;
     }
 
-    /// Records tokens granted by the bucket and ends the local allowance.
+    /// Records tokens granted by the bucket. The local allowance does not fill until it is used again.
     pub fn granted(&mut self, tokens: Tokens, now: MonoMs) {
         self.granted_per_ms = self.average(now) + tokens as f64 / AVERAGE_MS;
         self.averaged_at = now;
-        self.local = None;
+        if let Some(local) = &mut self.local {
+            local.is_suspended = true;
+        }
     }
 
     /// Records that the bucket refused tokens.
@@ -101,10 +118,11 @@
             BucketState::Unavailable(since) => (UNAVAILABLE_SHARE, since),
             BucketState::PossiblyAvailable => (PARTITIONED_SHARE, now),
         };
-        if self.local.is_none() {
+        self.local = self.local.filter(|local| !local.is_outdated(now));
+        if self.local.is_none_or(|local| local.is_suspended) {
             // The average does not decay any further while the VM grants tokens by itself.
             self.granted_per_ms = self.average(since);
-            self.averaged_at = since;
+            self.averaged_at = self.averaged_at.max(since);
         }
         let is_at_limit = self
             .refused_at
@@ -118,7 +136,13 @@
         let local = self.local.get_or_insert(LocalBucket {
             tokens: needed * chance + advance,
             at: since,
+            advanced: now,
+            is_suspended: false,
         });
+        if local.is_suspended {
+            local.is_suspended = false;
+            local.at = now;
+        }
         let most = needed + per_ms * MAX_ACCRUAL_MS;
         let earned = now.since(local.at) as f64 * per_ms;
         local.tokens = (local.tokens + earned).min(most);
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -133,6 +133,35 @@
     assert!((5_000..9_000).contains(&taken), "{taken}");
 }
 
+/// Guards against an advance at each grant of a bucket that has moved and fills: in a flood, the VMs then granted
+/// more than the account's rate in addition to what the bucket granted.
+#[test]
+fn grants_of_a_bucket_that_fills_renew_no_advance() {
+    const GRANT_INTERVAL_MS: u64 = 250;
+    const FILL_MS: u64 = 1_500;
+    const REQUEST_TOKENS: u64 = 1_500;
+    let begin = MonoMs(100_000);
+    let mut allowance = OutageAllowance::new(285_000, begin);
+    for number in 0..80 {
+        allowance.granted(REQUEST_TOKENS, begin.plus(number * 400));
+    }
+    let moved = begin.plus(80 * 400);
+    let mut taken = 0;
+    for ms in (0..FILL_MS).step_by(50) {
+        let now = moved.plus(ms);
+        if ms.is_multiple_of(GRANT_INTERVAL_MS) {
+            allowance.granted(REQUEST_TOKENS, now);
+        }
+        let state = BucketState::PossiblyAvailable;
+        if allowance.take(REQUEST_TOKENS, state, 78, 0.9, now).is_ok() {
+            taken += REQUEST_TOKENS;
+        }
+    }
+    // The random fraction and the advance, each of one request at most, and two fifths of the average rate.
+    let share = 2 * REQUEST_TOKENS + REQUEST_TOKENS * 1_000 / 400 * FILL_MS / 1_000 * 2 / 5;
+    assert!(taken <= share, "{taken} of {share} tokens");
+}
+
 /// Bucket that can be made unreachable.
 struct Peers {
     server: Server,
