feat(fleet): controllers log what they answered the operator

A report that the configuration did not come, came back older or was not acknowledged could not be followed in the logs: no controller logged the operator's calls, so nothing told a lost quorum from a leader that is not found or a read that timed out.

No decision changes.

--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -12,6 +12,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use tokio::sync::Notify;
@@ -214,7 +215,10 @@
     /// Stores a document if it is valid and its version is the highest. A change that outlasts the wait for
     /// its outcome goes on, and a repeat of it waits for the same outcome.
     pub async fn put_document(&self, body: Bytes) -> DocumentOutcome {
-        document_changes::put(&self.core, body).await
+        let started = Instant::now();
+        let outcome = document_changes::put(&self.core, body).await;
+        self.core.log_put(&outcome, started);
+        outcome
     }
 
     /// Sets the version of an adapter.
@@ -230,6 +234,13 @@
     /// Reads the newest document. A committed barrier entry proves that no newer document was
     /// acknowledged.
     pub async fn read_document(&self) -> ReadOutcome {
+        let started = Instant::now();
+        let outcome = self.read_newest().await;
+        self.core.log_read(&outcome, started);
+        outcome
+    }
+
+    async fn read_newest(&self) -> ReadOutcome {
         match self.core.change(FleetCommand::Barrier).await {
             ChangeOutcome::Done => {
                 let state = self.core.state();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 mod log_line;
 mod log_watch;
 mod managed_data_centre;
+mod operator_calls;
 mod order_executor;
 mod server_limits;
 mod stream_lookup;
