fix(gateway): open connections follow the limits in force

A caller on a kept connection got 431 for a head that the configuration in force allows, 3 s after a raised MaxHeaderBytes was acknowledged, and its connection was closed by the former idle timeout. A lowered limit did not hold on open connections either, and 431 was final at a VM that hears no controller.

Cause: the HTTP library was given both limits when the connection was accepted.

Now the head is checked for each request, with the configuration by which the route is found: a final 431 (head_too_large) only by a confirmed one, otherwise 503, as for routes, keys and bodies. The buffer of a connection holds 64 KiB, or the limit in force at its beginning if that is larger; it grows only when used. A connection whose buffer is smaller than a raised limit is closed once no request is in progress. The wait for a head ends by a timer that looks at the limit in force, and wakes up when that changes. As before, 8 KiB are always allowed. A head that does not fit into the buffer still gets 431 from the library, without a log line.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -18,7 +18,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -30,17 +29,20 @@
 use super::answer::full;
 use super::context::Gateway;
 use super::controller_question;
-use super::deployment::CallerLimits;
 use super::exchange;
+use super::idle_timer::IdleTimer;
+use super::idle_timer::idle_time;
 use crate::accept::next_connection;
 use crate::events::Event;
 use crate::events::Severity;
 
 /// Length of the listen queue.
 const BACKLOG: u32 = 1_024;
-/// Extra idle time beyond the one announced to callers, so that callers close their connections
-/// first.
-const IDLE_MARGIN_MS: u64 = 5_000;
+/// Bytes of a head that fit into the buffer of any connection. A connection whose buffer is smaller than the
+/// limit in force is closed.
+const LEAST_BUFFER_BYTES: usize = 64 * 1024;
+/// Bytes that another entry VM may add to a head.
+const RELAY_HEAD_BYTES: usize = 1_024;
 /// Interval at which `drain` checks the number of open connections.
 const DRAIN_POLL_MS: u64 = 20;
 
@@ -221,24 +223,30 @@
     _guard: ConnectionGuard,
 ) {
     let _ = stream.set_nodelay(true);
-    let limits = gateway
-        .deployment()
-        .map_or_else(CallerLimits::default, |deployment| deployment.limits);
+    let mut limits = gateway.caller_limits();
+    let (idle, buffer_bytes) = {
+        let limits = limits.borrow();
+        (
+            idle_time(&limits),
+            limits.header_bytes.max(LEAST_BUFFER_BYTES),
+        )
+    };
+    let timer = IdleTimer::new(limits.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Arc::clone(&gateway);
         async move { Ok::<_, Infallible>(sender.answer(gateway, request).await) }
     });
-    let idle = Duration::from_millis(limits.idle_timeout_ms + IDLE_MARGIN_MS);
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
+        .timer(timer)
         .header_read_timeout(idle)
-        .max_buf_size(limits.header_bytes.max(8 * 1024))
+        .max_buf_size(buffer_bytes.saturating_add(RELAY_HEAD_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
         // An error means that the caller's connection broke. Its request has been dropped with it.
         _ = connection.as_mut() => return,
         _ = closing.wait_for(|close| *close) => {}
+        _ = limits.wait_for(|limits| limits.header_bytes > buffer_bytes) => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -47,6 +47,15 @@
 /// Retry delay returned while the VM does not know the limits of an account.
 const UNKNOWN_LIMITS_RETRY_MS: u64 = 100;
 
+/// A head of this size is accepted whatever the configuration says, in bytes.
+const LEAST_HEADER_LIMIT: usize = 8 * 1024;
+/// End of a line in a head, in bytes.
+const LINE_END_BYTES: usize = 2;
+/// Spaces, HTTP version and end of a request's first line, in bytes.
+const REQUEST_LINE_EXTRA_BYTES: usize = 12;
+/// Colon, space and end of a header's line, in bytes.
+const HEADER_EXTRA_BYTES: usize = 4;
+
 /// Looks up the route and the account, reads the body and takes the tokens.
 pub(super) async fn begin(
     gateway: &Arc<Gateway>,
@@ -180,6 +189,9 @@
     record: &mut RequestRecord,
 ) -> Result<Target, Refusal> {
     record.deployment_version = deployment.version;
+    if record.relayed_for.is_none() {
+        check_head_size(&deployment, parts)?;
+    }
     let route = find_route(&deployment, parts)?;
     record.route = Some(route.name.clone());
     record.target_ms = route.target_latency_ms;
@@ -300,6 +312,25 @@
     route.ok_or_else(|| Refusal::new(StatusCode::NOT_FOUND, "no_route"))
 }
 
+/// Refuses a head over the limit of the configuration.
+fn check_head_size(deployment: &Deployment, parts: &Parts) -> Result<(), Refusal> {
+    if head_bytes(parts) <= deployment.limits.header_bytes.max(LEAST_HEADER_LIMIT) {
+        return Ok(());
+    }
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    Err(Refusal::new(status, "head_too_large"))
+}
+
+/// Bytes of a request's head.
+fn head_bytes(parts: &Parts) -> usize {
+    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    let request_line = parts.method.as_str().len() + path.len() + REQUEST_LINE_EXTRA_BYTES;
+    let headers = parts.headers.iter();
+    let header_bytes = headers
+        .map(|(name, value)| name.as_str().len() + value.as_bytes().len() + HEADER_EXTRA_BYTES);
+    request_line + header_bytes.sum::<usize>() + LINE_END_BYTES
+}
+
 /// Refuses a stream over HTTP/1.0, in which one that breaks off ends like a complete one.
 fn check_http_version(route: &Route, parts: &Parts) -> Result<(), Refusal> {
     if !route.repeat.is_stream() || parts.version != Version::HTTP_10 {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -30,6 +30,7 @@
 use super::crashes::Crashes;
 use super::demand;
 use super::demand::Demand;
+use super::deployment::CallerLimits;
 use super::deployment::Deployment;
 use super::dialect::Dialect;
 use super::grace_period;
@@ -101,6 +102,8 @@
     /// Requests that wait for adapters.
     pub adapter_waits: AdapterWaits,
     configuration: watch::Sender<Configuration>,
+    /// Limits of the configuration in force. Changes only with them.
+    caller_limits: watch::Sender<CallerLimits>,
     /// Limits the number of requests in a grace period.
     grace_permits: Semaphore,
     server_table: Mutex<ServerTable>,
@@ -160,6 +163,7 @@
             quota,
             adapter_waits: AdapterWaits::default(),
             configuration: watch::Sender::default(),
+            caller_limits: watch::Sender::default(),
             grace_permits: Semaphore::new(grace_period::MAX_WAITING),
             pool: Mutex::default(),
             adapter_usage: Mutex::default(),
@@ -232,6 +236,22 @@
         self.configuration.borrow().deployment().cloned()
     }
 
+    /// Limits of the configuration in force, which open connections follow.
+    pub(super) fn caller_limits(&self) -> watch::Receiver<CallerLimits> {
+        self.caller_limits.subscribe()
+    }
+
+    fn update_caller_limits(&self) {
+        let Some(deployment) = self.deployment() else {
+            return;
+        };
+        self.caller_limits.send_if_modified(|limits| {
+            let is_new = *limits != deployment.limits;
+            *limits = deployment.limits;
+            is_new
+        });
+    }
+
     /// Version of the newest configuration that has arrived, in force or not; 0 for none.
     pub fn received_version(&self) -> u64 {
         let configuration = self.configuration.borrow();
@@ -284,7 +304,7 @@
     /// Takes over a configuration unless it is older than the known one.
     pub fn set_deployment(&self, deployment: Deployment) -> bool {
         let now = self.now();
-        self.configuration.send_if_modified(|current| {
+        let is_new = self.configuration.send_if_modified(|current| {
             let old = current.newest().cloned();
             let new = Arc::new(deployment);
             if !current.receive(Arc::clone(&new), now) {
@@ -296,7 +316,9 @@
                 .set_retry_limits(&new, old.as_deref(), retry_limit);
             self.config.meters.set_deployment_version(new.version);
             true
-        })
+        });
+        self.update_caller_limits();
+        is_new
     }
 
     /// Notes that the controller at the other end of `link` has confirmed `version` of the configuration.
@@ -307,6 +329,7 @@
         // Requests that wait for a confirmation look again, as an earlier one may have expired meanwhile.
         self.configuration
             .send_modify(|current| counts = current.confirm(link, version, now));
+        self.update_caller_limits();
         counts
     }
 
@@ -350,8 +373,11 @@
         if now.0 < grace_period::UNCONFIRMED_MS {
             return false;
         }
-        self.configuration
-            .send_if_modified(|current| current.serve_unconfirmed(now))
+        let begins = self
+            .configuration
+            .send_if_modified(|current| current.serve_unconfirmed(now));
+        self.update_caller_limits();
+        begins
     }
 
     /// Backend servers as known to this VM.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod exchange;
 mod forward;
 mod framing;
+mod idle_timer;
 mod leaving_servers;
 mod limited_servers;
 mod load_targets;
