fix(limits): controllers that do not vote count when the rate is divided

Cause: without a leader each controller grants its share of every rate, divided by the number of voters. Since silent voters become learners, there may be four voters and six controllers that run again and grant: 6/4 of the rate.

Now the members of the log count, whether they vote or not.

Evidence: the test controllers_that_do_not_vote_count_when_the_rate_is_divided fails with the former count (90,000 of 60,000 tokens a second) and passes now.

--- a/src/fleet/failover_server.rs
+++ b/src/fleet/failover_server.rs
@@ -60,7 +60,7 @@
             self.server.remove(&bucket);
             return;
         };
-        let controllers = self.log.status().voters.len();
+        let controllers = quota_failover::share_count(&self.log.status());
         let share = quota_failover::failover_share();
         let limits = server_limit_version(rate, share, controllers);
         self.server.set_history(bucket, History::new(limits));
@@ -71,7 +71,7 @@
         let Some(new) = deployment else {
             return;
         };
-        let controllers = self.log.status().voters.len();
+        let controllers = quota_failover::share_count(&self.log.status());
         let mut applied = lock(&self.applied);
         let old = applied.deployment.as_deref();
         let is_same_version = old.is_some_and(|old| old.version == new.version);
--- a/src/fleet/quota_failover.rs
+++ b/src/fleet/quota_failover.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::consensus::Status;
 use crate::gateway::deployment::Account;
 use crate::limits::LimitVersion;
 use crate::limits::WHOLE_PPM;
@@ -26,6 +27,12 @@
     DataCentre::new(FAILOVER_SHARE)
 }
 
+/// Number of controllers that may grant a share each. A controller that does not vote any more, or not yet, may run and
+/// grant all the same.
+pub fn share_count(log: &Status) -> usize {
+    log.voters.len() + log.learners.len()
+}
+
 /// The limits of the share of one of `controllers`. The burst is not divided, so that a large request
 /// can be granted; a bucket fills at the rate of the share only.
 pub fn failover_limits(account: &Account, revision: u64, controllers: usize) -> LimitVersion {
--- a/tests/quota_failover.rs
+++ b/tests/quota_failover.rs
@@ -3,6 +3,8 @@
 
 use std::collections::HashMap;
 
+use medlarlift::consensus::Status;
+use medlarlift::consensus::VoterId;
 use medlarlift::fleet::quota_failover;
 use medlarlift::gateway::deployment::Account;
 use medlarlift::gateway::deployment::QuotaUnit;
@@ -122,6 +124,29 @@
     }
 }
 
+/// Guards against shares of a voter's part each while more controllers than voters grant them: all of them stay
+/// within the rate.
+#[test]
+fn controllers_that_do_not_vote_count_when_the_rate_is_divided() {
+    let members = |numbers: std::ops::Range<u64>| {
+        let ids = numbers.map(|n| VoterId::new(VmName::from(format!("controller-{n}")), n));
+        ids.collect()
+    };
+    let status = Status {
+        voters: members(0..4),
+        learners: members(4..6),
+        ..Status::default()
+    };
+    let rate_per_s = 60_000;
+    let shares = quota_failover::share_count(&status);
+    let limits = quota_failover::failover_limits(&account(rate_per_s), 1, shares);
+    let granted_per_s = CENTRES as u64 * limits.rate_tokens_per_s;
+    assert!(
+        granted_per_s <= rate_per_s,
+        "{granted_per_s} of {rate_per_s}"
+    );
+}
+
 #[test]
 fn entry_vms_prefer_their_own_data_centre_and_otherwise_spread() {
     let candidates = controllers();
