feat(link): format 11 with a question about a controller's state and its answer

An entry VM cannot tell how old a status is that it reads, since links deliver late. Format 11 has two more frames at the end: a question with the times of asking by the clocks of the VM and its incarnation, and the answer of a controller, with the question as received, the version of the configuration and the revision of the list of software versions. Nothing sends them yet.

Formats 10 and 9 are spoken as before: the dialing side offers 11, then what the peer names. Builds of format 10 refuse 11 with their own handshake and close; the next connection, after the shortest delay of 50 ms, offers 10. A dialer that offers 10 is accepted. Peers of format 10 and 9 are sent no frame that they lack, and one that they send ends the link.

--- a/src/link/format.rs
+++ b/src/link/format.rs
@@ -5,7 +5,8 @@
 //! translated at the link.
 //!
 //! Format 9 differs from format 10 in three points: the handshake has no address for other entry VMs, and
-//! there are no frames about services that entry VMs cannot reach, and none that list entry VMs.
+//! there are no frames about services that entry VMs cannot reach, and none that list entry VMs. Format 10
+//! lacks the question whether a controller's state is in force, and the answer to it.
 
 use bytes::BufMut;
 use bytes::Bytes;
@@ -16,7 +17,7 @@
 use super::frame::Hello;
 
 /// Format of this build.
-pub const LINK_FORMAT: u16 = 10;
+pub const LINK_FORMAT: u16 = 11;
 
 /// Size of the number of a frame's kind, which precedes its content.
 const KIND_BYTES: usize = 4;
@@ -24,19 +25,25 @@
 const HELLO_KIND: u32 = 0;
 /// Position of the format in a handshake.
 const HELLO_FORMAT_RANGE: std::ops::Range<usize> = KIND_BYTES..KIND_BYTES + 2;
-/// Encoding of an address that is not given, which ends a handshake of format 10.
+/// Encoding of an address that is not given, which ends a handshake from format 10 on.
 const NO_ADDRESS: u8 = 0;
 /// Kinds of format 10 that format 9 lacks: services that are cut off, and lists of entry VMs.
 const KINDS_SINCE_10: std::ops::Range<u32> = 18..20;
+/// First kind of format 11 that format 10 lacks: questions about a controller's state.
+const FIRST_KIND_SINCE_11: u32 = 23;
+/// A kind that no format has.
+const UNKNOWN_KIND: u32 = u32::MAX;
 
 /// A format that this build speaks.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum LinkFormat {
     /// Without requests between entry VMs.
     V9,
+    /// Without questions about a controller's state.
+    V10,
     /// Format of this build.
     #[default]
-    V10,
+    V11,
 }
 
 impl LinkFormat {
@@ -44,7 +51,8 @@
     pub fn from_number(number: u16) -> Option<Self> {
         match number {
             9 => Some(Self::V9),
-            LINK_FORMAT => Some(Self::V10),
+            10 => Some(Self::V10),
+            LINK_FORMAT => Some(Self::V11),
             _ => None,
         }
     }
@@ -53,7 +61,8 @@
     pub fn number(self) -> u16 {
         match self {
             Self::V9 => 9,
-            Self::V10 => LINK_FORMAT,
+            Self::V10 => 10,
+            Self::V11 => LINK_FORMAT,
         }
     }
 
@@ -61,7 +70,7 @@
     pub fn encode_hello(self, own: &Hello) -> Bytes {
         let hello = Hello {
             format: self.number(),
-            relay_address: own.relay_address.filter(|_| self == Self::V10),
+            relay_address: own.relay_address.filter(|_| self >= Self::V10),
             ..own.clone()
         };
         let mut bytes = Frame::Hello(hello).encode();
@@ -71,15 +80,18 @@
         bytes
     }
 
-    /// Translates an encoded frame of format 10; `None` if this format has no such frame.
+    /// Whether controllers are asked about their state, and answer.
+    pub fn has_state_questions(self) -> bool {
+        self >= Self::V11
+    }
+
+    /// Translates an encoded frame of this build's format; `None` if this format has no such frame.
     pub fn translate(self, frame: Bytes) -> Option<Bytes> {
-        let kind = kind(&frame).filter(|_| self == Self::V9);
-        match kind {
-            Some(kind) if KINDS_SINCE_10.contains(&kind) => None,
-            Some(kind) if kind >= KINDS_SINCE_10.end => {
-                Some(with_kind(&frame, kind - count_since_10()).freeze())
-            }
-            _ => Some(frame),
+        let own = kind(&frame)?;
+        let kind = self.kind_of(own)?;
+        match kind == own {
+            true => Some(frame),
+            false => Some(with_kind(&frame, kind).freeze()),
         }
     }
 
@@ -88,12 +100,29 @@
     /// # Errors
     /// The bytes are no frame of this format.
     pub fn decode(self, frame: &[u8]) -> Result<Frame> {
-        match kind(frame).filter(|_| self == Self::V9) {
-            Some(kind) if kind >= KINDS_SINCE_10.start => {
-                let later = kind.saturating_add(count_since_10());
-                Frame::decode(&with_kind(frame, later))
-            }
-            _ => Frame::decode(frame),
+        let Some(kind) = kind(frame) else {
+            return Frame::decode(frame);
+        };
+        let own = match self {
+            Self::V9 if kind >= KINDS_SINCE_10.start => kind.saturating_add(count_since_10()),
+            _ => kind,
+        };
+        if own == kind && self.kind_of(own).is_some() {
+            return Frame::decode(frame);
+        }
+        let own = self.kind_of(own).map_or(UNKNOWN_KIND, |_| own);
+        Frame::decode(&with_kind(frame, own))
+    }
+
+    /// Number in this format of a kind of frame of this build's format.
+    fn kind_of(self, own: u32) -> Option<u32> {
+        match self {
+            Self::V11 => Some(own),
+            _ if own >= FIRST_KIND_SINCE_11 => None,
+            Self::V10 => Some(own),
+            Self::V9 if KINDS_SINCE_10.contains(&own) => None,
+            Self::V9 if own >= KINDS_SINCE_10.end => Some(own - count_since_10()),
+            Self::V9 => Some(own),
         }
     }
 }
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -20,11 +20,13 @@
 use crate::scheduling::stream_origins::StreamOrigin;
 use crate::types::DataCentre;
 use crate::types::ModelName;
+use crate::types::MonoMs;
 use crate::types::RequestRate;
 use crate::types::ServerName;
 use crate::types::ServiceName;
 use crate::types::SoftwareVersion;
 use crate::types::StreamKey;
+use crate::types::UnixMs;
 use crate::types::VmName;
 use crate::types::shared_bytes;
 
@@ -242,6 +244,28 @@
     pub age_ms: u32,
 }
 
+/// Question of an entry VM whether a controller has the state that is in force.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StateQuestion {
+    /// Of the process that asks.
+    pub incarnation: u64,
+    /// When it asks, by its own clocks, which say nothing to the controller.
+    pub asked: MonoMs,
+    /// The same by the wall clock.
+    pub asked_unix: UnixMs,
+}
+
+/// Answer of a controller whose state was confirmed when it read the question. Others do not answer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StateConfirmation {
+    /// The question, as it was received.
+    pub question: StateQuestion,
+    /// Version of the document in force.
+    pub document_version: u64,
+    /// Revision of the list of software versions in force.
+    pub software_revision: u64,
+}
+
 /// A message.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Frame {
@@ -292,6 +316,10 @@
     FindStream(u64, StreamKey),
     /// Reply to the question with this number; `None` if the origin is not known.
     StreamFound(u64, Option<StreamOrigin>),
+    /// Asks whether the receiver's state is in force.
+    AskState(StateQuestion),
+    /// Reply to this question: it is.
+    StateConfirmed(StateConfirmation),
 }
 
 impl Frame {
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -30,6 +30,8 @@
 pub use frame::Role;
 pub use frame::ServerLimit;
 pub use frame::ServerUpdate;
+pub use frame::StateConfirmation;
+pub use frame::StateQuestion;
 pub use listener::Listener;
 pub use pending_writes::PendingWrites;
 pub use session::Handler;
--- a/tests/link_builds.rs
+++ b/tests/link_builds.rs
@@ -14,27 +14,42 @@
 use medlarlift::link::Listener;
 use medlarlift::link::Role;
 use medlarlift::link::Session;
+use medlarlift::link::StateQuestion;
+use medlarlift::types::MonoMs;
 use medlarlift::types::StreamKey;
+use medlarlift::types::UnixMs;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-/// Format of commit ff63bbd.
+/// Format of this build.
+const FORMAT_11: u16 = 11;
+/// Format of commits ff63bbd, 7973d54, e9f9b97 and 9ad7a4b.
 const FORMAT_10: u16 = 10;
 /// Format of commit baf3a79.
 const FORMAT_9: u16 = 9;
 /// Time within which a link opens, also at the second attempt.
 const LINK_TIMEOUT: Duration = Duration::from_secs(5);
+/// Delay of a build of format 10 before it dials a peer again that has refused its format.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// What a busy machine may add to a delay.
+const SLACK: Duration = Duration::from_millis(200);
+/// Kinds of frames from format 10 on: lists of entry VMs, and the answer to a question for a stream.
+const ENTRY_VMS_KIND: u32 = 19;
+const STREAM_FOUND_KIND: u32 = 22;
+/// Kind of the question about a controller's state, which format 10 does not have.
+const ASK_STATE_KIND: u32 = 23;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const OWN_ADDRESS: &str = "127.0.0.1:7601";
 
 fn own_hello() -> Hello {
     Hello {
-        format: FORMAT_10,
+        format: FORMAT_11,
         vm: "10.0.0.1".into(),
         incarnation: 7,
         role: Role::Entry,
@@ -101,6 +116,36 @@
     hello[4..6] == format.to_le_bytes() && hello.len() == peer_hello(9).len() + address_bytes
 }
 
+/// Handshake of the builds of format 10 when they are dialed: they read the offer and answer in its format if they
+/// have it, and otherwise in their own, after which they close the connection.
+async fn answer_as_format_10(stream: &mut TcpStream) -> bool {
+    let Some(hello) = timeout(LINK_TIMEOUT, read(stream)).await.unwrap() else {
+        return false;
+    };
+    let offered = u16::from_le_bytes(hello[4..6].try_into().unwrap());
+    let has_format = matches!(offered, FORMAT_9 | FORMAT_10);
+    let answered = if has_format { offered } else { FORMAT_10 };
+    write(stream, &peer_hello(answered)).await;
+    has_format
+}
+
+fn state_question() -> Frame {
+    Frame::AskState(StateQuestion {
+        incarnation: 7,
+        asked: MonoMs(1_500),
+        asked_unix: UnixMs(1_796_520_522_437),
+    })
+}
+
+/// The same, byte for byte.
+fn state_question_bytes() -> Vec<u8> {
+    let mut bytes = ASK_STATE_KIND.to_le_bytes().to_vec();
+    for number in [7, 1_500, 1_796_520_522_437_u64] {
+        bytes.extend(number.to_le_bytes());
+    }
+    bytes
+}
+
 /// Records the links and frames of the VM under test, and answers each frame.
 #[derive(Default)]
 struct Recorder {
@@ -117,6 +162,8 @@
             changed: Vec::new(),
             gone: Vec::new(),
         }));
+        // A build of format 10 has no such frame.
+        session.send(&state_question());
     }
 
     fn received(&self, session: &Session, frame: Frame) {
@@ -131,7 +178,7 @@
 async fn talk(stream: &mut TcpStream, format: u16) -> Vec<Vec<u8>> {
     write(stream, &find_stream(format)).await;
     let mut frames = Vec::new();
-    let expected = if format >= FORMAT_10 { 2 } else { 1 };
+    let expected = 1 + usize::from(format - FORMAT_9);
     while frames.len() < expected {
         let frame = timeout(LINK_TIMEOUT, read_message(stream)).await;
         frames.push(frame.expect("a frame").expect("the link stays open"));
@@ -142,14 +189,17 @@
 fn assert_understood(recorder: &Recorder, format: u16, frames: &[Vec<u8>]) {
     let question = Frame::FindStream(5, StreamKey::of_request("r1"));
     assert_eq!(*recorder.received.lock().unwrap(), [question]);
-    let found_kind: u32 = if format == FORMAT_9 { 20 } else { 22 };
     let kinds: Vec<u32> = frames
         .iter()
         .map(|frame| u32::from_le_bytes(frame[..4].try_into().unwrap()))
         .collect();
     match format {
-        FORMAT_9 => assert_eq!(kinds, [found_kind]),
-        _ => assert_eq!(kinds, [19, found_kind]),
+        FORMAT_9 => assert_eq!(kinds, [STREAM_FOUND_KIND - 2]),
+        FORMAT_10 => assert_eq!(kinds, [ENTRY_VMS_KIND, STREAM_FOUND_KIND]),
+        _ => {
+            assert_eq!(kinds, [ENTRY_VMS_KIND, ASK_STATE_KIND, STREAM_FOUND_KIND]);
+            assert_eq!(frames[1], state_question_bytes());
+        }
     }
 }
 
@@ -185,9 +235,16 @@
     assert_understood(&recorder, format, &frames);
 }
 
-/// Guards against links with controllers and entry VMs of commit ff63bbd that do not open.
+/// Guards against links between VMs of this build that do not open.
+#[tokio::test]
+async fn vms_of_this_build_are_linked_in_either_role() {
+    assert_links_to_listener(FORMAT_11).await;
+    assert_links_to_dialer(FORMAT_11).await;
+}
+
+/// Guards against links with controllers and entry VMs of format 10 that do not open.
 #[tokio::test]
-async fn vms_of_ff63bbd_are_linked_in_either_role() {
+async fn vms_of_format_10_are_linked_in_either_role() {
     assert_links_to_listener(FORMAT_10).await;
     assert_links_to_dialer(FORMAT_10).await;
 }
@@ -200,16 +257,64 @@
     assert_links_to_dialer(FORMAT_9).await;
 }
 
+/// Guards against links to VMs of format 10 that open later than a link to a VM of format 9 did in their builds: at
+/// the second connection, which follows the refusal of the first after the shortest delay.
+#[tokio::test]
+async fn a_vm_of_format_10_that_is_dialed_is_linked_at_the_second_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let recorder = Arc::new(Recorder::default());
+    let (_targets, addresses) = watch::channel(BTreeSet::from([address]));
+    let handler: Arc<dyn Handler> = recorder.clone();
+    let _dialer = Dialer::spawn(own_hello(), addresses, handler);
+    let (mut first, _) = listener.accept().await.unwrap();
+    assert!(!answer_as_format_10(&mut first).await);
+    drop(first);
+    let refused = Instant::now();
+    let (mut second, _) = listener.accept().await.unwrap();
+    assert!(refused.elapsed() < RETRY_DELAY + SLACK);
+    assert!(answer_as_format_10(&mut second).await);
+    let frames = talk(&mut second, FORMAT_10).await;
+    assert_understood(&recorder, FORMAT_10, &frames);
+    assert_eq!(*recorder.opened.lock().unwrap(), [FORMAT_10]);
+}
+
+/// Guards against frames that are taken for those of another format.
+#[tokio::test]
+async fn a_frame_that_the_format_of_the_link_does_not_have_ends_the_link() {
+    for (format, kind) in [(FORMAT_9, ASK_STATE_KIND - 2), (FORMAT_10, ASK_STATE_KIND)] {
+        let recorder = Arc::new(Recorder::default());
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let handler: Arc<dyn Handler> = recorder.clone();
+        let listener = Listener::bind(any, own_hello(), handler).await.unwrap();
+        let mut stream = TcpStream::connect(listener.local_address()).await.unwrap();
+        assert!(shake_hands(&mut stream, format).await);
+        let mut question = state_question_bytes();
+        question[..4].copy_from_slice(&kind.to_le_bytes());
+        write(&mut stream, &question).await;
+        let ended = timeout(LINK_TIMEOUT, async {
+            while read_message(&mut stream).await.is_some() {}
+        });
+        ended.await.expect("the link is closed");
+        assert!(recorder.received.lock().unwrap().is_empty());
+    }
+}
+
 /// Guards against links that stay in the old format once the peer has been replaced.
 #[tokio::test]
 async fn a_replaced_peer_is_offered_the_own_format() {
+    assert_own_format_after(FORMAT_9).await;
+    assert_own_format_after(FORMAT_10).await;
+}
+
+async fn assert_own_format_after(old: u16) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (_targets, addresses) = watch::channel(BTreeSet::from([address]));
     let recorder = Arc::new(Recorder::default());
     let handler: Arc<dyn Handler> = recorder.clone();
     let _dialer = Dialer::spawn(own_hello(), addresses, handler);
-    for format in [FORMAT_9, FORMAT_9, FORMAT_10] {
+    for format in [old, old, FORMAT_11] {
         let (mut stream, _) = timeout(LINK_TIMEOUT, listener.accept())
             .await
             .unwrap()
@@ -217,11 +322,11 @@
         shake_hands(&mut stream, format).await;
     }
     let wait = async {
-        while recorder.opened.lock().unwrap().last() != Some(&FORMAT_10) {
+        while recorder.opened.lock().unwrap().last() != Some(&FORMAT_11) {
             sleep(POLL_INTERVAL).await;
         }
     };
     timeout(LINK_TIMEOUT, wait)
         .await
-        .expect("a link of format 10");
+        .expect("a link of format 11");
 }
