fix(gateway): the age of a confirmation counts from the question that a controller answers

Callers were refused with 404 by a configuration that was replaced over 3 s ago, at an entry VM whose links deliver late.

Cause: the age of a confirmation began when the VM read the status. A status has no time, and a link delivers it as late as it will: behind configurations, after loss, or out of a silence of up to 1.5 s.

An entry VM asks each controller now, every 0.5 s, when the link opens, and when a status names another version or confirms again. A controller answers at once, with the question, and only while its state is confirmed. The age counts from the asking, by the VM's own clock, so that the way there and back is part of it, and so is the time for which the VM stood still. gateway::belief is the one place that knows it: refusals, the list of software versions, and the search for controllers (which read the last status of each link, whatever its age) go by it. A status only tells that older versions are outdated.

An answer counts once and on the link of its question. One to a question that was never asked, was asked by a former process, on another link or in the future, or has been answered, is dropped and counted (metric ignored_confirmations).

The bound stays 1.5 s, so that 0.9 s at the controller and 0.4 s for which it stood still unnoticed make 2.8 s, under the 3 s after which a change holds everywhere. Calculated, not measured: with the round trip of a calm fleet, one answer of a controller may be missing without a gap, as one status might. Peers of link formats 10 and 9 confirm by their statuses, as before, with a sum of 4.3 s.

--- a/src/fleet/control_core.rs
+++ b/src/fleet/control_core.rs
@@ -282,7 +282,7 @@
     }
 
     /// What other VMs may learn of the applied state.
-    fn publication(&self, log: &consensus::Status) -> Publication {
+    pub(super) fn publication(&self, log: &consensus::Status) -> Publication {
         Publication::of(log, self.now().0)
     }
 
@@ -428,6 +428,7 @@
         match frame {
             Frame::Raft(envelope) => self.log.receive(envelope),
             Frame::PullDocument => self.send_document(session),
+            Frame::AskState(question) => self.on_state_question(session, question),
             Frame::Servers(update) => self.on_server_update(update),
             Frame::AdapterDemands(data_centre, demands) => {
                 self.orders
--- a/src/fleet/controller_client.rs
+++ b/src/fleet/controller_client.rs
@@ -50,7 +50,7 @@
 
 /// Connection state and updates from all controllers.
 pub(super) struct ControllerClient {
-    own: Hello,
+    pub(super) own: Hello,
     pub(super) clock: Clock,
     events: EventLog,
     dialect: Arc<dyn Dialect>,
@@ -99,13 +99,6 @@
         !self.lock().links.is_empty()
     }
 
-    /// Whether a linked controller has the state that was in force a moment ago.
-    pub(super) fn is_up_to_date(&self) -> bool {
-        let state = self.lock();
-        let mut statuses = state.links.values().filter_map(|link| link.status.as_ref());
-        statuses.any(ControlStatus::is_confirmed)
-    }
-
     /// Whether any backend server is known.
     pub(super) fn knows_servers(&self) -> bool {
         self.lock().servers.servers().next().is_some()
@@ -234,13 +227,13 @@
     fn on_status(&self, session: &Session, status: ControlStatus) {
         let now = self.clock.mono();
         let mut state = self.lock();
-        if let Some(link) = state.links.get_mut(&session.id()) {
-            link.status = Some(status.clone());
-        }
+        let link = state.links.get_mut(&session.id());
+        let before = link.and_then(|link| link.status.replace(status.clone()));
         state.learn_controllers();
         self.update_targets(&state);
         self.update_quota_server(&state);
-        let is_current = self.take_over_claim(session.id(), &status);
+        let is_current = self.take_over_claim(session, &status);
+        self.ask_after(session, before.as_ref(), &status);
         let version = self.gateway().received_version();
         let named = status.document_version;
         if state.pull.begin(session.id(), named, version, now) {
@@ -254,14 +247,20 @@
     }
 
     /// Takes over what the controller at the other end of `link` says about the configuration in force. Returns
-    /// whether its state was the newest one a moment ago.
-    fn take_over_claim(&self, link: u64, status: &ControlStatus) -> bool {
-        if status.is_confirmed() {
-            return self
-                .gateway()
-                .confirm_version(link, status.document_version);
+    /// whether its state was the newest one a moment ago, which the status alone tells only if the controller has no
+    /// answers to questions.
+    fn take_over_claim(&self, session: &Session, status: &ControlStatus) -> bool {
+        let (gateway, link) = (self.gateway(), session.id());
+        let version = status.document_version;
+        if !status.is_confirmed() {
+            gateway.update_belief(|belief| belief.withdraw(link));
+            return false;
+        }
+        if !session.format().has_state_questions() {
+            return gateway.confirm_version(link, version);
         }
-        self.gateway().update_belief(|belief| belief.withdraw(link));
+        let now = self.clock.mono();
+        gateway.update_belief(|belief| belief.hear(link, version, now));
         false
     }
 
@@ -409,6 +408,7 @@
         drop(state);
         self.gateway()
             .update_belief(|belief| belief.open(session.id(), now));
+        self.ask_state(session);
         session.send(&Frame::ServerLimits(self.gateway().server_limits()));
         session.send(&Frame::Crashes(self.gateway().crash_reports()));
         session.send(&Frame::StreamsBegun(self.gateway().stream_origins()));
@@ -424,6 +424,7 @@
     fn received(&self, session: &Session, frame: Frame) {
         match frame {
             Frame::Status(status) => self.on_status(session, status),
+            Frame::StateConfirmed(answer) => self.gateway().answer_state(session.id(), &answer),
             Frame::Document(update) => self.on_document(session, &update),
             Frame::AdapterVersions(versions) => self.gateway().set_versions(&versions),
             Frame::Servers(update) => self.on_servers(update),
--- a/src/fleet/controller_search.rs
+++ b/src/fleet/controller_search.rs
@@ -77,7 +77,7 @@
         sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
         let now = controllers.clock.mono();
         controllers.forget_heard(now);
-        if controllers.is_up_to_date() {
+        if gateway.is_up_to_date() {
             schedule = None;
             continue;
         }
--- a/src/fleet/entry_vm.rs
+++ b/src/fleet/entry_vm.rs
@@ -19,6 +19,7 @@
 use super::controller_client::ControllerClient;
 use super::controller_search;
 use super::log_line::Lifecycle;
+use super::state_questions;
 use crate::gateway::Acceptor;
 use crate::gateway::ControllerRequests;
 use crate::gateway::Gateway;
@@ -78,7 +79,7 @@
     _dialer: Dialer,
     periodic: JoinHandle<()>,
     /// Tasks that end once the work in progress is finished.
-    tasks: [JoinHandle<()>; 6],
+    tasks: [JoinHandle<()>; 7],
 }
 
 impl EntryVm {
@@ -194,7 +195,7 @@
     controllers: &Arc<ControllerClient>,
     gateway: &Arc<Gateway>,
     contacts: Contacts,
-) -> [JoinHandle<()>; 6] {
+) -> [JoinHandle<()>; 7] {
     let client = || Arc::clone(controllers);
     let search = controller_search::run(client(), Arc::clone(gateway), contacts.1);
     [
@@ -204,6 +205,7 @@
         tokio::spawn(withdraw_demands(client(), Arc::clone(gateway))),
         tokio::spawn(report_streams(client(), Arc::clone(gateway))),
         tokio::spawn(observe_time(Arc::clone(gateway))),
+        tokio::spawn(state_questions::ask_periodically(client())),
     ]
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 mod managed_data_centre;
 mod order_executor;
 mod server_limits;
+mod state_questions;
 mod stream_lookup;
 mod stream_reports;
 
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -9,6 +9,7 @@
 
 use super::belief::Belief;
 use super::deployment::Deployment;
+use crate::link::StateConfirmation;
 use crate::types::MonoMs;
 
 /// Configuration in force.
@@ -57,14 +58,21 @@
         true
     }
 
-    /// Notes that the controller at the other end of `link` has confirmed `version`. Returns whether that
-    /// counts, as [`Belief::confirm`] does.
+    /// Notes that a status on `link` has confirmed `version`. Returns whether that counts, as
+    /// [`Belief::confirm`] does.
     pub fn confirm(&mut self, link: u64, version: u64, now: MonoMs) -> bool {
         let counts = self.belief.confirm(link, version, now);
         self.is_served |= self.is_confirmed(now);
         counts
     }
 
+    /// Notes an answer on `link`. Returns whether that counts, as [`Belief::answer`] does.
+    pub fn answer(&mut self, link: u64, answer: &StateConfirmation, now: MonoMs) -> bool {
+        let counts = self.belief.answer(link, answer, now);
+        self.is_served |= self.is_confirmed(now);
+        counts
+    }
+
     /// What is known from the links to controllers.
     pub(super) fn belief(&self) -> &Belief {
         &self.belief
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -100,7 +100,7 @@
     pub quota: Quota,
     /// Requests that wait for adapters.
     pub adapter_waits: AdapterWaits,
-    configuration: watch::Sender<Configuration>,
+    pub(super) configuration: watch::Sender<Configuration>,
     /// Limits the number of requests in a grace period.
     grace_permits: Semaphore,
     server_table: Mutex<ServerTable>,
@@ -299,8 +299,8 @@
         })
     }
 
-    /// Notes that the controller at the other end of `link` has confirmed `version` of the configuration.
-    /// Returns whether that counts, as [`Belief::confirm`] does.
+    /// Notes that a status on `link` has confirmed `version` of the configuration. Returns whether that counts, as
+    /// [`Belief::confirm`] does.
     pub fn confirm_version(&self, link: u64, version: u64) -> bool {
         let now = self.now();
         let mut counts = false;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 mod server_rests;
 mod server_view;
 mod service_latency;
+mod state_questions;
 mod stream_origins;
 
 pub use accept::Acceptor;
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -20,6 +20,7 @@
 use super::exchange::BUSY_RETRY_MS;
 use super::exchange::Exchange;
 use super::record::RequestRecord;
+use crate::link::StateConfirmation;
 use crate::scheduling::stream_origins::SoftwareVersions;
 use crate::scheduling::stream_origins::StreamBegin;
 use crate::scheduling::stream_origins::StreamOrigin;
@@ -67,7 +68,8 @@
     origins: StreamOrigins,
     unreported: Vec<StreamBegin>,
     listed: SoftwareVersions,
-    /// When a controller in contact with the log's leader last sent the list.
+    /// When the list was last known to be the newest one: when the question was asked whose answer tells so, or when a
+    /// status was read that does.
     confirmed: Option<(MonoMs, UnixMs)>,
 }
 
@@ -132,7 +134,7 @@
     }
 
     /// Applies the list of software versions unless it is older than the known one. `is_current` tells
-    /// whether the controller that sent it is in contact with the log's leader.
+    /// whether it was the newest one a moment ago.
     pub fn set_software_versions(&self, listed: &SoftwareVersions, is_current: bool) {
         let mut state = self.known_streams.lock();
         if listed.revision > state.listed.revision {
@@ -144,6 +146,16 @@
         }
     }
 
+    /// Notes that the list is the newest one, unless a controller that says so knows a newer one.
+    pub(super) fn confirm_software_versions(&self, answer: &StateConfirmation) {
+        let mut state = self.known_streams.lock();
+        let asked = (answer.question.asked, answer.question.asked_unix);
+        let is_later = state.confirmed.is_none_or(|(last, _)| last <= asked.0);
+        if is_later && answer.software_revision <= state.listed.revision {
+            state.confirmed = Some(asked);
+        }
+    }
+
     /// Origin of the stream that a caller resumes; `None` for other requests. While the origin is not
     /// known, the controllers are asked until `deadline`.
     ///
--- a/src/metrics_page.rs
+++ b/src/metrics_page.rs
@@ -61,6 +61,7 @@
     log_learners: Gauge<u64, AtomicU64>,
     controller_links: Gauge<u64, AtomicU64>,
     confirmed_age_ms: Gauge<u64, AtomicU64>,
+    ignored_confirmations: Counter,
 }
 
 fn histogram() -> Histogram {
@@ -83,6 +84,7 @@
             log_learners: Gauge::default(),
             controller_links: Gauge::default(),
             confirmed_age_ms: Gauge::default(),
+            ignored_confirmations: Counter::default(),
         };
         meters.register();
         meters
@@ -114,6 +116,9 @@
         registry.register("controller_links", help, self.controller_links.clone());
         let help = "Time since a controller confirmed the configuration in milliseconds";
         registry.register("confirmed_age_ms", help, self.confirmed_age_ms.clone());
+        let help = "Answers of controllers to no question of the VM";
+        let ignored = self.ignored_confirmations.clone();
+        registry.register("ignored_confirmations", help, ignored);
     }
 
     /// Counts a request and records its times.
@@ -143,6 +148,11 @@
         self.confirmed_age_ms.set(confirmed_age_ms);
     }
 
+    /// Counts an answer of a controller that was dropped, since it answers no question of this VM.
+    pub fn count_ignored_confirmation(&self) {
+        self.ignored_confirmations.inc();
+    }
+
     /// Sets the state of the log.
     pub fn set_log_status(&self, status: &Status) {
         self.log_term.set(status.term);
--- a/tests/link_builds.rs
+++ b/tests/link_builds.rs
@@ -14,6 +14,7 @@
 use medlarlift::link::Listener;
 use medlarlift::link::Role;
 use medlarlift::link::Session;
+use medlarlift::link::StateConfirmation;
 use medlarlift::link::StateQuestion;
 use medlarlift::types::MonoMs;
 use medlarlift::types::StreamKey;
@@ -279,6 +280,21 @@
     assert_eq!(*recorder.opened.lock().unwrap(), [FORMAT_10]);
 }
 
+/// Compares with the sizes from which the use of the links is worked out (docs/CAPACITY.md).
+#[test]
+fn a_question_about_a_state_and_its_answer_are_as_small_as_stated() {
+    let Frame::AskState(question) = state_question() else {
+        panic!("a question");
+    };
+    let answer = Frame::StateConfirmed(StateConfirmation {
+        question,
+        document_version: u64::MAX,
+        software_revision: u64::MAX,
+    });
+    let framed = |frame: Frame| 4 + frame.encode().len();
+    assert_eq!((framed(state_question()), framed(answer)), (32, 48));
+}
+
 /// Guards against frames that are taken for those of another format.
 #[tokio::test]
 async fn a_frame_that_the_format_of_the_link_does_not_have_ends_the_link() {
