test(consensus): a follower that hears its leader late confirms what was replaced, known red

An entry VM that hears only one controller may be told by it that a state is in force which was replaced longer ago than the 0.9 s that the bounds count on. A follower counts the age of its confirmation from the time at which it reads the leader's message (src/consensus/core/append.rs, confirm), whatever the link did to it.

The virtual network can delay all messages from one member to another. Not mended: the leader has to return a time of the follower's own clock, so that the age counts from there, and that changes the messages of the log.

--- a/tests/consensus_confirmed.rs
+++ b/tests/consensus_confirmed.rs
@@ -17,6 +17,10 @@
 const CONFIRMATION_ERROR_MS: u64 = 1_100;
 /// Time within which all members are confirmed after the faults have ended.
 const RECOVERY_MS: u64 = 10_000;
+/// Lateness of the messages on a link, less than the silence after which it is closed, and the steps in which it is reached.
+const LATE_MS: u64 = 1_450;
+const LATE_STEP_MS: usize = 50;
+const LATE_STEP_INTERVAL_MS: u64 = 200;
 /// Age up to which a confirmation counts as recent.
 const RECENT_MS: u64 = 500;
 
@@ -197,6 +201,27 @@
     assert!(seemed_caught_up > 0, "the case did not occur");
 }
 
+/// Guards against a member whose messages from the leader arrive late, on a link that is never silent, and that takes
+/// what they say for what is true now.
+#[test]
+fn a_member_that_hears_its_leader_late_confirms_no_state_that_was_replaced_long_ago() {
+    let mut sim = Sim::new(1, &["a", "b", "c"], options(1));
+    sim.run(3_000);
+    let leader = sim.leader().unwrap();
+    let late = sim.names().into_iter().find(|vm| *vm != leader).unwrap();
+    let mut commits = Commits::default();
+    let link = (leader.clone(), late);
+    for late_ms in (0..=LATE_MS).step_by(LATE_STEP_MS) {
+        sim.late_ms.insert(link.clone(), late_ms);
+        sim.propose(&leader, b"change".to_vec());
+        for _ in 0..LATE_STEP_INTERVAL_MS {
+            sim.run(1);
+            commits.observe(&sim);
+            check(&sim, &commits, 1);
+        }
+    }
+}
+
 /// Guards against VMs that cannot serve after a restart of everything until an election timeout has passed.
 #[test]
 fn after_a_restart_of_all_members_most_are_confirmed_before_an_election_timeout() {
--- a/tests/consensus_sim/mod.rs
+++ b/tests/consensus_sim/mod.rs
@@ -77,6 +77,8 @@
     pub rng: StdRng,
     pub nodes: BTreeMap<VmName, Node>,
     pub blocked: BTreeSet<(VmName, VmName)>,
+    /// Further delay of all messages from one VM to another.
+    pub late_ms: BTreeMap<(VmName, VmName), u64>,
     pub options: Options,
     pub oracle: Oracle,
     /// Number of disks lost or corrupted.
@@ -98,6 +100,7 @@
             rng: StdRng::seed_from_u64(seed),
             nodes: BTreeMap::new(),
             blocked: BTreeSet::new(),
+            late_ms: BTreeMap::new(),
             options,
             oracle: Oracle::default(),
             lost_disks: 0,
@@ -371,7 +374,9 @@
             );
             self.in_transit.insert(key, envelope.clone());
         }
-        let link_ms = self.transmit(&envelope);
+        let link = (envelope.from.vm.clone(), envelope.to.vm.clone());
+        let late_ms = self.late_ms.get(&link).copied().unwrap_or(0);
+        let link_ms = late_ms + self.transmit(&envelope);
         let copies = 1 + usize::from(self.rng.random_bool(self.options.duplication));
         for _ in 0..copies {
             let delay_ms = self
