--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 mod operator_calls;
 mod order_executor;
 mod server_limits;
+mod state_questions;
 mod stream_lookup;
 mod stream_reports;
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -101,7 +101,7 @@
     pub quota: Quota,
     /// Requests that wait for adapters.
     pub adapter_waits: AdapterWaits,
-    configuration: watch::Sender<Configuration>,
+    pub(super) configuration: watch::Sender<Configuration>,
     /// Limits of the configuration in force. Changes only with them.
     caller_limits: watch::Sender<CallerLimits>,
     /// Limits the number of requests in a grace period.
@@ -241,7 +241,7 @@
         self.caller_limits.subscribe()
     }
 
-    fn update_caller_limits(&self) {
+    pub(super) fn update_caller_limits(&self) {
         let Some(deployment) = self.deployment() else {
             return;
         };
@@ -321,8 +321,8 @@
         is_new
     }
 
-    /// Notes that the controller at the other end of `link` has confirmed `version` of the configuration.
-    /// Returns whether that counts, as [`Belief::confirm`] does.
+    /// Notes that a status on `link` has confirmed `version` of the configuration. Returns whether that counts, as
+    /// [`Belief::confirm`] does.
     pub fn confirm_version(&self, link: u64, version: u64) -> bool {
         let now = self.now();
         let mut counts = false;
