fix(gateway): VMs through which a request goes apply no older configuration

A VM that reaches no server of a service sends requests on to another entry VM, for the caller one with it. While the other VM had an older configuration, the caller's requests ran on the former service of a moved route, or got a final 404 for a new one, more than 250 ms after it had seen the effect of the new version. In the other direction, a VM refused routes by its own older configuration after others had handled its callers' requests by a newer one.

Cause: the receiving VM looked up route and key in its own configuration, whatever the sending VM went by, and neither told the other.

Now the request names the version by which the sender found the route, or the highest one that an answer named, if that is higher (Configuration-Version). The receiver with an older one waits for it within the grace period, then answers 503 (older_configuration, with Retry-After), and the sender takes a retry and tries the next VM. The answer names the version that the receiver went by. The sender then refuses nothing by an older one (Belief), and handles nothing by it: requests whose route it knows go through other VMs, the others wait within the grace period and get 503. A value that is missing or no number changes nothing; one that nobody has ends in 503 after the grace period. A VM keeps the highest version that an answer named until it ends; it trusts the entry VMs that controllers list.

The header is removed from callers' requests on arrival.

The route and account of a request are found in a file of their own (target.rs).

--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
-use http::Version;
 use http::header;
 use http::request::Parts;
 use http_body_util::BodyExt;
@@ -35,6 +34,11 @@
 use super::quota::TokenGrant;
 use super::record::RequestRecord;
 use super::server_table::is_adapter;
+use super::target::Target;
+use super::target::find_target;
+use super::target::is_outdated;
+use super::target::note_contact;
+use super::target::unconfigured;
 use crate::limits::Shortage;
 use crate::mechanisms::Mechanism;
 use crate::scheduling::stream_origins::StreamOrigin;
@@ -42,20 +46,9 @@
 use crate::types::RequestFeatures;
 use crate::types::ServiceName;
 
-/// Retry delay returned while the VM has no configuration.
-const UNCONFIGURED_RETRY_MS: u64 = 300;
 /// Retry delay returned while the VM does not know the limits of an account.
 const UNKNOWN_LIMITS_RETRY_MS: u64 = 100;
 
-/// A head of this size is accepted whatever the configuration says, in bytes.
-const LEAST_HEADER_LIMIT: usize = 8 * 1024;
-/// End of a line in a head, in bytes.
-const LINE_END_BYTES: usize = 2;
-/// Spaces, HTTP version and end of a request's first line, in bytes.
-const REQUEST_LINE_EXTRA_BYTES: usize = 12;
-/// Colon, space and end of a header's line, in bytes.
-const HEADER_EXTRA_BYTES: usize = 4;
-
 /// Looks up the route and the account, reads the body and takes the tokens.
 pub(super) async fn begin(
     gateway: &Arc<Gateway>,
@@ -85,7 +78,8 @@
     // The body may have taken until the VM takes no new requests any more.
     check_admitting(gateway)?;
     let service = route.target(rand::rng().random()).clone();
-    let is_relayed = relay_permit.is_none() && gateway.is_cut_from(&service);
+    let is_relayed = relay_permit.is_none()
+        && (gateway.is_cut_from(&service) || is_outdated(gateway, &deployment));
     let admitted = match is_relayed {
         true => Admitted::elsewhere(service),
         false => {
@@ -101,6 +95,7 @@
         gateway: Arc::clone(gateway),
         is_engine: deployment.is_engine(&admitted.service),
         is_popular: admitted.is_popular,
+        version: deployment.version,
         route,
         account,
         caller,
@@ -125,86 +120,6 @@
     Err(Refusal::not_run(status, "vm_leaves", LEAVING_RETRY_MS))
 }
 
-/// What the configuration says about a request.
-struct Target {
-    deployment: Arc<Deployment>,
-    route: Arc<Route>,
-    account: Option<Arc<Account>>,
-}
-
-/// Finds the route and the account, and notes how the VM stands with the controllers if there are none.
-async fn find_target(
-    gateway: &Gateway,
-    parts: &Parts,
-    caller: &CallerHead,
-    deadline: Instant,
-    record: &mut RequestRecord,
-) -> Result<Target, Refusal> {
-    let found = find_confirmed_target(gateway, parts, caller, deadline, record).await;
-    if found.is_err() {
-        note_contact(gateway, record);
-    }
-    found
-}
-
-fn note_contact(gateway: &Gateway, record: &mut RequestRecord) {
-    let contact = gateway.controller_contact();
-    record.controller_links = Some(contact.links);
-    record.confirmed_age_ms = contact.confirmed_age_ms;
-}
-
-/// Finds the route and the account. A refusal by a configuration that is not confirmed waits for the
-/// confirmed one.
-async fn find_confirmed_target(
-    gateway: &Gateway,
-    parts: &Parts,
-    caller: &CallerHead,
-    deadline: Instant,
-    record: &mut RequestRecord,
-) -> Result<Target, Refusal> {
-    let known = gateway.first_configuration(deadline).await;
-    let known = known.ok_or_else(|| unconfigured("no_configuration"))?;
-    match target_in(known.deployment, parts, caller, record) {
-        Err(_) if !known.is_confirmed => {
-            let confirmed = gateway.confirmed_configuration(deadline).await;
-            let confirmed = confirmed.ok_or_else(|| unconfigured("unconfirmed_configuration"))?;
-            target_in(confirmed.deployment, parts, caller, record)
-        }
-        found => found,
-    }
-}
-
-fn unconfigured(reason: &'static str) -> Refusal {
-    Refusal::not_run(
-        StatusCode::SERVICE_UNAVAILABLE,
-        reason,
-        UNCONFIGURED_RETRY_MS,
-    )
-}
-
-fn target_in(
-    deployment: Arc<Deployment>,
-    parts: &Parts,
-    caller: &CallerHead,
-    record: &mut RequestRecord,
-) -> Result<Target, Refusal> {
-    record.deployment_version = deployment.version;
-    if record.relayed_for.is_none() {
-        check_head_size(&deployment, parts)?;
-    }
-    let route = find_route(&deployment, parts)?;
-    record.route = Some(route.name.clone());
-    record.target_ms = route.target_latency_ms;
-    check_http_version(&route, parts)?;
-    let account = find_account(&deployment, &route, caller)?;
-    record.account = account.as_ref().map(|account| account.name.clone());
-    Ok(Target {
-        deployment,
-        route,
-        account,
-    })
-}
-
 /// Permit for a request of another entry VM.
 fn relay_permit(gateway: &Gateway) -> Result<OwnedSemaphorePermit, Refusal> {
     gateway.relay_permit().ok_or_else(|| {
@@ -303,58 +218,6 @@
     }
 }
 
-fn find_route(deployment: &Deployment, parts: &Parts) -> Result<Arc<Route>, Refusal> {
-    let host = parts.headers.get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default();
-    let route = deployment.route(host, parts.uri.path()).cloned();
-    route.ok_or_else(|| Refusal::new(StatusCode::NOT_FOUND, "no_route"))
-}
-
-/// Refuses a head over the limit of the configuration.
-fn check_head_size(deployment: &Deployment, parts: &Parts) -> Result<(), Refusal> {
-    if head_bytes(parts) <= deployment.limits.header_bytes.max(LEAST_HEADER_LIMIT) {
-        return Ok(());
-    }
-    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-    Err(Refusal::new(status, "head_too_large"))
-}
-
-/// Bytes of a request's head.
-fn head_bytes(parts: &Parts) -> usize {
-    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-    let request_line = parts.method.as_str().len() + path.len() + REQUEST_LINE_EXTRA_BYTES;
-    let headers = parts.headers.iter();
-    let header_bytes = headers
-        .map(|(name, value)| name.as_str().len() + value.as_bytes().len() + HEADER_EXTRA_BYTES);
-    request_line + header_bytes.sum::<usize>() + LINE_END_BYTES
-}
-
-/// Refuses a stream over HTTP/1.0, in which one that breaks off ends like a complete one.
-fn check_http_version(route: &Route, parts: &Parts) -> Result<(), Refusal> {
-    if !route.repeat.is_stream() || parts.version != Version::HTTP_10 {
-        return Ok(());
-    }
-    let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
-    Err(Refusal::new(status, "stream_over_http_1_0"))
-}
-
-fn find_account(
-    deployment: &Deployment,
-    route: &Route,
-    caller: &CallerHead,
-) -> Result<Option<Arc<Account>>, Refusal> {
-    if route.is_public || deployment.accounts.is_empty() {
-        return Ok(None);
-    }
-    let key = caller.key.as_deref().unwrap_or_default();
-    match deployment.authenticate(key) {
-        Some(account) => Ok(Some(Arc::clone(account))),
-        None => Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown_key")),
-    }
-}
-
 async fn read_body(
     gateway: &Gateway,
     deployment: &Deployment,
--- a/src/gateway/belief.rs
+++ b/src/gateway/belief.rs
@@ -43,6 +43,8 @@
     claims: IndexMap<u64, Claim>,
     /// Version of the latest claim and its time.
     last_confirmed: Option<(u64, MonoMs)>,
+    /// Highest version by which another entry VM handled a request of this VM's callers.
+    handled_elsewhere: u64,
     /// Time of the latest observation.
     observed: Option<MonoMs>,
     /// Time from which messages are known not to have queued up while the process stood still.
@@ -83,6 +85,16 @@
         self.fresh_from
     }
 
+    /// Notes that another entry VM handled a request of this VM's callers by `version`, for whom both are one.
+    pub fn note_handled_elsewhere(&mut self, version: u64) {
+        self.handled_elsewhere = self.handled_elsewhere.max(version);
+    }
+
+    /// Highest version by which another entry VM handled a request of this VM's callers; 0 for none.
+    pub fn handled_elsewhere(&self) -> u64 {
+        self.handled_elsewhere
+    }
+
     /// Notes that a link has opened.
     pub fn open(&mut self, link: u64, now: MonoMs) {
         self.observe(now);
@@ -106,13 +118,16 @@
     pub fn confirms(&self, version: u64, now: MonoMs) -> bool {
         let mut fresh = self.claims.values().filter(|claim| claim.expires > now);
         let is_confirmed = fresh.clone().any(|claim| claim.is_confirmation);
-        is_confirmed && fresh.all(|claim| claim.version <= version)
+        is_confirmed
+            && self.handled_elsewhere <= version
+            && fresh.all(|claim| claim.version <= version)
     }
 
     /// Whether a newer version than `version` is known to have been in force.
     pub fn knows_newer(&self, version: u64, now: MonoMs) -> bool {
         let mut fresh = self.claims.values().filter(|claim| claim.expires > now);
         fresh.any(|claim| claim.version > version)
+            || self.handled_elsewhere > version
             || self.last_confirmed.is_some_and(|(last, _)| last > version)
     }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -103,7 +103,7 @@
     pub adapter_waits: AdapterWaits,
     configuration: watch::Sender<Configuration>,
     /// Limits of the configuration in force. Changes only with them.
-    caller_limits: watch::Sender<CallerLimits>,
+    pub(super) caller_limits: watch::Sender<CallerLimits>,
     /// Limits the number of requests in a grace period.
     grace_permits: Semaphore,
     server_table: Mutex<ServerTable>,
@@ -236,22 +236,6 @@
         self.configuration.borrow().deployment().cloned()
     }
 
-    /// Limits of the configuration in force, which open connections follow.
-    pub(super) fn caller_limits(&self) -> watch::Receiver<CallerLimits> {
-        self.caller_limits.subscribe()
-    }
-
-    fn update_caller_limits(&self) {
-        let Some(deployment) = self.deployment() else {
-            return;
-        };
-        self.caller_limits.send_if_modified(|limits| {
-            let is_new = *limits != deployment.limits;
-            *limits = deployment.limits;
-            is_new
-        });
-    }
-
     /// Version of the newest configuration that has arrived, in force or not; 0 for none.
     pub fn received_version(&self) -> u64 {
         let configuration = self.configuration.borrow();
@@ -268,6 +252,21 @@
         self.configuration_when(deadline, |_| true).await
     }
 
+    /// Highest version by which another entry VM handled a request of this VM's callers; 0 for none.
+    pub(super) fn version_handled_elsewhere(&self) -> u64 {
+        self.configuration.borrow().belief().handled_elsewhere()
+    }
+
+    /// Configuration in force once its version is at least `version`, if that happens before `deadline`.
+    pub(super) async fn configuration_from(
+        &self,
+        version: u64,
+        deadline: Instant,
+    ) -> Option<InForce> {
+        let is_wanted = |known: &InForce| known.deployment.version >= version;
+        self.configuration_when(deadline, is_wanted).await
+    }
+
     /// Configuration in force once it is confirmed, if that happens before `deadline`.
     pub(super) async fn confirmed_configuration(&self, deadline: Instant) -> Option<InForce> {
         self.configuration_when(deadline, |known| known.is_confirmed)
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
 use http::StatusCode;
 use http::request;
@@ -138,6 +139,13 @@
     /// `last_event`, it resumes a stream that this attempt of the caller began.
     fn prepare_relay(&self, headers: &mut HeaderMap, wait_ms: u64, last_event: Option<u64>);
 
+    /// Names a version of the configuration in a request to another entry VM, which applies none that is older,
+    /// or in the answer to it, to which that version was applied. Returns the header's name.
+    fn name_configuration(&self, headers: &mut HeaderMap, version: u64) -> HeaderName;
+
+    /// Removes the version from a request or an answer and returns it. `None` if there is none, or no number.
+    fn take_configuration(&self, headers: &mut HeaderMap) -> Option<u64>;
+
     /// Reads the head of an answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerHead;
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -73,20 +73,31 @@
     relayed_for: Option<IpAddr>,
 ) -> Response<Body> {
     let started = Instant::now();
-    let (parts, body) = request.into_parts();
-    let caller = gateway.config.dialect.read(&parts);
+    let (mut parts, body) = request.into_parts();
+    let dialect = Arc::clone(&gateway.config.dialect);
+    // Callers have no say in it.
+    let named = dialect.take_configuration(&mut parts.headers);
+    let asked_version = named.filter(|_| relayed_for.is_some());
+    let caller = dialect.read(&parts);
     let mut record = RequestRecord {
         request_id: caller.request_id.clone(),
         model: caller.model.clone(),
         resumes: caller.resumes.clone(),
         last_event: caller.last_event,
         relayed_for,
+        asked_version,
         ..RequestRecord::default()
     };
-    match begin(&gateway, &parts, body, caller, started, &mut record).await {
+    let begun = begin(&gateway, &parts, body, caller, started, &mut record).await;
+    let version = record.deployment_version;
+    let mut response = match begun {
         Ok(exchange) => exchange.run(record).await,
         Err(refusal) => refuse(&gateway, refusal, record, started),
+    };
+    if asked_version.is_some() {
+        dialect.name_configuration(response.headers_mut(), version);
     }
+    response
 }
 
 fn refuse(
@@ -113,6 +124,8 @@
     pub(super) account: Option<Arc<Account>>,
     pub(super) caller: CallerHead,
     pub(super) service: ServiceName,
+    /// Version of the configuration that applies to the request.
+    pub(super) version: u64,
     /// Who began the stream, once its caller has an event of it.
     pub(super) origin: Option<StreamOrigin>,
     pub(super) is_engine: bool,
--- a/src/gateway/idle_timer.rs
+++ b/src/gateway/idle_timer.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout_at;
 
+use super::context::Gateway;
 use super::deployment::CallerLimits;
 
 /// Extra idle time beyond the limit, so that callers close their connections first.
@@ -22,6 +23,25 @@
     Duration::from_millis(limits.idle_timeout_ms.saturating_add(IDLE_MARGIN_MS))
 }
 
+impl Gateway {
+    /// Limits of the configuration in force, which open connections follow.
+    pub(super) fn caller_limits(&self) -> watch::Receiver<CallerLimits> {
+        self.caller_limits.subscribe()
+    }
+
+    /// Takes over the limits of the configuration in force.
+    pub(super) fn update_caller_limits(&self) {
+        let Some(deployment) = self.deployment() else {
+            return;
+        };
+        self.caller_limits.send_if_modified(|limits| {
+            let is_new = *limits != deployment.limits;
+            *limits = deployment.limits;
+            is_new
+        });
+    }
+}
+
 /// Ends each wait of a connection for a request's head by the limit of that moment, whatever it was when the
 /// wait began.
 #[derive(Clone, Debug)]
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 mod server_view;
 mod service_latency;
 mod stream_origins;
+mod target;
 
 pub use accept::Acceptor;
 pub use accept::Readiness;
--- a/src/gateway/peer_path.rs
+++ b/src/gateway/peer_path.rs
@@ -3,8 +3,13 @@
 //! The other VM handles the request as one of its own callers': it takes the tokens and the retries. It
 //! does not pass the request on to a further VM. If it refuses the request, this VM takes a retry before
 //! it sends it to the next one. This VM passes the answer on, streams by complete events.
+//!
+//! For the caller both VMs are one. So this VM names the version of the configuration by which it found the
+//! route, the other one applies none that is older, and names in its answer which one it applied. This VM applies none
+//! that is older than that from then on.
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -144,7 +149,11 @@
         let sent = gateway.now();
         match connection.sender.send_request(request).await {
             Ok(response) => {
-                let (parts, body) = response.into_parts();
+                let (mut parts, body) = response.into_parts();
+                let dialect = &gateway.config.dialect;
+                if let Some(version) = dialect.take_configuration(&mut parts.headers) {
+                    gateway.update_belief(|belief| belief.note_handled_elsewhere(version));
+                }
                 leaving_servers::on_relayed_answer(gateway, &parts, sent);
                 Sent::Answered(Response::from_parts(parts, body))
             }
@@ -169,9 +178,13 @@
         let wait_ms = left_ms.saturating_sub(margin_ms).max(1);
         let dialect = &self.gateway.config.dialect;
         dialect.prepare_relay(&mut headers, wait_ms, last_event);
+        let version = self.gateway.version_handled_elsewhere().max(self.version);
+        let named = dialect.name_configuration(&mut headers, version);
+        // A header of the connection: a VM that does not know it does not pass it on to a server.
+        let connection = HeaderValue::from_str(&format!("close, {named}"));
         headers.insert(
             header::CONNECTION,
-            header::HeaderValue::from_static("close"),
+            connection.expect("a name is a valid value"),
         );
         *request.headers_mut() = headers;
         request
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -43,6 +43,9 @@
     pub peers: Vec<VmName>,
     /// Entry VM from which the request came, if not from its caller.
     pub relayed_for: Option<IpAddr>,
+    /// Version of the configuration that this entry VM named, or a newer one, has to apply.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub asked_version: Option<u64>,
     /// Software versions of these servers.
     pub software: Vec<SoftwareVersion>,
     /// Id of the caller's attempt that began the stream which this one resumes.
--- a/tests/belief.rs
+++ b/tests/belief.rs
@@ -201,3 +201,19 @@
     let held = versions.iter().rev().find(|(from, _)| *from <= at);
     held.map_or(1, |(_, version)| *version)
 }
+
+/// Guards against a refusal, or a start of service, by a configuration that is older than the one by which another
+/// VM has handled a request of the same callers.
+#[test]
+fn a_version_that_another_vm_went_by_outdates_older_ones() {
+    let mut belief = Belief::default();
+    assert!(belief.confirm(1, 7, START));
+    belief.note_handled_elsewhere(8);
+    belief.note_handled_elsewhere(6);
+    assert_eq!(belief.handled_elsewhere(), 8);
+    assert!(!belief.confirms(7, START));
+    assert!(belief.knows_newer(7, START));
+    assert!(belief.confirm(1, 8, START));
+    assert!(belief.confirms(8, START));
+    assert!(!belief.knows_newer(8, START));
+}
