--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -50,6 +50,7 @@
 mod service_latency;
 mod state_questions;
 mod stream_origins;
+mod target;
 
 pub use accept::Acceptor;
 pub use accept::Readiness;
