--- a/tests/consensus_sim/mod.rs
+++ b/tests/consensus_sim/mod.rs
@@ -84,6 +84,8 @@
     /// Number of snapshots installed from a leader.
     pub installs: usize,
     founders: Vec<VmName>,
+    /// Number of disks that may be lost at once, as the members know it.
+    disk_losses: usize,
     in_transit: BTreeMap<(u64, u64), Envelope>,
     /// Bytes that each link has taken, as the time in microseconds until which it is busy with them.
     busy_until_us: BTreeMap<(VmName, VmName), u64>,
@@ -91,7 +93,18 @@
 }
 
 impl Sim {
+    /// As many disks may be lost at once as the founders can bear.
     pub fn new(seed: u64, founders: &[&str], options: Options) -> Self {
+        let disk_losses = founders.len().saturating_sub(1) / 2;
+        Self::with_disk_losses(seed, founders, disk_losses, options)
+    }
+
+    pub fn with_disk_losses(
+        seed: u64,
+        founders: &[&str],
+        disk_losses: usize,
+        options: Options,
+    ) -> Self {
         let founders: Vec<VmName> = founders.iter().map(|name| VmName::from(*name)).collect();
         let mut sim = Self {
             now_ms: 1_000,
@@ -103,6 +116,7 @@
             lost_disks: 0,
             installs: 0,
             founders: founders.clone(),
+            disk_losses,
             in_transit: BTreeMap::new(),
             busy_until_us: BTreeMap::new(),
             next_number: 1,
