fix(consensus): voters are not demoted below what the allowed losses of disks call for

Cause: the core demoted voters that are silent for 1.5 s (even numbers down to three, odd ones before the successor is promoted) without knowing how many disks may be lost at once. With f of them, fewer than 2f+1 voters lose their quorum for good, although the disk of the demoted voter is intact.

A voter is demoted only while more than 2f+1 vote. Otherwise its successor is promoted first, if the grown membership has an active quorum, and the failed one is demoted next. Identities whose disks are known to be lost are removed as before: they hold nothing that a quorum could need.

With f = 1 three voters are replaced as before.

No wire or record format changes: memberships, messages and log records are the same, and each change is still by one voter, which every build accepts from a leader. The number is a setting of the process.

--- a/src/consensus/core/membership.rs
+++ b/src/consensus/core/membership.rs
@@ -95,6 +95,7 @@
             .find_map(|learner| self.without_lost_learner(learner))
             .or_else(|| learners.iter().find_map(|id| self.without_lost_disk(id)))
             .or_else(|| self.with_failed_voter_demoted())
+            .or_else(|| self.with_successor_first())
             .or_else(|| learners.iter().find_map(|id| self.with_promoted(id)));
         if let Some(next) = next {
             self.change_members(next);
@@ -144,14 +145,11 @@
     /// Of an odd number of voters only one whose place a learner takes next is demoted, which leaves the size
     /// of the quorum as it is. One of an even number is demoted if no learner can make the number odd: the
     /// others then bear one more failure. Without the first condition, failures one after the other would
-    /// leave every entry on too few disks.
+    /// leave every entry on too few disks. In no case are there fewer voters than the disks that may be lost
+    /// call for, since the disk of the demoted voter may be needed.
     fn with_failed_voter_demoted(&self) -> Option<Configuration> {
         let configuration = self.configuration();
-        let voters = configuration.voters.iter();
-        let failed = voters
-            .filter(|id| **id != self.config.id)
-            .filter(|id| self.silence_ms(id) >= VOTER_SILENCE_MS || self.is_leaving(id))
-            .max_by_key(|id| self.silence_ms(id))?;
+        let failed = self.failed_voter()?;
         let mut waiting = configuration.learners.iter();
         let has_successor = waiting.any(|id| self.is_ready_to_vote(id));
         let count = configuration.voters.len();
@@ -160,7 +158,7 @@
             true => !is_even,
             false => (is_even && count > 2) || count > MAX_LASTING_VOTERS,
         };
-        if !may_shrink {
+        if !may_shrink || count <= self.fewest_voters() {
             return None;
         }
         let mut next = configuration.clone();
@@ -169,6 +167,39 @@
         self.has_active_quorum(&next).then_some(next)
     }
 
+    /// Promotes the successor of a failed voter that cannot be demoted before, because too few would vote. The
+    /// failed one is demoted next.
+    fn with_successor_first(&self) -> Option<Configuration> {
+        self.failed_voter()?;
+        let configuration = self.configuration();
+        if configuration.voters.len() > self.fewest_voters() {
+            return None;
+        }
+        let mut learners = configuration.learners.iter();
+        let successor = learners.find(|id| self.is_ready_to_vote(id))?;
+        let next = with_voter(configuration, successor);
+        self.has_active_quorum(&next).then_some(next)
+    }
+
+    /// The voter that is silent for the longest time or shuts down, if there is one.
+    fn failed_voter(&self) -> Option<&VoterId> {
+        let voters = self.configuration().voters.iter();
+        voters
+            .filter(|id| **id != self.config.id)
+            .filter(|id| self.silence_ms(id) >= VOTER_SILENCE_MS || self.is_leaving(id))
+            .max_by_key(|id| self.silence_ms(id))
+    }
+
+    /// Number of voters of which a quorum with every committed entry is left once as many disks are lost as may
+    /// be lost at once. One fewer while a voter of three is replaced: if the successor came first and failed at
+    /// that moment, the failure of a single member would leave no quorum.
+    fn fewest_voters(&self) -> usize {
+        match self.config.disk_losses {
+            1 => 2,
+            losses => 2 * losses + 1,
+        }
+    }
+
     /// Promotes `learner`. If that makes the number of voters even, a voter that has just become silent must
     /// give up its place first: together with a failure of the new voter it would cost the quorum.
     fn with_promoted(&self, learner: &VoterId) -> Option<Configuration> {
@@ -184,10 +215,7 @@
         if !may_grow || !self.is_ready_to_vote(learner) {
             return None;
         }
-        let mut next = configuration.clone();
-        next.learners.remove(learner);
-        next.voters.insert(learner.clone());
-        Some(next)
+        Some(with_voter(configuration, learner))
     }
 
     /// Whether `learner` has caught up and may take a place among the voters.
@@ -257,3 +285,10 @@
         active.count() >= configuration.quorum()
     }
 }
+
+fn with_voter(configuration: &Configuration, learner: &VoterId) -> Configuration {
+    let mut next = configuration.clone();
+    next.learners.remove(learner);
+    next.voters.insert(learner.clone());
+    next
+}
--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -51,6 +51,8 @@
     pub founders: Vec<VmName>,
     /// Whether the founders may bootstrap a new cluster.
     pub may_bootstrap: bool,
+    /// Number of members whose disks may be lost at once.
+    pub disk_losses: usize,
     /// Periods of the protocol.
     pub timeouts: Timeouts,
     /// Seed of the random election timeouts.
--- a/src/consensus/driver/config.rs
+++ b/src/consensus/driver/config.rs
@@ -23,6 +23,8 @@
     pub founders: Vec<VmName>,
     /// Whether the founders may bootstrap a cluster. False if this VM has to join an existing one.
     pub may_bootstrap: bool,
+    /// Number of voters whose disks may be lost at once.
+    pub disk_losses: usize,
     /// Timeouts of the protocol.
     pub timeouts: Timeouts,
     /// Number of applied entries after which a snapshot is taken and the log is compacted, unless their
@@ -33,11 +35,12 @@
 }
 
 impl VoterConfig {
-    /// Settings with default timeouts.
+    /// Settings with default timeouts. As many disks may be lost at once as the founders can bear.
     pub fn new(vm: VmName, data_folder: impl Into<PathBuf>, founders: Vec<VmName>) -> Self {
         Self {
             vm,
             data_folder: data_folder.into(),
+            disk_losses: founders.len().saturating_sub(1) / 2,
             founders,
             may_bootstrap: true,
             timeouts: Timeouts::default(),
--- a/src/consensus/driver/handle.rs
+++ b/src/consensus/driver/handle.rs
@@ -112,6 +112,7 @@
             id: VoterId::new(config.vm, recovered.meta.disk_id),
             founders: config.founders,
             may_bootstrap: config.may_bootstrap,
+            disk_losses: config.disk_losses,
             timeouts: config.timeouts,
             seed: rand::random(),
         };
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -104,6 +104,8 @@
     pub contacts: watch::Receiver<BTreeSet<VmName>>,
     /// Whether the founders may bootstrap the log.
     pub may_bootstrap: bool,
+    /// Number of controllers whose disks may be lost at once; as many as the founders can bear if `None`.
+    pub disk_losses: Option<usize>,
     /// Folder that persists across restarts of the process.
     pub data_folder: PathBuf,
     /// Retries for a service that the operator allows, over all VMs.
@@ -316,6 +318,7 @@
     let founders = config.contacts.borrow().iter().cloned().collect();
     let mut voter = VoterConfig::new(config.hello.vm.clone(), &config.data_folder, founders);
     voter.may_bootstrap = config.may_bootstrap;
+    voter.disk_losses = config.disk_losses.unwrap_or(voter.disk_losses);
     voter.snapshot_every_entries = SNAPSHOT_EVERY_ENTRIES;
     voter.propose_timeout_ms = PROPOSE_TIMEOUT_MS;
     let transport = Arc::new(LogTransport(Arc::clone(links)));
--- a/tests/consensus_core.rs
+++ b/tests/consensus_core.rs
@@ -69,6 +69,7 @@
             id: id("a"),
             founders: vec!["a".into(), "b".into(), "c".into()],
             may_bootstrap: true,
+            disk_losses: 1,
             timeouts: Timeouts::default(),
             seed: 1,
         };
--- a/tests/consensus_sim/mod.rs
+++ b/tests/consensus_sim/mod.rs
@@ -167,6 +167,7 @@
                 .contacts
                 .clone()
                 .unwrap_or_else(|| self.founders.clone()),
+            disk_losses: self.disk_losses,
             timeouts: Timeouts::default(),
             seed,
         };
