--- a/src/fleet/publication.rs
+++ b/src/fleet/publication.rs
@@ -7,10 +7,11 @@
 use super::control_core::QUORUM_CONTACT_MAX_AGE_MS;
 use super::failover_server::is_without_leader;
 use crate::consensus::Status;
+use crate::gateway::grace_period;
 
 /// Time without a leader after which a controller that has just started publishes what its disk holds, so that a
-/// data centre that is cut off is served. Longer than an election that follows a restart of all controllers.
-pub const UNCONFIRMED_DELAY_MS: u64 = 3_000;
+/// data centre that is cut off is served.
+pub const UNCONFIRMED_DELAY_MS: u64 = grace_period::UNCONFIRMED_MS;
 
 /// What other VMs may learn of a controller's state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/gateway/grace_period.rs
+++ b/src/gateway/grace_period.rs
@@ -19,9 +19,10 @@
 const RETRY_MS: (u64, u64) = (50, 200);
 /// Requests that may wait at once on one VM.
 pub(super) const MAX_WAITING: usize = 512;
-/// Uptime below which a VM does not serve by a configuration that no controller has confirmed. Longer than an
-/// election that follows a restart of all controllers.
-pub(super) const UNCONFIRMED_MS: u64 = 3_000;
+/// Uptime below which a VM does not serve by a configuration that no controller has confirmed, and time without a
+/// leader below which a controller that has just started publishes none. Longer than an election that follows a
+/// restart of all controllers.
+pub const UNCONFIRMED_MS: u64 = 3_000;
 /// Uptime below which a VM may not know all servers yet.
 pub(super) const STARTUP_MS: u64 = 4_000;
 
--- a/src/types/shared_bytes.rs
+++ b/src/types/shared_bytes.rs
@@ -35,7 +35,7 @@
     serializer.serialize_bytes(bytes)
 }
 
-/// Reads what [`serialize`] wrote, or a sequence of bytes.
+/// Reads what [`serialize`] wrote. In `bincode`, a sequence of bytes is written the same way.
 ///
 /// # Errors
 /// The deserializer fails.
