--- a/tests/belief.rs
+++ b/tests/belief.rs
@@ -217,3 +217,20 @@
     assert!(belief.confirms(8, START));
     assert!(!belief.knows_newer(8, START));
 }
+
+/// Guards against a VM that waits for good for a version that was named elsewhere by mistake: a server's own header that a
+/// VM of a former build passed on, or a version that a fleet set up anew does not have. What a controller confirms,
+/// asked long after that, is in force.
+#[test]
+fn a_version_named_elsewhere_does_not_outlast_what_controllers_confirm_later() {
+    let mut belief = Belief::default();
+    belief.open(1, START);
+    assert!(belief.confirm(1, 7, START));
+    belief.note_handled_elsewhere(u64::MAX);
+    let mut now = START;
+    for _ in 0..120 {
+        now = now.plus(500);
+        assert!(belief.confirm(1, 7, now));
+    }
+    assert!(belief.confirms(7, now), "not within 60 s");
+}
