fix(gateway): a version that was named elsewhere by mistake is dropped

An entry VM that reaches no server of a service could be kept off its own configuration until its restart: it passed all requests on or refused them with 503 (older_configuration).

Cause: the highest version that an answer of another VM named was kept for good, whatever controllers confirmed later. A VM of a former build passes on a server's own header of that name.

Now it is dropped once a controller that is up to date, asked 3 s or more after it was noted, does not know it.

Evidence: a_version_named_elsewhere_does_not_outlast_what_controllers_confirm_later (found by the review) fails without it ("not within 60 s") and passes now. The review's version of the test stood still for 500 ms between two statuses, which no confirmation survives; it observes the time now, as a VM does. Its bound is unchanged.

--- a/src/gateway/belief.rs
+++ b/src/gateway/belief.rs
@@ -23,6 +23,8 @@
 /// may, on links without questions. Either comes every 500 ms. What a controller confirms may be outdated by up to
 /// 900 ms, and by 400 ms for which it stood still unnoticed. A change is in force on all VMs after 3 s.
 pub const MAX_CONFIRMATION_AGE_MS: u64 = 1_500;
+/// Time after which a controller that is up to date knows every version that an entry VM can have.
+const MIN_NAMED_AGE_MS: u64 = 3_000;
 /// Questions on a link that are remembered until they are answered.
 const MAX_OPEN_QUESTIONS: usize = 32;
 
@@ -63,8 +65,9 @@
     questions: IndexMap<u64, VecDeque<StateQuestion>>,
     /// Version of the newest confirmation and the time from which its age counts.
     last_confirmed: Option<(u64, MonoMs)>,
-    /// Highest version by which another entry VM handled a request of this VM's callers.
-    handled_elsewhere: u64,
+    /// Highest version by which another entry VM handled a request of this VM's callers, and when that was last
+    /// noted; version 0 for none.
+    handled_elsewhere: (u64, MonoMs),
     /// Time of the latest observation.
     observed: Option<MonoMs>,
     /// Time from which messages are known not to have queued up while the process stood still.
@@ -87,7 +90,10 @@
         self.hear(link, version, now);
         let counts = now >= self.fresh_from;
         match counts {
-            true => self.set_confirmation(link, version, now),
+            true => {
+                self.set_confirmation(link, version, now);
+                self.drop_unknown_version(version, now);
+            }
             false => self.withdraw(link),
         }
         counts
@@ -121,7 +127,9 @@
             return false;
         }
         self.hear(link, version, now);
-        self.set_confirmation(link, version, answer.question.asked);
+        let asked = answer.question.asked;
+        self.set_confirmation(link, version, asked);
+        self.drop_unknown_version(version, asked);
         true
     }
 
@@ -153,13 +161,24 @@
     }
 
     /// Notes that another entry VM handled a request of this VM's callers by `version`, for whom both are one.
-    pub fn note_handled_elsewhere(&mut self, version: u64) {
-        self.handled_elsewhere = self.handled_elsewhere.max(version);
+    pub fn note_handled_elsewhere(&mut self, version: u64, now: MonoMs) {
+        if version >= self.handled_elsewhere.0 {
+            self.handled_elsewhere = (version, now);
+        }
     }
 
     /// Highest version by which another entry VM handled a request of this VM's callers; 0 for none.
     pub fn handled_elsewhere(&self) -> u64 {
-        self.handled_elsewhere
+        self.handled_elsewhere.0
+    }
+
+    /// Forgets a version that was handled elsewhere once a controller that is up to date does not know it long after:
+    /// the other VM named it by mistake.
+    fn drop_unknown_version(&mut self, confirmed: u64, asked: MonoMs) {
+        let (version, noted) = self.handled_elsewhere;
+        if confirmed < version && asked.since(noted) >= MIN_NAMED_AGE_MS {
+            self.handled_elsewhere = (0, noted);
+        }
     }
 
     /// Notes that a link has opened.
@@ -199,7 +218,7 @@
 
     fn names_newer(&self, version: u64, now: MonoMs) -> bool {
         let mut fresh = self.claims.values().filter(|claim| claim.expires > now);
-        fresh.any(|claim| claim.version > version) || self.handled_elsewhere > version
+        fresh.any(|claim| claim.version > version) || self.handled_elsewhere.0 > version
     }
 
     /// Whether a newer version than `version` is known to have been in force.
--- a/src/gateway/peer_path.rs
+++ b/src/gateway/peer_path.rs
@@ -152,7 +152,8 @@
                 let (mut parts, body) = response.into_parts();
                 let dialect = &gateway.config.dialect;
                 if let Some(version) = dialect.take_configuration(&mut parts.headers) {
-                    gateway.update_belief(|belief| belief.note_handled_elsewhere(version));
+                    let now = gateway.now();
+                    gateway.update_belief(|belief| belief.note_handled_elsewhere(version, now));
                 }
                 leaving_servers::on_relayed_answer(gateway, &parts, sent);
                 Sent::Answered(Response::from_parts(parts, body))
--- a/tests/belief.rs
+++ b/tests/belief.rs
@@ -208,8 +208,8 @@
 fn a_version_that_another_vm_went_by_outdates_older_ones() {
     let mut belief = Belief::default();
     assert!(belief.confirm(1, 7, START));
-    belief.note_handled_elsewhere(8);
-    belief.note_handled_elsewhere(6);
+    belief.note_handled_elsewhere(8, START);
+    belief.note_handled_elsewhere(6, START);
     assert_eq!(belief.handled_elsewhere(), 8);
     assert!(!belief.confirms(7, START));
     assert!(belief.knows_newer(7, START));
@@ -226,9 +226,10 @@
     let mut belief = Belief::default();
     belief.open(1, START);
     assert!(belief.confirm(1, 7, START));
-    belief.note_handled_elsewhere(u64::MAX);
+    belief.note_handled_elsewhere(u64::MAX, START);
     let mut now = START;
     for _ in 0..120 {
+        run(&mut belief, now, now.plus(500));
         now = now.plus(500);
         assert!(belief.confirm(1, 7, now));
     }
