fix(consensus): no more lost disks count than the members can bear

With a setting that names more lost disks than the controllers can bear, the log was lost for good after replacements: voters that are gone stayed voters, since there were never enough others to demote them.

Cause: the least number of voters followed from the setting alone.

Deployments that state what they can bear are not affected.

--- a/src/consensus/core/membership.rs
+++ b/src/consensus/core/membership.rs
@@ -193,8 +193,14 @@
     /// Number of voters of which a quorum with every committed entry is left once as many disks are lost as may
     /// be lost at once. One fewer while a voter of three is replaced: if the successor came first and failed at
     /// that moment, the failure of a single member would leave no quorum.
+    ///
+    /// Of more lost disks than the members can bear, only as many count as they can: voters that are gone would
+    /// otherwise stay voters for good.
     fn fewest_voters(&self) -> usize {
-        match self.config.disk_losses {
+        let configuration = self.configuration();
+        let members = configuration.voters.len() + configuration.learners.len();
+        let bearable = members.min(MAX_LASTING_VOTERS).saturating_sub(1) / 2;
+        match self.config.disk_losses.min(bearable) {
             1 => 2,
             losses => 2 * losses + 1,
         }
--- a/tests/consensus_disk_losses.rs
+++ b/tests/consensus_disk_losses.rs
@@ -53,14 +53,11 @@
     }
     let before = sim.describe();
     for _ in 0..(count - 1) / 2 {
-        let vm = loop {
-            let names = sim.names();
-            let leader = sim.leader();
-            let running = names
-                .into_iter()
-                .find(|vm| sim.nodes[vm].process.is_some() && Some(vm) != leader.as_ref());
-            break running.expect("runs");
-        };
+        let leader = sim.leader();
+        let mut names = sim.names().into_iter();
+        let running =
+            names.find(|vm| sim.nodes[vm].process.is_some() && Some(vm) != leader.as_ref());
+        let vm = running.expect("runs");
         sim.crash(&vm);
         run(&mut sim, 200);
     }
