refactor(consensus): one set of options for simulations without losses

They are Options::reliable and Options::reliable_of now, with the same values; the tests keep their seeds, bounds and assertions.

--- a/tests/consensus_day_end.rs
+++ b/tests/consensus_day_end.rs
@@ -21,19 +21,6 @@
 /// Time in which a member that has just started is promoted.
 const JOIN_MS: u64 = 5_000;
 
-fn options(seed: u64) -> Options {
-    Options {
-        loss: 0.0,
-        duplication: 0.0,
-        late_copies: 0.0,
-        delay_ms: [(1, 5), (30, 30), (10, 40)][seed as usize % 3],
-        sync_ms: (0, 5),
-        snapshot_every: [40, 5_000][seed as usize % 2],
-        padding_bytes: 0,
-        link_bytes_per_ms: 10_000,
-    }
-}
-
 fn propose(sim: &mut Sim) {
     let command = sim.number().to_be_bytes().to_vec();
     if let Some(leader) = sim.leader() {
@@ -99,7 +86,7 @@
 
 fn drawn_end(seed: u64, joined: usize, disk_losses: usize) -> Result<(), String> {
     let founders = ["a", "b", "c"];
-    let mut sim = Sim::with_disk_losses(seed, &founders, disk_losses, options(seed));
+    let mut sim = Sim::with_disk_losses(seed, &founders, disk_losses, Options::reliable_of(seed));
     run(&mut sim, 3_000);
     for number in 0..joined {
         sim.add(&VmName::from(format!("joined-{number}")));
@@ -156,7 +143,7 @@
 /// lose their disks `after_ms` after the voters have changed, while all others lose power.
 fn end_while_replaced(count: usize, after_ms: u64, spared: usize) -> Result<(), String> {
     let names = &["a", "b", "c", "d", "e"][..count];
-    let mut sim = Sim::new(1, names, options(1));
+    let mut sim = Sim::new(1, names, Options::reliable_of(1));
     run(&mut sim, 3_000);
     let leader = sim.leader().expect("leads");
     let mut others = sim.names();
--- a/tests/consensus_disk_losses.rs
+++ b/tests/consensus_disk_losses.rs
@@ -7,19 +7,6 @@
 use consensus_sim::Options;
 use consensus_sim::Sim;
 
-fn options() -> Options {
-    Options {
-        loss: 0.0,
-        duplication: 0.0,
-        late_copies: 0.0,
-        delay_ms: (1, 5),
-        sync_ms: (0, 5),
-        snapshot_every: 5_000,
-        padding_bytes: 0,
-        link_bytes_per_ms: 10_000,
-    }
-}
-
 fn run(sim: &mut Sim, duration_ms: u64) {
     let until_ms = sim.now_ms + duration_ms;
     while sim.now_ms < until_ms {
@@ -43,7 +30,7 @@
 /// many of the others crash as `count` members can bear.
 fn crashes_after_replacements(count: usize, disk_losses: usize, replaced: usize) {
     let names = &["a", "b", "c", "d", "e", "f"][..count];
-    let mut sim = Sim::with_disk_losses(1, names, disk_losses, options());
+    let mut sim = Sim::with_disk_losses(1, names, disk_losses, Options::reliable());
     run(&mut sim, 5_000);
     for number in 0..replaced {
         let gone = other_than_leader(&sim);
--- a/tests/consensus_durability.rs
+++ b/tests/consensus_durability.rs
@@ -72,14 +72,8 @@
 
 fn options(seed: u64) -> Options {
     Options {
-        loss: 0.0,
-        duplication: 0.0,
-        late_copies: 0.0,
-        delay_ms: [(1, 5), (30, 30), (10, 40)][seed as usize % 3],
         sync_ms: (0, 25),
-        snapshot_every: [40, 5_000][seed as usize % 2],
-        padding_bytes: 0,
-        link_bytes_per_ms: 10_000,
+        ..Options::reliable_of(seed)
     }
 }
 
--- a/tests/consensus_replacement.rs
+++ b/tests/consensus_replacement.rs
@@ -75,18 +75,12 @@
 
 fn options(seed: u64) -> Options {
     Options {
-        loss: 0.0,
-        duplication: 0.0,
-        late_copies: 0.0,
-        delay_ms: [(1, 5), (30, 30), (10, 40)][seed as usize % 3],
-        sync_ms: (0, 5),
-        snapshot_every: [40, 5_000][seed as usize % 2],
         padding_bytes: if seed.is_multiple_of(4) {
             LARGE_BYTES
         } else {
             0
         },
-        link_bytes_per_ms: 10_000,
+        ..Options::reliable_of(seed)
     }
 }
 
--- a/tests/consensus_restart_overlap.rs
+++ b/tests/consensus_restart_overlap.rs
@@ -14,14 +14,8 @@
 
 fn options() -> Options {
     Options {
-        loss: 0.0,
-        duplication: 0.0,
-        late_copies: 0.0,
-        delay_ms: (1, 5),
-        sync_ms: (0, 5),
-        snapshot_every: 5_000,
-        padding_bytes: 0,
         link_bytes_per_ms: u64::MAX,
+        ..Options::reliable()
     }
 }
 
--- a/tests/consensus_sim/mod.rs
+++ b/tests/consensus_sim/mod.rs
@@ -72,6 +72,31 @@
     pub link_bytes_per_ms: u64,
 }
 
+impl Options {
+    /// A network that loses nothing, with members near each other.
+    pub fn reliable() -> Self {
+        Self {
+            loss: 0.0,
+            duplication: 0.0,
+            late_copies: 0.0,
+            delay_ms: (1, 5),
+            sync_ms: (0, 5),
+            snapshot_every: 5_000,
+            padding_bytes: 0,
+            link_bytes_per_ms: 10_000,
+        }
+    }
+
+    /// The same, with distances and snapshots that vary with the seed.
+    pub fn reliable_of(seed: u64) -> Self {
+        Self {
+            delay_ms: [(1, 5), (30, 30), (10, 40)][seed as usize % 3],
+            snapshot_every: [40, 5_000][seed as usize % 2],
+            ..Self::reliable()
+        }
+    }
+}
+
 pub struct Sim {
     pub now_ms: u64,
     pub rng: StdRng,
