feat(connections): bodies and connections of an entry VM share its memory and descriptors

What callers saw: a process that ran out of memory, and their requests with it, while other clients sent many large bodies, whole or not, or very small chunks; refused connections while others sent half a head or nothing.

Cause: limits held for one body and one connection. A body was kept as the frames in which it arrived: a chunk of one byte took dozens of bytes and kept the parser's buffer alive, and a complete body was copied once more. Half a head lived as long as an idle connection (20 s), and nothing limited their number.

Change, for all HTTP listeners of an entry VM (callers, other entry VMs, readiness, metrics), in one module: - A body is copied into one buffer as it arrives; above 16 KiB into pages of its own, which take memory only once they are written and go back to the system with the body. Its size over the limit is refused by its head. - Above 16 KiB a body reserves what it may grow to (announced length or limit) in a budget of the process, 25% of MemoryMb, so that it never waits half way. Bodies wait in order, unread, and TCP holds their senders back. Those up to 256 KiB and larger ones have a part that the other cannot take. The bytes stay reserved until the last copy of the body is dropped. Answers above 16 KiB have a budget of their own, until the caller has read them. - While one waits, the body that is furthest behind a minimum rate for more than 500 ms gives its bytes back and is refused with 503 and Retry-After: it has not run. An unread answer's connection is closed. - Connections have a limit by memory and descriptors; at it, the one that was idle for longest makes room, then half a head, never a request. HeaderTimeoutMs ends a head from its first byte on. Large heads take turns. - Receive buffers are bounded. Timers count the time for which the process runs. - Metrics by listener, class and cause; one log line per listener and interval.

Why it works: what a connection can make the process hold is bounded by its fixed share or reserved before it is held, and both sum up to less than MemoryMb. Who is furthest behind makes room, so a crowd that stands still cannot keep it.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -1,5 +1,6 @@
 //! YAML settings. Each file is read by a [`Reader`] that reports all invalid settings in one run.
 
+pub mod connections;
 pub mod standin_callers;
 pub mod standin_engine;
 pub mod standin_service;
--- /dev/null
+++ b/src/connections/activity.rs
@@ -0,0 +1,246 @@
+//! What a client's connection is doing, and how long it has stood still.
+
+use std::io;
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio_util::sync::PollSemaphore;
+
+use super::budget::Holder;
+
+/// Bytes of a head that every connection may hold. Connections take turns with larger ones.
+pub const SMALL_HEAD_BYTES: u64 = 16 * 1024;
+/// Largest number of bytes read at once, which bounds the parser's buffer while a body is read.
+const READ_BYTES: u64 = 16 * 1024;
+
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// The first byte of a request.
+    Idle,
+    /// The rest of a head.
+    Head,
+    /// The answer to a request whose head has arrived.
+    Request,
+}
+
+/// Whether and how a connection has to be closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Closing {
+    /// It stays open.
+    Open,
+    /// It is closed after the current request.
+    AfterRequest,
+    /// It is closed at once.
+    AtOnce,
+}
+
+#[derive(Debug)]
+struct Progress {
+    phase: Phase,
+    /// When the phase began.
+    since_ms: u64,
+    /// When the last bytes moved.
+    moved_ms: u64,
+    head_bytes: u64,
+    /// Turn of a large head.
+    head_permit: Option<OwnedSemaphorePermit>,
+}
+
+/// State of one connection. The time is that of the table of connections.
+#[derive(Debug)]
+pub struct Activity {
+    clock_ms: Arc<AtomicU64>,
+    progress: Mutex<Progress>,
+    /// Bytes written since they were last asked for.
+    written_bytes: AtomicU64,
+    closing: watch::Sender<Closing>,
+}
+
+impl Activity {
+    /// A connection that was opened now.
+    pub fn new(clock_ms: Arc<AtomicU64>) -> Self {
+        let now_ms = clock_ms.load(Ordering::Relaxed);
+        Self {
+            clock_ms,
+            progress: Mutex::new(Progress {
+                phase: Phase::Idle,
+                since_ms: now_ms,
+                moved_ms: now_ms,
+                head_bytes: 0,
+                head_permit: None,
+            }),
+            written_bytes: AtomicU64::new(0),
+            closing: watch::Sender::new(Closing::Open),
+        }
+    }
+
+    /// What the connection waits for, since when, and when bytes moved last.
+    pub fn phase(&self) -> (Phase, u64, u64) {
+        let progress = self.progress();
+        (progress.phase, progress.since_ms, progress.moved_ms)
+    }
+
+    /// Has the connection closed.
+    pub fn close(&self, closing: Closing) {
+        self.closing.send_replace(closing);
+    }
+
+    /// Whether the connection has to be closed.
+    pub fn closing(&self) -> watch::Receiver<Closing> {
+        self.closing.subscribe()
+    }
+
+    /// Notes that the head of a request is complete.
+    pub fn begin_request(&self) {
+        let mut progress = self.progress();
+        self.enter(&mut progress, Phase::Request);
+        progress.head_permit = None;
+    }
+
+    /// Notes that an answer has been handed over completely.
+    pub fn end_request(&self) {
+        let mut progress = self.progress();
+        self.enter(&mut progress, Phase::Idle);
+    }
+
+    fn enter(&self, progress: &mut Progress, phase: Phase) {
+        progress.phase = phase;
+        progress.since_ms = self.now_ms();
+        progress.moved_ms = progress.since_ms;
+        progress.head_bytes = 0;
+    }
+
+    /// Notes bytes that have been read.
+    pub fn on_read(&self, bytes: usize) {
+        let mut progress = self.progress();
+        progress.moved_ms = self.now_ms();
+        if progress.phase == Phase::Idle && bytes > 0 {
+            self.enter(&mut progress, Phase::Head);
+        }
+        if progress.phase == Phase::Head {
+            progress.head_bytes += bytes as u64;
+        }
+    }
+
+    fn on_written(&self, bytes: usize) {
+        self.progress().moved_ms = self.now_ms();
+        self.written_bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Whether the rest of the head may be read only in turn.
+    fn needs_permit(&self) -> bool {
+        let progress = self.progress();
+        progress.phase == Phase::Head
+            && progress.head_bytes > SMALL_HEAD_BYTES
+            && progress.head_permit.is_none()
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.clock_ms.load(Ordering::Relaxed)
+    }
+
+    fn progress(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Holder for Activity {
+    fn take_moved_bytes(&self) -> u64 {
+        self.written_bytes.swap(0, Ordering::Relaxed)
+    }
+
+    fn evict(&self) {
+        self.close(Closing::AtOnce);
+    }
+}
+
+/// Connection that notes its activity.
+#[derive(Debug)]
+pub struct ObservedStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+    large_heads: PollSemaphore,
+}
+
+impl ObservedStream {
+    /// Observes `stream`. Large heads take turns with `large_heads`.
+    pub fn new(stream: TcpStream, activity: Arc<Activity>, large_heads: Arc<Semaphore>) -> Self {
+        Self {
+            stream,
+            activity,
+            large_heads: PollSemaphore::new(large_heads),
+        }
+    }
+}
+
+impl AsyncRead for ObservedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.activity.needs_permit() {
+            let permit = ready!(self.large_heads.poll_acquire(context));
+            self.activity.progress().head_permit = permit;
+        }
+        let before = buffer.filled().len();
+        let mut part = AsyncReadExt::take(&mut self.stream, READ_BYTES);
+        ready!(Pin::new(&mut part).poll_read(context, buffer))?;
+        let read = buffer.filled().len() - before;
+        self.activity.on_read(read);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ObservedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
+        self.activity.on_written(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, bytes))?;
+        self.activity.on_written(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/fleet/entry_vm.rs
+++ b/src/fleet/entry_vm.rs
@@ -79,7 +79,7 @@
     _dialer: Dialer,
     periodic: JoinHandle<()>,
     /// Tasks that end once the work in progress is finished.
-    tasks: [JoinHandle<()>; 7],
+    tasks: [JoinHandle<()>; 9],
 }
 
 impl EntryVm {
@@ -118,7 +118,7 @@
             Arc::clone(&controllers) as Arc<dyn ControllerRequests>;
         let gateway = Arc::new(Gateway::new(config.gateway, quota, requests));
         controllers.set_gateway(Arc::clone(&gateway));
-        let readiness = Arc::new(Readiness::bind(config.readiness_address)?);
+        let readiness = Arc::new(Readiness::bind(config.readiness_address, &gateway)?);
         let acceptor = Acceptor::bind(config.caller_address, Arc::clone(&gateway))?;
         let relay_acceptor = match config.hello.relay_address {
             Some(address) => Some(Acceptor::bind_for_peers(address, Arc::clone(&gateway))?),
@@ -195,7 +195,7 @@
     controllers: &Arc<ControllerClient>,
     gateway: &Arc<Gateway>,
     contacts: Contacts,
-) -> [JoinHandle<()>; 7] {
+) -> [JoinHandle<()>; 9] {
     let client = || Arc::clone(controllers);
     let search = controller_search::run(client(), Arc::clone(gateway), contacts.1);
     [
@@ -206,6 +206,8 @@
         tokio::spawn(report_streams(client(), Arc::clone(gateway))),
         tokio::spawn(observe_time(Arc::clone(gateway))),
         tokio::spawn(state_questions::ask_periodically(client())),
+        tokio::spawn(gateway.bodies().keep_moving()),
+        tokio::spawn(gateway.answers().keep_moving()),
     ]
 }
 
@@ -286,6 +288,7 @@
         if count.is_multiple_of(PRUNE_TICKS) {
             gateway.prune_pool();
             gateway.update_contact_metrics();
+            gateway.update_memory_metrics();
         }
         if !readiness.get() && gateway.deployment().is_some() && controllers.knows_servers() {
             readiness.set(true);
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -8,15 +8,11 @@
 use http::StatusCode;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use rand::RngExt;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
-use tokio::time::timeout_at;
 
 use super::answer::Refusal;
 use super::attempt::AttemptHistory;
@@ -39,6 +35,9 @@
 use super::target::is_outdated;
 use super::target::note_contact;
 use super::target::unconfigured;
+use crate::connections::activity::Activity;
+use crate::connections::body::BodyError;
+use crate::connections::body::BodyReader;
 use crate::limits::Shortage;
 use crate::mechanisms::Mechanism;
 use crate::scheduling::stream_origins::StreamOrigin;
@@ -108,6 +107,7 @@
         taken: admitted.taken,
         is_relayed,
         relay_permit,
+        connection: parts.extensions.get::<Arc<Activity>>().cloned(),
     })
 }
 
@@ -225,16 +225,28 @@
     deadline: Instant,
     record: &mut RequestRecord,
 ) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, deployment.limits.body_bytes);
-    match timeout_at(deadline, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+    let reader = BodyReader {
+        budget: &gateway.bodies,
+        limit_bytes: deployment.limits.body_bytes,
+        deadline,
+        may_evict: true,
+    };
+    let error = match reader.read(body).await {
+        Ok(whole) => return Ok(whole.into_bytes()),
+        Err(error) => error,
+    };
+    Err(match error {
+        BodyError::TooLarge => {
             note_contact(gateway, record);
-            Err(body_too_large(gateway, deployment))
+            body_too_large(gateway, deployment)
         }
-        Ok(Err(_)) => Err(Refusal::new(StatusCode::BAD_REQUEST, "body_broken")),
-        Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
-    }
+        BodyError::Broken => Refusal::new(StatusCode::BAD_REQUEST, "body_broken"),
+        BodyError::TooSlow => Refusal::new(StatusCode::REQUEST_TIMEOUT, "body_too_slow"),
+        BodyError::NoMemory => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Refusal::not_run(status, "no_memory_for_body", BUSY_RETRY_MS)
+        }
+    })
 }
 
 /// Refusal of a body over the limit, which is final only if no newer configuration may have raised it.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -45,6 +45,8 @@
 use super::server_table::ServerTable;
 use super::stream_origins::KnownStreams;
 use super::stream_origins::LookupFuture;
+use crate::configs::connections::ProcessLimits;
+use crate::connections::budget::ByteBudget;
 use crate::events::EventLog;
 use crate::limits::RetryLimit;
 use crate::link::AdapterDemand;
@@ -86,6 +88,8 @@
     pub version_grace_ms: u64,
     /// Enabled mechanisms.
     pub mechanisms: Mechanisms,
+    /// Limits of the VM on the process.
+    pub process_limits: ProcessLimits,
     /// Structured log.
     pub events: EventLog,
     /// Counters and histograms.
@@ -102,8 +106,10 @@
     /// Requests that wait for adapters.
     pub adapter_waits: AdapterWaits,
     pub(super) configuration: watch::Sender<Configuration>,
-    /// Limits of the configuration in force. Changes only with them.
-    pub(super) caller_limits: watch::Sender<CallerLimits>,
+    /// Memory that the bodies of requests share.
+    pub(super) bodies: ByteBudget,
+    /// Memory that answers share which callers have not read.
+    pub(super) answers: ByteBudget,
     /// Limits the number of requests in a grace period.
     grace_permits: Semaphore,
     server_table: Mutex<ServerTable>,
@@ -159,11 +165,12 @@
             server_table: Mutex::new(
                 ServerTable::new(config.distances.clone()).with(config.mechanisms),
             ),
+            bodies: ByteBudget::new(config.process_limits.entry_bodies_bytes()),
+            answers: ByteBudget::new(config.process_limits.entry_answers_bytes()),
             config,
             quota,
             adapter_waits: AdapterWaits::default(),
             configuration: watch::Sender::default(),
-            caller_limits: watch::Sender::default(),
             grace_permits: Semaphore::new(grace_period::MAX_WAITING),
             pool: Mutex::default(),
             adapter_usage: Mutex::default(),
@@ -236,6 +243,14 @@
         self.configuration.borrow().deployment().cloned()
     }
 
+    /// Limits on callers of the configuration in force.
+    pub(super) fn caller_limits(&self) -> CallerLimits {
+        let configuration = self.configuration.borrow();
+        configuration
+            .deployment()
+            .map_or_else(CallerLimits::default, |deployment| deployment.limits)
+    }
+
     /// Version of the newest configuration that has arrived, in force or not; 0 for none.
     pub fn received_version(&self) -> u64 {
         let configuration = self.configuration.borrow();
@@ -303,7 +318,7 @@
     /// Takes over a configuration unless it is older than the known one.
     pub fn set_deployment(&self, deployment: Deployment) -> bool {
         let now = self.now();
-        let is_new = self.configuration.send_if_modified(|current| {
+        self.configuration.send_if_modified(|current| {
             let old = current.newest().cloned();
             let new = Arc::new(deployment);
             if !current.receive(Arc::clone(&new), now) {
@@ -315,9 +330,7 @@
                 .set_retry_limits(&new, old.as_deref(), retry_limit);
             self.config.meters.set_deployment_version(new.version);
             true
-        });
-        self.update_caller_limits();
-        is_new
+        })
     }
 
     /// Notes that a status on `link` has confirmed `version` of the configuration. Returns whether that counts, as
@@ -328,7 +341,6 @@
         // Requests that wait for a confirmation look again, as an earlier one may have expired meanwhile.
         self.configuration
             .send_modify(|current| counts = current.confirm(link, version, now));
-        self.update_caller_limits();
         counts
     }
 
@@ -357,6 +369,23 @@
         self.configuration.borrow().belief().contact(self.now())
     }
 
+    /// Memory that the bodies of requests share.
+    pub fn bodies(&self) -> ByteBudget {
+        self.bodies.clone()
+    }
+
+    /// Memory that answers share which callers have not read.
+    pub fn answers(&self) -> ByteBudget {
+        self.answers.clone()
+    }
+
+    /// Updates the metrics of the memory that requests and answers have reserved.
+    pub fn update_memory_metrics(&self) {
+        let meters = &self.config.meters;
+        meters.set_budget("bodies", &self.bodies);
+        meters.set_budget("answers", &self.answers);
+    }
+
     /// Updates the metrics of the contact with controllers.
     pub fn update_contact_metrics(&self) {
         let contact = self.controller_contact();
@@ -372,11 +401,8 @@
         if now.0 < grace_period::UNCONFIRMED_MS {
             return false;
         }
-        let begins = self
-            .configuration
-            .send_if_modified(|current| current.serve_unconfirmed(now));
-        self.update_caller_limits();
-        begins
+        self.configuration
+            .send_if_modified(|current| current.serve_unconfirmed(now))
     }
 
     /// Backend servers as known to this VM.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,5 @@
 //! Handles one request from its head to the final answer.
 
-use std::error::Error;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,9 +8,8 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
@@ -44,6 +42,9 @@
 use super::relay;
 use super::select_server::Selected;
 use super::server_table::is_adapter;
+use crate::connections::activity::Activity;
+use crate::connections::body::BodyError;
+use crate::connections::body::BodyReader;
 use crate::event_stream;
 use crate::scheduling::stream_origins::StreamOrigin;
 use crate::types::ServerName;
@@ -138,6 +139,8 @@
     pub(super) is_relayed: bool,
     /// Permit of a request that another entry VM sent. It is not relayed again.
     pub(super) relay_permit: Option<OwnedSemaphorePermit>,
+    /// Connection of the caller.
+    pub(super) connection: Option<Arc<Activity>>,
 }
 
 /// Answer, read as far as needed to decide about another attempt.
@@ -413,13 +416,12 @@
             meter.delivered(frame.data_ref().map_or(0, Bytes::len));
             frame
         });
-        let limited = Limited::new(counted, MAX_ANSWER_BYTES);
-        let collected = limited.collect().await;
-        let lost = |error: Box<dyn Error + Send + Sync>| match error.is::<LengthLimitError>() {
-            true => SendFailure::Lost("answer_too_large"),
-            false => broken_off(&connection, "answer_cut_off"),
+        let lost = |error| match error {
+            BodyError::TooLarge => SendFailure::Lost("answer_too_large"),
+            BodyError::NoMemory => SendFailure::Lost("no_memory_for_answer"),
+            BodyError::Broken | BodyError::TooSlow => broken_off(&connection, "answer_cut_off"),
         };
-        let bytes = collected.map_err(lost)?.to_bytes();
+        let bytes = self.read_answer(counted).await.map_err(lost)?;
         if event_stream::is_broken_off(&parts.headers, &bytes) {
             return Err(broken_off(&connection, "stream_ends_in_event"));
         }
@@ -429,6 +431,25 @@
         strip_connection_headers(answer.headers_mut());
         Ok(Answer::Complete(answer))
     }
+
+    /// Reads the body of an answer to its end. Its memory is reserved until the caller has read it.
+    pub(super) async fn read_answer<B>(&self, body: B) -> Result<Bytes, BodyError>
+    where
+        B: HttpBody<Data = Bytes> + Unpin,
+    {
+        let reader = BodyReader {
+            budget: &self.gateway.answers,
+            limit_bytes: MAX_ANSWER_BYTES,
+            deadline: self.deadline,
+            // A server may be slow.
+            may_evict: false,
+        };
+        let whole = reader.read(body).await?;
+        Ok(match &self.connection {
+            Some(connection) => whole.into_answer(connection),
+            None => whole.into_bytes(),
+        })
+    }
 }
 
 impl Drop for Exchange {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,7 +31,6 @@
 mod exchange;
 mod forward;
 mod framing;
-mod idle_timer;
 mod leaving_servers;
 mod limited_servers;
 mod load_targets;
--- a/src/gateway/peer_path.rs
+++ b/src/gateway/peer_path.rs
@@ -14,9 +14,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -26,7 +24,6 @@
 use super::exchange::Answer;
 use super::exchange::BUSY_RETRY_MS;
 use super::exchange::Exchange;
-use super::exchange::MAX_ANSWER_BYTES;
 use super::forward::connect_timeout;
 use super::forward::implies_not_run;
 use super::leaving_servers;
@@ -195,8 +192,7 @@
     async fn collect(&mut self, response: Response<Incoming>) -> Result<Response<Bytes>, Refusal> {
         let lost = || Refusal::new(StatusCode::BAD_GATEWAY, "answer_lost");
         let (mut parts, body) = response.into_parts();
-        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let bytes = collected.map_err(|_| lost())?.to_bytes();
+        let bytes = self.read_answer(body).await.map_err(|_| lost())?;
         if event_stream::is_broken_off(&parts.headers, &bytes) {
             return Err(lost());
         }
--- a/src/gateway/state_questions.rs
+++ b/src/gateway/state_questions.rs
@@ -23,7 +23,6 @@
         // Requests that wait for a confirmation look again, as an earlier one may have expired meanwhile.
         self.configuration
             .send_modify(|current| counts = current.answer(link, answer, now));
-        self.update_caller_limits();
         if counts {
             self.confirm_software_versions(answer);
         } else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 pub mod commands;
 pub mod configs;
+pub mod connections;
 pub mod consensus;
 pub mod control;
 pub mod event_stream;
--- a/src/metrics_page.rs
+++ b/src/metrics_page.rs
@@ -1,6 +1,5 @@
 //! Counters, histograms and gauges of one process, served over HTTP in the OpenMetrics text format.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,13 +8,8 @@
 use std::sync::atomic::AtomicU64;
 
 use bytes::Bytes;
-use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -23,11 +17,17 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::net::TcpStream;
 
-use crate::accept::next_connection;
+use crate::configs::connections::RECEIVE_BYTES;
+use crate::configs::connections::small_listener;
+use crate::connections::budget::ByteBudget;
+use crate::connections::reports::Reports;
+use crate::connections::server::Server;
+use crate::connections::server::listen;
+use crate::connections::table::ClosedCounts;
 use crate::consensus::Status;
+use crate::events::EventLog;
 
 /// Upper bounds of the histograms' buckets, in milliseconds.
 const BUCKET_BOUNDS_MS: [f64; 12] = [
@@ -40,6 +40,22 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ListenerLabels {
+    listener: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ClosedLabels {
+    listener: &'static str,
+    cause: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ClassLabels {
+    class: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct RouteLabels {
     route: String,
@@ -62,6 +78,11 @@
     controller_links: Gauge<u64, AtomicU64>,
     confirmed_age_ms: Gauge<u64, AtomicU64>,
     ignored_confirmations: Counter,
+    connections: Family<ListenerLabels, Gauge<u64, AtomicU64>>,
+    connections_closed: Family<ClosedLabels, Gauge<u64, AtomicU64>>,
+    reserved_bytes: Family<ClassLabels, Gauge<u64, AtomicU64>>,
+    waiting_bodies: Family<ClassLabels, Gauge<u64, AtomicU64>>,
+    evicted_bodies: Family<ClassLabels, Gauge<u64, AtomicU64>>,
 }
 
 fn histogram() -> Histogram {
@@ -85,6 +106,11 @@
             controller_links: Gauge::default(),
             confirmed_age_ms: Gauge::default(),
             ignored_confirmations: Counter::default(),
+            connections: Family::default(),
+            connections_closed: Family::default(),
+            reserved_bytes: Family::default(),
+            waiting_bodies: Family::default(),
+            evicted_bodies: Family::default(),
         };
         meters.register();
         meters
@@ -119,6 +145,44 @@
         let help = "Answers of controllers to no question of the VM";
         let ignored = self.ignored_confirmations.clone();
         registry.register("ignored_confirmations", help, ignored);
+        let help = "Open connections by listener";
+        registry.register("connections", help, self.connections.clone());
+        let help = "Connections that were closed, by listener and cause, since the start";
+        let closed = self.connections_closed.clone();
+        registry.register("connections_closed", help, closed);
+        let help = "Bytes that bodies and answers have reserved";
+        registry.register("reserved_bytes", help, self.reserved_bytes.clone());
+        let help = "Bodies and answers that wait for memory";
+        registry.register("waiting_bodies", help, self.waiting_bodies.clone());
+        let help = "Bodies and answers that lost their memory to others, since the start";
+        registry.register("evicted_bodies", help, self.evicted_bodies.clone());
+    }
+
+    /// Sets the connections of a listener.
+    pub fn set_connections(&self, listener: &'static str, open: usize, closed: &ClosedCounts) {
+        let labels = ListenerLabels { listener };
+        self.connections.get_or_create(&labels).set(open as u64);
+        for (cause, count) in [
+            ("slow_head", closed.slow_head),
+            ("idle", closed.idle),
+            ("made_room", closed.made_room),
+            ("no_room", closed.no_room),
+        ] {
+            let labels = ClosedLabels { listener, cause };
+            self.connections_closed.get_or_create(&labels).set(count);
+        }
+    }
+
+    /// Sets the use of a memory budget.
+    pub fn set_budget(&self, class: &'static str, budget: &ByteBudget) {
+        let labels = ClassLabels { class };
+        let reserved = self.reserved_bytes.get_or_create(&labels);
+        reserved.set(budget.used_bytes() as u64);
+        let waiting = self.waiting_bodies.get_or_create(&labels);
+        waiting.set(budget.waiting() as u64);
+        self.evicted_bodies
+            .get_or_create(&labels)
+            .set(budget.evicted());
     }
 
     /// Counts a request and records its times.
@@ -174,10 +238,8 @@
 }
 
 /// HTTP server of the page. Stops when dropped.
-#[derive(Debug)]
 pub struct MetricsPage {
-    local_address: SocketAddr,
-    serving: JoinHandle<()>,
+    server: Server,
 }
 
 impl MetricsPage {
@@ -185,39 +247,24 @@
     ///
     /// # Errors
     /// The address cannot be bound.
-    pub async fn bind(address: SocketAddr, meters: Meters) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let local_address = listener.local_addr()?;
-        let serving = tokio::spawn(async move {
-            loop {
-                let stream = next_connection(&listener).await;
-                let meters = meters.clone();
-                let service = service_fn(move |_: Request<Incoming>| {
-                    let page = Full::new(Bytes::from(meters.render()));
-                    async move { Ok::<_, Infallible>(Response::new(page)) }
-                });
-                tokio::spawn(async move {
-                    // A scraper whose connection breaks sends its request again.
-                    let _ = http1::Builder::new()
-                        .serve_connection(TokioIo::new(stream), service)
-                        .await;
-                });
-            }
-        });
+    pub fn bind(address: SocketAddr, meters: &Meters, events: &EventLog) -> io::Result<Self> {
+        let shared = meters.clone();
+        let connect = move |_: &TcpStream| {
+            let meters = shared.clone();
+            Some(move |_| {
+                let page = Full::new(Bytes::from(meters.render()));
+                async move { Response::new(page) }
+            })
+        };
+        let reports = Reports::new("metrics", meters, events);
+        let listener = listen(address, Some(RECEIVE_BYTES))?;
         Ok(Self {
-            local_address,
-            serving,
+            server: Server::spawn(reports, listener, small_listener, connect)?,
         })
     }
 
     /// Address of the listener, with the port that was bound.
     pub fn local_address(&self) -> SocketAddr {
-        self.local_address
-    }
-}
-
-impl Drop for MetricsPage {
-    fn drop(&mut self) {
-        self.serving.abort();
+        self.server.local_address()
     }
 }
