fix(link): connections without a handshake make room for links

What VMs saw: any number of connections to the link port of a controller stayed open for 1.5 s each, with up to 8 MiB each of a first frame, and took the descriptors that links of VMs need.

Cause: nothing limited their number, and the first frame of a peer that is not known was allowed the size of any.

Evidence: both new tests of link_peers fail on: the oldest silent connection and one that announces 100,000 bytes are still open after 800 ms.

Change: a controller holds at most 20% of its descriptors as links; at that number the connection that has waited for longest for its handshake makes room, an open link never. A handshake has at most 4 KiB and takes at most 3 s. No message changes. link_builds passes (formats 9 to 11 in both roles).

--- a/src/configs/connections.rs
+++ b/src/configs/connections.rs
@@ -31,6 +31,7 @@
 const CALLERS_DESCRIPTORS_PERCENT: usize = 40;
 const PEERS_DESCRIPTORS_PERCENT: usize = 8;
 const OPERATORS_DESCRIPTORS_PERCENT: usize = 60;
+const LINKS_DESCRIPTORS_PERCENT: usize = 20;
 
 /// Connections of a listener that only a few programs use.
 const SMALL_LISTENER_CONNECTIONS: usize = 32;
@@ -98,6 +99,11 @@
         (all * PEERS_DESCRIPTORS_PERCENT / CALLERS_DESCRIPTORS_PERCENT).max(1)
     }
 
+    /// Links to a controller from other VMs.
+    pub fn link_connections(self) -> usize {
+        self.descriptors * LINKS_DESCRIPTORS_PERCENT / 100
+    }
+
     /// Limits on connections of the operator and of servers.
     pub fn operators(self) -> ListenerLimits {
         ListenerLimits {
--- a/src/fleet/control_vm.rs
+++ b/src/fleet/control_vm.rs
@@ -42,6 +42,7 @@
 use super::order_executor::OrderExecutor;
 use super::server_limits::ServerLimits;
 use super::stream_reports::StreamReports;
+use crate::configs::connections::ProcessLimits;
 use crate::consensus;
 use crate::consensus::Handle;
 use crate::consensus::VoterConfig;
@@ -105,6 +106,8 @@
     pub contacts: watch::Receiver<BTreeSet<VmName>>,
     /// Whether the founders may bootstrap the log.
     pub may_bootstrap: bool,
+    /// Limits of the VM on the process.
+    pub process_limits: ProcessLimits,
     /// Number of controllers whose disks may be lost at once; as many as the founders can bear if `None`.
     pub disk_losses: Option<usize>,
     /// Folder that persists across restarts of the process.
@@ -175,6 +178,7 @@
         let hello = config.hello.clone();
         let link_address = config.link_address;
         let events = config.events.clone();
+        let max_links = config.process_limits.link_connections();
         let core = Arc::new(Core {
             config,
             log,
@@ -198,7 +202,8 @@
         let _ = handler.core.set(Arc::clone(&core));
         core.update_targets();
         let shared: Arc<dyn Handler> = handler;
-        let listener = Listener::bind(link_address, hello.clone(), Arc::clone(&shared)).await?;
+        let handler = Arc::clone(&shared);
+        let listener = Listener::bind(link_address, hello.clone(), handler, max_links).await?;
         let dialer = Dialer::spawn(hello, core.links.targets(), shared);
         events.emit(&Lifecycle {
             phase: "started",
--- a/src/link/listener.rs
+++ b/src/link/listener.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use super::dialer::next_id;
@@ -13,6 +14,11 @@
 use super::session::Handler;
 use super::session::Side;
 use crate::accept::next_connection;
+use crate::configs::connections::small_listener;
+use crate::connections::activity::Closing;
+use crate::connections::table::ConnectionTable;
+use crate::connections::table::ListenerLimits;
+use crate::connections::table::OpenConnection;
 
 /// A running listener. Stops accepting when dropped.
 #[derive(Debug)]
@@ -22,7 +28,8 @@
 }
 
 impl Listener {
-    /// Listens at `address` and runs a session for each connection.
+    /// Listens at `address` and runs a session for each connection, at most `max_links` at once. At that
+    /// number, the connection that has waited for longest for its handshake makes room.
     ///
     /// # Errors
     /// The address cannot be bound.
@@ -30,17 +37,22 @@
         address: SocketAddr,
         own: Hello,
         handler: Arc<dyn Handler>,
+        max_links: usize,
     ) -> io::Result<Self> {
+        let limits = ListenerLimits {
+            connections: max_links,
+            ..small_listener()
+        };
+        let table = Arc::new(ConnectionTable::default());
         let listener = TcpListener::bind(address).await?;
         let local_address = listener.local_addr()?;
         let accepting = tokio::spawn(async move {
             loop {
                 let stream = next_connection(&listener).await;
-                let own = own.clone();
-                let handler = Arc::clone(&handler);
-                tokio::spawn(async move {
-                    session::run(stream, &own, next_id(), Side::Accepted, &handler).await;
-                });
+                let Some(connection) = table.open(&limits) else {
+                    continue;
+                };
+                tokio::spawn(serve(stream, own.clone(), Arc::clone(&handler), connection));
             }
         });
         Ok(Self {
@@ -55,6 +67,21 @@
     }
 }
 
+async fn serve(
+    stream: TcpStream,
+    own: Hello,
+    handler: Arc<dyn Handler>,
+    connection: OpenConnection,
+) {
+    let activity = connection.activity();
+    let mut closing = activity.closing();
+    let side = Side::Accepted(Arc::clone(activity));
+    tokio::select! {
+        _ = session::run(stream, &own, next_id(), side, &handler) => {}
+        _ = closing.wait_for(|closing| *closing != Closing::Open) => {}
+    }
+}
+
 impl Drop for Listener {
     fn drop(&mut self) {
         self.accepting.abort();
--- a/src/link/session.rs
+++ b/src/link/session.rs
@@ -24,10 +24,13 @@
 use super::frame::Role;
 use super::pending_writes::PendingWrites;
 use super::pending_writes::Unwritten;
+use crate::connections::activity::Activity;
 
 /// Time without data from the other side, or without progress of a write, after which the link is
 /// closed.
 const IDLE_TIMEOUT_MS: u64 = 1_500;
+/// Time that a handshake takes at most.
+const HANDSHAKE_TIMEOUT_MS: u64 = 3_000;
 /// Time without a message after which a ping is sent.
 const PING_INTERVAL_MS: u64 = 400;
 /// Time for which frames that have already arrived are read after a write failed.
@@ -36,6 +39,8 @@
 const MAX_QUEUED_FRAMES: usize = 4_096;
 /// Maximum size of a frame.
 const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size of the handshake, the only frame that is read from a peer that is not known yet.
+const MAX_HELLO_BYTES: usize = 4 * 1024;
 /// Size from which a batch of queued frames is written.
 const BATCH_BYTES: usize = 64 * 1024;
 /// Size of the length prefix of a frame.
@@ -117,12 +122,12 @@
 }
 
 /// Which side opened a connection.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) enum Side {
     /// This one, which offers a format.
     Dialed(LinkFormat),
-    /// The peer.
-    Accepted,
+    /// The peer. Its connection may be closed to make room until the handshake is complete.
+    Accepted(Arc<Activity>),
 }
 
 /// How a connection ended.
@@ -170,9 +175,14 @@
     let _ = stream.set_nodelay(true);
     let (mut read, mut write) = stream.into_split();
     let mut buffer = BytesMut::with_capacity(4 * 1024);
-    let Ok((peer, format)) = handshake(&mut read, &mut write, &mut buffer, own, side).await else {
+    let shaking = handshake(&mut read, &mut write, &mut buffer, own, &side);
+    let shaken = timeout(Duration::from_millis(HANDSHAKE_TIMEOUT_MS), shaking).await;
+    let Ok(Ok((peer, format))) = shaken else {
         return Ended::Unopened;
     };
+    if let Side::Accepted(activity) = &side {
+        activity.begin_request();
+    }
     if matches!(side, Side::Dialed(_)) && peer.role != Role::Control {
         handler.refused(&peer);
         return Ended::Unopened;
@@ -201,9 +211,9 @@
     write: &mut OwnedWriteHalf,
     buffer: &mut BytesMut,
     own: &Hello,
-    side: Side,
+    side: &Side,
 ) -> io::Result<(Hello, Option<LinkFormat>)> {
-    if let Side::Dialed(offered) = side {
+    if let Side::Dialed(offered) = *side {
         write.write_all(&framed(&offered.encode_hello(own))).await?;
         let peer = read_hello(read, buffer).await?;
         let format = (peer.format == offered.number()).then_some(offered);
@@ -217,7 +227,7 @@
 }
 
 async fn read_hello(read: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<Hello> {
-    let first = next_bytes(read, buffer).await?;
+    let first = next_bytes(read, buffer, MAX_HELLO_BYTES).await?;
     match decode_first(&first).map_err(io::Error::other)? {
         Frame::Hello(peer) => Ok(peer),
         _ => Err(io::Error::other("first frame of the peer is no handshake")),
@@ -245,7 +255,7 @@
     handler: &Arc<dyn Handler>,
 ) -> io::Result<()> {
     loop {
-        let bytes = next_bytes(read, buffer).await?;
+        let bytes = next_bytes(read, buffer, MAX_FRAME_BYTES).await?;
         match session.format.decode(&bytes).map_err(io::Error::other)? {
             Frame::Ping => {}
             frame => handler.received(session, frame),
@@ -253,10 +263,14 @@
     }
 }
 
-/// Bytes of the next frame.
-async fn next_bytes(read: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<BytesMut> {
+/// Bytes of the next frame, which has at most `max_bytes`.
+async fn next_bytes(
+    read: &mut OwnedReadHalf,
+    buffer: &mut BytesMut,
+    max_bytes: usize,
+) -> io::Result<BytesMut> {
     loop {
-        if let Some(frame) = take_frame(buffer)? {
+        if let Some(frame) = take_frame(buffer, max_bytes)? {
             return Ok(frame);
         }
         let idle_timeout = Duration::from_millis(IDLE_TIMEOUT_MS);
@@ -267,12 +281,12 @@
     }
 }
 
-fn take_frame(buffer: &mut BytesMut) -> io::Result<Option<BytesMut>> {
+fn take_frame(buffer: &mut BytesMut, max_bytes: usize) -> io::Result<Option<BytesMut>> {
     let Some(length) = buffer.first_chunk::<LENGTH_BYTES>() else {
         return Ok(None);
     };
     let length = u32::from_be_bytes(*length) as usize;
-    if length > MAX_FRAME_BYTES {
+    if length > max_bytes {
         return Err(io::Error::other(format!("frame of {length} bytes")));
     }
     if buffer.len() < LENGTH_BYTES + length {
--- a/tests/connections/process_limits.rs
+++ b/tests/connections/process_limits.rs
@@ -32,7 +32,8 @@
             let operators = limits.operators().connections;
             let control_bytes = operators * CONNECTION_BYTES + limits.control_bodies_bytes();
             assert!(control_bytes <= most_bytes, "{memory_mb} MB");
-            assert!(operators < descriptors, "{descriptors} descriptors");
+            let control = operators + limits.link_connections();
+            assert!(control < descriptors, "{descriptors} descriptors");
         }
     }
 }
--- a/tests/link_builds.rs
+++ b/tests/link_builds.rs
@@ -28,6 +28,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+/// Links to one listener.
+const MAX_LINKS: usize = 16;
 /// Format of this build.
 const FORMAT_11: u16 = 11;
 /// Format of commits ff63bbd, 7973d54, e9f9b97 and 9ad7a4b.
@@ -229,7 +231,9 @@
     let recorder = Arc::new(Recorder::default());
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
     let handler: Arc<dyn Handler> = recorder.clone();
-    let listener = Listener::bind(any, own_hello(), handler).await.unwrap();
+    let listener = Listener::bind(any, own_hello(), handler, MAX_LINKS)
+        .await
+        .unwrap();
     let mut stream = TcpStream::connect(listener.local_address()).await.unwrap();
     assert!(shake_hands(&mut stream, format).await, "format {format}");
     let frames = talk(&mut stream, format).await;
@@ -302,7 +306,9 @@
         let recorder = Arc::new(Recorder::default());
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
         let handler: Arc<dyn Handler> = recorder.clone();
-        let listener = Listener::bind(any, own_hello(), handler).await.unwrap();
+        let listener = Listener::bind(any, own_hello(), handler, MAX_LINKS)
+            .await
+            .unwrap();
         let mut stream = TcpStream::connect(listener.local_address()).await.unwrap();
         assert!(shake_hands(&mut stream, format).await);
         let mut question = state_question_bytes();
--- a/tests/link_peers.rs
+++ b/tests/link_peers.rs
@@ -15,15 +15,21 @@
 use medlarlift::link::Role;
 use medlarlift::link::Session;
 use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+/// Links to one listener.
+const MAX_LINKS: usize = 16;
 /// Time within which a link opens or is reported as closed.
 const LINK_TIMEOUT: Duration = Duration::from_secs(2);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time within which a connection that is not wanted is closed. A handshake may take longer.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(800);
 
 fn hello(vm: &str, role: Role) -> Hello {
     Hello {
@@ -73,7 +79,7 @@
 async fn peer(role: Role) -> Peer {
     let handler: Arc<dyn Handler> = Arc::new(Recorder::default());
     let any = "127.0.0.1:0".parse().unwrap();
-    let listener = Listener::bind(any, hello("10.0.0.2", role), handler).await;
+    let listener = Listener::bind(any, hello("10.0.0.2", role), handler, MAX_LINKS).await;
     let listener = listener.unwrap();
     Peer {
         address: listener.local_address(),
@@ -144,3 +150,27 @@
     let _ = timeout(LINK_TIMEOUT, counting).await;
     assert!((2..=12).contains(&dialed), "{dialed}");
 }
+
+/// Guards against connections that send nothing and keep VMs from a link.
+#[tokio::test]
+async fn silent_connections_make_room_for_links() {
+    let peer = peer(Role::Control).await;
+    let mut silent = Vec::new();
+    for _ in 0..3 * MAX_LINKS {
+        silent.push(TcpStream::connect(peer.address).await.unwrap());
+    }
+    let (recorder, _targets, _dialer) = dial(peer.address);
+    assert!(holds(|| recorder.open_links() == 1).await);
+    let first = timeout(ROOM_TIMEOUT, silent[0].read_u8()).await;
+    assert!(matches!(first, Ok(Err(_))), "{first:?}");
+}
+
+/// Guards against a peer that is not known yet and announces a frame that takes much memory.
+#[tokio::test]
+async fn a_handshake_that_announces_a_large_frame_is_closed() {
+    let peer = peer(Role::Control).await;
+    let mut stream = TcpStream::connect(peer.address).await.unwrap();
+    stream.write_all(&100_000_u32.to_be_bytes()).await.unwrap();
+    let closed = timeout(ROOM_TIMEOUT, stream.read_u8()).await;
+    assert!(matches!(closed, Ok(Err(_))), "{closed:?}");
+}
--- a/tests/link_writes.rs
+++ b/tests/link_writes.rs
@@ -26,6 +26,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+/// Links to one listener.
+const MAX_LINKS: usize = 16;
 const TIMEOUT: Duration = Duration::from_secs(5);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Limit of a wait that fails.
@@ -86,7 +88,7 @@
 async fn listen(recorder: &Arc<Recorder>) -> Listener {
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
     let handler: Arc<dyn Handler> = recorder.clone();
-    Listener::bind(any, hello("10.0.0.1"), handler)
+    Listener::bind(any, hello("10.0.0.1"), handler, MAX_LINKS)
         .await
         .unwrap()
 }
