--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -18,7 +18,6 @@
 use super::attempt::AttemptHistory;
 use super::context::Gateway;
 use super::deployment::Account;
-use super::deployment::Deployment;
 use super::deployment::Route;
 use super::dialect::CallerHead;
 use super::exchange::BUSY_RETRY_MS;
@@ -27,17 +26,14 @@
 use super::exchange::elapsed_ms;
 use super::forward::Template;
 use super::grace_period;
+use super::memory::read_body;
 use super::quota::TokenGrant;
 use super::record::RequestRecord;
 use super::server_table::is_adapter;
 use super::target::Target;
 use super::target::find_target;
 use super::target::is_outdated;
-use super::target::note_contact;
-use super::target::unconfigured;
 use crate::connections::activity::Activity;
-use crate::connections::body::BodyError;
-use crate::connections::body::BodyReader;
 use crate::limits::Shortage;
 use crate::mechanisms::Mechanism;
 use crate::scheduling::stream_origins::StreamOrigin;
@@ -218,46 +214,6 @@
     }
 }
 
-async fn read_body(
-    gateway: &Gateway,
-    deployment: &Deployment,
-    body: Incoming,
-    deadline: Instant,
-    record: &mut RequestRecord,
-) -> Result<Bytes, Refusal> {
-    let reader = BodyReader {
-        budget: &gateway.bodies,
-        limit_bytes: deployment.limits.body_bytes,
-        deadline,
-        may_evict: true,
-    };
-    let error = match reader.read(body).await {
-        Ok(whole) => return Ok(whole.into_bytes()),
-        Err(error) => error,
-    };
-    Err(match error {
-        BodyError::TooLarge => {
-            note_contact(gateway, record);
-            body_too_large(gateway, deployment)
-        }
-        BodyError::Broken => Refusal::new(StatusCode::BAD_REQUEST, "body_broken"),
-        BodyError::TooSlow => Refusal::new(StatusCode::REQUEST_TIMEOUT, "body_too_slow"),
-        BodyError::NoMemory => {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            Refusal::not_run(status, "no_memory_for_body", BUSY_RETRY_MS)
-        }
-    })
-}
-
-/// Refusal of a body over the limit, which is final only if no newer configuration may have raised it.
-fn body_too_large(gateway: &Gateway, deployment: &Deployment) -> Refusal {
-    if gateway.is_confirmed() && gateway.received_version() == deployment.version {
-        let status = StatusCode::PAYLOAD_TOO_LARGE;
-        return Refusal::new(status, "body_too_large");
-    }
-    unconfigured("unconfirmed_configuration")
-}
-
 /// Takes the tokens of a request. While the fleet's buckets cannot be reached, it retries until
 /// `grace_deadline`: most requests are within their account's rate, and the buckets are soon
 /// reachable again.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -30,7 +30,6 @@
 use super::crashes::Crashes;
 use super::demand;
 use super::demand::Demand;
-use super::deployment::CallerLimits;
 use super::deployment::Deployment;
 use super::dialect::Dialect;
 use super::grace_period;
@@ -243,14 +242,6 @@
         self.configuration.borrow().deployment().cloned()
     }
 
-    /// Limits on callers of the configuration in force.
-    pub(super) fn caller_limits(&self) -> CallerLimits {
-        let configuration = self.configuration.borrow();
-        configuration
-            .deployment()
-            .map_or_else(CallerLimits::default, |deployment| deployment.limits)
-    }
-
     /// Version of the newest configuration that has arrived, in force or not; 0 for none.
     pub fn received_version(&self) -> u64 {
         let configuration = self.configuration.borrow();
@@ -369,23 +360,6 @@
         self.configuration.borrow().belief().contact(self.now())
     }
 
-    /// Memory that the bodies of requests share.
-    pub fn bodies(&self) -> ByteBudget {
-        self.bodies.clone()
-    }
-
-    /// Memory that answers share which callers have not read.
-    pub fn answers(&self) -> ByteBudget {
-        self.answers.clone()
-    }
-
-    /// Updates the metrics of the memory that requests and answers have reserved.
-    pub fn update_memory_metrics(&self) {
-        let meters = &self.config.meters;
-        meters.set_budget("bodies", &self.bodies);
-        meters.set_budget("answers", &self.answers);
-    }
-
     /// Updates the metrics of the contact with controllers.
     pub fn update_contact_metrics(&self) {
         let contact = self.controller_contact();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,7 +8,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::OwnedSemaphorePermit;
@@ -44,7 +43,6 @@
 use super::server_table::is_adapter;
 use crate::connections::activity::Activity;
 use crate::connections::body::BodyError;
-use crate::connections::body::BodyReader;
 use crate::event_stream;
 use crate::scheduling::stream_origins::StreamOrigin;
 use crate::types::ServerName;
@@ -57,8 +55,6 @@
 pub(super) const BUSY_RETRY_MS: u64 = 400;
 /// Shortest time after which a repeatable request is sent to another server.
 const MIN_ANSWER_TIMEOUT_MS: u64 = 900;
-/// Largest answer that is buffered before it is passed on.
-pub(super) const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
 /// Servers that one request may fail to connect to before it goes through another VM.
 const MAX_UNREACHED: u32 = 2;
 /// Engine priority levels for each priority level of a route.
@@ -431,25 +427,6 @@
         strip_connection_headers(answer.headers_mut());
         Ok(Answer::Complete(answer))
     }
-
-    /// Reads the body of an answer to its end. Its memory is reserved until the caller has read it.
-    pub(super) async fn read_answer<B>(&self, body: B) -> Result<Bytes, BodyError>
-    where
-        B: HttpBody<Data = Bytes> + Unpin,
-    {
-        let reader = BodyReader {
-            budget: &self.gateway.answers,
-            limit_bytes: MAX_ANSWER_BYTES,
-            deadline: self.deadline,
-            // A server may be slow.
-            may_evict: false,
-        };
-        let whole = reader.read(body).await?;
-        Ok(match &self.connection {
-            Some(connection) => whole.into_answer(connection),
-            None => whole.into_bytes(),
-        })
-    }
 }
 
 impl Drop for Exchange {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 mod leaving_servers;
 mod limited_servers;
 mod load_targets;
+mod memory;
 mod meter;
 mod peer_path;
 mod quota;
