fix(gateway): an answer whose status is not a final one is a broken answer

What callers saw: a runner in trouble that answered 101, or 600 and above, had its status and signature passed on as the answer, 101 without its body. On the product's own path such an answer of a service was recorded as the outcome of an order.

Streams that are resumed and engines of the own path were right before. Orders to engines count every other status as an unknown outcome.

Change: a status outside 200 to 599 says nothing about the request: it counts as lost, as after a broken connection (502, or another attempt where the request may run again). The same for the answer of another entry VM, which may be of an older build that passes it on. 600 and above are outside the classes of HTTP, which asks clients to take them for errors of the server.

--- a/src/backend/service_http.rs
+++ b/src/backend/service_http.rs
@@ -20,6 +20,7 @@
 use super::via;
 use crate::event_stream;
 use crate::types::VmName;
+use crate::types::is_final;
 
 /// Maximum size of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -80,6 +81,11 @@
             BackendError::Lost { message }
         }
     })?;
+    if !is_final(response.status()) {
+        return Err(BackendError::Lost {
+            message: format!("the status {} is no final one", response.status()),
+        });
+    }
     limits.on_answer(to, &response, sent);
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_ANSWER_BYTES)
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -32,6 +32,7 @@
 use crate::types::RequestFeatures;
 use crate::types::ServerName;
 use crate::types::SoftwareVersion;
+use crate::types::is_final;
 
 /// Connection timeout within the region.
 const CONNECT_NEAR_MS: u64 = 300;
@@ -393,6 +394,11 @@
     status: StatusCode,
     head: &AnswerHead,
 ) -> Result<(), SendFailure> {
+    if !is_final(status) {
+        gateway.pool().close_idle(guard.target.address);
+        record_outcome(gateway, guard, true);
+        return Err(SendFailure::Lost("invalid_status"));
+    }
     let answers_other_request = head
         .request_id
         .as_ref()
--- a/src/gateway/peer_path.rs
+++ b/src/gateway/peer_path.rs
@@ -34,6 +34,7 @@
 use crate::link::EntryVmInfo;
 use crate::types::ServiceName;
 use crate::types::VmName;
+use crate::types::is_final;
 
 /// VMs that one request is sent to at most, one after the other, while they state that it has not run.
 const MAX_PEERS: usize = 3;
@@ -145,6 +146,7 @@
         let request = self.request_for_peer(distance, last_event);
         let sent = gateway.now();
         match connection.sender.send_request(request).await {
+            Ok(response) if !is_final(response.status()) => Sent::Lost,
             Ok(response) => {
                 let (mut parts, body) = response.into_parts();
                 let dialect = &gateway.config.dialect;
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -5,6 +5,7 @@
 
 mod adapter;
 mod clock;
+mod final_status;
 mod name;
 mod patience;
 mod refusal;
@@ -17,6 +18,7 @@
 pub use clock::Clock;
 pub use clock::MonoMs;
 pub use clock::UnixMs;
+pub use final_status::is_final;
 pub use name::AccountName;
 pub use name::DataCentre;
 pub use name::ModelName;
