fix(connections): a client that reads nothing is ended, and bodies of unknown length reserve a middle size first

What callers saw: the answer to a client that stays connected and reads nothing kept its connection, and with a stream its connection to a server, for as long as the client liked: nothing but the client's own close ended it.

Cause: the timers of a connection covered heads and idle connections; a write that the client does not take had none.

Evidence: a_client_that_reads_nothing_is_ended and ..._does_not_delay_the_end_of_its_connection, for which the former table has no state to look at; by reading.

Change: a connection notes since when a write is blocked, and is closed after the idle timeout (IdleTimeoutMs and 5 s for callers). One that was asked to close after its request is still watched. A body in chunks reserves 256 KiB before it reserves the limit, so that a few short ones do not take the whole budget. A reservation takes at most what bodies of the other size leave, so that none waits for ever. Connections to servers have a read buffer of 64 KiB instead of 400 KiB.

--- a/src/connections/activity.rs
+++ b/src/connections/activity.rs
@@ -41,8 +41,8 @@
     Request,
 }
 
-/// Whether and how a connection has to be closed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Whether and how a connection has to be closed, in the order of urgency.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Closing {
     /// It stays open.
     Open,
@@ -52,13 +52,22 @@
     AtOnce,
 }
 
-#[derive(Debug)]
-struct Progress {
-    phase: Phase,
+/// What a connection does, on the clock of the table.
+#[derive(Clone, Copy, Debug)]
+pub struct ActivityState {
+    /// What it waits for.
+    pub phase: Phase,
     /// When the phase began.
-    since_ms: u64,
+    pub since_ms: u64,
     /// When the last bytes moved.
-    moved_ms: u64,
+    pub moved_ms: u64,
+    /// Since when the client reads nothing of what is to be written; `None` if it does.
+    pub blocked_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Progress {
+    state: ActivityState,
     head_bytes: u64,
     /// Turn of a large head.
     head_permit: Option<OwnedSemaphorePermit>,
@@ -81,9 +90,12 @@
         Self {
             clock_ms,
             progress: Mutex::new(Progress {
-                phase: Phase::Idle,
-                since_ms: now_ms,
-                moved_ms: now_ms,
+                state: ActivityState {
+                    phase: Phase::Idle,
+                    since_ms: now_ms,
+                    moved_ms: now_ms,
+                    blocked_ms: None,
+                },
                 head_bytes: 0,
                 head_permit: None,
             }),
@@ -92,10 +104,9 @@
         }
     }
 
-    /// What the connection waits for, since when, and when bytes moved last.
-    pub fn phase(&self) -> (Phase, u64, u64) {
-        let progress = self.progress();
-        (progress.phase, progress.since_ms, progress.moved_ms)
+    /// What the connection does.
+    pub fn state(&self) -> ActivityState {
+        self.progress().state
     }
 
     /// Has the connection closed.
@@ -122,34 +133,46 @@
     }
 
     fn enter(&self, progress: &mut Progress, phase: Phase) {
-        progress.phase = phase;
-        progress.since_ms = self.now_ms();
-        progress.moved_ms = progress.since_ms;
+        let now_ms = self.now_ms();
+        progress.state.phase = phase;
+        progress.state.since_ms = now_ms;
+        progress.state.moved_ms = now_ms;
         progress.head_bytes = 0;
     }
 
     /// Notes bytes that have been read.
     pub fn on_read(&self, bytes: usize) {
         let mut progress = self.progress();
-        progress.moved_ms = self.now_ms();
-        if progress.phase == Phase::Idle && bytes > 0 {
+        progress.state.moved_ms = self.now_ms();
+        if progress.state.phase == Phase::Idle && bytes > 0 {
             self.enter(&mut progress, Phase::Head);
         }
-        if progress.phase == Phase::Head {
+        if progress.state.phase == Phase::Head {
             progress.head_bytes += bytes as u64;
         }
     }
 
-    fn on_written(&self, bytes: usize) {
-        self.progress().moved_ms = self.now_ms();
-        self.written_bytes
-            .fetch_add(bytes as u64, Ordering::Relaxed);
+    /// Notes the outcome of a write: the bytes that the client takes, or none for now.
+    pub fn on_write(&self, written: &Poll<io::Result<usize>>) {
+        let mut progress = self.progress();
+        let now_ms = self.now_ms();
+        match written {
+            Poll::Pending => {
+                progress.state.blocked_ms.get_or_insert(now_ms);
+            }
+            Poll::Ready(written) => {
+                progress.state.blocked_ms = None;
+                progress.state.moved_ms = now_ms;
+                let bytes = written.as_ref().map_or(0, |bytes| *bytes as u64);
+                self.written_bytes.fetch_add(bytes, Ordering::Relaxed);
+            }
+        }
     }
 
     /// Whether the rest of the head may be read only in turn.
     fn needs_permit(&self) -> bool {
         let progress = self.progress();
-        progress.phase == Phase::Head
+        progress.state.phase == Phase::Head
             && progress.head_bytes > SMALL_HEAD_BYTES
             && progress.head_permit.is_none()
     }
@@ -217,9 +240,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
-        self.activity.on_written(written);
-        Poll::Ready(Ok(written))
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.activity.on_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -235,9 +258,9 @@
         context: &mut Context<'_>,
         bytes: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, bytes))?;
-        self.activity.on_written(written);
-        Poll::Ready(Ok(written))
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, bytes);
+        self.activity.on_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/connections/body.rs
+++ b/src/connections/body.rs
@@ -19,6 +19,7 @@
 use super::budget::Reservation;
 use super::buffer::BodyBuffer;
 use super::buffer::SMALL_BYTES;
+use super::byte_pool::MIDDLE_BYTES;
 
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
@@ -157,6 +158,8 @@
     where
         B: Body<Data = Bytes> + Unpin,
     {
+        let is_announced = body.size_hint().exact().is_some();
+        let mut reserved_bytes = SMALL_BYTES;
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else {
                 continue;
@@ -165,8 +168,16 @@
             if read_bytes > needed_bytes {
                 return Err(BodyError::TooLarge);
             }
-            if read_bytes > SMALL_BYTES && whole.reservation.is_none() {
-                let reservation = self.reserve(needed_bytes, progress).await?;
+            if read_bytes > reserved_bytes {
+                if let Some(reservation) = &whole.reservation {
+                    reservation.set_moves(false);
+                }
+                reserved_bytes = match is_announced || read_bytes > MIDDLE_BYTES {
+                    true => needed_bytes,
+                    false => MIDDLE_BYTES.min(needed_bytes),
+                };
+                // A larger reservation never waits for a smaller one, so what is held meanwhile blocks nobody for ever.
+                let reservation = self.reserve(reserved_bytes, progress).await?;
                 whole.reservation = Some(reservation);
             }
             let appended = whole.buffer.append(&data);
--- a/src/connections/byte_pool.rs
+++ b/src/connections/byte_pool.rs
@@ -1,7 +1,7 @@
 //! A part of the process's memory that large bodies share.
 //!
 //! A body reserves all that it may grow to before it grows, so that it never waits in the middle with bytes
-//! that others need. Bodies wait in the order in which they asked, those of a middle size and large ones in
+//! that others need; one of unknown length reserves a middle size first. Bodies wait in the order in which they asked, those of a middle size and large ones in
 //! queues of their own, each with a part of the pool that the other cannot take. While one waits, a body that
 //! arrives slower than a minimum rate for too long gives its bytes back.
 //!
@@ -108,11 +108,14 @@
         self.middle.waiting.len() + self.large.waiting.len()
     }
 
-    /// Reserves `bytes` for a body, all that its part of the pool has if that is less.
+    /// Reserves `bytes` for a body, or what bodies of other sizes always leave if that is less.
     pub fn reserve(&mut self, bytes: usize) -> Reserved {
         let size = Size::of(bytes);
         let part = self.part(size);
-        let bytes = bytes.min(part.capacity_bytes);
+        let bytes = bytes.min(match size {
+            Size::Middle => self.capacity_bytes - self.large.capacity_bytes,
+            Size::Large => self.capacity_bytes - self.middle.capacity_bytes,
+        });
         if part.waiting.len() >= MAX_WAITING {
             return Reserved::Refused;
         }
--- a/src/connections/reports.rs
+++ b/src/connections/reports.rs
@@ -15,6 +15,7 @@
     open: usize,
     slow_head: u64,
     idle: u64,
+    unread: u64,
     made_room: u64,
     no_room: u64,
 }
@@ -52,8 +53,7 @@
         self.meters.set_connections(self.listener, open, &closed);
         let before = self.reported;
         self.reported = closed;
-        // Connections that end idle are routine.
-        if closed.total() - closed.idle == before.total() - before.idle {
+        if closed.total() - closed.routine() == before.total() - before.routine() {
             return;
         }
         self.events.emit(&ConnectionsClosed {
@@ -61,6 +61,7 @@
             open,
             slow_head: closed.slow_head - before.slow_head,
             idle: closed.idle - before.idle,
+            unread: closed.unread - before.unread,
             made_room: closed.made_room - before.made_room,
             no_room: closed.no_room - before.no_room,
         });
--- a/src/connections/table.rs
+++ b/src/connections/table.rs
@@ -41,6 +41,10 @@
     pub slow_head: u64,
     /// They were idle for too long.
     pub idle: u64,
+    /// Their client did not read what was written.
+    pub unread: u64,
+    /// Their buffer is smaller than the heads that are allowed now.
+    pub small_buffer: u64,
     /// They made room for others.
     pub made_room: u64,
     /// There was no room for them.
@@ -48,15 +52,49 @@
 }
 
 impl ClosedCounts {
+    /// Sum of the causes that are no sign of trouble.
+    pub fn routine(&self) -> u64 {
+        self.idle + self.small_buffer
+    }
+
     /// Sum of all causes.
     pub fn total(&self) -> u64 {
-        self.slow_head + self.idle + self.made_room + self.no_room
+        self.slow_head + self.unread + self.made_room + self.no_room + self.routine()
     }
 }
 
 struct Open {
     activity: Arc<Activity>,
     head_buffer_bytes: usize,
+    /// What the connection was asked to do.
+    closing: Closing,
+}
+
+impl Open {
+    /// Closes the connection if it takes too long for what it does.
+    fn check(&mut self, now_ms: u64, limits: &ListenerLimits, closed: &mut ClosedCounts) {
+        let state = self.activity.state();
+        let waited_ms = |from_ms: u64| now_ms.saturating_sub(from_ms);
+        let is_blocked = |from_ms| waited_ms(from_ms) > limits.idle_timeout_ms;
+        let (closing, count) = match state.phase {
+            _ if state.blocked_ms.is_some_and(is_blocked) => (Closing::AtOnce, &mut closed.unread),
+            Phase::Head if waited_ms(state.since_ms) > limits.header_timeout_ms => {
+                (Closing::AtOnce, &mut closed.slow_head)
+            }
+            Phase::Idle if waited_ms(state.moved_ms) > limits.idle_timeout_ms => {
+                (Closing::AfterRequest, &mut closed.idle)
+            }
+            _ if self.head_buffer_bytes < limits.head_buffer_bytes => {
+                (Closing::AfterRequest, &mut closed.small_buffer)
+            }
+            _ => return,
+        };
+        if closing > self.closing {
+            *count += 1;
+            self.closing = closing;
+            self.activity.close(closing);
+        }
+    }
 }
 
 #[derive(Default)]
@@ -99,6 +137,7 @@
         let open = Open {
             activity: Arc::clone(&activity),
             head_buffer_bytes: limits.head_buffer_bytes,
+            closing: Closing::Open,
         };
         state.open.insert(id, open);
         self.count.fetch_add(1, Ordering::Relaxed);
@@ -115,27 +154,9 @@
         let now_ms = self.clock_ms.fetch_add(step_ms, Ordering::Relaxed) + step_ms;
         let mut state = self.lock();
         let State { open, closed, .. } = &mut *state;
-        open.retain(|_, connection| {
-            let activity = &connection.activity;
-            let (phase, since_ms, moved_ms) = activity.phase();
-            let waited_ms = |from_ms: u64| now_ms.saturating_sub(from_ms);
-            let closing = match phase {
-                Phase::Head if waited_ms(since_ms) > limits.header_timeout_ms => {
-                    closed.slow_head += 1;
-                    Closing::AtOnce
-                }
-                Phase::Idle if waited_ms(moved_ms) > limits.idle_timeout_ms => {
-                    closed.idle += 1;
-                    Closing::AfterRequest
-                }
-                _ if connection.head_buffer_bytes < limits.head_buffer_bytes => {
-                    Closing::AfterRequest
-                }
-                _ => return true,
-            };
-            activity.close(closing);
-            false
-        });
+        for connection in open.values_mut() {
+            connection.check(now_ms, limits, closed);
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -148,12 +169,12 @@
     fn make_room(&mut self) -> bool {
         let standing = |wanted: Phase| {
             let candidates = self.open.iter().filter_map(|(id, connection)| {
-                let (phase, since_ms, moved_ms) = connection.activity.phase();
-                let still_ms = match phase {
-                    Phase::Idle => moved_ms,
-                    _ => since_ms,
+                let state = connection.activity.state();
+                let still_ms = match state.phase {
+                    Phase::Idle => state.moved_ms,
+                    _ => state.since_ms,
                 };
-                (phase == wanted).then_some((still_ms, *id))
+                (state.phase == wanted).then_some((still_ms, *id))
             });
             candidates.min().map(|(_, id)| id)
         };
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -34,6 +34,9 @@
 /// Idle connections kept for one server.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
+/// Largest buffer of a connection, and so the largest head of an answer.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Open connection.
 #[derive(Debug)]
 pub struct Connection {
@@ -146,7 +149,9 @@
     set_peer_timeouts(&stream);
     let meter = Meter::default();
     let stream = MeteredStream::new(stream, meter.clone());
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| failed(error.to_string()))?;
     tokio::spawn(async move {
--- a/src/metrics_page.rs
+++ b/src/metrics_page.rs
@@ -165,6 +165,8 @@
         for (cause, count) in [
             ("slow_head", closed.slow_head),
             ("idle", closed.idle),
+            ("unread", closed.unread),
+            ("small_buffer", closed.small_buffer),
             ("made_room", closed.made_room),
             ("no_room", closed.no_room),
         ] {
--- a/tests/connections/table.rs
+++ b/tests/connections/table.rs
@@ -1,6 +1,7 @@
 //! Which connections are closed for want of time or room.
 
 use std::sync::Arc;
+use std::task::Poll;
 
 use medlarlift::connections::activity::Activity;
 use medlarlift::connections::activity::Closing;
@@ -66,6 +67,40 @@
     assert_eq!(closing(connection.activity()), Closing::Open);
 }
 
+/// Guards against a client that reads nothing of its answer and keeps its connection and what it holds.
+#[test]
+fn a_client_that_reads_nothing_is_ended() {
+    let table = Arc::new(ConnectionTable::default());
+    let connection = open(&table);
+    let activity = connection.activity();
+    activity.on_read(10);
+    activity.begin_request();
+    activity.on_write(&Poll::Pending);
+    advance(&table, 20);
+    activity.on_write(&Poll::Ready(Ok(1)));
+    activity.on_write(&Poll::Pending);
+    advance(&table, 30);
+    assert_eq!(closing(activity), Closing::Open);
+    advance(&table, 1);
+    assert_eq!(closing(activity), Closing::AtOnce);
+    assert_eq!(table.closed().unread, 1);
+}
+
+/// The same for a connection that was asked to close after its answer.
+#[test]
+fn a_client_that_reads_nothing_does_not_delay_the_end_of_its_connection() {
+    let table = Arc::new(ConnectionTable::default());
+    let connection = open(&table);
+    let activity = connection.activity();
+    activity.begin_request();
+    activity.end_request();
+    advance(&table, 31);
+    assert_eq!(closing(activity), Closing::AfterRequest);
+    activity.on_write(&Poll::Pending);
+    advance(&table, 31);
+    assert_eq!(closing(activity), Closing::AtOnce);
+}
+
 /// Guards against heads that are closed because the process stood still and has not read them.
 #[test]
 fn time_for_which_the_process_stood_still_does_not_count() {
