feat(connections): the product's own caller API shares memory and descriptors in the same way

What callers of the own path saw is what callers of the platform saw: bodies limited one by one (10 s each, up to max_body_bytes), any number of connections, and a head limit that an idle connection got too.

Change: the caller API is served by the connections module, with memory_mb and max_descriptors as new settings (defaults 256 and 4096). A body without memory is refused with overloaded and a time to retry; it has not run. max_body_bytes has to fit into the memory: at most an eighth of memory_mb, or the settings are refused with field and value.

Not changed: the administration API (dropshot binds its own listener) and the calls of other VMs (tarpc).

--- a/src/configs/connections.rs
+++ b/src/configs/connections.rs
@@ -27,6 +27,9 @@
 const CONTROL_CONNECTIONS_PERCENT: usize = 25;
 const CONTROL_BODIES_PERCENT: usize = 20;
 
+/// Largest bodies that fit into the memory of bodies, beside as much for smaller ones.
+const LARGEST_BODY_DIVISOR: usize = 2;
+
 /// Shares of the descriptors, in percent. The rest is for servers, links, files and small listeners.
 const CALLERS_DESCRIPTORS_PERCENT: usize = 40;
 const PEERS_DESCRIPTORS_PERCENT: usize = 8;
@@ -41,6 +44,9 @@
 const IDLE_TIMEOUT_MS: u64 = 30_000;
 /// The same for runners and operators, whose calls may be far apart.
 const OPERATORS_IDLE_TIMEOUT_MS: u64 = 60_000;
+/// The same for callers of the product's own API.
+const PRODUCT_HEADER_TIMEOUT_MS: u64 = 10_000;
+const PRODUCT_HEAD_BUFFER_BYTES: usize = 64 * 1024;
 /// Buffer for a head where no configuration says so.
 const HEAD_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -64,7 +70,7 @@
 
 impl ProcessLimits {
     fn memory_share(self, percent: usize) -> usize {
-        self.memory_mb as usize * 1024 * 1024 / 100 * percent
+        self.memory_mb as usize * 1024 * 1024 * percent / 100
     }
 
     fn connections(self, memory_percent: usize, descriptors_percent: usize) -> usize {
@@ -87,6 +93,11 @@
         self.memory_share(CONTROL_BODIES_PERCENT)
     }
 
+    /// Largest body that always fits into the memory of bodies, whatever others hold.
+    pub fn largest_body_bytes(self) -> usize {
+        self.entry_bodies_bytes() / LARGEST_BODY_DIVISOR
+    }
+
     /// Connections of callers.
     pub fn caller_connections(self) -> usize {
         let all = self.connections(ENTRY_CONNECTIONS_PERCENT, CALLERS_DESCRIPTORS_PERCENT);
@@ -99,6 +110,16 @@
         (all * PEERS_DESCRIPTORS_PERCENT / CALLERS_DESCRIPTORS_PERCENT).max(1)
     }
 
+    /// Limits on connections of callers and servers where no configuration of an operator says so.
+    pub fn product_callers(self) -> ListenerLimits {
+        ListenerLimits {
+            connections: self.caller_connections(),
+            header_timeout_ms: PRODUCT_HEADER_TIMEOUT_MS,
+            idle_timeout_ms: OPERATORS_IDLE_TIMEOUT_MS,
+            head_buffer_bytes: PRODUCT_HEAD_BUFFER_BYTES,
+        }
+    }
+
     /// Links to a controller from other VMs.
     pub fn link_connections(self) -> usize {
         self.descriptors * LINKS_DESCRIPTORS_PERCENT / 100
--- a/src/configs/vm.rs
+++ b/src/configs/vm.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use super::connections::MIN_DESCRIPTORS;
+use super::connections::MIN_MEMORY_MB;
+use super::connections::ProcessLimits;
 use crate::configs::Reader;
 use crate::scheduling::routing::Policy;
 use crate::types::DataCentre;
@@ -13,6 +16,8 @@
 const DRAIN_MS: u64 = 20_000;
 const READY_LAG_MS: u64 = 1_000;
 const MAX_BODY_BYTES: u64 = 1024 * 1024;
+const MAX_MEMORY_MB: u64 = 1024 * 1024;
+const MAX_DESCRIPTORS: u64 = 1_000_000;
 const QUEUE_ITEMS: u64 = 8_192;
 const LONGEST_REQUEST_MS: u64 = 120_000;
 const MAX_LONGEST_REQUEST_MS: u64 = 3_600_000;
@@ -96,6 +101,8 @@
     pub ready_lag_ms: u64,
     /// Largest request body, in bytes.
     pub max_body_bytes: u64,
+    /// Limits of the VM on the process.
+    pub process_limits: ProcessLimits,
     /// Requests that may be queued on this VM.
     pub queue_items: u64,
     /// Longest time from dispatch to the end of a request, in ms. Evictions wait that long for a VM
@@ -109,6 +116,7 @@
         let settings = read_fields(reader);
         check_peers(&settings, reader);
         check_founders(&settings, reader);
+        check_memory(&settings, reader);
         settings
     }
 }
@@ -140,6 +148,7 @@
         drain_ms: reader.u64("drain_ms", DRAIN_MS, 0..=600_000),
         ready_lag_ms: reader.u64("ready_lag_ms", READY_LAG_MS, 0..=60_000),
         max_body_bytes: reader.u64("max_body_bytes", MAX_BODY_BYTES, 1_024..=64 * 1024 * 1024),
+        process_limits: read_process_limits(reader),
         queue_items: reader.u64("queue_items", QUEUE_ITEMS, 1..=1_000_000),
         longest_request_ms: reader.u64(
             "longest_request_ms",
@@ -189,6 +198,35 @@
     }
 }
 
+fn read_process_limits(reader: &mut Reader<'_>) -> ProcessLimits {
+    let default = ProcessLimits::default();
+    let memory_mb = reader.u64(
+        "memory_mb",
+        default.memory_mb,
+        MIN_MEMORY_MB..=MAX_MEMORY_MB,
+    );
+    let descriptors = default.descriptors as u64;
+    let allowed = MIN_DESCRIPTORS as u64..=MAX_DESCRIPTORS;
+    ProcessLimits {
+        memory_mb,
+        descriptors: reader.u64("max_descriptors", descriptors, allowed) as usize,
+    }
+}
+
+/// Rejects a limit on bodies of which the memory cannot hold one beside others.
+fn check_memory(settings: &VmSettings, reader: &mut Reader<'_>) {
+    let limits = settings.process_limits;
+    let largest_bytes = limits.largest_body_bytes() as u64;
+    if settings.max_body_bytes > largest_bytes {
+        let allowed = format!(
+            "at most {largest_bytes} bytes with {} MB of memory_mb",
+            limits.memory_mb
+        );
+        let value = settings.max_body_bytes.to_string();
+        reader.reject("max_body_bytes", &value, &allowed);
+    }
+}
+
 fn check_peers(settings: &VmSettings, reader: &mut Reader<'_>) {
     for (index, peer) in settings.peers.iter().enumerate() {
         let repeated = settings.peers[..index]
--- a/src/connections/byte_pool.rs
+++ b/src/connections/byte_pool.rs
@@ -85,7 +85,7 @@
     /// Creates a pool of `capacity_bytes`.
     pub fn new(capacity_bytes: usize) -> Self {
         let part = |percent: usize| Part {
-            capacity_bytes: capacity_bytes / 100 * percent,
+            capacity_bytes: capacity_bytes * percent / 100,
             ..Part::default()
         };
         Self {
--- a/src/connections/reports.rs
+++ b/src/connections/reports.rs
@@ -1,5 +1,6 @@
 //! What the metrics and the log say about the connections of a listener.
 
+use log::warn;
 use serde::Serialize;
 
 use super::table::ClosedCounts;
@@ -13,11 +14,8 @@
 struct ConnectionsClosed {
     listener: &'static str,
     open: usize,
-    slow_head: u64,
-    idle: u64,
-    unread: u64,
-    made_room: u64,
-    no_room: u64,
+    #[serde(flatten)]
+    closed: ClosedCounts,
 }
 
 impl Event for ConnectionsClosed {
@@ -28,12 +26,23 @@
     }
 }
 
+/// Where reports go.
+#[derive(Clone)]
+enum Sink {
+    /// The metrics page and the structured log.
+    Events {
+        meters: Box<Meters>,
+        events: EventLog,
+    },
+    /// The plain log.
+    Log,
+}
+
 /// Reports on one listener.
 #[derive(Clone)]
 pub struct Reports {
     listener: &'static str,
-    meters: Meters,
-    events: EventLog,
+    sink: Sink,
     reported: ClosedCounts,
 }
 
@@ -42,28 +51,46 @@
     pub fn new(listener: &'static str, meters: &Meters, events: &EventLog) -> Self {
         Self {
             listener,
-            meters: meters.clone(),
-            events: events.clone(),
+            sink: Sink::Events {
+                meters: Box::new(meters.clone()),
+                events: events.clone(),
+            },
+            reported: ClosedCounts::default(),
+        }
+    }
+
+    /// Reports on a listener in the plain log.
+    pub fn logged(listener: &'static str) -> Self {
+        Self {
+            listener,
+            sink: Sink::Log,
             reported: ClosedCounts::default(),
         }
     }
 
     /// Updates the metrics, and logs one line if connections were closed for want of time or room.
     pub fn update(&mut self, open: usize, closed: ClosedCounts) {
-        self.meters.set_connections(self.listener, open, &closed);
-        let before = self.reported;
+        let new = closed.since(&self.reported);
         self.reported = closed;
-        if closed.total() - closed.routine() == before.total() - before.routine() {
-            return;
+        let is_worth_a_line = new.total() > new.routine();
+        match &self.sink {
+            Sink::Events { meters, events } => {
+                meters.set_connections(self.listener, open, &closed);
+                if is_worth_a_line {
+                    events.emit(&ConnectionsClosed {
+                        listener: self.listener,
+                        open,
+                        closed: new,
+                    });
+                }
+            }
+            Sink::Log if is_worth_a_line => {
+                warn!(
+                    "{}: closed connections, {open} open: {new:?}",
+                    self.listener
+                );
+            }
+            Sink::Log => {}
         }
-        self.events.emit(&ConnectionsClosed {
-            listener: self.listener,
-            open,
-            slow_head: closed.slow_head - before.slow_head,
-            idle: closed.idle - before.idle,
-            unread: closed.unread - before.unread,
-            made_room: closed.made_room - before.made_room,
-            no_room: closed.no_room - before.no_room,
-        });
     }
 }
--- a/src/connections/table.rs
+++ b/src/connections/table.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 
 use indexmap::IndexMap;
+use serde::Serialize;
 
 use super::activity::Activity;
 use super::activity::Closing;
@@ -35,7 +36,7 @@
 }
 
 /// Why connections were closed.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct ClosedCounts {
     /// Their head did not arrive in time.
     pub slow_head: u64,
@@ -52,6 +53,18 @@
 }
 
 impl ClosedCounts {
+    /// The connections that were closed since `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            slow_head: self.slow_head - earlier.slow_head,
+            idle: self.idle - earlier.idle,
+            unread: self.unread - earlier.unread,
+            small_buffer: self.small_buffer - earlier.small_buffer,
+            made_room: self.made_room - earlier.made_room,
+            no_room: self.no_room - earlier.no_room,
+        }
+    }
+
     /// Sum of the causes that are no sign of trouble.
     pub fn routine(&self) -> u64 {
         self.idle + self.small_buffer
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use serde_json::json;
 use snafu::Snafu;
+use tokio::task::JoinHandle;
 
 use super::announcement::read_announcement;
 use super::body::read_body;
@@ -24,6 +25,8 @@
 use super::server::Body;
 use super::server::Handler;
 use super::server::HttpServer;
+use crate::configs::connections::ProcessLimits;
+use crate::connections::budget::ByteBudget;
 use crate::membership;
 use crate::pipeline::Context;
 use crate::pipeline::Format;
@@ -43,6 +46,10 @@
     pub members: membership::Handle,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// Memory that the bodies of requests share.
+    pub bodies: ByteBudget,
+    /// Limits of the VM on the process.
+    pub process_limits: ProcessLimits,
 }
 
 /// Why the caller API did not start.
@@ -56,6 +63,13 @@
 /// A running caller API.
 pub struct CallerServer {
     server: HttpServer,
+    keeping: JoinHandle<()>,
+}
+
+impl Drop for CallerServer {
+    fn drop(&mut self) {
+        self.keeping.abort();
+    }
 }
 
 impl CallerServer {
@@ -64,13 +78,18 @@
     /// # Errors
     /// The address cannot be bound.
     pub fn bind(address: SocketAddr, context: Arc<CallerContext>) -> Result<Self, StartError> {
+        let limits = context.process_limits;
+        let keeping = context.bodies.clone().keep_moving();
         let handler = Arc::new(CallerApi { context });
-        let server = HttpServer::bind(address, handler).map_err(|error| StartError {
+        let server = HttpServer::bind(address, handler, limits).map_err(|error| StartError {
             address,
             message: error.to_string(),
         })?;
         log::info!("caller: listening on {}", server.local_address());
-        Ok(Self { server })
+        Ok(Self {
+            server,
+            keeping: tokio::spawn(keeping),
+        })
     }
 
     /// Address that the server listens on.
@@ -79,7 +98,7 @@
     }
 
     /// Stops accepting connections and waits for the requests in progress.
-    pub async fn close(self) {
+    pub async fn close(&self) {
         self.server.close().await;
     }
 }
@@ -140,7 +159,7 @@
 async fn create_job(request: &Request, body: Incoming) -> HandlerResult {
     let refuse = |refusal| (request.id.clone(), refusal);
     let headers = request.headers().clone();
-    let body = read_body(body, request.context.max_body_bytes).await;
+    let body = read_body(body, &request.context).await;
     let body = body.map_err(refuse)?;
     let pipeline = request.context.pipeline.clone();
     let task = tokio::spawn(async move { submit_job(&pipeline, &headers, &body).await });
@@ -170,7 +189,7 @@
 /// Records an announcement of a backend server.
 async fn announce(request: &Request, body: Incoming) -> HandlerResult {
     let refuse = |refusal| (request.id.clone(), refusal);
-    let body = read_body(body, request.context.max_body_bytes).await;
+    let body = read_body(body, &request.context).await;
     let announcement = read_announcement(&body.map_err(refuse)?).map_err(refuse)?;
     request.context.members.announce(announcement);
     Ok(json_response(StatusCode::OK, &request.id, &json!({})))
--- a/src/http/handlers.rs
+++ b/src/http/handlers.rs
@@ -61,7 +61,7 @@
     // Authenticates before reading the body, so that unauthenticated callers cannot make the VM
     // buffer it.
     let caller = identify(&cx.pipeline, headers).map_err(with_id)?;
-    let body = read_body(body, cx.max_body_bytes).await.map_err(with_id)?;
+    let body = read_body(body, cx).await.map_err(with_id)?;
     let now = cx.pipeline.clock.unix();
     let classified = classify(caller, headers, format, &body, now).map_err(with_id)?;
     let id = classified.request_id.as_str().to_owned();
@@ -170,7 +170,7 @@
 ) -> HandlerResult {
     let cx = &request.context;
     let id = request.id.clone();
-    let body = match read_body(body, cx.max_body_bytes).await {
+    let body = match read_body(body, cx).await {
         Ok(body) => body,
         Err(refusal) => return Err((id, refusal)),
     };
--- a/src/node/vm.rs
+++ b/src/node/vm.rs
@@ -33,6 +33,7 @@
 use crate::backend::pooled_client;
 use crate::backend::single_use_client;
 use crate::configs::vm::VmSettings;
+use crate::connections::budget::ByteBudget;
 use crate::consensus;
 use crate::control::Owner;
 use crate::control::Sha256Hash;
@@ -314,9 +315,12 @@
     let peer = PeerServer::bind(settings.peer_address, Arc::new(handler))
         .await
         .context(PeerSnafu)?;
+    let limits = settings.process_limits;
     let context = CallerContext {
         pipeline: pipeline.clone(),
         members: components.members.clone(),
+        bodies: ByteBudget::new(limits.entry_bodies_bytes()),
+        process_limits: limits,
         max_body_bytes: usize::try_from(settings.max_body_bytes).unwrap_or(usize::MAX),
     };
     let caller =
--- a/tests/connections/byte_pool.rs
+++ b/tests/connections/byte_pool.rs
@@ -103,6 +103,12 @@
         self.check();
     }
 
+    /// Whether a client is present that comes to its end by itself.
+    fn has_quick(&self) -> bool {
+        let mut present = self.present.values();
+        present.any(|(client, _)| client.pace == Pace::Quick)
+    }
+
     /// Never over the capacity.
     fn check(&self) {
         let held = self.present.values().filter(|(_, is_granted)| *is_granted);
@@ -158,7 +164,9 @@
         let quick = quick.count();
         let mut simulation = Simulation::new();
         let mut coming = crowd.into_iter().peekable();
-        while simulation.now_ms < END_MS {
+        while simulation.now_ms < END_MS
+            && (coming.peek().is_some() || simulation.pool.waiting() > 0 || simulation.has_quick())
+        {
             while let Some(client) = coming.next_if(|next| next.arrives_ms <= simulation.now_ms) {
                 simulation.arrive(client);
             }
--- a/tests/path/deployment.rs
+++ b/tests/path/deployment.rs
@@ -177,6 +177,7 @@
             drain_ms: 10_000,
             ready_lag_ms: 100,
             max_body_bytes: 64 * 1024,
+            process_limits: Default::default(),
             queue_items: 8_192,
             longest_request_ms: 60_000,
         })
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -13,6 +13,7 @@
 use medlarlift::configs::standin_engine::EngineSettings;
 use medlarlift::configs::standin_service::ServiceSettings;
 use medlarlift::configs::standin_store::StoreSettings;
+use medlarlift::configs::vm::VmSettings;
 
 fn example(name: &str) -> String {
     format!("{}/examples/settings/{name}", env!("CARGO_MANIFEST_DIR"))
@@ -128,3 +129,25 @@
     };
     assert_eq!(settings, expected);
 }
+
+/// Guards against a limit on bodies that the memory of the process cannot hold.
+#[test]
+fn a_body_limit_that_does_not_fit_into_the_memory_is_invalid() {
+    let settings = |more: &str| {
+        format!(
+            "vm: a\ndata_centre: north\ncaller_address: 127.0.0.1:1\nadmin_address: 127.0.0.1:2\n\
+             peer_address: 127.0.0.1:3\noperator_token_sha256: {}\n{more}\n",
+            "0".repeat(64)
+        )
+    };
+    read_text(&settings("max_body_bytes: 33554432"), VmSettings::read).expect("an eighth");
+    let found = invalid_settings(read_text(
+        &settings("max_body_bytes: 33554433\nmemory_mb: 256"),
+        VmSettings::read,
+    ));
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!(found[0].path, "max_body_bytes");
+    assert_eq!(found[0].value, "33554433");
+    let found = invalid_settings(read_text(&settings("memory_mb: 8"), VmSettings::read));
+    assert_eq!(found[0].path, "memory_mb");
+}
