fix(connections): each body that waits has one that stands still give way

What callers saw: with 60 and more bodies that stand still, a large body waited for one of them to give way in each 100 ms, however many others waited.

Cause: one check evicted one body.

Change: a check evicts at most as many bodies as wait, the furthest behind first.

Measured: tests/connections passes."

--- a/src/connections/budget.rs
+++ b/src/connections/budget.rs
@@ -151,7 +151,7 @@
         }
     }
 
-    /// Lets `elapsed_ms` pass. The slowest body gives its bytes back if others wait for them.
+    /// Lets `elapsed_ms` pass. The slowest bodies give their bytes back if others wait for them.
     pub fn advance(&self, elapsed_ms: u64) {
         let mut state = self.lock();
         let State { pool, entries, .. } = &mut *state;
@@ -159,18 +159,15 @@
             let entry = entries.get(&id);
             entry.map_or(0, |entry| entry.holder.take_moved_bytes())
         };
-        let Some(slowest) = pool.advance(elapsed_ms, moved) else {
-            return;
-        };
-        // A holder that is being evicted is not chosen again.
-        pool.set_moves(slowest, false);
-        state.evicted += 1;
-        let holder = state
-            .entries
-            .get(&slowest)
-            .map(|entry| Arc::clone(&entry.holder));
+        let mut evicted = Vec::new();
+        for id in pool.advance(elapsed_ms, moved) {
+            // A holder that is being evicted is not chosen again.
+            pool.set_moves(id, false);
+            evicted.extend(entries.get(&id).map(|entry| Arc::clone(&entry.holder)));
+        }
+        state.evicted += evicted.len() as u64;
         drop(state);
-        if let Some(holder) = holder {
+        for holder in evicted {
             holder.evict();
         }
     }
--- a/src/connections/byte_pool.rs
+++ b/src/connections/byte_pool.rs
@@ -7,6 +7,7 @@
 //!
 //! The pool does no input or output. Time is the time for which the process runs.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 
 use indexmap::IndexMap;
@@ -164,13 +165,13 @@
         }
     }
 
-    /// Lets `elapsed_ms` pass, in which each body has moved `moved` bytes. Returns the slowest body if it has to
-    /// give its bytes back because others wait.
+    /// Lets `elapsed_ms` pass, in which each body has moved `moved` bytes. Returns the slowest bodies that have to
+    /// give their bytes back, at most one for each that waits.
     pub fn advance(
         &mut self,
         elapsed_ms: u64,
         mut moved: impl FnMut(ReservationId) -> u64,
-    ) -> Option<ReservationId> {
+    ) -> Vec<ReservationId> {
         for (id, holder) in &mut self.holders {
             let earned_ms = moved(*id) / MIN_BYTES_PER_MS;
             holder.behind_ms = (holder.behind_ms + elapsed_ms).saturating_sub(earned_ms);
@@ -178,8 +179,12 @@
         let stalled = self.holders.iter().filter(|(_, holder)| {
             holder.moves && holder.behind_ms > MAX_STALL_MS && self.is_in_the_way(holder.size)
         });
-        let slowest = stalled.max_by_key(|(_, holder)| holder.behind_ms);
-        slowest.map(|(id, _)| *id)
+        let mut slowest: Vec<(u64, ReservationId)> = stalled
+            .map(|(id, holder)| (holder.behind_ms, *id))
+            .collect();
+        slowest.sort_unstable_by_key(|(behind_ms, id)| (Reverse(*behind_ms), *id));
+        slowest.truncate(self.waiting());
+        slowest.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Whether a reservation that waits could go on if a body of `size` gave its bytes back.
--- a/tests/connections/byte_pool.rs
+++ b/tests/connections/byte_pool.rs
@@ -138,7 +138,7 @@
             }
         }
         let take = |id| moved.get(&id).copied().unwrap_or(0);
-        if let Some(id) = self.pool.advance(STEP_MS, take) {
+        for id in self.pool.advance(STEP_MS, take) {
             let (client, _) = self.present[&id];
             self.evicted.push(client);
             self.leave(id);
@@ -191,11 +191,11 @@
         panic!("{dripping:?}");
     };
     for _ in 0..100 {
-        assert_eq!(pool.advance(STEP_MS, |_| 1), None, "nobody waits");
+        assert!(pool.advance(STEP_MS, |_| 1).is_empty(), "nobody waits");
     }
     let waiting = pool.reserve(2 * MIB);
     assert!(matches!(waiting, Reserved::Waiting(_)));
-    let evicted = (0..10).find_map(|_| pool.advance(STEP_MS, |_| 1));
+    let evicted = (0..10).find_map(|_| pool.advance(STEP_MS, |_| 1).pop());
     assert_eq!(evicted, Some(dripping));
 }
 
@@ -210,7 +210,7 @@
     assert_eq!(pool.used_bytes(), 2 * MIB - 100_000);
     let waiting = pool.reserve(2 * MIB);
     assert!(matches!(waiting, Reserved::Waiting(_)));
-    let evicted = (0..100).find_map(|_| pool.advance(STEP_MS, |_| 0));
+    let evicted = (0..100).find_map(|_| pool.advance(STEP_MS, |_| 0).pop());
     assert_eq!(evicted, None);
     assert_eq!(pool.release(complete).len(), 1);
 }
@@ -231,7 +231,7 @@
         at.map_or(0, |at| slow_bytes[at])
     };
     assert!(matches!(pool.reserve(4 * MIB), Reserved::Waiting(_)));
-    let evicted = (0..100).find_map(|_| pool.advance(STEP_MS, moved));
+    let evicted = (0..100).find_map(|_| pool.advance(STEP_MS, moved).pop());
     assert_eq!(evicted, Some(ids[1]));
 }
 
