--- a/src/connections/server.rs
+++ b/src/connections/server.rs
@@ -194,7 +194,8 @@
     let service = service_fn(move |mut request: Request<Incoming>| {
         activity.begin_request();
         request.extensions_mut().insert(Arc::clone(&activity));
-        let answering = handler(request);
+        // On the heap, so that a connection without a request does not hold the space for one.
+        let answering = Box::pin(handler(request));
         let activity = Arc::clone(&activity);
         async move {
             let response = answering.await;
