--- a/src/configs/connections.rs
+++ b/src/configs/connections.rs
@@ -42,13 +42,13 @@
 const HEADER_TIMEOUT_MS: u64 = 5_000;
 /// Time for which a connection may be idle where no configuration says so.
 const IDLE_TIMEOUT_MS: u64 = 30_000;
-/// The same for runners and operators, whose calls may be far apart.
+/// The same where calls may be far apart: those of runners and operators, and of the product's own callers.
 const OPERATORS_IDLE_TIMEOUT_MS: u64 = 60_000;
-/// The same for callers of the product's own API.
-const PRODUCT_HEADER_TIMEOUT_MS: u64 = 10_000;
-const PRODUCT_HEAD_BUFFER_BYTES: usize = 64 * 1024;
 /// Buffer for a head where no configuration says so.
 const HEAD_BUFFER_BYTES: usize = 16 * 1024;
+/// Time within which a head has to arrive at the product's own caller API, and its buffer.
+const PRODUCT_HEADER_TIMEOUT_MS: u64 = 10_000;
+const PRODUCT_HEAD_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Limits of the VM on one process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
