fix(standin): requests that arrive during a step don't count as an empty position

Callers of the product saw nothing: the fault is in the count of the simulated engine.

Cause: `finish_step` asked at the end of a step whether requests were queued and then counted the whole step as one in which work waited.

Why the fix works: whether requests are queued is decided when the batch has been filled, at the start of the step, so the length of a step and arrivals during it no longer matter.

--- a/src/standin/engine_counts.rs
+++ b/src/standin/engine_counts.rs
@@ -60,15 +60,15 @@
     pub position_us: u64,
     /// Filled batch positions multiplied by microseconds in which any request ran.
     pub filled_us: u64,
-    /// As `position_us`, but only while requests were queued in the engine.
+    /// As `position_us`, but only for steps that began with requests queued in the engine.
     pub waiting_position_us: u64,
-    /// As `filled_us`, but only while requests were queued in the engine.
+    /// As `filled_us`, but only for steps that began with requests queued in the engine.
     pub waiting_filled_us: u64,
 }
 
 impl EngineCounts {
     /// Records one batch step of length `elapsed` with `running` of `positions` filled; `waiting`
-    /// tells whether requests were queued.
+    /// tells whether requests were queued when it began.
     pub fn record_step(&mut self, elapsed: Duration, running: u64, positions: u64, waiting: bool) {
         let us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
         self.position_us += positions * us;
--- a/src/standin/engine_state.rs
+++ b/src/standin/engine_state.rs
@@ -175,6 +175,8 @@
     waiting: BTreeMap<(u64, u64), Arc<Sequence>>,
     arrivals: u64,
     running: Vec<RunningSequence>,
+    /// Whether requests were left queued when the current step's batch was filled.
+    queued_at_step_start: bool,
     used_kv_tokens: u64,
     requests: HashMap<String, Arc<Sequence>>,
     ended: VecDeque<(Instant, String)>,
@@ -212,6 +214,7 @@
             waiting: BTreeMap::new(),
             arrivals: 0,
             running: Vec::new(),
+            queued_at_step_start: false,
             used_kv_tokens: 0,
             requests: HashMap::new(),
             ended: VecDeque::new(),
@@ -350,6 +353,7 @@
             }
             self.start(sequence, now);
         }
+        self.queued_at_step_start = !self.waiting.is_empty();
         if self.running.is_empty() {
             Step::Idle
         } else {
@@ -386,10 +390,9 @@
     /// Completes a step that took `elapsed`: every sequence past its prefill produces one token.
     pub fn finish_step(&mut self, elapsed: Duration, now: Instant) {
         let running_count = u64::try_from(self.running.len()).unwrap_or(u64::MAX);
-        let waiting = !self.waiting.is_empty();
         let positions = self.settings.batch_positions;
         self.counts
-            .record_step(elapsed, running_count, positions, waiting);
+            .record_step(elapsed, running_count, positions, self.queued_at_step_start);
         let elapsed_us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
         let mut finished = Vec::new();
         for running in &mut self.running {
