fix(gateway): an answer whose head announces too much is refused at once

What callers saw: an answer that a server announced as longer than 2 MiB was read up to this limit before the caller got its 502. From a server that sends slowly, the caller got nothing until its own deadline. An answer of a known length between 16 KiB and 2 MiB reserved 256 KiB and then the whole 2 MiB of the memory that answers share, whatever its length, so fewer callers that read slowly could be served beside each other.

Cause: the bytes of an answer are counted on their way with `map_frame`, which may change frames and so drops the size hint of the body. The reader of bodies then takes the length for unknown.

Evidence: a server that announces 2 MiB + 1 byte and sends a byte each 100 ms: no answer within the 6 s that the test's caller waits (deadline 60 s).

Why the fix works: `inspect_frame` counts the same bytes and keeps the hint, so the reader compares the announced length with its limit first and reserves just this length.

Measured: the test fails before the change and passes in 0.5 s after it.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -408,9 +408,8 @@
         let (parts, body) = reply.response.into_parts();
         let mut connection = reply.connection;
         let meter = connection.meter();
-        let counted = body.map_frame(move |frame| {
+        let counted = body.inspect_frame(move |frame| {
             meter.delivered(frame.data_ref().map_or(0, Bytes::len));
-            frame
         });
         let lost = |error| match error {
             BodyError::TooLarge => SendFailure::Lost("answer_too_large"),
