fix(consensus): a follower's confirmation is as old as the reply that its leader returns

A VM that hears only a follower could refuse with 404 or 401 by a configuration that had been replaced seconds before.

Cause: a follower took the time at which it read its leader's message for the time up to which its state was confirmed. TCP may deliver a message any time after it was sent, behind configurations or after resent segments.

Why the fix works: a follower stamps its replies with its own clock, the leader returns the latest stamp that it has read, and the confirmation counts from the returned stamp. What the leader knows when it sends a message is at least as new as the stamp that it has read before, so no delay on the way, no queue and no frozen process can make the message look younger. The stamps of a process have a random offset, so one of a former process on the same disk, or of the future, confirms nothing. A stamp is set when the reply leaves, after the sync.

--- a/src/consensus/core/append.rs
+++ b/src/consensus/core/append.rs
@@ -2,12 +2,13 @@
 
 use super::Confirmation;
 use super::Core;
+use crate::consensus::message::ClockStamps;
 use crate::consensus::message::Message;
 use crate::consensus::types::Entry;
 use crate::consensus::types::VoterId;
 
 impl Core {
-    pub(super) fn append(&mut self, from: &VoterId, message: Message) {
+    pub(super) fn append(&mut self, from: &VoterId, message: Message, stamps: ClockStamps) {
         let Message::Append {
             prev_index,
             prev_term,
@@ -37,7 +38,7 @@
         }
         let known = commit_index.min(last_sent);
         self.commit_index = self.commit_index.max(known);
-        self.confirm(commit_index, last_sent);
+        self.confirm(commit_index, last_sent, stamps);
         let reply = Message::AppendReply {
             accepted: true,
             index: last_sent,
@@ -49,13 +50,16 @@
 
     /// Takes over what the leader knows to be committed, once all of it is in the log up to `last_sent`.
     /// Until an entry of its own term is committed, a leader may know less than its predecessor.
-    fn confirm(&mut self, commit_index: u64, last_sent: u64) {
+    fn confirm(&mut self, commit_index: u64, last_sent: u64, stamps: ClockStamps) {
+        let Some(at_ms) = self.known_since_ms(stamps) else {
+            return;
+        };
+        let is_newest = self.confirmed.is_none_or(|last| last.at_ms <= at_ms);
         let is_complete = commit_index <= last_sent;
-        let is_fresh = self.now_ms >= self.fresh_from_ms;
-        if is_complete && is_fresh && self.log.term_at(commit_index) == Some(self.meta.term) {
+        if is_complete && is_newest && self.log.term_at(commit_index) == Some(self.meta.term) {
             self.confirmed = Some(Confirmation {
                 index: commit_index,
-                at_ms: self.now_ms,
+                at_ms,
             });
         }
     }
--- a/src/consensus/core/leader.rs
+++ b/src/consensus/core/leader.rs
@@ -42,6 +42,8 @@
     pub(super) paused: bool,
     /// Time on the leader's clock at which it sent the latest message that got a reply.
     pub(super) contact_ms: Option<u64>,
+    /// Stamp of the member's latest reply.
+    pub(super) stamp_ms: Option<u64>,
     /// Commit index at `catch_up_started_ms`. A learner that reaches it within one election timeout
     /// has caught up.
     pub(super) catch_up_index: u64,
@@ -111,6 +113,7 @@
                 probing: true,
                 paused: false,
                 contact_ms: None,
+                stamp_ms: None,
                 catch_up_index: u64::MAX,
                 catch_up_started_ms: 0,
                 since_ms: now_ms,
--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod receive;
 mod snapshot;
+mod stamps;
 mod status;
 
 use std::collections::BTreeMap;
@@ -30,6 +31,7 @@
 use self::leader::Leadership;
 use self::log::Log;
 use self::snapshot::IncomingSnapshot;
+use self::stamps::StampClock;
 use super::message::Envelope;
 use super::message::FORMAT_VERSION;
 use super::message::Message;
@@ -91,7 +93,7 @@
     /// Time passed.
     Tick,
     /// A message was received.
-    Receive(Envelope),
+    Receive(Box<Envelope>),
     /// Commands to append.
     Propose(Vec<Bytes>),
     /// All writes up to this sequence number are synced.
@@ -203,8 +205,9 @@
     leader_contact_ms: Option<u64>,
     /// Latest confirmation by a leader.
     confirmed: Option<Confirmation>,
-    /// Time from which messages of a leader are fresh: a process that stood still reads those that queued up.
+    /// Time from which messages of a leader without stamps are fresh: a process that stood still reads those that queued up.
     fresh_from_ms: u64,
+    stamp_clock: StampClock,
     /// Time of the first election timeout since the start. Until then, a member that has heard no leader
     /// asks for pre-votes at short intervals.
     startup_ends_ms: u64,
@@ -244,6 +247,7 @@
             leader_contact_ms: None,
             confirmed: None,
             fresh_from_ms: now_ms,
+            stamp_clock: StampClock::new(config.seed, now_ms),
             startup_ends_ms: 0,
             now_ms,
             election_deadline_ms: 0,
@@ -286,7 +290,7 @@
         self.run_timers();
         match input {
             Input::Tick => {}
-            Input::Receive(envelope) => self.receive(envelope),
+            Input::Receive(envelope) => self.receive(*envelope),
             Input::Propose(commands) => self.propose(commands),
             Input::Written(seq) => self.written(seq),
             Input::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
@@ -351,7 +355,10 @@
 
     fn run_deferred(&mut self, item: Deferred) {
         match item {
-            Deferred::Send(envelope) => self.outputs.push(Output::Send(*envelope)),
+            Deferred::Send(mut envelope) => {
+                envelope.stamps.sent_ms = Some(self.own_stamp());
+                self.outputs.push(Output::Send(*envelope));
+            }
             Deferred::SelfVote { term } => {
                 if term == self.meta.term {
                     self.count_vote(self.config.id.clone());
@@ -408,6 +415,7 @@
             to: to.clone(),
             term: self.meta.term,
             message,
+            stamps: self.stamps_for(to),
         }
     }
 
--- a/src/consensus/core/receive.rs
+++ b/src/consensus/core/receive.rs
@@ -2,6 +2,7 @@
 
 use super::Core;
 use super::Role;
+use crate::consensus::message::ClockStamps;
 use crate::consensus::message::Envelope;
 use crate::consensus::message::FORMAT_VERSION;
 use crate::consensus::message::Message;
@@ -56,6 +57,7 @@
             from,
             term,
             message,
+            stamps,
             ..
         } = envelope;
         match message {
@@ -88,13 +90,14 @@
         } else if term > self.meta.term {
             self.become_follower(term, None);
         }
-        self.dispatch_current(from, message);
+        self.dispatch_current(from, message, stamps);
     }
 
-    fn dispatch_current(&mut self, from: VoterId, message: Message) {
+    fn dispatch_current(&mut self, from: VoterId, message: Message, stamps: ClockStamps) {
+        self.keep_stamp(&from, stamps);
         match message {
             Message::VoteReply { granted } => self.vote_reply(from, granted),
-            Message::Append { .. } => self.append(&from, message),
+            Message::Append { .. } => self.append(&from, message, stamps),
             Message::AppendReply {
                 accepted,
                 index,
--- a/src/consensus/driver/handle.rs
+++ b/src/consensus/driver/handle.rs
@@ -176,7 +176,7 @@
     /// Processes a message from another VM. A follower ignores it.
     pub fn receive(&self, envelope: Envelope) {
         if let Role::Voter { events, .. } = &self.inner.role {
-            let _ = events.send(Event::Receive(envelope));
+            let _ = events.send(Event::Receive(Box::new(envelope)));
         }
     }
 
--- a/src/consensus/driver/voter.rs
+++ b/src/consensus/driver/voter.rs
@@ -38,7 +38,7 @@
 
 /// Event processed by the core thread.
 pub(super) enum Event {
-    Receive(Envelope),
+    Receive(Box<Envelope>),
     Propose(Bytes, Reply),
     RemoveVoter(VmName, Reply),
     SetContacts(Vec<VmName>),
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -28,6 +28,21 @@
     pub term: u64,
     /// Content.
     pub message: Message,
+    /// Readings of the members' clocks. They are no part of the encoded envelope: a transport that carries them
+    /// adds them to it.
+    #[serde(skip)]
+    pub stamps: ClockStamps,
+}
+
+/// Readings of the clocks of two members, from which the recipient of a message knows its greatest age. What
+/// they count from is known only to the member that they come from.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClockStamps {
+    /// The sender's clock when it sent the message; `None` if its build or transport has no stamps.
+    pub sent_ms: Option<u64>,
+    /// `sent_ms` of the latest reply of the recipient that the sender had read; `None` from a sender that does not
+    /// lead the log, or has read none in its term.
+    pub echoed_ms: Option<u64>,
 }
 
 /// Content of an envelope.
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -25,6 +25,7 @@
 pub use driver::Status;
 pub use driver::Transport;
 pub use driver::VoterConfig;
+pub use message::ClockStamps;
 pub use message::Envelope;
 pub use message::FORMAT_VERSION;
 pub use message::FollowContent;
--- a/src/link/format.rs
+++ b/src/link/format.rs
@@ -15,12 +15,11 @@
 use super::Result;
 use super::frame::Frame;
 use super::frame::Hello;
+use super::frame::KIND_BYTES;
 
 /// Format of this build.
 pub const LINK_FORMAT: u16 = 11;
 
-/// Size of the number of a frame's kind, which precedes its content.
-const KIND_BYTES: usize = 4;
 /// Kind of the handshake, the same in all formats.
 const HELLO_KIND: u32 = 0;
 /// Position of the format in a handshake.
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -30,6 +30,11 @@
 use crate::types::VmName;
 use crate::types::shared_bytes;
 
+/// Size of the number of a frame's kind, which precedes its content.
+pub(super) const KIND_BYTES: usize = 4;
+/// Why encoding does not fail.
+const INFALLIBLE: &str = "serialization to memory cannot fail";
+
 /// Role of a VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Role {
@@ -325,7 +330,11 @@
 impl Frame {
     /// Encodes the frame without the length prefix.
     pub fn encode(&self) -> Bytes {
-        let bytes = bincode::serialize(self).expect("serialization to memory cannot fail");
+        let mut bytes = bincode::serialize(self).expect(INFALLIBLE);
+        if let Self::Raft(envelope) = self {
+            // Builds without stamps ignore what follows the envelope.
+            bincode::serialize_into(&mut bytes, &envelope.stamps).expect(INFALLIBLE);
+        }
         Bytes::from(bytes)
     }
 
@@ -334,9 +343,22 @@
     /// # Errors
     /// The bytes are not a frame of this format.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        bincode::deserialize(bytes).map_err(|source| FrameError {
+        decode(bytes).map_err(|source| FrameError {
             bytes: bytes.len(),
             source,
         })
     }
 }
+
+fn decode(bytes: &[u8]) -> bincode::Result<Frame> {
+    let mut frame = bincode::deserialize(bytes)?;
+    if let Frame::Raft(envelope) = &mut frame {
+        let envelope_bytes = bincode::serialized_size(&*envelope)? as usize;
+        let stamps = bytes.get(KIND_BYTES + envelope_bytes..).unwrap_or_default();
+        // A build without stamps ends the frame with the envelope.
+        if !stamps.is_empty() {
+            envelope.stamps = bincode::deserialize(stamps)?;
+        }
+    }
+    Ok(frame)
+}
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use datadriven::TestCase;
 use datadriven::walk;
+use medlarlift::consensus::ClockStamps;
 use medlarlift::consensus::Configuration;
 use medlarlift::consensus::Entry;
 use medlarlift::consensus::Envelope;
@@ -480,6 +481,7 @@
         to: to.clone(),
         term: 50,
         message,
+        stamps: ClockStamps::default(),
     }
 }
 
@@ -510,11 +512,11 @@
         envelope(&peer, &me, status.cluster_id + 1, vote.clone()),
         other_version,
     ] {
-        sim.step(&follower, Input::Receive(dropped));
+        sim.step(&follower, Input::Receive(Box::new(dropped)));
         assert_eq!(sim.status(&follower).expect("is running").term, status.term);
     }
     let counted = envelope(&peer, &me, status.cluster_id, vote);
-    sim.step(&follower, Input::Receive(counted));
+    sim.step(&follower, Input::Receive(Box::new(counted)));
     assert_eq!(sim.status(&follower).expect("is running").term, 50);
 }
 
--- a/tests/consensus_confirmed.rs
+++ b/tests/consensus_confirmed.rs
@@ -108,8 +108,9 @@
     }
 }
 
-fn run(seed: u64) {
+fn run(seed: u64, unstamped: &[&str]) {
     let mut sim = Sim::new(seed, &["a", "b", "c"], options(seed));
+    sim.unstamped = unstamped.iter().map(|name| VmName::from(*name)).collect();
     let mut commits = Commits::default();
     let (mut fault_due_ms, mut change_due_ms, mut change) = (4_000, 0, 0);
     let until_ms = sim.now_ms + RUN_MS;
@@ -144,7 +145,17 @@
 #[test]
 fn a_member_confirms_only_a_state_that_holds_everything_committed() {
     for seed in 0..SEEDS {
-        run(seed);
+        run(seed, &[]);
+    }
+}
+
+/// Guards against members that are not confirmed, or confirm too much, beside members of a build whose messages have no
+/// stamps, as leader and as follower.
+#[test]
+fn members_with_and_without_stamps_confirm_each_others_state() {
+    for seed in 0..SEEDS {
+        let unstamped: &[&str] = [&["a"] as &[&str], &["b"], &["a", "c"]][seed as usize % 3];
+        run(seed, unstamped);
     }
 }
 
--- a/tests/consensus_core.rs
+++ b/tests/consensus_core.rs
@@ -2,6 +2,7 @@
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
+use medlarlift::consensus::ClockStamps;
 use medlarlift::consensus::Configuration;
 use medlarlift::consensus::Entry;
 use medlarlift::consensus::Envelope;
@@ -63,15 +64,39 @@
     }
 }
 
+fn envelope(from: &str, term: u64, message: Message) -> Envelope {
+    Envelope {
+        version: FORMAT_VERSION,
+        cluster_id: CLUSTER_ID,
+        from: id(from),
+        to: id("a"),
+        term,
+        message,
+        stamps: ClockStamps::default(),
+    }
+}
+
+/// Stamps of a leader that returns `echoed_ms`.
+fn stamps(echoed_ms: Option<u64>) -> ClockStamps {
+    ClockStamps {
+        sent_ms: Some(1),
+        echoed_ms,
+    }
+}
+
 impl Member {
     fn start(recovered: RecoveredState) -> Self {
+        Self::start_with_seed(recovered, 1)
+    }
+
+    fn start_with_seed(recovered: RecoveredState, seed: u64) -> Self {
         let config = CoreConfig {
             id: id("a"),
             founders: vec!["a".into(), "b".into(), "c".into()],
             may_bootstrap: true,
             disk_losses: 1,
             timeouts: Timeouts::default(),
-            seed: 1,
+            seed,
         };
         Self {
             core: Core::new(config, recovered, 0),
@@ -94,6 +119,10 @@
         }
     }
 
+    fn step_with(&mut self, envelope: Envelope) {
+        self.step(Input::Receive(Box::new(envelope)));
+    }
+
     fn sync(&mut self) {
         let seq = self.writes.last().map_or(0, |write| write.seq);
         self.step(Input::Written(seq));
@@ -104,14 +133,40 @@
     }
 
     fn receive_from(&mut self, cluster_id: u64, from: &str, term: u64, message: Message) {
-        self.step(Input::Receive(Envelope {
-            version: FORMAT_VERSION,
+        self.step_with(Envelope {
             cluster_id,
-            from: id(from),
-            to: id("a"),
-            term,
-            message,
-        }));
+            ..envelope(from, term, message)
+        });
+    }
+
+    /// Receives a heartbeat of `b`, the leader of term 4 that has committed the entry of index 3.
+    fn receive_heartbeat(&mut self, stamps: ClockStamps) {
+        let heartbeat = Message::Append {
+            prev_index: 2,
+            prev_term: 2,
+            entries: vec![entry(3, 4, Payload::Noop)],
+            commit_index: 3,
+            sent_ms: 7,
+        };
+        self.step_with(Envelope {
+            stamps,
+            ..envelope("b", 4, heartbeat)
+        });
+        self.sync();
+    }
+
+    /// Time of the newest confirmation.
+    fn confirmed_ms(&self) -> Option<u64> {
+        self.core
+            .status()
+            .confirmed
+            .map(|confirmed| confirmed.at_ms)
+    }
+
+    /// Stamp of the message sent last.
+    fn last_stamp_ms(&self) -> u64 {
+        let stamp_ms = self.sent.last().and_then(|sent| sent.stamps.sent_ms);
+        stamp_ms.expect("a message with a stamp")
     }
 
     /// Makes the member the leader of term 4, with nothing acknowledged by its peers.
@@ -308,3 +363,68 @@
     assert_eq!(member.accepted, 0);
     assert!(!member.core.status().is_leader);
 }
+
+/// Guards against a confirmation whose age counts from a time that this process has not told its leader: a stamp of a
+/// former process on the same disk, of another member, or of the future.
+#[test]
+fn only_a_returned_own_stamp_confirms_and_from_when_it_was_set() {
+    let mut former = Member::start_with_seed(recovered_state(), u64::MAX);
+    former.now_ms = 4_000;
+    former.receive_heartbeat(stamps(None));
+    let mut member = Member::start_with_seed(recovered_state(), 1 << 40);
+    member.now_ms = 5_000;
+    member.receive_heartbeat(stamps(None));
+    let own_ms = member.last_stamp_ms();
+    member.now_ms = 5_300;
+    for foreign_ms in [former.last_stamp_ms(), own_ms + 301, 0, u64::MAX] {
+        member.receive_heartbeat(stamps(Some(foreign_ms)));
+        assert_eq!(member.confirmed_ms(), None, "{foreign_ms}");
+    }
+    member.receive_heartbeat(stamps(Some(own_ms)));
+    assert_eq!(member.confirmed_ms(), Some(5_000));
+}
+
+/// Guards against a member that is never confirmed under a leader whose build has no stamps, and against an older stamp
+/// that replaces a newer one.
+#[test]
+fn a_leader_without_stamps_confirms_at_the_time_of_reading() {
+    let mut member = Member::start(recovered_state());
+    member.now_ms = 5_000;
+    member.receive_heartbeat(stamps(None));
+    let early_ms = member.last_stamp_ms();
+    member.now_ms = 5_300;
+    member.receive_heartbeat(ClockStamps::default());
+    assert_eq!(member.confirmed_ms(), Some(5_300));
+    member.receive_heartbeat(stamps(Some(early_ms)));
+    assert_eq!(member.confirmed_ms(), Some(5_300));
+}
+
+/// Guards against a leader that returns no stamp, the one of another member, or one of before its term.
+#[test]
+fn a_leader_returns_to_each_member_the_stamp_that_it_read_last() {
+    let mut member = Member::start(recovered_state());
+    member.lead();
+    let reply = Message::AppendReply {
+        accepted: true,
+        index: 3,
+        last_index: 3,
+        sent_ms: member.now_ms,
+    };
+    for stamp_ms in [900, 70] {
+        member.step_with(Envelope {
+            stamps: ClockStamps {
+                sent_ms: Some(stamp_ms),
+                echoed_ms: None,
+            },
+            ..envelope("b", 4, reply.clone())
+        });
+        member.sent.clear();
+        member.now_ms += Timeouts::default().heartbeat_ms;
+        member.step(Input::Tick);
+        let returned = |vm| {
+            let sent = member.sent.iter().find(|sent| sent.to == id(vm));
+            sent.expect("a heartbeat").stamps.echoed_ms
+        };
+        assert_eq!((returned("b"), returned("c")), (Some(stamp_ms), None));
+    }
+}
--- a/tests/consensus_sim/mod.rs
+++ b/tests/consensus_sim/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
+use medlarlift::consensus::ClockStamps;
 use medlarlift::consensus::Entry;
 use medlarlift::consensus::Envelope;
 use medlarlift::consensus::Message;
@@ -104,6 +105,8 @@
     pub blocked: BTreeSet<(VmName, VmName)>,
     /// Further delay of all messages from one VM to another.
     pub late_ms: BTreeMap<(VmName, VmName), u64>,
+    /// VMs whose build neither sends nor reads stamps.
+    pub unstamped: BTreeSet<VmName>,
     pub options: Options,
     pub oracle: Oracle,
     /// Number of disks lost or corrupted.
@@ -139,6 +142,7 @@
             nodes: BTreeMap::new(),
             blocked: BTreeSet::new(),
             late_ms: BTreeMap::new(),
+            unstamped: BTreeSet::new(),
             options,
             oracle: Oracle::default(),
             lost_disks: 0,
@@ -309,7 +313,7 @@
             return;
         }
         for envelope in std::mem::take(&mut node.inbox) {
-            self.step(vm, Input::Receive(envelope));
+            self.step(vm, Input::Receive(Box::new(envelope)));
         }
         let Some(process) = self
             .nodes
@@ -403,7 +407,11 @@
         }
     }
 
-    fn send(&mut self, envelope: Envelope) {
+    fn send(&mut self, mut envelope: Envelope) {
+        let is_unstamped = |id: &VoterId| self.unstamped.contains(&id.vm);
+        if is_unstamped(&envelope.from) || is_unstamped(&envelope.to) {
+            envelope.stamps = ClockStamps::default();
+        }
         if self.rng.random_bool(self.options.loss) {
             return;
         }
--- a/tests/link_builds.rs
+++ b/tests/link_builds.rs
@@ -6,6 +6,11 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use medlarlift::consensus::ClockStamps;
+use medlarlift::consensus::Envelope;
+use medlarlift::consensus::FORMAT_VERSION;
+use medlarlift::consensus::Message;
+use medlarlift::consensus::VoterId;
 use medlarlift::link::Dialer;
 use medlarlift::link::EntryVmUpdate;
 use medlarlift::link::Frame;
@@ -47,6 +52,9 @@
 const STREAM_FOUND_KIND: u32 = 22;
 /// Kind of the question about a controller's state, which format 10 does not have.
 const ASK_STATE_KIND: u32 = 23;
+/// Kind of the frames that carry messages of the log, and kind of such a message.
+const RAFT_KIND: u32 = 3;
+const TIMEOUT_NOW_KIND: u32 = 8;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const OWN_ADDRESS: &str = "127.0.0.1:7601";
 
@@ -352,3 +360,49 @@
         .await
         .expect("a link of format 11");
 }
+
+/// A message of the log, as builds without stamps encode it: kind, version, cluster, sender, recipient, term and
+/// content.
+fn log_message_bytes() -> Vec<u8> {
+    let mut bytes = RAFT_KIND.to_le_bytes().to_vec();
+    bytes.extend(FORMAT_VERSION.to_le_bytes());
+    bytes.extend(9_u64.to_le_bytes());
+    for (vm, disk_id) in [(b"10.0.0.2", 2_u64), (b"10.0.0.1", 1)] {
+        bytes.extend((vm.len() as u64).to_le_bytes());
+        bytes.extend(vm);
+        bytes.extend(disk_id.to_le_bytes());
+    }
+    bytes.extend(4_u64.to_le_bytes());
+    bytes.extend(TIMEOUT_NOW_KIND.to_le_bytes());
+    bytes
+}
+
+fn log_message(stamps: ClockStamps) -> Frame {
+    Frame::Raft(Envelope {
+        version: FORMAT_VERSION,
+        cluster_id: 9,
+        from: VoterId::new("10.0.0.2", 2),
+        to: VoterId::new("10.0.0.1", 1),
+        term: 4,
+        message: Message::TimeoutNow,
+        stamps,
+    })
+}
+
+/// Guards against log messages that builds without stamps cannot read, or that cannot be read from them. These builds
+/// ignore what follows an envelope.
+#[test]
+fn log_messages_are_those_of_builds_without_stamps_with_the_stamps_behind_them() {
+    let bytes = log_message_bytes();
+    let unstamped = log_message(ClockStamps::default());
+    assert_eq!(Frame::decode(&bytes).unwrap(), unstamped);
+    let stamps = ClockStamps {
+        sent_ms: Some(70),
+        echoed_ms: Some(u64::MAX),
+    };
+    let stamped = log_message(stamps).encode();
+    assert_eq!(stamped[..bytes.len()], bytes);
+    assert_eq!(Frame::decode(&stamped).unwrap(), log_message(stamps));
+    let broken = [&bytes[..], &[7]].concat();
+    assert!(Frame::decode(&broken).is_err());
+}
