refactor(connections): one observed stream for clients and servers

The connections of clients and those to servers forwarded the same reads and writes in two types. One `ObservedStream` takes an observer now: the activity of a client's connection, or the byte counts of a server's.

--- a/src/connections/activity.rs
+++ b/src/connections/activity.rs
@@ -1,8 +1,6 @@
 //! What a client's connection is doing, and how long it has stood still.
 
 use std::io;
-use std::io::IoSlice;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -11,24 +9,17 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
-use std::task::ready;
 
-use tokio::io::AsyncRead;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio_util::sync::PollSemaphore;
 
 use super::budget::Holder;
+use super::stream::StreamObserver;
 
 /// Bytes of a head that every connection may hold. Connections take turns with larger ones.
 pub const SMALL_HEAD_BYTES: u64 = 16 * 1024;
-/// Largest number of bytes read at once, which bounds the parser's buffer while a body is read.
-const READ_BYTES: u64 = 16 * 1024;
 
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -196,74 +187,41 @@
     }
 }
 
-/// Connection that notes its activity.
+/// Notes in the activity of a client's connection what is read and written.
 #[derive(Debug)]
-pub struct ObservedStream {
-    stream: TcpStream,
+pub struct ActivityObserver {
     activity: Arc<Activity>,
     large_heads: PollSemaphore,
 }
 
-impl ObservedStream {
-    /// Observes `stream`. Large heads take turns with `large_heads`.
-    pub fn new(stream: TcpStream, activity: Arc<Activity>, large_heads: Arc<Semaphore>) -> Self {
+impl ActivityObserver {
+    /// Observes for `activity`. Large heads take turns with `large_heads`.
+    pub fn new(activity: Arc<Activity>, large_heads: Arc<Semaphore>) -> Self {
         Self {
-            stream,
             activity,
             large_heads: PollSemaphore::new(large_heads),
         }
     }
 }
 
-impl AsyncRead for ObservedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.activity.needs_permit() {
-            let permit = ready!(self.large_heads.poll_acquire(context));
-            self.activity.progress().head_permit = permit;
-        }
-        let before = buffer.filled().len();
-        let mut part = AsyncReadExt::take(&mut self.stream, READ_BYTES);
-        ready!(Pin::new(&mut part).poll_read(context, buffer))?;
-        let read = buffer.filled().len() - before;
-        self.activity.on_read(read);
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for ObservedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.activity.on_write(&written);
-        written
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
+impl StreamObserver for ActivityObserver {
+    // Bounds the parser's buffer while a body is read.
+    const READ_BYTES: u64 = 16 * 1024;
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_may_read(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if !self.activity.needs_permit() {
+            return Poll::Ready(());
+        }
+        let permit = self.large_heads.poll_acquire(context);
+        permit.map(|permit| self.activity.progress().head_permit = permit)
     }
 
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, bytes);
-        self.activity.on_write(&written);
-        written
+    fn on_read(&mut self, bytes: usize) -> io::Result<()> {
+        self.activity.on_read(bytes);
+        Ok(())
     }
 
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+    fn on_write(&mut self, written: &Poll<io::Result<usize>>) {
+        self.activity.on_write(written);
     }
 }
--- a/src/connections/mod.rs
+++ b/src/connections/mod.rs
@@ -9,4 +9,5 @@
 pub mod byte_pool;
 pub mod reports;
 pub mod server;
+pub mod stream;
 pub mod table;
--- a/src/connections/server.rs
+++ b/src/connections/server.rs
@@ -31,9 +31,10 @@
 use tokio::time::sleep;
 
 use super::activity::Activity;
+use super::activity::ActivityObserver;
 use super::activity::Closing;
-use super::activity::ObservedStream;
 use super::reports::Reports;
+use super::stream::ObservedStream;
 use super::table::ConnectionTable;
 use super::table::ListenerLimits;
 use super::table::OpenConnection;
@@ -114,7 +115,8 @@
                 };
                 let _ = stream.set_nodelay(true);
                 let activity = Arc::clone(connection.activity());
-                let stream = ObservedStream::new(stream, activity, Arc::clone(&large_heads));
+                let observer = ActivityObserver::new(activity, Arc::clone(&large_heads));
+                let stream = ObservedStream::new(stream, observer);
                 let serving = serve(
                     stream,
                     connection,
@@ -178,7 +180,7 @@
 }
 
 async fn serve<H, F, B>(
-    stream: ObservedStream,
+    stream: ObservedStream<ActivityObserver>,
     connection: OpenConnection,
     head_buffer_bytes: usize,
     handler: H,
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 
 use super::meter::Meter;
-use super::meter::MeteredStream;
+use crate::connections::stream::ObservedStream;
 
 /// Time for which a connection is kept if the server does not announce a limit.
 const DEFAULT_IDLE_MS: u64 = 900;
@@ -148,7 +148,7 @@
     let _ = stream.set_nodelay(true);
     set_peer_timeouts(&stream);
     let meter = Meter::default();
-    let stream = MeteredStream::new(stream, meter.clone());
+    let stream = ObservedStream::new(stream, meter.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
