refactor(connections): a budget checks progress itself while bodies wait

Each owner of a `ByteBudget` had to start a task that checks the progress of bodies, and to end it: three places, and a budget without the task would have let a body that stands still hold its memory. Now the first body that waits starts the check, which ends with the last one. The one test that started the task no longer does; its checks are unchanged.

The tests of connections (29) and of crowds (19, real processes) pass.

--- a/src/connections/budget.rs
+++ b/src/connections/budget.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -38,6 +37,8 @@
     pool: BytePool,
     entries: IndexMap<ReservationId, Entry>,
     evicted: u64,
+    /// Whether a task checks the progress of bodies, as it does while others wait.
+    is_checked: bool,
 }
 
 /// Interval at which the progress of bodies is checked while others wait.
@@ -61,7 +62,6 @@
 #[derive(Clone)]
 pub struct ByteBudget {
     state: Arc<Mutex<State>>,
-    waits: Arc<Notify>,
 }
 
 impl ByteBudget {
@@ -71,10 +71,10 @@
             pool: BytePool::new(capacity_bytes),
             entries: IndexMap::new(),
             evicted: 0,
+            is_checked: false,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
-            waits: Arc::default(),
         }
     }
 
@@ -93,7 +93,7 @@
         self.lock().evicted
     }
 
-    /// Reserves `bytes`, and waits until they are free.
+    /// Reserves `bytes`, and waits until they are free. Meanwhile, the slowest bodies give theirs back.
     ///
     /// # Errors
     /// Too many bodies wait.
@@ -120,7 +120,9 @@
             Reserved::Granted(id) => (id, None, None),
             Reserved::Waiting(id) => {
                 let (sender, receiver) = oneshot::channel();
-                self.waits.notify_one();
+                if !std::mem::replace(&mut state.is_checked, true) {
+                    tokio::spawn(self.clone().check_progress());
+                }
                 (id, Some(sender), Some(receiver))
             }
             Reserved::Refused => return Err(Crowded),
@@ -138,19 +140,22 @@
     }
 
     /// Checks the progress of bodies for as long as others wait.
-    pub async fn keep_moving(self) {
-        loop {
-            self.waits.notified().await;
-            let mut last = Instant::now();
-            while self.waiting() > 0 {
-                sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
-                let elapsed_ms = last.elapsed().as_millis() as u64;
-                last = Instant::now();
-                self.advance(elapsed_ms.min(MAX_STEP_MS));
-            }
+    async fn check_progress(self) {
+        let mut last = Instant::now();
+        while self.is_check_due() {
+            sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
+            let elapsed_ms = last.elapsed().as_millis() as u64;
+            last = Instant::now();
+            self.advance(elapsed_ms.min(MAX_STEP_MS));
         }
     }
 
+    fn is_check_due(&self) -> bool {
+        let mut state = self.lock();
+        state.is_checked = state.pool.waiting() > 0;
+        state.is_checked
+    }
+
     /// Lets `elapsed_ms` pass. The slowest bodies give their bytes back if others wait for them.
     pub fn advance(&self, elapsed_ms: u64) {
         let mut state = self.lock();
--- a/src/fleet/entry_vm.rs
+++ b/src/fleet/entry_vm.rs
@@ -79,7 +79,7 @@
     _dialer: Dialer,
     periodic: JoinHandle<()>,
     /// Tasks that end once the work in progress is finished.
-    tasks: [JoinHandle<()>; 9],
+    tasks: [JoinHandle<()>; 7],
 }
 
 impl EntryVm {
@@ -195,7 +195,7 @@
     controllers: &Arc<ControllerClient>,
     gateway: &Arc<Gateway>,
     contacts: Contacts,
-) -> [JoinHandle<()>; 9] {
+) -> [JoinHandle<()>; 7] {
     let client = || Arc::clone(controllers);
     let search = controller_search::run(client(), Arc::clone(gateway), contacts.1);
     [
@@ -206,8 +206,6 @@
         tokio::spawn(report_streams(client(), Arc::clone(gateway))),
         tokio::spawn(observe_time(Arc::clone(gateway))),
         tokio::spawn(state_questions::ask_periodically(client())),
-        tokio::spawn(gateway.bodies().keep_moving()),
-        tokio::spawn(gateway.answers().keep_moving()),
     ]
 }
 
--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -17,22 +17,11 @@
 use super::target::unconfigured;
 use crate::connections::body::BodyError;
 use crate::connections::body::BodyReader;
-use crate::connections::budget::ByteBudget;
 
 /// Largest answer that is buffered before it is passed on.
 const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
 
 impl Gateway {
-    /// Memory that the bodies of requests share.
-    pub fn bodies(&self) -> ByteBudget {
-        self.bodies.clone()
-    }
-
-    /// Memory that answers share which callers have not read.
-    pub fn answers(&self) -> ByteBudget {
-        self.answers.clone()
-    }
-
     /// Updates the metrics of the memory that requests and answers have reserved.
     pub fn update_memory_metrics(&self) {
         let meters = &self.config.meters;
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -12,7 +12,6 @@
 use hyper::body::Incoming;
 use serde_json::json;
 use snafu::Snafu;
-use tokio::task::JoinHandle;
 
 use super::announcement::read_announcement;
 use super::body::read_body;
@@ -63,13 +62,6 @@
 /// A running caller API.
 pub struct CallerServer {
     server: HttpServer,
-    keeping: JoinHandle<()>,
-}
-
-impl Drop for CallerServer {
-    fn drop(&mut self) {
-        self.keeping.abort();
-    }
 }
 
 impl CallerServer {
@@ -79,17 +71,13 @@
     /// The address cannot be bound.
     pub fn bind(address: SocketAddr, context: Arc<CallerContext>) -> Result<Self, StartError> {
         let limits = context.process_limits;
-        let keeping = context.bodies.clone().keep_moving();
         let handler = Arc::new(CallerApi { context });
         let server = HttpServer::bind(address, handler, limits).map_err(|error| StartError {
             address,
             message: error.to_string(),
         })?;
         log::info!("caller: listening on {}", server.local_address());
-        Ok(Self {
-            server,
-            keeping: tokio::spawn(keeping),
-        })
+        Ok(Self { server })
     }
 
     /// Address that the server listens on.
--- a/tests/connections/bodies.rs
+++ b/tests/connections/bodies.rs
@@ -81,7 +81,6 @@
 #[tokio::test(start_paused = true)]
 async fn a_body_waits_for_the_memory_of_one_that_stands_still() {
     let budget = ByteBudget::new(BUDGET_BYTES);
-    let keeping = tokio::spawn(budget.clone().keep_moving());
     let stalled_budget = budget.clone();
     let stalled = tokio::spawn(async move {
         let body = endless(MIB, 1_024);
@@ -94,7 +93,6 @@
     assert_matches!(stalled.await.unwrap(), Err(BodyError::NoMemory));
     assert_eq!((budget.used_bytes(), budget.waiting()), (0, 0));
     assert_eq!(budget.evicted(), 1);
-    keeping.abort();
 }
 
 /// Guards against a body that waits for memory until its caller is gone, and is then counted as too slow.
