fix(connections): idle connections to servers have a limit in sum

Callers whose requests go to one server after the other could make an entry VM keep up to 64 idle connections to each of them, 2,560 to 40 servers beside those of the callers, of 4,096 descriptors in all.

Cause: the pool limited idle connections by server only.

Connections of callers take 40%, those in use to servers no more than these, so a tenth is left for links, files and small listeners.

--- a/src/configs/connections.rs
+++ b/src/configs/connections.rs
@@ -35,6 +35,7 @@
 const PEERS_DESCRIPTORS_PERCENT: usize = 8;
 const OPERATORS_DESCRIPTORS_PERCENT: usize = 60;
 const LINKS_DESCRIPTORS_PERCENT: usize = 20;
+const IDLE_SERVERS_DESCRIPTORS_PERCENT: usize = 10;
 
 /// Connections of a listener that only a few programs use.
 const SMALL_LISTENER_CONNECTIONS: usize = 32;
@@ -125,6 +126,11 @@
         self.descriptors * LINKS_DESCRIPTORS_PERCENT / 100
     }
 
+    /// Idle connections to backend servers.
+    pub fn idle_server_connections(self) -> usize {
+        self.descriptors * IDLE_SERVERS_DESCRIPTORS_PERCENT / 100
+    }
+
     /// Limits on connections of the operator and of servers.
     pub fn operators(self) -> ListenerLimits {
         ListenerLimits {
--- a/src/fleet/engine_client.rs
+++ b/src/fleet/engine_client.rs
@@ -19,6 +19,7 @@
 use http_body_util::Limited;
 use tokio::time::timeout;
 
+use crate::configs::connections::ProcessLimits;
 use crate::gateway::pool;
 use crate::gateway::pool::Pool;
 use crate::limits::AskedRest;
@@ -45,10 +46,10 @@
 }
 
 impl EngineClient {
-    pub(super) fn new(clock: Clock) -> Self {
+    pub(super) fn new(clock: Clock, limits: ProcessLimits) -> Self {
         Self {
             clock,
-            pool: Mutex::default(),
+            pool: Mutex::new(Pool::new(limits.idle_server_connections())),
             rests: Mutex::default(),
         }
     }
--- a/src/fleet/order_executor.rs
+++ b/src/fleet/order_executor.rs
@@ -80,7 +80,7 @@
             mechanisms: config.mechanisms,
             events: config.events.clone(),
             state: Mutex::default(),
-            engine_client: EngineClient::new(config.clock),
+            engine_client: EngineClient::new(config.clock, config.process_limits),
         }
     }
 
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -67,12 +67,27 @@
 }
 
 /// Idle connections by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
+    max_idle: usize,
+    /// The connections to each address, the one that has been idle for longest first.
     idle: HashMap<SocketAddr, Vec<Idle>>,
 }
 
 impl Pool {
+    /// Creates a pool of at most `max_idle` connections.
+    pub fn new(max_idle: usize) -> Self {
+        Self {
+            max_idle,
+            idle: HashMap::new(),
+        }
+    }
+
+    /// Number of idle connections.
+    pub fn idle_count(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+
     /// Takes the most recently used idle connection to `address`.
     pub fn take(&mut self, address: SocketAddr, may_repeat: bool) -> Option<Connection> {
         let idle = self.idle.get_mut(&address)?;
@@ -89,7 +104,8 @@
         None
     }
 
-    /// Returns a connection whose answer was read to its end.
+    /// Returns a connection whose answer was read to its end. At the limit, the one that has been idle for longest
+    /// is closed.
     pub fn put(&mut self, address: SocketAddr, connection: Connection, keep: Option<Duration>) {
         let now = Instant::now();
         let keep = keep.map_or(Duration::from_millis(DEFAULT_IDLE_MS), |advertised| {
@@ -106,6 +122,22 @@
             since: now,
             until: now + keep,
         });
+        if self.idle_count() > self.max_idle {
+            self.close_longest_idle();
+        }
+    }
+
+    fn close_longest_idle(&mut self) {
+        let first = |idle: &Vec<Idle>| idle.first().map(|first| first.since);
+        let oldest = self
+            .idle
+            .iter()
+            .filter_map(|(to, idle)| Some((first(idle)?, *to)));
+        if let Some((_, address)) = oldest.min()
+            && let Some(idle) = self.idle.get_mut(&address)
+        {
+            idle.remove(0);
+        }
     }
 
     /// Closes connections that have been idle for too long.
