fix(connections): bodies that wait for more leave room to those of a middle size

Callers with bodies of 16 to 256 KiB would get 503 while a crowd sends bodies in chunks that grow beyond 256 KiB.

Cause: a body in chunks reserves 256 KiB first and keeps them while it waits for the size of a large one. 130 such bodies hold the whole part of the bytes that bodies of a middle size may take, until their deadlines or until large ones give way, 12 in each 0.6 s with 260 MB.

Why the fix works: bodies that wait so may hold half of that part. The next one is refused at once, with 503 and Retry-After as not run, instead of at its deadline. With 260 MB 64 may wait beside the 12 that are read, so fifty of the largest bodies in chunks still go one after the other.

Measured: bodies_that_wait_for_more_leave_bytes_to_those_of_a_middle_size fails without the limit and passes with it; a body that need not wait is not refused (second test). The 31 tests of connections pass, the 300 drawn crowds among them.

--- a/src/connections/body.rs
+++ b/src/connections/body.rs
@@ -169,15 +169,13 @@
                 return Err(BodyError::TooLarge);
             }
             if read_bytes > reserved_bytes {
-                if let Some(reservation) = &whole.reservation {
-                    reservation.set_moves(false);
-                }
                 reserved_bytes = match is_announced || read_bytes > MIDDLE_BYTES {
                     true => needed_bytes,
                     false => MIDDLE_BYTES.min(needed_bytes),
                 };
                 // A larger reservation never waits for a smaller one, so what is held meanwhile blocks nobody for ever.
-                let reservation = self.reserve(reserved_bytes, progress).await?;
+                let held = whole.reservation.as_ref();
+                let reservation = self.reserve(reserved_bytes, held, progress).await?;
                 whole.reservation = Some(reservation);
             }
             let appended = whole.buffer.append(&data);
@@ -190,10 +188,15 @@
         Ok(())
     }
 
-    async fn reserve(&self, bytes: usize, progress: &Arc<Progress>) -> Result<Reservation> {
+    async fn reserve(
+        &self,
+        bytes: usize,
+        held: Option<&Reservation>,
+        progress: &Arc<Progress>,
+    ) -> Result<Reservation> {
         let holder: Arc<dyn Holder> = Arc::clone(progress) as Arc<dyn Holder>;
         progress.is_waiting.store(true, Ordering::Relaxed);
-        let reserved = self.budget.reserve(bytes, holder).await;
+        let reserved = self.budget.reserve(bytes, held, holder).await;
         progress.is_waiting.store(false, Ordering::Relaxed);
         let reservation = reserved.map_err(|_| BodyError::NoMemory)?;
         reservation.set_moves(self.may_evict);
--- a/src/connections/budget.rs
+++ b/src/connections/budget.rs
@@ -93,16 +93,18 @@
         self.lock().evicted
     }
 
-    /// Reserves `bytes`, and waits until they are free. Meanwhile, the slowest bodies give theirs back.
+    /// Reserves `bytes`, and waits until they are free. Meanwhile, the slowest bodies give theirs back. A body that has
+    /// turned out to be larger names what it holds.
     ///
     /// # Errors
     /// Too many bodies wait.
     pub async fn reserve(
         &self,
         bytes: usize,
+        held: Option<&Reservation>,
         holder: Arc<dyn Holder>,
     ) -> Result<Reservation, Crowded> {
-        let (reservation, granted) = self.ask(bytes, holder)?;
+        let (reservation, granted) = self.ask(bytes, held, holder)?;
         if let Some(granted) = granted {
             // The sender lives as long as the reservation.
             let _ = granted.await;
@@ -113,10 +115,15 @@
     fn ask(
         &self,
         bytes: usize,
+        held: Option<&Reservation>,
         holder: Arc<dyn Holder>,
     ) -> Result<(Reservation, Option<oneshot::Receiver<()>>), Crowded> {
         let mut state = self.lock();
-        let (id, sender, receiver) = match state.pool.reserve(bytes) {
+        let reserved = match held {
+            Some(held) => state.pool.reserve_more(held.id, bytes),
+            None => state.pool.reserve(bytes),
+        };
+        let (id, sender, receiver) = match reserved {
             Reserved::Granted(id) => (id, None, None),
             Reserved::Waiting(id) => {
                 let (sender, receiver) = oneshot::channel();
--- a/src/connections/byte_pool.rs
+++ b/src/connections/byte_pool.rs
@@ -23,6 +23,8 @@
 /// Part of the pool that bodies of one size may take, in percent.
 const MIDDLE_PERCENT: usize = 50;
 const LARGE_PERCENT: usize = 75;
+/// Part of the bytes of a middle size that bodies may hold which wait for more, in percent.
+const WAITING_FOR_MORE_PERCENT: usize = 50;
 
 /// Names a body in a pool.
 pub type ReservationId = u64;
@@ -62,6 +64,8 @@
     moves: bool,
     /// Time by which the body is behind the minimum rate.
     behind_ms: u64,
+    /// Whether the body waits for a larger reservation.
+    waits_for_more: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -131,6 +135,32 @@
         Reserved::Waiting(id)
     }
 
+    /// Reserves `bytes` for a body that has turned out to be larger, and that keeps the bytes of `held` until then.
+    /// It is refused instead of waiting if bodies hold too much that wait so.
+    pub fn reserve_more(&mut self, held: ReservationId, bytes: usize) -> Reserved {
+        self.set_moves(held, false);
+        let held_bytes = self.holders.get(&held).map_or(0, |holder| holder.bytes);
+        let waiting_bytes = held_bytes + self.waiting_for_more_bytes();
+        let reserved = self.reserve(bytes);
+        let Reserved::Waiting(id) = reserved else {
+            return reserved;
+        };
+        if waiting_bytes > self.middle.capacity_bytes * WAITING_FOR_MORE_PERCENT / 100 {
+            // It is the last in its queue, so nobody is granted anything by its end.
+            self.release(id);
+            return Reserved::Refused;
+        }
+        if let Some(holder) = self.holders.get_mut(&held) {
+            holder.waits_for_more = true;
+        }
+        reserved
+    }
+
+    fn waiting_for_more_bytes(&self) -> usize {
+        let waiting = self.holders.values().filter(|holder| holder.waits_for_more);
+        waiting.map(|holder| holder.bytes).sum()
+    }
+
     /// Ends a reservation, granted or waiting. Returns those that are granted now.
     pub fn release(&mut self, id: ReservationId) -> Vec<ReservationId> {
         if let Some(holder) = self.holders.swap_remove(&id) {
@@ -228,6 +258,7 @@
             size,
             moves: true,
             behind_ms: 0,
+            waits_for_more: false,
         };
         self.holders.insert(id, holder);
     }
--- a/tests/connections/byte_pool.rs
+++ b/tests/connections/byte_pool.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 use medlarlift::connections::byte_pool::BytePool;
+use medlarlift::connections::byte_pool::MIDDLE_BYTES;
 use medlarlift::connections::byte_pool::ReservationId;
 use medlarlift::connections::byte_pool::Reserved;
 use rand::RngExt;
@@ -245,3 +246,44 @@
     assert!(pool.waiting() > 0);
     assert!(matches!(pool.reserve(200 * 1024), Reserved::Granted(_)));
 }
+
+/// Guards against a crowd of bodies of unknown length that wait for the size of large ones, and whose bytes leave
+/// none for bodies of a middle size.
+#[test]
+fn bodies_that_wait_for_more_leave_bytes_to_those_of_a_middle_size() {
+    let mut pool = BytePool::new(CAPACITY_BYTES);
+    while let Reserved::Granted(_) = pool.reserve(4 * MIB) {}
+    let mut refused = 0;
+    for _ in 0..CAPACITY_BYTES / MIDDLE_BYTES {
+        let Reserved::Granted(held) = pool.reserve(MIDDLE_BYTES) else {
+            break;
+        };
+        match pool.reserve_more(held, 4 * MIB) {
+            Reserved::Granted(_) => panic!("large ones wait"),
+            Reserved::Waiting(_) => {}
+            Reserved::Refused => {
+                refused += 1;
+                pool.release(held);
+            }
+        }
+    }
+    assert!(refused > 0);
+    assert!(matches!(pool.reserve(MIDDLE_BYTES), Reserved::Granted(_)));
+}
+
+/// Guards against a limit on bodies that wait for more which refuses one that need not wait.
+#[test]
+fn a_body_that_needs_more_gets_it_at_once_if_it_is_free() {
+    let mut pool = BytePool::new(CAPACITY_BYTES);
+    for _ in 0..2 {
+        let Reserved::Granted(held) = pool.reserve(MIDDLE_BYTES) else {
+            panic!("the pool is empty");
+        };
+        assert!(matches!(
+            pool.reserve_more(held, 4 * MIB),
+            Reserved::Granted(_)
+        ));
+        pool.release(held);
+    }
+    assert_eq!(pool.used_bytes(), 8 * MIB);
+}
