fix(benches): requests of the path benchmark don't wait for each other

Cause: the benchmark sends requests through the VM and directly at the same instants, 200 of each a second. The engine's step takes about 2.1 ms; the direct request begins it, and the one through the VM arrives 0.1 ms later and can join only the next step. The 2.2 ms that were taken for the VM's are the step of the other request.

Why the change is equally strict: rate, engine, target and concurrent measurement are the same; the two kinds are half an interval (2.5 ms) apart, so neither falls into a step that the other one has begun.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -22,13 +22,15 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
+use tokio::time::interval_at;
 use tokio::time::sleep;
 
 const OPERATOR_TOKEN: &str = "the operators' token of the benchmark";
 const KEY: &str = "key-of-the-benchmark-0123456789abcdef";
 const MODEL: &str = "base:lens-1@1";
 const REQUESTS_PER_S: u64 = 200;
+/// Time between two requests.
+const INTERVAL: Duration = Duration::from_micros(1_000_000 / REQUESTS_PER_S);
 const WARM_UP_REQUESTS: u64 = 400;
 const REQUESTS: u64 = 3_000;
 /// Idle time before the memory of the VM is read.
@@ -149,10 +151,10 @@
     Call::new(engine, Method::POST, "/v1/completions").json(&body)
 }
 
-/// Sends requests at a fixed rate, regardless of response times, and returns their latencies in us.
-async fn measure(make: impl Fn(u64) -> Call, count: u64) -> Histogram<u64> {
+/// Sends requests from `start` on at a fixed rate, regardless of response times, and returns their latencies in us.
+async fn measure(make: impl Fn(u64) -> Call, count: u64, start: Instant) -> Histogram<u64> {
     let client = HttpClient::new();
-    let mut timer = interval(Duration::from_micros(1_000_000 / REQUESTS_PER_S));
+    let mut timer = interval_at(start, INTERVAL);
     timer.set_missed_tick_behavior(MissedTickBehavior::Burst);
     let mut running: Vec<JoinHandle<Duration>> = Vec::new();
     for number in 0..count {
@@ -206,11 +208,18 @@
     let engine = RunningEngine::bind(settings).await.expect("a port is free");
     send_until_success(&client, || through_vm(vm.caller, 0)).await;
     let (to_vm, to_engine) = (vm.caller, engine.address());
-    measure(move |number| through_vm(to_vm, number), WARM_UP_REQUESTS).await;
-    // Both measurements run concurrently, so that they see the same engine and machine load.
+    let warm_up = |number| through_vm(to_vm, number);
+    measure(warm_up, WARM_UP_REQUESTS, Instant::now()).await;
+    // Both measurements run concurrently, so that they see the same engine and machine load, half an interval
+    // apart, so that no request waits for the step of the engine's batch that the other one has begun.
+    let start = Instant::now();
     let (through_vm_times, direct_times) = tokio::join!(
-        measure(move |number| through_vm(to_vm, number), REQUESTS),
-        measure(move |number| direct(to_engine, number), REQUESTS),
+        measure(
+            |number| through_vm(to_vm, number),
+            REQUESTS,
+            start + INTERVAL / 2
+        ),
+        measure(|number| direct(to_engine, number), REQUESTS, start),
     );
     print("through the VM", &through_vm_times);
     print("direct", &direct_times);
