fix(consensus): a candidate's timeout starts when its own vote is on disk

What callers saw: no change was acknowledged for 7 s.

Cause: a candidate asks for votes once its own is on its disk, and the voter answers once its vote is on its disk, but the timeout of 0.5 to 1 s ran from the begin of the election. Where both writes take over half of it, the candidate begins the next term while the vote that it has asked for is still being written, as often as it tries.

One controller had lost its disk, so both others had to vote. 102 entered terms 17 to 23 each 0.55 to 1.07 s; 100 learnt of each 0.36 to 0.76 s later and voted too late.

Why the fix works: the timeout starts when the requests for votes leave, so it covers one write, the other voter's. Terms and votes are as before; only a candidate waits longer, by its own write.

--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -361,6 +361,7 @@
             }
             Deferred::SelfVote { term } => {
                 if term == self.meta.term {
+                    self.reset_election_deadline();
                     self.count_vote(self.config.id.clone());
                 }
             }
--- a/tests/consensus_election.rs
+++ b/tests/consensus_election.rs
@@ -11,6 +11,10 @@
 /// new leader demotes a voter that is gone, and half a second to bring the successor up to date.
 const ELECTION_MS: u64 = 2_000;
 
+/// What the 5 s within which stable controllers acknowledge a change leave for an election on slow disks: less 1 s for
+/// the first entry of the new leader and the change, each synced by both voters.
+const SLOW_ELECTION_MS: u64 = 4_000;
+
 /// Time until another VM leads after the leader of `founders` is gone.
 fn time_without_leader_ms(
     seed: u64,
@@ -42,6 +46,10 @@
 
 /// Asserts that every election takes at most [`ELECTION_MS`].
 fn check(founders: &[&str], delay_ms: (u64, u64), sync_ms: (u64, u64)) {
+    check_within(ELECTION_MS, founders, delay_ms, sync_ms);
+}
+
+fn check_within(limit_ms: u64, founders: &[&str], delay_ms: (u64, u64), sync_ms: (u64, u64)) {
     let times = (0..SEEDS).map(|seed| time_without_leader_ms(seed, founders, delay_ms, sync_ms));
     let mut times_ms: Vec<u64> = times.collect();
     times_ms.sort_unstable();
@@ -55,7 +63,7 @@
         at(100)
     );
     println!("{summary}");
-    assert!(at(100) <= ELECTION_MS, "{summary}");
+    assert!(at(100) <= limit_ms, "{summary}");
 }
 
 /// Guards against elections of several rounds, in which two candidates of the same term vote for themselves.
@@ -75,3 +83,9 @@
 fn five_remaining_voters_elect_a_leader_soon() {
     check(&["a", "b", "c", "d", "e", "f"], (30, 30), (5, 5));
 }
+
+/// Guards against candidates that give up while their disks still write the votes that they asked for.
+#[test]
+fn two_remaining_voters_with_slow_disks_elect_a_leader_soon() {
+    check_within(SLOW_ELECTION_MS, &["a", "b", "c"], (1, 5), (250, 450));
+}
