feat(consensus): the core reports how candidacies and leaderships end

Nothing told a slow disk from a cut or a lost quorum: no line named a candidacy, a vote or the voters that a leader missed. The core now reports each candidacy that ends (term, own sync, votes granted, refused and outstanding) and each leadership that ends (silence and last sync of each voter).

--- a/src/consensus/core/election.rs
+++ b/src/consensus/core/election.rs
@@ -8,6 +8,8 @@
 use super::Core;
 use super::Deferred;
 use super::Role;
+use super::report::Candidacy;
+use super::report::CandidacyOutcome;
 use crate::consensus::message::Message;
 use crate::consensus::types::VoterId;
 
@@ -97,13 +99,13 @@
     /// Starts an election in the next term and requests votes.
     pub(super) fn campaign(&mut self, transfer: bool) {
         self.reset_election_deadline();
+        self.end_candidacy(CandidacyOutcome::AskedAgain);
         self.meta.term += 1;
         self.meta.vote = Some(self.config.id.clone());
         self.save_meta();
         self.leader = None;
-        self.role = Role::Candidate {
-            granted: BTreeSet::new(),
-        };
+        self.role = Role::Candidate;
+        self.candidacy = Some(Candidacy::new(self.meta.term, self.now_ms));
         let message = Message::Vote {
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
@@ -136,25 +138,37 @@
     }
 
     pub(super) fn vote_reply(&mut self, from: VoterId, granted: bool) {
-        if granted {
-            self.count_vote(from);
+        match granted {
+            true => self.count_vote(from),
+            false => self.note_refusal(from),
         }
     }
 
     pub(super) fn count_vote(&mut self, from: VoterId) {
-        let Role::Candidate { granted } = &mut self.role else {
+        if !matches!(self.role, Role::Candidate) {
+            return;
+        }
+        let Some(candidacy) = &mut self.candidacy else {
             return;
         };
-        granted.insert(from);
-        let granted = granted.clone();
+        candidacy.granted.insert(from);
+        let granted = candidacy.granted.clone();
         if self.is_quorum(&granted) {
             self.become_leader();
         }
     }
 
+    fn note_refusal(&mut self, from: VoterId) {
+        if let Some(candidacy) = &mut self.candidacy {
+            candidacy.refused.insert(from);
+        }
+    }
+
     /// Becomes a follower in `term`, which is the current or a later one.
     pub(super) fn become_follower(&mut self, term: u64, leader: Option<VoterId>) {
+        self.report_leadership_end(term > self.meta.term);
         if term > self.meta.term {
+            self.end_candidacy(CandidacyOutcome::LaterTerm);
             self.meta.term = term;
             self.meta.vote = None;
             self.save_meta();
@@ -164,6 +178,9 @@
             self.role = Role::Follower;
             self.reset_election_deadline();
         }
+        if leader.is_some() {
+            self.end_candidacy(CandidacyOutcome::AnotherLeads);
+        }
         self.leader = leader;
     }
 
--- a/src/consensus/core/leader.rs
+++ b/src/consensus/core/leader.rs
@@ -7,6 +7,7 @@
 use super::Core;
 use super::Output;
 use super::Role;
+use super::report::CandidacyOutcome;
 use super::snapshot::OutgoingSnapshot;
 use crate::consensus::message::Message;
 use crate::consensus::types::Entry;
@@ -42,6 +43,8 @@
     pub(super) paused: bool,
     /// Time on the leader's clock at which it sent the latest message that got a reply.
     pub(super) contact_ms: Option<u64>,
+    /// Time at which the member was last known to have synced all entries sent to it, or a further one.
+    pub(super) synced_ms: Option<u64>,
     /// Stamp of the member's latest reply.
     pub(super) stamp_ms: Option<u64>,
     /// Commit index at `catch_up_started_ms`. A learner that reaches it within one election timeout
@@ -77,6 +80,7 @@
 
 impl Core {
     pub(super) fn become_leader(&mut self) {
+        self.end_candidacy(CandidacyOutcome::Elected);
         self.leader = Some(self.config.id.clone());
         self.role = Role::Leader(Box::new(Leadership {
             progress: BTreeMap::new(),
@@ -113,6 +117,7 @@
                 probing: true,
                 paused: false,
                 contact_ms: None,
+                synced_ms: None,
                 stamp_ms: None,
                 catch_up_index: u64::MAX,
                 catch_up_started_ms: 0,
@@ -342,11 +347,15 @@
         (index, last_index): (u64, u64),
         sent_ms: u64,
     ) {
+        let now_ms = self.now_ms;
         let Some(progress) = self.progress(from) else {
             return;
         };
         progress.contact_ms = progress.contact_ms.max(Some(sent_ms));
         if accepted {
+            if index > progress.match_index || index + 1 == progress.next_index {
+                progress.synced_ms = Some(now_ms);
+            }
             progress.match_index = progress.match_index.max(index);
             let match_index = progress.match_index;
             let outgoing = progress.snapshot.as_ref();
--- a/src/consensus/core/membership.rs
+++ b/src/consensus/core/membership.rs
@@ -278,7 +278,7 @@
     }
 
     /// Time since the last contact of `id` with this leader, or since this leader tracks it.
-    fn silence_ms(&self, id: &VoterId) -> u64 {
+    pub(super) fn silence_ms(&self, id: &VoterId) -> u64 {
         let Some(progress) = self.progress_of(id) else {
             return 0;
         };
--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -8,6 +8,7 @@
 mod log;
 mod membership;
 mod receive;
+mod report;
 mod snapshot;
 mod stamps;
 mod status;
@@ -24,12 +25,18 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::report::CandidacyEnd;
+pub use self::report::CandidacyOutcome;
+pub use self::report::LeadershipEnd;
+pub use self::report::Report;
+pub use self::report::VoterContact;
 pub use self::status::Confirmation;
 pub use self::status::CoreStatus;
 
 use self::bootstrap::EmptyFounder;
 use self::leader::Leadership;
 use self::log::Log;
+use self::report::Candidacy;
 use self::snapshot::IncomingSnapshot;
 use self::stamps::StampClock;
 use super::message::Envelope;
@@ -143,6 +150,8 @@
     /// A member reported that this identity is retired or belongs to another cluster and may not
     /// join.
     Retired,
+    /// A candidacy or leadership of this member ended.
+    Report(Report),
 }
 
 /// Changes to the durable state, to be written in the order of the fields.
@@ -178,9 +187,7 @@
         /// Whether all voters have to grant the pre-vote, rather than a quorum.
         needs_all: bool,
     },
-    Candidate {
-        granted: BTreeSet<VoterId>,
-    },
+    Candidate,
     Leader(Box<Leadership>),
 }
 
@@ -201,6 +208,8 @@
     applied_index: u64,
     restored: bool,
     role: Role,
+    /// Candidacy in progress.
+    candidacy: Option<Candidacy>,
     leader: Option<VoterId>,
     leader_contact_ms: Option<u64>,
     /// Latest confirmation by a leader.
@@ -243,6 +252,7 @@
             applied_index: snapshot_index,
             restored: snapshot_index == 0,
             role: Role::Follower,
+            candidacy: None,
             leader: None,
             leader_contact_ms: None,
             confirmed: None,
@@ -362,6 +372,9 @@
             Deferred::SelfVote { term } => {
                 if term == self.meta.term {
                     self.reset_election_deadline();
+                    if let Some(candidacy) = &mut self.candidacy {
+                        candidacy.synced_ms = Some(self.now_ms);
+                    }
                     self.count_vote(self.config.id.clone());
                 }
             }
--- a/src/consensus/driver/voter.rs
+++ b/src/consensus/driver/voter.rs
@@ -191,6 +191,7 @@
                     unavailable,
                 } => reject(replies.take().unwrap_or_default(), leader, unavailable),
                 Output::Retired => self.report_retired(),
+                Output::Report(_) => {}
             }
         }
     }
--- a/tests/consensus_sim/mod.rs
+++ b/tests/consensus_sim/mod.rs
@@ -21,6 +21,7 @@
 use medlarlift::consensus::core::CoreStatus;
 use medlarlift::consensus::core::Input;
 use medlarlift::consensus::core::Output;
+use medlarlift::consensus::core::Report;
 use medlarlift::consensus::core::Write;
 use medlarlift::consensus::storage::MemoryDisk;
 use medlarlift::consensus::storage::Storage;
@@ -108,6 +109,8 @@
     /// VMs whose build neither sends nor reads stamps.
     pub unstamped: BTreeSet<VmName>,
     pub options: Options,
+    /// Candidacies and leaderships that ended.
+    pub reports: Vec<(VmName, Report)>,
     pub oracle: Oracle,
     /// Number of disks lost or corrupted.
     pub lost_disks: usize,
@@ -144,6 +147,7 @@
             late_ms: BTreeMap::new(),
             unstamped: BTreeSet::new(),
             options,
+            reports: Vec::new(),
             oracle: Oracle::default(),
             lost_disks: 0,
             installs: 0,
@@ -367,6 +371,10 @@
     }
 
     fn perform(&mut self, vm: &VmName, output: Output) {
+        if let Output::Report(report) = output {
+            // Draws nothing, so that reports leave the runs of all seeds as they are.
+            return self.reports.push((vm.clone(), report));
+        }
         let sync_ms = self
             .rng
             .random_range(self.options.sync_ms.0..=self.options.sync_ms.1);
@@ -388,7 +396,10 @@
                 process.replica = self.oracle.restore(&snapshot);
                 process.schedule.record_snapshot(snapshot.data.len());
             }
-            Output::Accepted { .. } | Output::Rejected { .. } | Output::Retired => {}
+            Output::Accepted { .. }
+            | Output::Rejected { .. }
+            | Output::Retired
+            | Output::Report(_) => {}
         }
     }
 
