fix(consensus): a leader on slow disks keeps its term

A leader was elected and stepped down 1 s later, again and again, though all messages arrived: voters replied to its heartbeats once all their writes were synced, which takes longer than 1 s on slow disks.

Entries are acknowledged as before, after their sync. What is told before a sync is the term and that this leader is followed: a vote or an index never is. A member that answers and syncs nothing for 5 s counts as failed, so that its place is given to another; a change of members wants a quorum that syncs.

--- a/src/consensus/core/append.rs
+++ b/src/consensus/core/append.rs
@@ -20,6 +20,7 @@
             return;
         };
         let last_sent = prev_index + entries.len() as u64;
+        let is_heartbeat = entries.is_empty();
         if !self.matches(prev_index, prev_term) {
             let hint = self
                 .log
@@ -31,7 +32,7 @@
                 last_index: hint,
                 sent_ms,
             };
-            return self.send_durable(from, reply);
+            return self.send(from, reply);
         }
         for entry in entries {
             self.append_from_leader(entry);
@@ -39,13 +40,33 @@
         let known = commit_index.min(last_sent);
         self.commit_index = self.commit_index.max(known);
         self.confirm(commit_index, last_sent, stamps);
-        let reply = Message::AppendReply {
+        match is_heartbeat {
+            true => self.reply_with_synced(from, last_sent, sent_ms),
+            false => self.acknowledge_once_synced(from, last_sent, sent_ms),
+        }
+    }
+
+    /// Tells the leader at once that this member follows it, and how much of the log up to `matched`, which is the
+    /// leader's, is synced. A sign of life does not wait for the disk.
+    pub(super) fn reply_with_synced(&mut self, to: &VoterId, matched: u64, sent_ms: u64) {
+        let index = matched.min(self.durable_index);
+        let reply = self.accepted(index, sent_ms);
+        self.send(to, reply);
+    }
+
+    /// Acknowledges the log up to `index` once it is synced.
+    pub(super) fn acknowledge_once_synced(&mut self, to: &VoterId, index: u64, sent_ms: u64) {
+        let reply = self.accepted(index, sent_ms);
+        self.send_durable(to, reply);
+    }
+
+    fn accepted(&self, index: u64, sent_ms: u64) -> Message {
+        Message::AppendReply {
             accepted: true,
-            index: last_sent,
+            index,
             last_index: self.log.last_index(),
             sent_ms,
-        };
-        self.send_durable(from, reply);
+        }
     }
 
     /// Takes over what the leader knows to be committed, once all of it is in the log up to `last_sent`.
@@ -87,7 +108,11 @@
             "truncation from {from} would remove committed entries"
         );
         self.log.truncate(from);
-        let last_kept = from - 1;
+        self.limit_durable_index(from - 1);
+    }
+
+    /// No entry after `last_kept` is synced, nor will be by a write that has begun.
+    pub(super) fn limit_durable_index(&mut self, last_kept: u64) {
         self.durable_index = self.durable_index.min(last_kept);
         for write in &mut self.in_flight {
             write.last_index = write.last_index.min(last_kept);
--- a/src/consensus/core/membership.rs
+++ b/src/consensus/core/membership.rs
@@ -21,6 +21,10 @@
 /// a quorum steps down first.
 const VOTER_SILENCE_MS: u64 = 1_500;
 
+/// Time without a sync, while entries wait for one, after which the disk of a member in contact has failed. Longer than
+/// a slow disk takes for a write that waits for another one.
+const STALLED_DISK_MS: u64 = 5_000;
+
 /// Time for which a member that announced its shutdown is not promoted.
 const LEAVING_MS: u64 = 1_000;
 
@@ -181,12 +185,15 @@
         self.has_active_quorum(&next).then_some(next)
     }
 
-    /// The voter that is silent for the longest time or shuts down, if there is one.
+    /// The voter that is silent for the longest time, shuts down or syncs nothing, if there is one.
     fn failed_voter(&self) -> Option<&VoterId> {
         let voters = self.configuration().voters.iter();
         voters
             .filter(|id| **id != self.config.id)
-            .filter(|id| self.silence_ms(id) >= VOTER_SILENCE_MS || self.is_leaving(id))
+            .filter(|id| {
+                let is_silent = self.silence_ms(id) >= VOTER_SILENCE_MS;
+                is_silent || self.is_leaving(id) || self.has_stalled_disk(id)
+            })
             .max_by_key(|id| self.silence_ms(id))
     }
 
@@ -286,8 +293,19 @@
         self.now_ms.saturating_sub(last_ms)
     }
 
+    /// Whether `id` has synced nothing for [`STALLED_DISK_MS`], though entries were sent to it.
+    fn has_stalled_disk(&self, id: &VoterId) -> bool {
+        let progress = self.progress_of(id);
+        progress.is_some_and(|progress| {
+            let last_ms = progress.synced_ms.unwrap_or(progress.since_ms);
+            self.now_ms >= last_ms + STALLED_DISK_MS
+        })
+    }
+
+    /// Whether enough of the voters are in contact and sync what they get.
     fn has_active_quorum(&self, configuration: &Configuration) -> bool {
-        let active = configuration.voters.iter().filter(|id| self.is_active(id));
+        let voters = configuration.voters.iter();
+        let active = voters.filter(|id| self.is_active(id) && !self.has_stalled_disk(id));
         active.count() >= configuration.quorum()
     }
 }
--- a/src/consensus/core/receive.rs
+++ b/src/consensus/core/receive.rs
@@ -144,6 +144,6 @@
             last_index: self.log.last_index(),
             sent_ms,
         };
-        self.send_durable(to, reply);
+        self.send(to, reply);
     }
 }
--- a/src/consensus/core/snapshot.rs
+++ b/src/consensus/core/snapshot.rs
@@ -128,7 +128,7 @@
             return;
         };
         if index <= self.commit_index {
-            return self.acknowledge_up_to(from, self.commit_index, sent_ms);
+            return self.reply_with_synced(from, self.commit_index, sent_ms);
         }
         let is_same = |known: &IncomingSnapshot| known.from == *from && known.index == index;
         let mut incoming = match self.incoming.take() {
@@ -153,20 +153,10 @@
                 next_offset,
                 sent_ms,
             };
-            return self.send_durable(from, reply);
+            return self.send(from, reply);
         }
         self.install(incoming);
-        self.acknowledge_up_to(from, index, sent_ms);
-    }
-
-    fn acknowledge_up_to(&mut self, to: &VoterId, index: u64, sent_ms: u64) {
-        let reply = Message::AppendReply {
-            accepted: true,
-            index,
-            last_index: self.log.last_index(),
-            sent_ms,
-        };
-        self.send_durable(to, reply);
+        self.acknowledge_once_synced(from, index, sent_ms);
     }
 
     fn install(&mut self, incoming: IncomingSnapshot) {
@@ -179,10 +169,8 @@
         };
         let is_reset = self.log.install(snapshot);
         if is_reset {
-            self.durable_index = self.durable_index.min(index);
-            for write in &mut self.in_flight {
-                write.last_index = write.last_index.min(index);
-            }
+            // Entries after the committed ones may differ from those that the snapshot covers.
+            self.limit_durable_index(self.commit_index);
         }
         self.commit_index = index;
         let saved = Arc::clone(self.log.snapshot());
--- a/tests/consensus_election.rs
+++ b/tests/consensus_election.rs
@@ -96,6 +96,8 @@
 /// Time of a write on such a disk.
 const SLOW_WRITE_MS: (u64, u64) = (600, 1_800);
 const RETURN_SEEDS: u64 = 40;
+/// Time for which a leader is watched.
+const WATCHED_MS: u64 = 10_000;
 
 /// Six members with slow disks of which two are lost, while the others lose power. Returns the cluster when one of them
 /// leads, and the time since their return.
@@ -131,3 +133,19 @@
     println!("longest {longest_ms} ms");
     assert!(longest_ms <= RETURN_ON_SLOW_DISKS_MS, "{longest_ms} ms");
 }
+
+/// Guards against leaders that step down because the voters' replies wait for their disks.
+#[test]
+fn a_leader_of_voters_with_slow_disks_keeps_its_term() {
+    for seed in 0..RETURN_SEEDS {
+        let (mut sim, _) = return_on_slow_disks(seed);
+        let term = |sim: &Sim| {
+            let leader = sim.leader()?;
+            sim.status(&leader).map(|status| status.term)
+        };
+        let elected = term(&sim);
+        sim.run(WATCHED_MS);
+        assert!(elected.is_some(), "seed {seed}: {}", sim.describe());
+        assert_eq!(term(&sim), elected, "seed {seed}: {}", sim.describe());
+    }
+}
