--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,7 @@
-"""The runners of a service are brittle for 20 seconds and say so in all their answers: `Server-Brittle` = 5. From ContactMs
-later they let 2 requests wait instead of 24, and one that has to turn more than 5 requests away in a second for want of
-room falls over; it is back after 3 seconds. LIMIT is broken if they fall over more often than 2 + a tenth of their number."""
+"""A heartbeat of another writer, with a service that is not named here, bears the address of a runner. The runner
+then says that it drains. Requests that reach it later than DrainMs after the acknowledgement break DRAIN."""
 import asyncio
+import json
 import os
 import sys
 import time
@@ -10,90 +10,71 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib2"))
 import fleet as lab  # noqa: E402
 
-CONTACT_S = lab.BOUNDS["ContactMs"] / 1000
-RUNNERS, SLOTS, QUEUE, WORK_S = 3, 6, 24, 0.3
-BRITTLE_N, BRITTLE_QUEUE, BRITTLE_S, BACK_S = 5, 2, 20.0, 3.0
-PER_S = 80  # the runners can do RUNNERS * SLOTS / WORK_S = 60
+DRAIN_S = lab.BOUNDS["DrainMs"] / 1000
+LINGER_S = 8.0
 
 
-class Brittle(lab.Runner):
-    """Says that it is brittle, and falls over when it has to turn away too many requests in a second."""
-
-    since = None
-    until = None
-    falls = []
-
-    def __init__(self, *given, **named):
-        super().__init__(*given, **named)
-        self.first_name, self.starts, self.turned_away = self.name, 1, []
-
-    @classmethod
-    def is_brittle(cls, now):
-        return cls.since is not None and cls.since <= now < cls.until
-
-    def extra_headers(self):
-        return {"Server-Brittle": str(BRITTLE_N)} if self.is_brittle(self.fleet.record.now()) else {}
-
-    async def run(self, writer, method, path, headers, body, request_id, common):
-        now = self.fleet.record.now()
-        strict = self.is_brittle(now) and now >= Brittle.since + CONTACT_S
-        self.queue = BRITTLE_QUEUE if strict else QUEUE
-        if strict and self.running >= self.slots and self.waiting >= self.queue:
-            self.turned_away = [at for at in self.turned_away if at > now - 1.0] + [now]
-            if len(self.turned_away) > BRITTLE_N:
-                self.fleet.record(f"{self.name}: {request_id} is the {len(self.turned_away)}th that it has to turn away in a "
-                                  f"second; it falls over with {self.running} at work and {self.waiting} waiting")
-                Brittle.falls.append((now, self.name))
-                self.crash()
-                self.fleet.spawn(self.come_back())
-                raise ConnectionError("fallen over")
-        await super().run(writer, method, path, headers, body, request_id, common)
-
-    async def come_back(self):
-        await asyncio.sleep(BACK_S)
-        self.starts += 1
-        self.name = f"{self.first_name}-{self.starts}"
-        self.born, self.sequence, self.turned_away = int(time.time() * 1000), 0, []
-        await self.start()
+async def other_writer(fleet, address):
+    """Another writer's entry for the program at `address`: all fields are there, the service is not named here."""
+    born, sequence = int(time.time() * 1000), 0
+    while True:
+        sequence += 1
+        body = {"Service": "archive", "Address": f"{address[0]}:{address[1]}", "Zone": "north", "Version": "v1",
+                "Slots": 6, "State": "ready", "ColdRemainingMs": 0, "Stage": "combined", "Models": [],
+                "Sequence": sequence, "born": born}
+        control = fleet.controls[0]
+        status, _, _ = await lab.call((control.ip, lab.CONTROL), "POST", "/instances/x-archive-1/heartbeat",
+                                      {"Content-Type": "application/json"}, json.dumps(body), 1.0)
+        fleet.record(f"other writer: x-archive-1 (archive) at {address[0]}:{address[1]}, born {born}: {control.name} answers {status}")
+        await asyncio.sleep(lab.HEARTBEAT_MS / 1000)
 
 
 async def load(fleet, client):
     number = 0
     while True:
         entry = fleet.entries[number % len(fleet.entries)]
-        fleet.spawn(client.request(entry, "POST", f"/orders/{number}", body=str(number), deadline_ms=6000))
+        fleet.spawn(client.request(entry, "POST", f"/orders/{number}", body="{}"))
         number += 1
-        await asyncio.sleep(1 / PER_S)
+        await asyncio.sleep(0.05)
 
 
 async def case(record, trouble):
-    fleet = lab.Fleet(record, entries=3)
+    fleet = lab.Fleet(record, entries=2)
     try:
         fleet.start()
         await fleet.operate("/config/put", lab.plain_config(
             1, [lab.route("orders", "/orders/", "unsafe", "desk", attempts=1)], [lab.service("desk")]))
-        runners = [Brittle(fleet, f"i-{number}", "desk", 9101 + number, slots=SLOTS, queue=QUEUE, work_s=WORK_S)
-                   for number in range(RUNNERS)]
-        for runner in runners:
+        leaving = lab.Runner(fleet, "i-leaving", "desk", 9101)
+        staying = lab.Runner(fleet, "i-staying", "desk", 9102)
+        for runner in (leaving, staying):
             await runner.start()
         await fleet.wait_ready()
         await asyncio.sleep(2)
         client = lab.Client(fleet)
         fleet.spawn(load(fleet, client))
-        await asyncio.sleep(8)
+        await asyncio.sleep(5)
         if trouble:
-            Brittle.since = record.now()
-            Brittle.until = Brittle.since + BRITTLE_S
-            record(f"the runners are brittle from now on: Server-Brittle = {BRITTLE_N}")
-        await asyncio.sleep(BRITTLE_S + 2)
+            fleet.spawn(other_writer(fleet, leaving.address))
+        await asyncio.sleep(3)
+        # The runner says that it drains, goes on for some seconds, says that it is gone, and ends.
+        leaving.state = "draining"
+        acknowledged = None
+        while acknowledged is None:
+            acknowledged = await leaving.beat()
+        record(f"i-leaving: draining is acknowledged at {acknowledged:.3f}")
+        await asyncio.sleep(DRAIN_S + LINGER_S)
+        await leaving.deregister()
+        await asyncio.sleep(1.0)
+        leaving.crash()
+        await asyncio.sleep(1.0)
+        late = [arrival for arrival in leaving.arrivals if arrival[0] > acknowledged + DRAIN_S]
         served = sum(1 for _, status in client.answers if status == 200)
-        lost = sum(1 for _, status in client.answers if status in (None, 502))
-        allowed = 2 + RUNNERS / 10
-        record(f"{len(client.answers)} requests: {served} get 200, {lost} get 502 or no answer")
-        record(f"the runners fall over {len(Brittle.falls)} times; {allowed} are allowed")
-        if served < len(client.answers) / 4:
-            raise lab.CannotRun("too little was served")
-        return len(Brittle.falls) <= allowed
+        record(f"{len(leaving.arrivals)} requests reach i-leaving, {len(staying.arrivals)} i-staying; {served} answers with 200")
+        for arrival in late:
+            record(f"late at i-leaving: {arrival[1]} at {arrival[0]:.3f}, {arrival[0] - acknowledged:.3f} s after the acknowledgement")
+        if not staying.arrivals or served == 0:
+            raise lab.CannotRun("nothing was served")
+        return not late
     finally:
         await fleet.stop()
 
